--- /dev/null
+++ b/crates/cranberrypitch-core/src/collections.rs
@@ -0,0 +1,12 @@
+//! Hash maps and sets with a fast hasher.
+
+use std::collections::{HashMap, HashSet};
+
+/// The hasher of all maps and sets: randomly seeded, not meant for keyed security.
+pub type FastHasher = foldhash::fast::RandomState;
+
+/// A hash map with a fast hasher.
+pub type FastMap<K, V> = HashMap<K, V, FastHasher>;
+
+/// A hash set with a fast hasher.
+pub type FastSet<K> = HashSet<K, FastHasher>;
--- /dev/null
+++ b/crates/cranberrypitch-core/src/ids.rs
@@ -0,0 +1,187 @@
+//! Identifiers.
+
+use std::fmt;
+use std::hash::Hasher;
+use std::str::FromStr;
+
+use derive_more::Display;
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use siphasher::sip::SipHasher24;
+
+use crate::errors::{Error, Result};
+
+const MAX_NAME_CHARS: usize = 63;
+const NAME_RULE: &str = "1 to 63 letters, digits, '-', '_' or '.'";
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash,
+            SerializeDisplay, DeserializeFromStr,
+        )]
+        pub struct $name(Box<str>);
+
+        impl $name {
+            /// Returns the name after a check of its form.
+            pub fn try_new(name: &str) -> Result<Self> {
+                if is_name(name) {
+                    Ok(Self(name.into()))
+                } else {
+                    Err(Error::parse($kind, name, NAME_RULE))
+                }
+            }
+
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                Self::try_new(text)
+            }
+        }
+    };
+}
+
+fn is_name(text: &str) -> bool {
+    let valid = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    (1..=MAX_NAME_CHARS).contains(&text.len()) && text.chars().all(valid)
+}
+
+name_type! {
+    /// The name of a service in the configuration text.
+    ServiceName, "service name"
+}
+name_type! {
+    /// The name of a failure domain, which is a part of a region that fails as one.
+    FailureDomain, "failure domain"
+}
+name_type! {
+    /// The name of a region.
+    Region, "region"
+}
+name_type! {
+    /// The name of a tenant, which is one shop or workshop among the callers.
+    TenantId, "tenant"
+}
+name_type! {
+    /// The name of a VM, unique within a deployment.
+    VmId, "VM id"
+}
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident, $inner:ty, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash,
+            serde::Serialize, serde::Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name($inner);
+
+        impl $name {
+            /// Returns the identifier with this value.
+            pub const fn new(value: $inner) -> Self {
+                Self(value)
+            }
+
+            /// Returns the value.
+            pub const fn get(self) -> $inner {
+                self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                match text.parse() {
+                    Ok(value) => Ok(Self(value)),
+                    Err(_) => Err(Error::parse($kind, text, "a whole number")),
+                }
+            }
+        }
+    };
+}
+
+number_type! {
+    /// The number of one run of an agent or balancer; a later run has a higher number.
+    Incarnation, u64, "incarnation"
+}
+number_type! {
+    /// The number of an accepted configuration; it only grows.
+    Revision, u64, "revision"
+}
+number_type! {
+    /// The generation of a key, 0 to 15.
+    KeyGeneration, u8, "key generation"
+}
+number_type! {
+    /// The 32-bit tag that stands for a service in packets.
+    ServiceTag, u32, "service tag"
+}
+
+impl Revision {
+    /// Returns the revision that follows this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl Incarnation {
+    /// Returns the low 16 bits, which connection ids carry.
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "the low bits are asked for"
+    )]
+    pub const fn low_u16(self) -> u16 {
+        self.0 as u16
+    }
+}
+
+impl ServiceTag {
+    /// Returns the tag of a service, which depends on nothing but its name.
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "the tag is a part of the hash"
+    )]
+    pub fn of(name: &ServiceName) -> Self {
+        let mut hasher = SipHasher24::new_with_keys(0, 0);
+        hasher.write(name.as_str().as_bytes());
+        Self(hasher.finish() as u32)
+    }
+}
+
+/// The id of one edit of the configuration, chosen by the operator's command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, SerializeDisplay, DeserializeFromStr)]
+pub struct EditId(u128);
+
+impl EditId {
+    /// Returns the id with this value.
+    pub const fn new(value: u128) -> Self {
+        Self(value)
+    }
+}
+
+impl fmt::Display for EditId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for EditId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        match u128::from_str_radix(text, 16) {
+            Ok(value) if text.len() == 32 => Ok(Self(value)),
+            _ => Err(Error::parse("edit id", text, "32 hexadecimal digits")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-core/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decisions and types of cranberrypitch, free of input and output.
+//!
+//! Every decision of the system is made here: typed events and a clock reading go in, typed
+//! actions come out. Nothing in this crate opens a socket, starts a task or reads the time, so a
+//! test can drive each decision with a fake clock and a seed.
+
+pub mod clock;
+pub mod collections;
+pub mod errors;
+pub mod ids;
+pub mod orders;
+pub mod request;
+pub mod token;
+pub mod units;
+
+pub use crate::clock::{Clock, ManualClock, SystemClock};
+pub use crate::collections::{FastMap, FastSet};
+pub use crate::errors::{Error, Result};
+pub use crate::ids::{
+    EditId, FailureDomain, Incarnation, KeyGeneration, Region, Revision, ServiceName, ServiceTag,
+    TenantId, VmId,
+};
+pub use crate::request::{Class, NotRunReason, Outcome, Reservation};
+pub use crate::token::{RoutingToken, TokenKeys};
+pub use crate::units::{ByteSize, ConnectionLimit, Slots};
--- /dev/null
+++ b/crates/cranberrypitch-net/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be filled.
--- /dev/null
+++ b/crates/cranberrypitch-proto/src/lib.rs
@@ -0,0 +1,12 @@
+//! Wire formats between the processes of cranberrypitch.
+//!
+//! Each decoder takes bytes from the network and returns a value or a typed error. None of them
+//! panics, and none allocates more than the size of its input asks for.
+
+pub(crate) mod cbor;
+pub mod errors;
+pub mod report;
+pub mod request;
+pub mod tunnel;
+
+pub use crate::errors::{Error, Result};
--- /dev/null
+++ b/crates/cranberrypitch-proto/src/tunnel.rs
@@ -0,0 +1,168 @@
+//! The header of datagrams between balancers and agents, and between agents.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use cranberrypitch_core::token::TokenKeys;
+use cranberrypitch_core::{KeyGeneration, ServiceTag};
+
+use crate::errors::{Error, Result};
+
+/// The length of the tunnel header.
+pub const HEADER_LEN_BYTES: usize = 32;
+
+const MAGIC: u8 = 0xc7;
+const FORMAT_VERSION: u8 = 1;
+const CHECKED_LEN_BYTES: usize = 24;
+
+/// What a tunnel datagram carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[repr(u8)]
+pub enum Kind {
+    /// A datagram from a caller to an agent.
+    Forward = 1,
+    /// A datagram from an agent to a caller.
+    Return = 2,
+    /// An agent's load report to a balancer.
+    Report = 3,
+    /// A balancer's answer to a report, which doubles as its heartbeat.
+    ReportAck = 4,
+    /// A message between agents of one service.
+    Peer = 5,
+    /// A balancer's notice that it is leaving.
+    Goodbye = 6,
+    /// A first packet that a balancer passes to a balancer that knows the service's targets.
+    Place = 7,
+}
+
+impl Kind {
+    fn try_new(kind: u8) -> Result<Self> {
+        Ok(match kind {
+            1 => Self::Forward,
+            2 => Self::Return,
+            3 => Self::Report,
+            4 => Self::ReportAck,
+            5 => Self::Peer,
+            6 => Self::Goodbye,
+            7 => Self::Place,
+            _ => return Err(Error::UnknownKind { kind }),
+        })
+    }
+
+    /// Returns whether the payload is QUIC, which is authenticated end to end. The check value of
+    /// such a datagram covers the header alone, that of any other the payload as well.
+    const fn carries_quic(self) -> bool {
+        matches!(self, Self::Forward | Self::Return | Self::Place)
+    }
+}
+
+/// The header of a tunnel datagram.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Header {
+    /// What the datagram carries.
+    pub kind: Kind,
+    /// The service that the datagram is meant for.
+    pub service: ServiceTag,
+    /// The address that the caller sent to.
+    pub service_address: SocketAddrV4,
+    /// The caller's address.
+    pub caller: SocketAddrV4,
+    /// The low bits of the incarnation of the agent that the datagram is meant for or comes from.
+    pub incarnation_low: u16,
+}
+
+impl Header {
+    /// Returns a header for messages that no caller takes part in.
+    pub const fn without_caller(kind: Kind, service: ServiceTag, incarnation_low: u16) -> Self {
+        const NONE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
+        Self {
+            kind,
+            service,
+            service_address: NONE,
+            caller: NONE,
+            incarnation_low,
+        }
+    }
+
+    /// Writes header and payload into `datagram`, which it clears first.
+    pub fn encode(&self, payload: &[u8], keys: &TokenKeys, datagram: &mut Vec<u8>) {
+        datagram.clear();
+        datagram.resize(HEADER_LEN_BYTES, 0);
+        datagram.extend_from_slice(payload);
+        self.write(keys, datagram);
+    }
+
+    /// Writes the header over the first [`HEADER_LEN_BYTES`] of `datagram`, before the payload that
+    /// stands behind them.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `datagram` is shorter than the header.
+    pub fn write(&self, keys: &TokenKeys, datagram: &mut [u8]) {
+        let key = keys.current();
+        let (head, payload) = datagram.split_at_mut(HEADER_LEN_BYTES);
+        head[0] = MAGIC;
+        head[1] = (FORMAT_VERSION << 4) | self.kind as u8;
+        head[2] = key.generation().get();
+        head[3] = 0;
+        head[4..8].copy_from_slice(&self.service.get().to_be_bytes());
+        write_address(&mut head[8..14], self.service_address);
+        write_address(&mut head[14..20], self.caller);
+        head[20..22].copy_from_slice(&self.incarnation_low.to_be_bytes());
+        head[22..24].fill(0);
+        let check = check_value(self.kind, key, &head[..CHECKED_LEN_BYTES], payload);
+        head[CHECKED_LEN_BYTES..].copy_from_slice(&check.to_be_bytes());
+    }
+
+    /// Verifies a datagram and splits it into header and payload.
+    pub fn decode<'a>(datagram: &'a [u8], keys: &TokenKeys) -> Result<(Self, &'a [u8])> {
+        let Some((head, payload)) = datagram.split_first_chunk::<HEADER_LEN_BYTES>() else {
+            return Err(Error::Truncated {
+                len_bytes: datagram.len(),
+            });
+        };
+        if head[0] != MAGIC || head[1] >> 4 != FORMAT_VERSION {
+            return Err(Error::NotTunnel);
+        }
+        let kind = Kind::try_new(head[1] & 0x0f)?;
+        let key = keys
+            .by_generation(KeyGeneration::new(head[2]))
+            .map_err(Error::Check)?;
+        let check = check_value(kind, key, &head[..CHECKED_LEN_BYTES], payload);
+        if check.to_be_bytes() != head[CHECKED_LEN_BYTES..] {
+            return Err(Error::Check(cranberrypitch_core::Error::CheckMismatch));
+        }
+        let header = Self {
+            kind,
+            service: ServiceTag::new(u32::from_be_bytes([head[4], head[5], head[6], head[7]])),
+            service_address: read_address(&head[8..14]),
+            caller: read_address(&head[14..20]),
+            incarnation_low: u16::from_be_bytes([head[20], head[21]]),
+        };
+        Ok((header, payload))
+    }
+}
+
+fn check_value(
+    kind: Kind,
+    key: &cranberrypitch_core::token::CheckKey,
+    head: &[u8],
+    payload: &[u8],
+) -> u64 {
+    if kind.carries_quic() {
+        return key.check_value(head);
+    }
+    let mut content = Vec::with_capacity(head.len() + payload.len());
+    content.extend_from_slice(head);
+    content.extend_from_slice(payload);
+    key.check_value(&content)
+}
+
+fn write_address(field: &mut [u8], address: SocketAddrV4) {
+    field[..4].copy_from_slice(&address.ip().octets());
+    field[4..6].copy_from_slice(&address.port().to_be_bytes());
+}
+
+fn read_address(field: &[u8]) -> SocketAddrV4 {
+    let ip = Ipv4Addr::new(field[0], field[1], field[2], field[3]);
+    SocketAddrV4::new(ip, u16::from_be_bytes([field[4], field[5]]))
+}
