Add the traffic path of balancer and agent, and the caller's library

The balancer decides the route of a datagram from its connection id alone; the agent's socket unwraps tunnel datagrams for QUIC. The daemons around them follow.

--- /dev/null
+++ b/crates/cranberrypitch-agent/src/ids.rs
@@ -0,0 +1,62 @@
+//! Connection ids that carry the route to this agent.
+
+use std::fmt;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranberrypitch_core::token::TOKEN_LEN_BYTES;
+use cranberrypitch_core::{Incarnation, RoutingToken, ServiceTag};
+use cranberrypitch_net::KeyRing;
+use quinn::{ConnectionId, ConnectionIdGenerator};
+use rand::RngExt;
+
+/// Issues routing tokens of one agent.
+#[derive(Clone)]
+pub(crate) struct TokenIssuer {
+    agent: SocketAddrV4,
+    service: ServiceTag,
+    incarnation: Incarnation,
+    keys: Arc<KeyRing>,
+    lifetime: Duration,
+}
+
+impl TokenIssuer {
+    pub(crate) const fn new(
+        agent: SocketAddrV4,
+        service: ServiceTag,
+        incarnation: Incarnation,
+        keys: Arc<KeyRing>,
+        lifetime: Duration,
+    ) -> Self {
+        Self { agent, service, incarnation, keys, lifetime }
+    }
+
+    /// Returns a new token, signed with the current key.
+    pub(crate) fn issue(&self) -> [u8; TOKEN_LEN_BYTES] {
+        let nonce = rand::rng().random();
+        let token = RoutingToken::new(self.agent, self.service, self.incarnation, nonce);
+        token.encode(&self.keys.tokens())
+    }
+}
+
+impl fmt::Debug for TokenIssuer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("TokenIssuer").field("agent", &self.agent).finish_non_exhaustive()
+    }
+}
+
+impl ConnectionIdGenerator for TokenIssuer {
+    fn generate_cid(&mut self) -> ConnectionId {
+        ConnectionId::new(&self.issue())
+    }
+
+    fn cid_len(&self) -> usize {
+        TOKEN_LEN_BYTES
+    }
+
+    /// Long flows change to ids of the current key before the old key is withdrawn.
+    fn cid_lifetime(&self) -> Option<Duration> {
+        Some(self.lifetime)
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-agent/src/returns.rs
@@ -0,0 +1,51 @@
+//! The way back: which balancer takes datagrams to callers.
+
+use std::net::SocketAddrV4;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use arc_swap::ArcSwap;
+use cranberrypitch_core::FailureDomain;
+
+/// A balancer as an agent knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReturnBalancer {
+    /// Where it receives tunnel datagrams.
+    pub tunnel_address: SocketAddrV4,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+}
+
+/// The balancers that returns are spread over.
+#[derive(Debug)]
+pub(crate) struct ReturnPath {
+    own_domain: FailureDomain,
+    usable: ArcSwap<Vec<SocketAddrV4>>,
+    next: AtomicUsize,
+}
+
+impl ReturnPath {
+    pub(crate) fn new(own_domain: FailureDomain) -> Self {
+        Self { own_domain, usable: ArcSwap::default(), next: AtomicUsize::new(0) }
+    }
+
+    /// Replaces the live balancers. Those in the agent's own failure domain take all returns, as
+    /// links between failure domains cost more; without any, all live ones do.
+    pub(crate) fn set_live(&self, live: &[ReturnBalancer]) {
+        let near = live.iter().filter(|b| b.failure_domain == self.own_domain);
+        let mut usable: Vec<_> = near.map(|b| b.tunnel_address).collect();
+        if usable.is_empty() {
+            usable = live.iter().map(|b| b.tunnel_address).collect();
+        }
+        self.usable.store(usable.into());
+    }
+
+    /// Returns the balancer for the next datagram.
+    pub(crate) fn next(&self) -> Option<SocketAddrV4> {
+        let usable = self.usable.load();
+        if usable.is_empty() {
+            return None;
+        }
+        let index = self.next.fetch_add(1, Ordering::Relaxed) % usable.len();
+        usable.get(index).copied()
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-agent/src/socket.rs
@@ -0,0 +1,283 @@
+//! The UDP socket of an agent, which unwraps tunnel datagrams for QUIC and wraps its answers.
+
+use std::fmt;
+use std::future::Future;
+use std::io::{self, IoSliceMut};
+use std::net::{IpAddr, SocketAddr, SocketAddrV4};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll, ready};
+
+use cranberrypitch_core::{Clock, Incarnation, ServiceTag};
+use cranberrypitch_net::KeyRing;
+use cranberrypitch_proto::tunnel::{HEADER_LEN_BYTES, Header, Kind};
+use quinn::udp::{RecvMeta, Transmit};
+use quinn::{AsyncUdpSocket, UdpPoller};
+use tokio::io::ReadBuf;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::flows::CallerPaths;
+use crate::returns::ReturnPath;
+
+/// No datagram on the tunnel is longer than an Ethernet frame.
+const MAX_DATAGRAM_BYTES: usize = 1500;
+
+const LONG_HEADER_BIT: u8 = 0x80;
+
+/// A tunnel datagram for the control thread.
+#[derive(Debug)]
+pub(crate) struct ControlDatagram {
+    pub(crate) from: SocketAddrV4,
+    pub(crate) header: Header,
+    pub(crate) payload: Vec<u8>,
+}
+
+/// What the socket has dropped since its start.
+#[derive(Debug, Default)]
+pub struct SocketCounters {
+    invalid: AtomicU64,
+    misdirected: AtomicU64,
+    unsent: AtomicU64,
+}
+
+impl SocketCounters {
+    /// Returns the datagrams whose check value or format did not verify.
+    pub fn invalid(&self) -> u64 {
+        self.invalid.load(Ordering::Relaxed)
+    }
+
+    /// Returns the datagrams that were meant for another service or incarnation.
+    pub fn misdirected(&self) -> u64 {
+        self.misdirected.load(Ordering::Relaxed)
+    }
+
+    /// Returns the datagrams that no balancer could take.
+    pub fn unsent(&self) -> u64 {
+        self.unsent.load(Ordering::Relaxed)
+    }
+}
+
+/// The identity that datagrams are checked against.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SocketIdentity {
+    pub(crate) service: ServiceTag,
+    pub(crate) incarnation: Incarnation,
+}
+
+/// The socket.
+pub(crate) struct TunnelSocket {
+    io: UdpSocket,
+    identity: SocketIdentity,
+    keys: Arc<KeyRing>,
+    clock: Arc<dyn Clock>,
+    returns: Arc<ReturnPath>,
+    callers: CallerPaths,
+    control: mpsc::Sender<ControlDatagram>,
+    counters: Arc<SocketCounters>,
+    send_buffer: Mutex<Vec<u8>>,
+}
+
+/// What [`TunnelSocket`] is built from.
+pub(crate) struct TunnelSocketParts {
+    pub(crate) io: UdpSocket,
+    pub(crate) identity: SocketIdentity,
+    pub(crate) keys: Arc<KeyRing>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) returns: Arc<ReturnPath>,
+    pub(crate) control: mpsc::Sender<ControlDatagram>,
+}
+
+impl TunnelSocket {
+    pub(crate) fn new(parts: TunnelSocketParts) -> Self {
+        Self {
+            io: parts.io,
+            identity: parts.identity,
+            keys: parts.keys,
+            clock: parts.clock,
+            returns: parts.returns,
+            callers: CallerPaths::default(),
+            control: parts.control,
+            counters: Arc::default(),
+            send_buffer: Mutex::new(Vec::with_capacity(MAX_DATAGRAM_BYTES)),
+        }
+    }
+
+    pub(crate) fn counters(&self) -> Arc<SocketCounters> {
+        Arc::clone(&self.counters)
+    }
+
+    /// Takes one tunnel datagram; returns its QUIC payload if it holds one for this agent.
+    fn accept<'a>(&self, from: SocketAddr, datagram: &'a [u8]) -> Option<(RecvMeta, &'a [u8])> {
+        let SocketAddr::V4(from) = from else { return None };
+        let Ok((header, payload)) = Header::decode(datagram, &self.keys.tunnel()) else {
+            self.counters.invalid.fetch_add(1, Ordering::Relaxed);
+            return None;
+        };
+        match header.kind {
+            Kind::Forward => self.accept_forward(&header, payload),
+            Kind::ReportAck | Kind::Peer | Kind::Goodbye => {
+                let payload = payload.to_vec();
+                // A full queue drops the datagram as a full socket buffer would.
+                let _sent = self.control.try_send(ControlDatagram { from, header, payload });
+                None
+            }
+            Kind::Return | Kind::Report | Kind::Place => {
+                self.counters.invalid.fetch_add(1, Ordering::Relaxed);
+                None
+            }
+        }
+    }
+
+    fn accept_forward<'a>(
+        &self,
+        header: &Header,
+        payload: &'a [u8],
+    ) -> Option<(RecvMeta, &'a [u8])> {
+        if !self.is_meant_for_us(header) {
+            self.counters.misdirected.fetch_add(1, Ordering::Relaxed);
+            // QUIC answers a short packet with an unknown id by a stateless reset, so the caller
+            // learns at once that its connection is gone. Anything else could open a connection.
+            let is_short = payload.first().is_some_and(|b| b & LONG_HEADER_BIT == 0);
+            if !is_short {
+                return None;
+            }
+        }
+        if !self.callers.note(header.caller, header.service_address, self.clock.now()) {
+            self.counters.unsent.fetch_add(1, Ordering::Relaxed);
+            return None;
+        }
+        let meta = RecvMeta {
+            addr: SocketAddr::V4(header.caller),
+            len: payload.len(),
+            stride: payload.len(),
+            ecn: None,
+            dst_ip: Some(IpAddr::V4(*header.service_address.ip())),
+        };
+        Some((meta, payload))
+    }
+
+    fn is_meant_for_us(&self, header: &Header) -> bool {
+        header.service == self.identity.service
+            && header.incarnation_low == self.identity.incarnation.low_u16()
+    }
+
+    /// Sends a message of the control thread.
+    pub(crate) fn send_control(
+        &self,
+        to: SocketAddrV4,
+        kind: Kind,
+        payload: &[u8],
+    ) -> io::Result<()> {
+        let header = Header::without_caller(
+            kind,
+            self.identity.service,
+            self.identity.incarnation.low_u16(),
+        );
+        let mut datagram = Vec::with_capacity(HEADER_LEN_BYTES + payload.len());
+        header.encode(payload, &self.keys.tunnel(), &mut datagram);
+        self.io.try_send_to(&datagram, SocketAddr::V4(to)).map(|_| ())
+    }
+
+    fn return_header(&self, transmit: &Transmit<'_>) -> Option<Header> {
+        let SocketAddr::V4(caller) = transmit.destination else { return None };
+        let service_ip = match transmit.src_ip {
+            Some(IpAddr::V4(ip)) => Some(ip),
+            _ => None,
+        };
+        let service_address = self.callers.service_address(caller, service_ip)?;
+        Some(Header {
+            kind: Kind::Return,
+            service: self.identity.service,
+            service_address,
+            caller,
+            incarnation_low: self.identity.incarnation.low_u16(),
+        })
+    }
+}
+
+impl fmt::Debug for TunnelSocket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("TunnelSocket").field("identity", &self.identity).finish_non_exhaustive()
+    }
+}
+
+impl AsyncUdpSocket for TunnelSocket {
+    fn create_io_poller(self: Arc<Self>) -> Pin<Box<dyn UdpPoller>> {
+        Box::pin(WritePoller { socket: self, wait: Mutex::new(None) })
+    }
+
+    fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
+        let route = self.return_header(transmit).zip(self.returns.next());
+        let Some((header, balancer)) = route else {
+            // QUIC retransmits once a balancer is known again.
+            self.counters.unsent.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        };
+        let mut datagram = self.send_buffer.lock().unwrap_or_else(PoisonError::into_inner);
+        header.encode(transmit.contents, &self.keys.tunnel(), &mut datagram);
+        self.io.try_send_to(&datagram, SocketAddr::V4(balancer)).map(|_| ())
+    }
+
+    fn poll_recv(
+        &self,
+        cx: &mut Context<'_>,
+        bufs: &mut [IoSliceMut<'_>],
+        meta: &mut [RecvMeta],
+    ) -> Poll<io::Result<usize>> {
+        let mut datagram = [0; MAX_DATAGRAM_BYTES];
+        let mut count = 0;
+        for (buf, meta) in bufs.iter_mut().zip(meta) {
+            loop {
+                let mut read = ReadBuf::new(&mut datagram);
+                let from = match self.io.poll_recv_from(cx, &mut read) {
+                    Poll::Pending if count > 0 => return Poll::Ready(Ok(count)),
+                    other => ready!(other)?,
+                };
+                let Some((accepted, payload)) = self.accept(from, read.filled()) else { continue };
+                let Some(space) = buf.get_mut(..payload.len()) else { continue };
+                space.copy_from_slice(payload);
+                *meta = accepted;
+                count += 1;
+                break;
+            }
+        }
+        Poll::Ready(Ok(count))
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.io.local_addr()
+    }
+
+    fn may_fragment(&self) -> bool {
+        false
+    }
+}
+
+type WriteWait = Pin<Box<dyn Future<Output = io::Result<()>> + Send>>;
+
+/// Waits until the socket takes datagrams again, with a waker of its own for each connection.
+struct WritePoller {
+    socket: Arc<TunnelSocket>,
+    wait: Mutex<Option<WriteWait>>,
+}
+
+impl fmt::Debug for WritePoller {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("WritePoller").finish_non_exhaustive()
+    }
+}
+
+impl UdpPoller for WritePoller {
+    fn poll_writable(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut wait = self.wait.lock().unwrap_or_else(PoisonError::into_inner);
+        let pending = wait.get_or_insert_with(|| {
+            let socket = Arc::clone(&self.socket);
+            Box::pin(async move { socket.io.writable().await })
+        });
+        let result = ready!(pending.as_mut().poll(cx));
+        *wait = None;
+        Poll::Ready(result)
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-balancer/src/traffic.rs
@@ -0,0 +1,271 @@
+//! The traffic thread: it forwards datagrams between callers and agents.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use cranberrypitch_core::{Clock, FastMap, ServiceTag};
+use cranberrypitch_net::KeyRing;
+use cranberrypitch_proto::tunnel::{HEADER_LEN_BYTES, Header, Kind};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::counters::Counters;
+use crate::errors::DropReason;
+use crate::routing::{Destination, Router};
+use crate::route::{Route, route};
+
+/// No datagram on the tunnel is longer than an Ethernet frame.
+const MAX_DATAGRAM_BYTES: usize = 1500;
+
+/// Datagrams taken from one socket before the other sockets get their turn.
+const BATCH: usize = 64;
+
+/// A socket whose address left the configuration stays open for the flows that it still carries.
+const UNUSED_SOCKET_IDLE: Duration = Duration::from_secs(600);
+
+/// A tunnel datagram for the control thread.
+#[derive(Debug)]
+pub(crate) struct ControlDatagram {
+    pub(crate) from: SocketAddrV4,
+    pub(crate) header: Header,
+    pub(crate) payload: Vec<u8>,
+}
+
+/// The services by address, as far as the traffic thread needs them.
+pub(crate) type Addresses = FastMap<SocketAddrV4, ServiceTag>;
+
+/// What the traffic thread shares with the control thread.
+pub(crate) struct TrafficParts {
+    pub(crate) keys: Arc<KeyRing>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) addresses: Arc<ArcSwap<Addresses>>,
+    pub(crate) counters: Arc<Counters>,
+    pub(crate) tunnel: UdpSocket,
+    pub(crate) router: Router,
+    pub(crate) control: mpsc::Sender<ControlDatagram>,
+    pub(crate) service_sockets: mpsc::Receiver<ServiceSocket>,
+}
+
+/// A socket that the control thread opened for a service address.
+#[derive(Debug)]
+pub(crate) struct ServiceSocket {
+    pub(crate) address: SocketAddrV4,
+    pub(crate) socket: std::net::UdpSocket,
+}
+
+struct Shared {
+    keys: Arc<KeyRing>,
+    clock: Arc<dyn Clock>,
+    addresses: Arc<ArcSwap<Addresses>>,
+    counters: Arc<Counters>,
+    tunnel: UdpSocket,
+    router: RefCell<Router>,
+    sockets: RefCell<FastMap<SocketAddrV4, Rc<UdpSocket>>>,
+}
+
+/// Runs the traffic thread until the control thread closes the channel of service sockets.
+pub(crate) async fn run(parts: TrafficParts) -> io::Result<()> {
+    let shared = Rc::new(Shared {
+        keys: parts.keys,
+        clock: parts.clock,
+        addresses: parts.addresses,
+        counters: parts.counters,
+        tunnel: parts.tunnel,
+        router: RefCell::new(parts.router),
+        sockets: RefCell::default(),
+    });
+    let tunnel = tokio::task::spawn_local(serve_tunnel(Rc::clone(&shared), parts.control));
+    let mut service_sockets = parts.service_sockets;
+    while let Some(opened) = service_sockets.recv().await {
+        let socket = Rc::new(UdpSocket::from_std(opened.socket)?);
+        shared.sockets.borrow_mut().insert(opened.address, Rc::clone(&socket));
+        tokio::task::spawn_local(serve_callers(Rc::clone(&shared), opened.address, socket));
+    }
+    tunnel.abort();
+    Ok(())
+}
+
+/// Forwards what callers send to one service address.
+async fn serve_callers(shared: Rc<Shared>, address: SocketAddrV4, socket: Rc<UdpSocket>) {
+    let mut datagram = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let idle = tokio::time::timeout(UNUSED_SOCKET_IDLE, socket.readable());
+        if idle.await.is_err() {
+            if shared.addresses.load().contains_key(&address) {
+                continue;
+            }
+            shared.sockets.borrow_mut().remove(&address);
+            return;
+        }
+        for _ in 0..BATCH {
+            // The payload is read behind the space for the header, so it need not be copied.
+            match socket.try_recv_from(&mut datagram[HEADER_LEN_BYTES..]) {
+                Ok((len, SocketAddr::V4(caller))) => {
+                    let datagram = &mut datagram[..HEADER_LEN_BYTES + len];
+                    if let Err(reason) = shared.forward(address, caller, datagram) {
+                        shared.counters.count_dropped(reason);
+                    }
+                }
+                Ok(_) => shared.counters.count_dropped(DropReason::Malformed),
+                Err(_) => break,
+            }
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Takes what agents and other balancers send.
+async fn serve_tunnel(shared: Rc<Shared>, control: mpsc::Sender<ControlDatagram>) {
+    let mut datagram = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        if shared.tunnel.readable().await.is_err() {
+            continue;
+        }
+        for _ in 0..BATCH {
+            match shared.tunnel.try_recv_from(&mut datagram) {
+                Ok((len, SocketAddr::V4(from))) => {
+                    let datagram = &mut datagram[..len];
+                    if let Err(reason) = shared.take_tunnel(from, datagram, &control) {
+                        shared.counters.count_dropped(reason);
+                    }
+                }
+                Ok(_) => shared.counters.count_dropped(DropReason::InvalidTunnel),
+                Err(_) => break,
+            }
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+impl Shared {
+    /// Forwards the payload behind the header space of `datagram`.
+    fn forward(
+        &self,
+        address: SocketAddrV4,
+        caller: SocketAddrV4,
+        datagram: &mut [u8],
+    ) -> Result<(), DropReason> {
+        match route(&datagram[HEADER_LEN_BYTES..], &self.keys.tokens())? {
+            Route::Agent { agent, service, incarnation_low } => {
+                let header = Header {
+                    kind: Kind::Forward,
+                    service,
+                    service_address: address,
+                    caller,
+                    incarnation_low,
+                };
+                self.send(header, datagram, agent)?;
+                self.counters.count_forwarded();
+                Ok(())
+            }
+            Route::Place { connection_id } => {
+                let now = self.clock.now();
+                let service = self.service_at(address)?;
+                let mut router = self.router.borrow_mut();
+                let place = router.place(service, connection_id, now)?;
+                drop(router);
+                self.send_first(place, service, address, caller, datagram)
+            }
+        }
+    }
+
+    fn service_at(&self, address: SocketAddrV4) -> Result<ServiceTag, DropReason> {
+        self.addresses.load().get(&address).copied().ok_or(DropReason::NoService)
+    }
+
+    /// Sends a first packet to the target or the balancer that was picked.
+    fn send_first(
+        &self,
+        place: Destination,
+        service: ServiceTag,
+        service_address: SocketAddrV4,
+        caller: SocketAddrV4,
+        datagram: &mut [u8],
+    ) -> Result<(), DropReason> {
+        let (kind, to, incarnation_low) = match place {
+            Destination::Target { agent, incarnation } => {
+                self.counters.count_placed();
+                (Kind::Forward, agent, incarnation.low_u16())
+            }
+            Destination::Balancer { tunnel_address } => {
+                self.counters.count_passed_on();
+                (Kind::Place, tunnel_address, 0)
+            }
+        };
+        let header = Header { kind, service, service_address, caller, incarnation_low };
+        self.send(header, datagram, to)
+    }
+
+    fn send(
+        &self,
+        header: Header,
+        datagram: &mut [u8],
+        to: SocketAddrV4,
+    ) -> Result<(), DropReason> {
+        header.write(&self.keys.tunnel(), datagram);
+        match self.tunnel.try_send_to(datagram, SocketAddr::V4(to)) {
+            Ok(_) => Ok(()),
+            Err(_) => Err(DropReason::SendFailed),
+        }
+    }
+
+    /// Takes a datagram of the tunnel.
+    fn take_tunnel(
+        &self,
+        from: SocketAddrV4,
+        datagram: &mut [u8],
+        control: &mpsc::Sender<ControlDatagram>,
+    ) -> Result<(), DropReason> {
+        let Ok((header, payload)) = Header::decode(datagram, &self.keys.tunnel()) else {
+            return Err(DropReason::InvalidTunnel);
+        };
+        match header.kind {
+            Kind::Return => self.return_to_caller(from, &header, payload),
+            Kind::Place => self.place_for_peer(header, datagram),
+            Kind::Report | Kind::Goodbye => {
+                let payload = payload.to_vec();
+                let message = ControlDatagram { from, header, payload };
+                control.try_send(message).map_err(|_full| DropReason::SendFailed)
+            }
+            Kind::Forward | Kind::ReportAck | Kind::Peer => Err(DropReason::InvalidTunnel),
+        }
+    }
+
+    fn return_to_caller(
+        &self,
+        from: SocketAddrV4,
+        header: &Header,
+        payload: &[u8],
+    ) -> Result<(), DropReason> {
+        let now = self.clock.now();
+        self.router.borrow_mut().note_return(header.service, from, payload, now);
+        let sockets = self.sockets.borrow();
+        let socket = sockets.get(&header.service_address);
+        let socket = socket.ok_or(DropReason::UnknownServiceAddress)?;
+        match socket.try_send_to(payload, SocketAddr::V4(header.caller)) {
+            Ok(_) => {
+                self.counters.count_returned();
+                Ok(())
+            }
+            Err(_) => Err(DropReason::SendFailed),
+        }
+    }
+
+    /// Places a first packet for a balancer outside the service's subset. It is placed here or
+    /// dropped, and never passed on again, so two balancers with different views can't loop.
+    fn place_for_peer(&self, header: Header, datagram: &mut [u8]) -> Result<(), DropReason> {
+        let Ok(Route::Place { connection_id }) =
+            route(&datagram[HEADER_LEN_BYTES..], &self.keys.tokens())
+        else {
+            return Err(DropReason::Malformed);
+        };
+        let now: Instant = self.clock.now();
+        let place = self.router.borrow_mut().place_here(header.service, connection_id, now)?;
+        self.send_first(place, header.service, header.service_address, header.caller, datagram)
+    }
+}
--- a/crates/cranberrypitch-caller/src/lib.rs
+++ b/crates/cranberrypitch-caller/src/lib.rs
@@ -1,1 +1,18 @@
-//! To be filled.
+//! The caller's library of cranberrypitch.
+//!
+//! A caller opens QUIC connections to the address of a service. The library follows feeds over
+//! moved and broken connections, places orders that run at most once, and uploads files that are
+//! checked by their hash at the far end.
+
+mod attempts;
+mod client;
+mod errors;
+mod feed;
+mod order;
+mod upload;
+
+pub use crate::client::{Caller, Connection, MAX_ANSWER_BYTES, Response, ServiceEndpoint};
+pub use crate::errors::{Error, Result};
+pub use crate::feed::{Feed, FeedOptions, FeedStats, Reading};
+pub use crate::order::{OrderOptions, OrderReport, place_order, query_order};
+pub use crate::upload::{UploadOptions, UploadReport, upload};
--- /dev/null
+++ b/crates/cranberrypitch-caller/src/order.rs
@@ -0,0 +1,136 @@
+//! Orders, which run at most once whatever happens to the caller's connection.
+
+use std::time::Duration;
+
+use cranberrypitch_core::{ByteSize, Class, Outcome, Reservation, TenantId};
+use cranberrypitch_proto::request::{IssuedTicket, RequestHead};
+
+use crate::attempts::Attempts;
+use crate::client::{Caller, Connection, Response, ServiceEndpoint};
+use crate::errors::Result;
+
+/// How long a caller waits before it asks again for an order that still runs.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What an order is placed with.
+#[derive(Clone, Debug)]
+pub struct OrderOptions {
+    /// The service.
+    pub target: ServiceEndpoint,
+    /// The tenant that orders.
+    pub tenant: TenantId,
+    /// The time within which the order must start.
+    pub deadline: Duration,
+    /// How long the caller waits for the outcome of an order that may have started.
+    pub answer_timeout: Duration,
+}
+
+/// How an order ended, as far as the caller can tell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderReport {
+    /// How it ended: `Done`, `NotRun`, `Failed` or `Unknown`.
+    pub outcome: Outcome,
+    /// The answer of the backend server.
+    pub answer: Vec<u8>,
+    /// The last ticket used, to ask again with.
+    pub ticket: Option<IssuedTicket>,
+    /// Attempts that were made.
+    pub attempts: u32,
+}
+
+/// Places an order. It is sent again only after an agent has stated that it was not run.
+pub async fn place_order(
+    caller: &Caller,
+    options: &OrderOptions,
+    body: &[u8],
+) -> Result<OrderReport> {
+    let mut attempts = Attempts::start(options.deadline);
+    let mut redirect: Option<Reservation> = None;
+    loop {
+        attempts.count();
+        let tried = try_once(caller, options, body, redirect.take(), attempts.remaining()).await;
+        let (response, ticket) = match tried {
+            Ok(tried) => tried,
+            // No ticket was used, so nothing can have run.
+            Err(error) => {
+                attempts.pause_after_error(error).await?;
+                continue;
+            }
+        };
+        match response.outcome {
+            Outcome::Redirect(reservation) if attempts.may_follow_redirect() => {
+                redirect = Some(reservation);
+            }
+            ref outcome if outcome.is_not_run() && attempts.pause().await => {}
+            outcome => {
+                let ticket = Some(ticket);
+                let attempts = attempts.made();
+                return Ok(OrderReport { outcome, answer: response.body, ticket, attempts });
+            }
+        }
+    }
+}
+
+/// Asks for the outcome of an order that was placed before; never runs it.
+pub async fn query_order(
+    caller: &Caller,
+    target: &ServiceEndpoint,
+    ticket: &IssuedTicket,
+    answer_timeout: Duration,
+) -> Response {
+    let asked = tokio::time::timeout(answer_timeout, ask_until_known(caller, target, ticket)).await;
+    asked.unwrap_or(Response { outcome: Outcome::Unknown, body: Vec::new() })
+}
+
+async fn try_once(
+    caller: &Caller,
+    options: &OrderOptions,
+    body: &[u8],
+    redirect: Option<Reservation>,
+    remaining: Duration,
+) -> Result<(Response, IssuedTicket)> {
+    let connection = caller.connect(&options.target, redirect.map(|r| r.token)).await?;
+    let issued = connection.issue_ticket().await?;
+    let head = RequestHead {
+        class: Class::Order,
+        tenant: options.tenant.clone(),
+        deadline: remaining,
+        ticket: Some(issued.ticket),
+        reservation_serial: redirect.map(|r| r.serial),
+        resume_from: None,
+        body_len: ByteSize::new(body.len() as u64),
+    };
+    let answer = tokio::time::timeout(options.answer_timeout, connection.request(head, body)).await;
+    let response = match answer {
+        Ok(Ok(response)) if response.outcome != Outcome::StillRunning => response,
+        // The order may have run: only the agent that holds the ticket can tell.
+        _ => query_order(caller, &options.target, &issued, options.answer_timeout).await,
+    };
+    connection.close();
+    Ok((response, issued))
+}
+
+async fn ask_until_known(
+    caller: &Caller,
+    target: &ServiceEndpoint,
+    ticket: &IssuedTicket,
+) -> Response {
+    loop {
+        let asked = ask_once(caller, target, ticket).await;
+        match asked {
+            Ok(response) if response.outcome != Outcome::StillRunning => return response,
+            _ => tokio::time::sleep(POLL_INTERVAL).await,
+        }
+    }
+}
+
+async fn ask_once(
+    caller: &Caller,
+    target: &ServiceEndpoint,
+    ticket: &IssuedTicket,
+) -> Result<Response> {
+    let connection: Connection = caller.connect(target, Some(ticket.token)).await?;
+    let response = connection.query_order(ticket.ticket).await;
+    connection.close();
+    response
+}
--- /dev/null
+++ b/crates/cranberrypitch-caller/src/upload.rs
@@ -0,0 +1,142 @@
+//! Uploads, checked by their hash at the far end.
+
+use std::time::Duration;
+
+use cranberrypitch_core::{ByteSize, Class, Outcome, Reservation, TenantId};
+use cranberrypitch_proto::request::{CallerFrame, RequestHead};
+use ring::digest::{SHA256, digest};
+use serde::Deserialize;
+
+use crate::attempts::Attempts;
+use crate::client::{Caller, Response, ServiceEndpoint, read_response};
+use crate::errors::{Error, Result};
+
+/// What a file is uploaded with.
+#[derive(Clone, Debug)]
+pub struct UploadOptions {
+    /// The service.
+    pub target: ServiceEndpoint,
+    /// The tenant that uploads.
+    pub tenant: TenantId,
+    /// The time within which the upload must start.
+    pub deadline: Duration,
+    /// Whether an upload that may have run may be sent again.
+    pub is_repeatable: bool,
+}
+
+/// How an upload ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UploadReport {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The SHA-256 of the file, which the far end has confirmed if the outcome is `Done`.
+    pub sha256: Box<str>,
+    /// Attempts that were made.
+    pub attempts: u32,
+}
+
+/// The far end's answer to an upload.
+#[derive(Debug, Deserialize)]
+struct Receipt {
+    sha256: Box<str>,
+}
+
+/// Uploads a file.
+pub async fn upload(caller: &Caller, options: &UploadOptions, file: &[u8]) -> Result<UploadReport> {
+    let sha256: Box<str> = hex(digest(&SHA256, file).as_ref()).into();
+    let mut attempts = Attempts::start(options.deadline);
+    let mut redirect: Option<Reservation> = None;
+    loop {
+        attempts.count();
+        let remaining = attempts.remaining();
+        let response = match try_once(caller, options, file, redirect.take(), remaining).await {
+            Ok(response) => response,
+            Err(Attempt::NotSent(error)) => {
+                attempts.pause_after_error(error).await?;
+                continue;
+            }
+            Err(Attempt::MayHaveRun(error)) if options.is_repeatable => {
+                attempts.pause_after_error(error).await?;
+                continue;
+            }
+            Err(Attempt::MayHaveRun(_)) => {
+                return Ok(UploadReport {
+                    outcome: Outcome::Unknown,
+                    sha256,
+                    attempts: attempts.made(),
+                });
+            }
+        };
+        match response.outcome {
+            Outcome::Done => {
+                check_receipt(&response.body, &sha256)?;
+                let attempts = attempts.made();
+                return Ok(UploadReport { outcome: Outcome::Done, sha256, attempts });
+            }
+            Outcome::Redirect(reservation) if attempts.may_follow_redirect() => {
+                redirect = Some(reservation);
+            }
+            ref outcome if outcome.is_not_run() && attempts.pause().await => {}
+            outcome => {
+                return Ok(UploadReport { outcome, sha256, attempts: attempts.made() });
+            }
+        }
+    }
+}
+
+/// An attempt that got no answer.
+enum Attempt {
+    NotSent(Error),
+    MayHaveRun(Error),
+}
+
+async fn try_once(
+    caller: &Caller,
+    options: &UploadOptions,
+    file: &[u8],
+    redirect: Option<Reservation>,
+    remaining: Duration,
+) -> std::result::Result<Response, Attempt> {
+    let route = redirect.map(|r| r.token);
+    let connection = caller.connect(&options.target, route).await.map_err(Attempt::NotSent)?;
+    let head = RequestHead {
+        class: Class::Upload,
+        tenant: options.tenant.clone(),
+        deadline: remaining,
+        ticket: None,
+        reservation_serial: redirect.map(|r| r.serial),
+        resume_from: None,
+        body_len: ByteSize::new(file.len() as u64),
+    };
+    let started = connection.start(&CallerFrame::Request(head)).await;
+    let (mut send, mut recv) = started.map_err(Attempt::MayHaveRun)?;
+    // The answer is read while the file is sent, as a refusal may come before its end.
+    let write = async {
+        if send.write_all(file).await.is_ok() {
+            let _closed = send.finish();
+        }
+    };
+    let (response, ()) = tokio::join!(read_response(&mut recv), write);
+    connection.close();
+    response.map_err(Attempt::MayHaveRun)
+}
+
+fn check_receipt(body: &[u8], sent: &str) -> Result<()> {
+    let Ok(receipt) = serde_json::from_slice::<Receipt>(body) else {
+        return Err(Error::unexpected("upload"));
+    };
+    if *receipt.sha256 == *sent {
+        Ok(())
+    } else {
+        Err(Error::HashMismatch { sent: sent.into(), received: receipt.sha256 })
+    }
+}
+
+fn hex(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+
+    bytes.iter().fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
+        let _infallible = write!(text, "{byte:02x}");
+        text
+    })
+}
--- a/crates/cranberrypitch-proto/src/request.rs
+++ b/crates/cranberrypitch-proto/src/request.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cranberrypitch_core::orders::Ticket;
+use cranberrypitch_core::token::TOKEN_LEN_BYTES;
 use cranberrypitch_core::{ByteSize, Class, Outcome, TenantId};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -57,12 +58,21 @@
     Request(RequestHead),
 }
 
+/// A ticket with the connection id that leads back to the agent that issued it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IssuedTicket {
+    /// The ticket.
+    pub ticket: Ticket,
+    /// The connection id to ask again with.
+    pub token: [u8; TOKEN_LEN_BYTES],
+}
+
 /// What an agent answers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AgentFrame {
     /// A new ticket.
-    Ticket(Ticket),
+    Ticket(IssuedTicket),
     /// The end of a request; a body of this length follows.
     Response {
         /// How the request ended.
