Add membership and placement to the decision core

Balancers need to know which targets exist and where a new flow goes.

membership builds the view of targets from their reports: stale sequences and incarnations are ignored, silence needs 3 missed reports and a missing answer on the traffic path, and the last known set is kept while most of a service is silent. membership::subset selects the balancers of a service by rendezvous hashing.

placement picks a target with one of seven policies and remembers recent first packets in a bounded table, so that an unanswered one is placed elsewhere.

--- a/crates/cranberrypitch-core/src/lib.rs
+++ b/crates/cranberrypitch-core/src/lib.rs
@@ -8,8 +8,11 @@
 pub mod collections;
 pub mod errors;
 pub mod ids;
+pub mod membership;
 pub mod orders;
+pub mod placement;
 pub mod request;
+pub mod target;
 pub mod token;
 pub mod units;
 
@@ -21,5 +24,6 @@
     TenantId, VmId,
 };
 pub use crate::request::{Class, NotRunReason, Outcome, Reservation};
+pub use crate::target::{Announcement, Load, TargetState};
 pub use crate::token::{RoutingToken, TokenKeys};
 pub use crate::units::{ByteSize, ConnectionLimit, Slots};
--- /dev/null
+++ b/crates/cranberrypitch-core/src/membership.rs
@@ -0,0 +1,316 @@
+//! A balancer's view of the targets, built from the reports of their agents.
+//!
+//! A target is silent once its reports are overdue and the traffic path missed an answer as well:
+//! a lossy control path alone takes no target out. When most targets of a service are silent at
+//! the same time the fault is more likely between here and them, so the last known set is kept.
+
+pub mod subset;
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use crate::collections::FastMap;
+use crate::ids::{Incarnation, Revision, ServiceTag};
+use crate::target::{Announcement, Load, TargetState};
+
+/// Limits for the judgement of silence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MembershipOptions {
+    /// The longest time between two reports of a healthy agent.
+    pub report_interval: Duration,
+    /// How many reports in a row must be missing before a target may count as silent.
+    pub missed_reports: u32,
+    /// How long a silent target must report again before it is offered again.
+    pub rejoin_after: Duration,
+    /// How long most targets must be heard before the last known set is given up.
+    pub settle: Duration,
+    /// How long a silent or stopped target is remembered.
+    pub forget_after: Duration,
+}
+
+impl Default for MembershipOptions {
+    fn default() -> Self {
+        Self {
+            report_interval: Duration::from_secs(1),
+            missed_reports: 3,
+            rejoin_after: Duration::from_secs(1),
+            settle: Duration::from_secs(5),
+            forget_after: Duration::from_mins(1),
+        }
+    }
+}
+
+impl MembershipOptions {
+    fn overdue_after(&self) -> Duration {
+        self.report_interval * self.missed_reports
+    }
+}
+
+/// A report as a balancer receives it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetReport {
+    /// Where the agent receives tunnel datagrams.
+    pub address: SocketAddrV4,
+    /// The agent's incarnation.
+    pub incarnation: Incarnation,
+    /// The number of the report within the incarnation.
+    pub sequence: u64,
+    /// The state of the target.
+    pub state: TargetState,
+    /// The configuration in force at the agent.
+    pub revision: Revision,
+    /// The load.
+    pub load: Load,
+    /// The announcement, if the report carries it.
+    pub announcement: Option<Announcement>,
+}
+
+/// What became of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportResult {
+    /// The report is the newest of its agent.
+    Accepted {
+        /// Whether the agent's announcement is known, which the acknowledgement tells it.
+        announced: bool,
+    },
+    /// A newer report or incarnation is known.
+    Stale,
+}
+
+/// An announced target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Where the agent receives tunnel datagrams.
+    pub address: SocketAddrV4,
+    /// The agent's incarnation.
+    pub incarnation: Incarnation,
+    /// The number of the last report.
+    pub sequence: u64,
+    /// The state of the target.
+    pub state: TargetState,
+    /// The configuration in force at the agent.
+    pub revision: Revision,
+    /// The load at the last report.
+    pub load: Load,
+    /// When the last report arrived.
+    pub reported_at: Instant,
+    /// The tag of the announced service.
+    pub service: ServiceTag,
+    /// What stays the same during the incarnation.
+    pub announcement: Announcement,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Hearing {
+    Heard,
+    Silent,
+    Rejoining { since: Instant },
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    incarnation: Incarnation,
+    sequence: Option<u64>,
+    gone: bool,
+    reported_at: Instant,
+    unanswered: bool,
+    hearing: Hearing,
+    target: Option<Target>,
+}
+
+impl Entry {
+    fn new(incarnation: Incarnation, now: Instant) -> Self {
+        Self {
+            incarnation,
+            sequence: None,
+            gone: false,
+            reported_at: now,
+            unanswered: false,
+            hearing: Hearing::Heard,
+            target: None,
+        }
+    }
+
+    fn is_stale(&self, report: &TargetReport) -> bool {
+        report.incarnation < self.incarnation || self.gone || Some(report.sequence) <= self.sequence
+    }
+
+    fn is_offered(&self) -> bool {
+        self.hearing == Hearing::Heard
+    }
+
+    fn accept(&mut self, report: TargetReport, now: Instant) {
+        self.sequence = Some(report.sequence);
+        self.reported_at = now;
+        self.unanswered = false;
+        if self.hearing == Hearing::Silent {
+            self.hearing = Hearing::Rejoining { since: now };
+        }
+        self.gone = report.state == TargetState::Gone;
+        let known = self.target.take().map(|target| target.announcement);
+        self.target = match report.announcement.or(known) {
+            Some(announcement) if !self.gone => Some(Target {
+                address: report.address,
+                incarnation: report.incarnation,
+                sequence: report.sequence,
+                state: report.state,
+                revision: report.revision,
+                load: report.load,
+                reported_at: now,
+                service: ServiceTag::of(&announcement.service),
+                announcement,
+            }),
+            _ => None,
+        };
+    }
+
+    fn judge(&mut self, options: &MembershipOptions, now: Instant) {
+        let silence = now.saturating_duration_since(self.reported_at);
+        let overdue = silence >= options.overdue_after();
+        self.hearing = match self.hearing {
+            Hearing::Heard if overdue && self.unanswered => Hearing::Silent,
+            Hearing::Rejoining { .. } if overdue => Hearing::Silent,
+            Hearing::Rejoining { since }
+                if now.saturating_duration_since(since) >= options.rejoin_after =>
+            {
+                Hearing::Heard
+            }
+            unchanged => unchanged,
+        };
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Hold {
+    held: bool,
+    heard_since: Option<Instant>,
+}
+
+/// The targets that a balancer knows.
+#[derive(Debug, Default)]
+pub struct Membership {
+    options: MembershipOptions,
+    entries: FastMap<SocketAddrV4, Entry>,
+    holds: FastMap<ServiceTag, Hold>,
+}
+
+impl Membership {
+    /// Returns a view without targets.
+    pub fn new(options: MembershipOptions) -> Self {
+        Self {
+            options,
+            ..Self::default()
+        }
+    }
+
+    /// Takes in a report.
+    ///
+    /// A higher incarnation on the same address replaces what was known there, and so does
+    /// another service in an announcement.
+    pub fn on_report(&mut self, report: TargetReport, now: Instant) -> ReportResult {
+        let entry = self
+            .entries
+            .entry(report.address)
+            .or_insert_with(|| Entry::new(report.incarnation, now));
+        if entry.incarnation < report.incarnation {
+            *entry = Entry::new(report.incarnation, now);
+        }
+        if entry.is_stale(&report) {
+            return ReportResult::Stale;
+        }
+        entry.accept(report, now);
+        ReportResult::Accepted {
+            announced: entry.target.is_some() || entry.gone,
+        }
+    }
+
+    /// Notes that a target left a packet on the traffic path unanswered.
+    pub fn on_unanswered(&mut self, address: SocketAddrV4) {
+        if let Some(entry) = self.entries.get_mut(&address) {
+            entry.unanswered = true;
+        }
+    }
+
+    /// Notes that a target answered on the traffic path.
+    pub fn on_answer(&mut self, address: SocketAddrV4) {
+        if let Some(entry) = self.entries.get_mut(&address) {
+            entry.unanswered = false;
+        }
+    }
+
+    /// Judges silence, and forgets targets that have been away for long. Called about once a
+    /// second.
+    pub fn on_tick(&mut self, now: Instant) {
+        for entry in self.entries.values_mut() {
+            entry.judge(&self.options, now);
+        }
+        self.update_holds(now);
+        self.forget(now);
+    }
+
+    /// Returns the targets of a service that new flows may consider, in order of their address.
+    pub fn candidates(&self, service: ServiceTag) -> Vec<&Target> {
+        let held = self.is_held(service);
+        let mut targets: Vec<_> = self
+            .entries
+            .values()
+            .filter(|entry| held || entry.is_offered())
+            .filter_map(|entry| entry.target.as_ref())
+            .filter(|target| target.service == service)
+            .collect();
+        targets.sort_unstable_by_key(|target| target.address);
+        targets
+    }
+
+    /// Returns the target at an address, silent or not.
+    pub fn target(&self, address: SocketAddrV4) -> Option<&Target> {
+        self.entries.get(&address)?.target.as_ref()
+    }
+
+    /// Returns whether the last known set of a service is kept because most of it is silent.
+    pub fn is_held(&self, service: ServiceTag) -> bool {
+        self.holds.get(&service).is_some_and(|hold| hold.held)
+    }
+
+    fn update_holds(&mut self, now: Instant) {
+        let mut counts: FastMap<ServiceTag, (usize, usize)> = FastMap::default();
+        for entry in self.entries.values() {
+            let Some(target) = &entry.target else {
+                continue;
+            };
+            let (silent, all) = counts.entry(target.service).or_default();
+            *all += 1;
+            *silent += usize::from(entry.hearing == Hearing::Silent);
+        }
+        self.holds.retain(|service, _| counts.contains_key(service));
+        for (service, (silent, all)) in counts {
+            let hold = self.holds.entry(service).or_default();
+            hold.update(silent * 2 > all, self.options.settle, now);
+        }
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let forget_after = self.options.forget_after;
+        let holds = &self.holds;
+        self.entries.retain(|_, entry| {
+            let service = entry.target.as_ref().map(|target| target.service);
+            let hold = service.and_then(|service| holds.get(&service));
+            hold.is_some_and(|hold| hold.held)
+                || now.saturating_duration_since(entry.reported_at) < forget_after
+        });
+    }
+}
+
+impl Hold {
+    fn update(&mut self, most_silent: bool, settle: Duration, now: Instant) {
+        if most_silent {
+            self.held = true;
+            self.heard_since = None;
+            return;
+        }
+        let since = *self.heard_since.get_or_insert(now);
+        if now.saturating_duration_since(since) >= settle {
+            self.held = false;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-core/src/placement.rs
@@ -0,0 +1,245 @@
+//! The choice of a target for a new flow.
+//!
+//! A [`Placer`] holds the candidates of one service at one balancer. Each candidate carries the
+//! load of its last report and the balancer's own picks that the report can't include yet.
+
+pub mod candidate;
+pub mod policy;
+pub mod recent;
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+pub use self::candidate::Candidate;
+use self::candidate::Tracked;
+use self::policy::Choice;
+pub use self::policy::Policy;
+pub use self::recent::InitialId;
+use self::recent::{Recent, RecentInitials};
+use crate::ids::Incarnation;
+
+/// Settings of a [`Placer`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlacementOptions {
+    /// How targets are chosen.
+    pub policy: Policy,
+    /// The time between the pick of a target and the arrival of the first report that includes it.
+    pub report_lag: Duration,
+    /// A first packet that comes again within this time is the same flight; after it, a
+    /// retransmission.
+    pub retransmit_after: Duration,
+    /// How long a target whose first packet got no answer is avoided.
+    pub suspect_for: Duration,
+    /// How many recent first packets are remembered.
+    pub recent_max: usize,
+    /// How long a first packet is remembered.
+    pub recent_for: Duration,
+}
+
+impl Default for PlacementOptions {
+    fn default() -> Self {
+        Self {
+            policy: Policy::default(),
+            report_lag: Duration::from_millis(20),
+            // The first probe timeout of our callers is one second.
+            retransmit_after: Duration::from_millis(500),
+            suspect_for: Duration::from_secs(5),
+            // Four seconds of 4,000 new flows a second.
+            recent_max: 16 * 1024,
+            recent_for: Duration::from_secs(10),
+        }
+    }
+}
+
+/// The target of a new flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placed {
+    /// Where the agent receives tunnel datagrams.
+    pub target: SocketAddrV4,
+    /// The agent's incarnation.
+    pub incarnation: Incarnation,
+    /// The earlier target of the same flow that left its first packet unanswered; membership is
+    /// told of it.
+    pub unanswered: Option<SocketAddrV4>,
+}
+
+/// Places new flows of one service.
+#[derive(Debug)]
+pub struct Placer {
+    options: PlacementOptions,
+    targets: Vec<Tracked>,
+    recent: RecentInitials,
+    turn: usize,
+}
+
+impl Placer {
+    /// Returns a placer without candidates.
+    pub fn new(options: PlacementOptions) -> Self {
+        Self {
+            options,
+            targets: Vec::new(),
+            recent: RecentInitials::new(options.recent_max, options.recent_for),
+            turn: 0,
+        }
+    }
+
+    /// Replaces the candidates. What is known of own picks and suspicion is kept for those that
+    /// stay with the same incarnation.
+    pub fn set_candidates(&mut self, candidates: &[Candidate], now: Instant) {
+        let mut candidates = candidates.to_vec();
+        candidates.sort_unstable_by_key(|candidate| candidate.address);
+        candidates.dedup_by_key(|candidate| candidate.address);
+        let mut known = std::mem::take(&mut self.targets).into_iter().peekable();
+        for candidate in candidates {
+            while known
+                .next_if(|tracked| tracked.candidate.address < candidate.address)
+                .is_some()
+            {}
+            let before = known.next_if(|tracked| tracked.is_same_run(&candidate));
+            let mut tracked = before.unwrap_or_else(|| Tracked::new(candidate));
+            tracked.update(candidate, self.options.report_lag, now);
+            self.targets.push(tracked);
+        }
+    }
+
+    /// Replaces or adds one candidate, as after a report.
+    pub fn update(&mut self, candidate: Candidate, now: Instant) {
+        let position = self
+            .targets
+            .binary_search_by_key(&candidate.address, |tracked| tracked.candidate.address);
+        let index = match position {
+            Ok(index) => index,
+            Err(index) => {
+                self.targets.insert(index, Tracked::new(candidate));
+                index
+            }
+        };
+        let tracked = &mut self.targets[index];
+        if !tracked.is_same_run(&candidate) {
+            *tracked = Tracked::new(candidate);
+        }
+        tracked.update(candidate, self.options.report_lag, now);
+    }
+
+    /// Removes a candidate.
+    pub fn remove(&mut self, address: SocketAddrV4) {
+        self.targets
+            .retain(|tracked| tracked.candidate.address != address);
+    }
+
+    /// Places the flow of a first packet, or returns nothing when no target takes new flows.
+    ///
+    /// A copy of a first packet goes where the first one went. A retransmission goes elsewhere
+    /// unless the target has answered any packet in between.
+    pub fn place(
+        &mut self,
+        initial: InitialId,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<Placed> {
+        let Some(recent) = self.recent.get(initial, now) else {
+            return self.place_new(initial, None, now, rng);
+        };
+        if self.may_stay(&recent, now) {
+            return Some(Placed {
+                target: recent.target,
+                incarnation: recent.incarnation,
+                unanswered: None,
+            });
+        }
+        let suspected_until = now + self.options.suspect_for;
+        if let Some(tracked) = self.find(recent.target) {
+            tracked.suspected_until = Some(suspected_until);
+        }
+        self.place_new(initial, Some(recent.target), now, rng)
+    }
+
+    /// Notes that a target answered on the traffic path.
+    pub fn on_answer(&mut self, address: SocketAddrV4, now: Instant) {
+        if let Some(tracked) = self.find(address) {
+            tracked.answered_at = Some(now);
+            tracked.suspected_until = None;
+        }
+    }
+
+    /// Returns whether a target is avoided because it left a first packet unanswered.
+    pub fn is_suspected(&self, address: SocketAddrV4, now: Instant) -> bool {
+        let is_suspect =
+            |tracked: &Tracked| tracked.candidate.address == address && tracked.is_suspected(now);
+        self.targets.iter().any(is_suspect)
+    }
+
+    /// Returns the number of candidates.
+    pub fn candidate_count(&self) -> usize {
+        self.targets.len()
+    }
+
+    fn find(&mut self, address: SocketAddrV4) -> Option<&mut Tracked> {
+        let position = self
+            .targets
+            .binary_search_by_key(&address, |tracked| tracked.candidate.address);
+        position.ok().map(|index| &mut self.targets[index])
+    }
+
+    fn may_stay(&mut self, recent: &Recent, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(recent.placed_at);
+        if elapsed < self.options.retransmit_after {
+            return true;
+        }
+        self.find(recent.target).is_some_and(|tracked| {
+            tracked.candidate.incarnation == recent.incarnation
+                && tracked
+                    .answered_at
+                    .is_some_and(|answered_at| answered_at >= recent.placed_at)
+        })
+    }
+
+    fn place_new(
+        &mut self,
+        initial: InitialId,
+        unanswered: Option<SocketAddrV4>,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<Placed> {
+        let eligible = self.eligible(unanswered, now);
+        let choice = Choice {
+            targets: &self.targets,
+            eligible: &eligible,
+            initial,
+        };
+        let index = choice.pick(self.options.policy, &mut self.turn, rng)?;
+        let tracked = &mut self.targets[index];
+        tracked.note_pick(now);
+        let candidate = tracked.candidate;
+        self.recent.insert(initial, &candidate, now);
+        Some(Placed {
+            target: candidate.address,
+            incarnation: candidate.incarnation,
+            unanswered,
+        })
+    }
+
+    /// Returns the indexes of the targets that take new flows; suspected ones only when no other
+    /// does.
+    fn eligible(&self, unanswered: Option<SocketAddrV4>, now: Instant) -> Vec<usize> {
+        let (mut trusted, mut suspected) = (Vec::new(), Vec::new());
+        for (index, tracked) in self.targets.iter().enumerate() {
+            if !tracked.takes_flows() {
+                continue;
+            }
+            let avoided = unanswered == Some(tracked.candidate.address);
+            if avoided || tracked.is_suspected(now) {
+                suspected.push(index);
+            } else {
+                trusted.push(index);
+            }
+        }
+        if trusted.is_empty() {
+            suspected
+        } else {
+            trusted
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-core/tests/placement.rs
@@ -0,0 +1,230 @@
+//! Tests of the choice of a target for a new flow.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::placement::{
+    Candidate, InitialId, Placed, PlacementOptions, Placer, Policy,
+};
+use cranberrypitch_core::{ConnectionLimit, Incarnation, Load, Slots, TargetState};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+fn address(n: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, n), 4000)
+}
+
+fn candidate(n: u8, running: u32, now: Instant) -> Candidate {
+    Candidate {
+        address: address(n),
+        incarnation: Incarnation::new(1),
+        state: TargetState::Ready,
+        load: Load {
+            slots: Slots::new(4),
+            running,
+            waiting: 0,
+            connections: 100,
+        },
+        connections_max: ConnectionLimit::new(2000),
+        is_local: false,
+        reported_at: now,
+    }
+}
+
+fn initial(n: u64) -> InitialId {
+    InitialId::try_new(&n.to_be_bytes()).expect("a short id")
+}
+
+struct Rig {
+    placer: Placer,
+    now: Instant,
+    rng: Pcg64Mcg,
+    next_id: u64,
+}
+
+impl Rig {
+    fn new(policy: Policy, candidates: impl Fn(Instant) -> Vec<Candidate>) -> Self {
+        let now = Instant::now();
+        let options = PlacementOptions {
+            policy,
+            recent_max: 100,
+            ..PlacementOptions::default()
+        };
+        let mut placer = Placer::new(options);
+        placer.set_candidates(&candidates(now), now);
+        Self {
+            placer,
+            now,
+            rng: Pcg64Mcg::seed_from_u64(7),
+            next_id: 0,
+        }
+    }
+
+    fn place(&mut self) -> Option<Placed> {
+        self.next_id += 1;
+        self.place_id(self.next_id)
+    }
+
+    fn place_id(&mut self, id: u64) -> Option<Placed> {
+        self.placer.place(initial(id), self.now, &mut self.rng)
+    }
+
+    fn picks(&mut self, count: usize) -> [usize; 8] {
+        let mut picks = [0; 8];
+        for _ in 0..count {
+            let placed = self.place().expect("a target");
+            picks[usize::from(placed.target.ip().octets()[3])] += 1;
+        }
+        picks
+    }
+}
+
+/// Guards against new work for targets that start, drain or are full (G6).
+#[test]
+fn only_ready_targets_below_their_limit_are_chosen() {
+    for policy in Policy::ALL {
+        let mut rig = Rig::new(policy, |now| {
+            let mut candidates: Vec<_> = (0..4).map(|n| candidate(n, 0, now)).collect();
+            candidates[0].state = TargetState::Starting;
+            candidates[1].state = TargetState::Draining;
+            candidates[2].connections_max = ConnectionLimit::new(100);
+            candidates
+        });
+        assert_eq!(rig.picks(20)[3], 20, "{policy}");
+        rig.placer.remove(address(3));
+        assert_eq!(rig.place(), None, "{policy}");
+    }
+}
+
+/// Guards against a connection limit that is overrun between two reports.
+#[test]
+fn own_picks_count_against_the_connection_limit() {
+    let mut rig = Rig::new(Policy::FreeSlots, |now| {
+        let mut only = candidate(1, 0, now);
+        only.connections_max = ConnectionLimit::new(103);
+        vec![only]
+    });
+    assert_eq!(rig.picks(3)[1], 3);
+    assert_eq!(rig.place(), None);
+}
+
+/// Guards against a burst between two reports that goes to one target.
+#[test]
+fn own_picks_spread_a_burst_until_the_next_report() {
+    for policy in [Policy::OwnPicks, Policy::FreeSlots] {
+        let mut rig = Rig::new(policy, |now| (0..4).map(|n| candidate(n, 0, now)).collect());
+        assert_eq!(rig.picks(16)[..4], [4; 4], "{policy}");
+        rig.now += Duration::from_millis(200);
+        let now = rig.now;
+        rig.placer.update(candidate(2, 0, now), now);
+        assert_eq!(rig.picks(4)[2], 4, "{policy}");
+    }
+}
+
+/// Guards against links between failure domains carrying flows that a local target could take.
+#[test]
+fn equal_loads_prefer_the_own_failure_domain() {
+    for policy in [Policy::LeastReported, Policy::OwnPicks, Policy::FreeSlots] {
+        let mut rig = Rig::new(policy, |now| {
+            let mut candidates: Vec<_> = (0..4).map(|n| candidate(n, 2, now)).collect();
+            candidates[1].is_local = true;
+            candidates
+        });
+        let placed = rig.place().expect("a target");
+        assert_eq!(placed.target, address(1), "{policy}");
+    }
+}
+
+/// Guards against a handshake whose packets are split over two targets.
+#[test]
+fn copies_of_a_first_packet_stay_together() {
+    let mut rig = Rig::new(Policy::Random, |now| {
+        (0..8).map(|n| candidate(n, 0, now)).collect()
+    });
+    let first = rig.place_id(1).expect("a target");
+    for _ in 0..20 {
+        rig.now += Duration::from_millis(5);
+        assert_eq!(rig.place_id(1), Some(first));
+    }
+}
+
+/// Guards against flows that are stuck on a dead target.
+#[test]
+fn unanswered_first_packet_goes_elsewhere_and_its_target_is_avoided() {
+    let mut rig = Rig::new(Policy::RoundRobin, |now| {
+        (0..4).map(|n| candidate(n, 0, now)).collect()
+    });
+    let first = rig.place_id(1).expect("a target");
+    rig.now += Duration::from_secs(1);
+    let second = rig.place_id(1).expect("a target");
+    assert_ne!(second.target, first.target);
+    assert_eq!(second.unanswered, Some(first.target));
+    assert!(rig.placer.is_suspected(first.target, rig.now));
+    assert_eq!(rig.picks(12)[usize::from(first.target.ip().octets()[3])], 0);
+    rig.now += Duration::from_secs(5);
+    assert_eq!(rig.picks(12)[usize::from(first.target.ip().octets()[3])], 3);
+}
+
+/// Guards against suspicion of a target whose answer was lost on the way to the caller.
+#[test]
+fn retransmission_stays_where_the_target_answers() {
+    let mut rig = Rig::new(Policy::RoundRobin, |now| {
+        (0..4).map(|n| candidate(n, 0, now)).collect()
+    });
+    let first = rig.place_id(1).expect("a target");
+    rig.now += Duration::from_millis(10);
+    rig.placer.on_answer(first.target, rig.now);
+    rig.now += Duration::from_secs(1);
+    assert_eq!(rig.place_id(1), Some(first));
+}
+
+/// Guards against an outage of the whole service when every target is suspected.
+#[test]
+fn suspected_target_is_used_when_no_other_is_left() {
+    let mut rig = Rig::new(Policy::FreeSlots, |now| vec![candidate(1, 0, now)]);
+    let first = rig.place_id(1).expect("a target");
+    rig.now += Duration::from_secs(1);
+    assert_eq!(rig.place_id(1).expect("a target").target, first.target);
+}
+
+/// Guards against a table of first packets that grows under a flood.
+#[test]
+fn table_of_first_packets_is_bounded() {
+    let mut rig = Rig::new(Policy::RoundRobin, |now| {
+        (0..3).map(|n| candidate(n, 0, now)).collect()
+    });
+    let first = rig.place_id(0).expect("a target");
+    rig.picks(100);
+    assert_ne!(rig.place_id(0), Some(first));
+}
+
+/// Guards against a cold target that gets as many flows as a warm one.
+#[test]
+fn cold_target_gets_a_small_share() {
+    let mut rig = Rig::new(Policy::FreeSlots, |now| {
+        let mut candidates: Vec<_> = (0..4).map(|n| candidate(n, 2, now)).collect();
+        candidates[0].load = Load {
+            slots: Slots::new(1),
+            ..Load::default()
+        };
+        candidates
+    });
+    let mut cold = 0;
+    for _ in 0..200 {
+        let placed = rig.place().expect("a target");
+        cold += usize::from(placed.target == address(0));
+        rig.now += Duration::from_millis(100);
+        let fresh: Vec<_> = (1..4).map(|n| candidate(n, 2, rig.now)).collect();
+        for target in fresh {
+            rig.placer.update(target, rig.now);
+        }
+        let mut cold_target = candidate(0, 0, rig.now);
+        cold_target.load.slots = Slots::new(1);
+        cold_target.load.connections = 0;
+        rig.placer.update(cold_target, rig.now);
+    }
+    assert!(
+        cold <= 70,
+        "{cold} of 200 flows went to a target with 1 of 13 slots"
+    );
+}
