Add admission to a backend server and the ticket book for orders

An agent needs one authority over its backend server's slots, and orders that may not be repeated need proof that they run at most once.

Admission keeps one queue per tenant, served in turn, refuses at once what the service times seen say is too late, and ramps the slots after a start. TicketBook issues signed tickets and never runs one that is not above its floor; unused tickets take no memory each.

--- /dev/null
+++ b/crates/cranberrypitch-core/src/admission/ramp.rs
@@ -0,0 +1,87 @@
+//! How many slots may be used at a moment.
+
+use std::time::{Duration, Instant};
+
+use super::options::ColdStart;
+
+/// What the backend server may be given, as its health is judged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Allowance {
+    /// Nothing: waiting requests wait, and feeds are refused.
+    Closed,
+    /// At most this many requests at once, to find out whether it works.
+    Probe(u32),
+    /// A ramp of slots that begins now.
+    Ramp,
+    /// All slots.
+    Full,
+}
+
+/// The slots over time.
+#[derive(Debug)]
+pub(super) struct Ramp {
+    limit: u32,
+    cold_start: ColdStart,
+    allowance: Allowance,
+    since: Instant,
+}
+
+impl Ramp {
+    pub(super) fn new(limit: u32, cold_start: ColdStart, now: Instant) -> Self {
+        Self {
+            limit,
+            cold_start,
+            allowance: Allowance::Ramp,
+            since: now,
+        }
+    }
+
+    pub(super) fn allow(&mut self, allowance: Allowance, now: Instant) {
+        self.allowance = allowance;
+        self.since = now;
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        matches!(self.allowance, Allowance::Closed | Allowance::Probe(_))
+    }
+
+    pub(super) fn is_ramping(&self, now: Instant) -> bool {
+        self.allowance == Allowance::Ramp && self.slots(now) < self.limit
+    }
+
+    /// Returns the slots that may be used at `now`.
+    pub(super) fn slots(&self, now: Instant) -> u32 {
+        match self.allowance {
+            Allowance::Closed => 0,
+            Allowance::Probe(requests) => requests.min(self.limit),
+            Allowance::Ramp => self.first().saturating_add(self.steps(now)).min(self.limit),
+            Allowance::Full => self.limit,
+        }
+    }
+
+    /// Returns when the next slot is added.
+    pub(super) fn next_step(&self, now: Instant) -> Option<Instant> {
+        if !self.is_ramping(now) {
+            return None;
+        }
+        Some(self.since + self.step() * (self.steps(now) + 1))
+    }
+
+    fn first(&self) -> u32 {
+        self.cold_start.first_slots.get()
+    }
+
+    /// Returns the time between two added slots.
+    fn step(&self) -> Duration {
+        self.cold_start.ramp / (self.limit - self.first()).max(1)
+    }
+
+    fn steps(&self, now: Instant) -> u32 {
+        let step = self.step();
+        let elapsed = now.saturating_duration_since(self.since);
+        if step.is_zero() {
+            return self.limit;
+        }
+        u32::try_from(elapsed.as_nanos() / step.as_nanos()).unwrap_or(u32::MAX)
+    }
+}
--- a/crates/cranberrypitch-core/src/errors.rs
+++ b/crates/cranberrypitch-core/src/errors.rs
@@ -40,6 +40,14 @@
         /// The version found.
         version: u8,
     },
+    /// A setting is out of its range.
+    #[display("{setting} is out of range: {rule}")]
+    Setting {
+        /// The setting.
+        setting: &'static str,
+        /// The allowed range.
+        rule: &'static str,
+    },
 }
 
 impl Error {
@@ -52,4 +60,9 @@
             rule,
         }
     }
+
+    /// Returns an error for a setting that is out of its range.
+    pub const fn setting(setting: &'static str, rule: &'static str) -> Self {
+        Self::Setting { setting, rule }
+    }
 }
--- a/crates/cranberrypitch-core/src/ids.rs
+++ b/crates/cranberrypitch-core/src/ids.rs
@@ -121,6 +121,10 @@
     /// The generation of a key, 0 to 15.
     KeyGeneration, u8, "key generation"
 }
+number_type! {
+    /// The number of a request at its agent.
+    RequestId, u64, "request id"
+}
 number_type! {
     /// The 32-bit tag that stands for a service in packets.
     ServiceTag, u32, "service tag"
--- a/crates/cranberrypitch-core/src/lib.rs
+++ b/crates/cranberrypitch-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! actions come out. Nothing in this crate opens a socket, starts a task or reads the time, so a
 //! test can drive each decision with a fake clock and a seed.
 
+pub mod admission;
 pub mod clock;
 pub mod collections;
 pub mod errors;
@@ -17,8 +18,8 @@
 pub use crate::collections::{FastMap, FastSet};
 pub use crate::errors::{Error, Result};
 pub use crate::ids::{
-    EditId, FailureDomain, Incarnation, KeyGeneration, Region, Revision, ServiceName, ServiceTag,
-    TenantId, VmId,
+    EditId, FailureDomain, Incarnation, KeyGeneration, Region, RequestId, Revision, ServiceName,
+    ServiceTag, TenantId, VmId,
 };
 pub use crate::request::{Class, NotRunReason, Outcome, Reservation};
 pub use crate::token::{RoutingToken, TokenKeys};
--- a/crates/cranberrypitch-core/src/orders.rs
+++ b/crates/cranberrypitch-core/src/orders.rs
@@ -1,10 +1,19 @@
 //! Order tickets, which make an order run at most once.
 
+mod book;
+
 use std::net::SocketAddrV4;
 
 use serde::{Deserialize, Serialize};
 
+pub use self::book::{Decision, StoredAnswer, TicketBook, TicketBookOptions};
+
 use crate::ids::Incarnation;
+use crate::token::TokenKeys;
+
+/// Keeps check values of tickets apart from those of other content under the same key.
+const CONTENT_LABEL: [u8; 6] = *b"ticket";
+const CONTENT_LEN_BYTES: usize = 28;
 
 /// A single-use permission to run one order at one incarnation of one agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -18,3 +27,37 @@
     /// The check value over the other fields.
     pub check: u64,
 }
+
+impl Ticket {
+    /// Returns a ticket that is signed with the current key.
+    pub fn sign(
+        agent: SocketAddrV4,
+        incarnation: Incarnation,
+        serial: u64,
+        keys: &TokenKeys,
+    ) -> Self {
+        let mut ticket = Self {
+            agent,
+            incarnation,
+            serial,
+            check: 0,
+        };
+        ticket.check = keys.current().check_value(&ticket.content());
+        ticket
+    }
+
+    /// Returns whether the check value is that of a held key.
+    pub fn verifies(&self, keys: &TokenKeys) -> bool {
+        keys.verifies(&self.content(), self.check)
+    }
+
+    fn content(&self) -> [u8; CONTENT_LEN_BYTES] {
+        let mut content = [0; CONTENT_LEN_BYTES];
+        content[..6].copy_from_slice(&CONTENT_LABEL);
+        content[6..10].copy_from_slice(&self.agent.ip().octets());
+        content[10..12].copy_from_slice(&self.agent.port().to_be_bytes());
+        content[12..20].copy_from_slice(&self.incarnation.get().to_be_bytes());
+        content[20..].copy_from_slice(&self.serial.to_be_bytes());
+        content
+    }
+}
--- a/crates/cranberrypitch-core/src/token.rs
+++ b/crates/cranberrypitch-core/src/token.rs
@@ -75,6 +75,12 @@
         &self.current
     }
 
+    /// Returns whether `check` is the check value of `content` under any key held.
+    pub fn verifies(&self, content: &[u8], check: u64) -> bool {
+        let matches = |key: &CheckKey| key.check_value(content) == check;
+        matches(&self.current) || self.other.as_ref().is_some_and(matches)
+    }
+
     /// Returns the key of a generation.
     pub fn by_generation(&self, generation: KeyGeneration) -> Result<&CheckKey> {
         if self.current.generation == generation {
--- /dev/null
+++ b/crates/cranberrypitch-core/tests/admission.rs
@@ -0,0 +1,335 @@
+//! Admission of requests to one backend server.
+
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::admission::{
+    Action, Admission, AdmissionOptions, Allowance, ColdStart, Event, FinishResult, Submission,
+};
+use cranberrypitch_core::{Class, ConnectionLimit, NotRunReason, RequestId, Slots};
+use proptest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn options(slots: u32, ramp: Duration) -> AdmissionOptions {
+    let first_slots = if ramp.is_zero() { slots } else { 1 };
+    AdmissionOptions::builder(Slots::new(slots), ConnectionLimit::new(3))
+        .tenant_queue_len(4)
+        .queue_len(8)
+        .cold_start(ColdStart {
+            first_slots: Slots::new(first_slots),
+            ramp,
+        })
+        .build()
+        .expect("the settings are in range")
+}
+
+fn submit(id: u64, tenant: &str, class: Class, deadline: Instant) -> Event {
+    Event::Submit(Submission {
+        request: RequestId::new(id),
+        tenant: tenant.parse().expect("the name is valid"),
+        class,
+        deadline,
+        reservation: None,
+    })
+}
+
+fn order(id: u64, tenant: &str, deadline: Instant) -> Event {
+    submit(id, tenant, Class::Order, deadline)
+}
+
+fn finish(id: u64) -> Event {
+    Event::Finish {
+        request: RequestId::new(id),
+        result: FinishResult::Ran,
+    }
+}
+
+fn start(id: u64) -> Action {
+    Action::Start(RequestId::new(id))
+}
+
+fn refuse(id: u64, reason: NotRunReason) -> Action {
+    Action::Refuse(RequestId::new(id), reason)
+}
+
+/// Guards against a tenant with many requests that keeps others from their turn.
+#[test]
+fn tenants_are_served_in_turn() {
+    let now = Instant::now();
+    let mut admission = Admission::new(options(1, Duration::ZERO), now);
+    let late = now + 60 * SECOND;
+    let arrivals = [(1, "a"), (2, "a"), (3, "a"), (4, "b"), (5, "c")];
+    for (id, tenant) in arrivals {
+        admission.handle(order(id, tenant, late), now);
+    }
+    for (finished, started) in [(1, 2), (2, 4), (4, 5), (5, 3)] {
+        let actions = admission.handle(finish(finished), now);
+        assert_eq!(actions, [start(started)]);
+    }
+    assert_eq!(admission.waiting_tenants(), 0);
+}
+
+/// Guards against a full queue that the requests of one tenant fill, which would refuse all others.
+#[test]
+fn full_queue_displaces_the_longest() {
+    let now = Instant::now();
+    let mut admission = Admission::new(options(1, Duration::ZERO), now);
+    let late = now + 60 * SECOND;
+    admission.handle(order(0, "z", late), now);
+    for id in 1..=8 {
+        let tenant = if id <= 4 { "a" } else { "b" };
+        assert_eq!(admission.handle(order(id, tenant, late), now), []);
+    }
+    let full = refuse(9, NotRunReason::QueueFull);
+    assert_eq!(admission.handle(order(9, "a", late), now), [full]);
+    let displaced = refuse(8, NotRunReason::QueueFull);
+    assert_eq!(admission.handle(order(10, "c", late), now), [displaced]);
+}
+
+/// Guards against requests that wait although they can't start in time, and against waits over
+/// the deadline.
+#[test]
+fn hopeless_and_expired_requests_are_refused() {
+    let now = Instant::now();
+    let mut admission = Admission::new(options(1, Duration::ZERO), now);
+    admission.handle(order(1, "a", now + SECOND), now);
+    let later = now + 10 * SECOND;
+    admission.handle(finish(1), later);
+    admission.handle(order(2, "a", later + SECOND), later);
+    let hopeless = admission.handle(order(3, "a", later + SECOND), later);
+    assert_eq!(hopeless, [refuse(3, NotRunReason::Deadline)]);
+    let end = later + 11 * SECOND;
+    assert_eq!(admission.handle(order(4, "a", end), later), []);
+    assert_eq!(admission.next_tick(later), Some(end));
+    let expired = admission.handle(Event::Tick, end);
+    assert_eq!(expired, [refuse(4, NotRunReason::Deadline)]);
+}
+
+/// Guards against a cold backend server that gets all its slots at once.
+#[test]
+fn cold_start_adds_slots_evenly() {
+    let now = Instant::now();
+    let mut admission = Admission::new(options(4, 3 * SECOND), now);
+    for id in 0..4 {
+        admission.handle(order(id, "a", now + 60 * SECOND), now);
+    }
+    for (second, running) in [(0, 1), (1, 2), (2, 3), (3, 4)] {
+        let at = now + SECOND * second;
+        admission.handle(Event::Tick, at);
+        assert_eq!(admission.load(at).running, running);
+        assert_eq!(admission.load(at).slots, Slots::new(running));
+    }
+}
+
+/// Guards against feeds and connections over the limit.
+#[test]
+fn connection_limit_holds() {
+    let now = Instant::now();
+    let mut admission = Admission::new(options(1, Duration::ZERO), now);
+    let feed = |id| submit(id, "a", Class::Feed, now + SECOND);
+    for id in 0..3 {
+        assert_eq!(admission.handle(feed(id), now), [start(id)]);
+        assert_eq!(admission.handle(Event::ConnectionOpened, now), []);
+    }
+    let reason = NotRunReason::ConnectionLimit;
+    assert_eq!(admission.handle(feed(3), now), [refuse(3, reason)]);
+    let refused = admission.handle(Event::ConnectionOpened, now);
+    assert_eq!(refused, [Action::RefuseConnection(reason)]);
+    admission.handle(finish(0), now);
+    assert_eq!(admission.handle(feed(4), now), [start(4)]);
+    admission.handle(Event::Allow(Allowance::Closed), now);
+    admission.handle(finish(1), now);
+    let closed = refuse(5, NotRunReason::BackendUnavailable);
+    assert_eq!(admission.handle(feed(5), now), [closed]);
+}
+
+/// Guards against a reserved slot that another request takes, or that stays taken for ever.
+#[test]
+fn reservation_holds_a_slot_until_it_lapses() {
+    let now = Instant::now();
+    let mut admission = Admission::new(options(1, Duration::ZERO), now);
+    let until = now + SECOND;
+    let reserve = |serial| Event::Reserve { serial, until };
+    assert_eq!(admission.handle(reserve(7), now), [Action::Reserved(7)]);
+    assert_eq!(admission.handle(reserve(8), now), [Action::NotReserved(8)]);
+    let late = now + 60 * SECOND;
+    assert_eq!(admission.handle(order(1, "a", late), now), []);
+    let Event::Submit(redeemed) = order(2, "b", late) else {
+        unreachable!("an order is a submission");
+    };
+    let redeemed = Event::Submit(Submission {
+        reservation: Some(7),
+        ..redeemed
+    });
+    assert_eq!(admission.handle(redeemed, now), [start(2)]);
+    assert_eq!(admission.handle(finish(2), now), [start(1)]);
+    admission.handle(finish(1), now);
+    assert_eq!(admission.handle(reserve(9), now), [Action::Reserved(9)]);
+    admission.handle(order(3, "a", late), now);
+    assert_eq!(admission.handle(Event::Tick, until), [start(3)]);
+}
+
+/// Guards against new work after a drain and against waiting requests that are cut.
+#[test]
+fn drain_lets_waiting_requests_start_until_its_deadline() {
+    let now = Instant::now();
+    let mut admission = Admission::new(options(1, Duration::ZERO), now);
+    let late = now + 60 * SECOND;
+    for id in 0..3 {
+        admission.handle(order(id, "a", late), now);
+    }
+    let start_until = now + SECOND;
+    assert_eq!(admission.handle(Event::Drain { start_until }, now), []);
+    let refused = refuse(3, NotRunReason::Draining);
+    assert_eq!(admission.handle(order(3, "b", late), now), [refused]);
+    assert_eq!(admission.handle(finish(0), now), [start(1)]);
+    let refused = refuse(2, NotRunReason::Draining);
+    assert_eq!(admission.handle(Event::Tick, start_until), [refused]);
+    assert_eq!(admission.load(start_until).running, 1);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Submit(u8, u8, u16),
+    Finish(u8),
+    Cancel(u8),
+    Redirect(u8),
+    Reserve(u8),
+    Redeem(u8, u8),
+    Release(u8),
+    Allow(u8),
+    Advance(u16),
+    Drain(u16),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => (any::<u8>(), 0..5_u8, 1..4000_u16).prop_map(|(id, t, ms)| Step::Submit(id, t, ms)),
+        6 => any::<u8>().prop_map(Step::Finish),
+        1 => any::<u8>().prop_map(Step::Cancel),
+        1 => any::<u8>().prop_map(Step::Redirect),
+        2 => (0..4_u8).prop_map(Step::Reserve),
+        2 => (any::<u8>(), 0..4_u8).prop_map(|(id, serial)| Step::Redeem(id, serial)),
+        1 => (0..4_u8).prop_map(Step::Release),
+        1 => (0..4_u8).prop_map(Step::Allow),
+        4 => (0..1500_u16).prop_map(Step::Advance),
+        1 => (0..1500_u16).prop_map(Step::Drain),
+    ]
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Seen {
+    Submitted,
+    Started,
+    Ended,
+}
+
+/// Follows each request through the actions.
+struct Observer {
+    seen: Vec<Option<Seen>>,
+    running: u32,
+}
+
+impl Observer {
+    /// Enters a submission of a new request.
+    fn submitted(&mut self, id: u8) {
+        self.seen[id as usize].get_or_insert(Seen::Submitted);
+    }
+
+    fn finished(&mut self, id: u8) {
+        if self.seen[id as usize] == Some(Seen::Started) {
+            self.seen[id as usize] = Some(Seen::Ended);
+            self.running -= 1;
+        }
+    }
+
+    fn saw(&mut self, action: Action) {
+        let (request, from, to) = match action {
+            Action::Start(request) => (request, Seen::Submitted, Seen::Started),
+            Action::Refuse(request, _) | Action::Redirect(request) => {
+                (request, Seen::Submitted, Seen::Ended)
+            }
+            Action::CancelRunning(request) => (request, Seen::Started, Seen::Started),
+            _ => return,
+        };
+        let index = usize::try_from(request.get()).expect("ids are small");
+        assert_eq!(self.seen[index], Some(from), "{action:?}");
+        self.seen[index] = Some(to);
+        self.running += u32::from(matches!(action, Action::Start(_)));
+    }
+}
+
+fn event(step: &Step, now: Instant) -> Event {
+    let request = |id: &u8| RequestId::new(u64::from(*id));
+    let after = |ms: &u16| now + Duration::from_millis((*ms).into());
+    match step {
+        Step::Submit(id, tenant, ms) => order((*id).into(), &format!("t{tenant}"), after(ms)),
+        Step::Redeem(id, serial) => Event::Submit(Submission {
+            request: request(id),
+            tenant: "redeemer".parse().expect("the name is valid"),
+            class: Class::Upload,
+            deadline: now + SECOND,
+            reservation: Some((*serial).into()),
+        }),
+        Step::Finish(id) => finish((*id).into()),
+        Step::Cancel(id) => Event::Cancel {
+            request: request(id),
+        },
+        Step::Redirect(id) => Event::Redirect {
+            request: request(id),
+        },
+        Step::Reserve(serial) => Event::Reserve {
+            serial: (*serial).into(),
+            until: now + SECOND,
+        },
+        Step::Release(serial) => Event::Release {
+            serial: (*serial).into(),
+        },
+        Step::Allow(0) => Event::Allow(Allowance::Closed),
+        Step::Allow(1) => Event::Allow(Allowance::Probe(1)),
+        Step::Allow(2) => Event::Allow(Allowance::Ramp),
+        Step::Allow(_) => Event::Allow(Allowance::Full),
+        Step::Drain(ms) => Event::Drain {
+            start_until: after(ms),
+        },
+        Step::Advance(_) => Event::Tick,
+    }
+}
+
+proptest! {
+    /// Guards against slots exceeded, requests that end twice or never, and refused requests
+    /// that were started.
+    #[test]
+    fn each_request_ends_once_within_the_slots(steps in prop::collection::vec(step(), 1..200)) {
+        let mut now = Instant::now();
+        let mut admission = Admission::new(options(3, 2 * SECOND), now);
+        let mut observer = Observer { seen: vec![None; 256], running: 0 };
+        for step in &steps {
+            match step {
+                Step::Advance(ms) => now += Duration::from_millis((*ms).into()),
+                // An id is used for one request only, as the agent does.
+                Step::Submit(id, ..) | Step::Redeem(id, _)
+                    if observer.seen[*id as usize].is_some() => continue,
+                Step::Submit(id, ..) | Step::Redeem(id, _) => observer.submitted(*id),
+                Step::Finish(id) => observer.finished(*id),
+                _ => {}
+            }
+            let before = observer.running;
+            for action in admission.handle(event(step, now), now) {
+                observer.saw(action);
+            }
+            let load = admission.load(now);
+            let waiting = observer.seen.iter().filter(|s| **s == Some(Seen::Submitted)).count();
+            prop_assert!(observer.running <= before || load.running <= load.slots.get());
+            prop_assert!(observer.running <= 3 && load.running <= 3);
+            prop_assert!(load.running >= observer.running);
+            prop_assert_eq!(load.waiting as usize, waiting);
+            prop_assert!(waiting <= 8 && admission.waiting_tenants() <= waiting);
+        }
+        now += 10 * SECOND;
+        for action in admission.handle(Event::Tick, now) {
+            observer.saw(action);
+        }
+        prop_assert!(!observer.seen.contains(&Some(Seen::Submitted)));
+    }
+}
