Add the fabric stand-in and the agent's backend server interface

The agent talks to its backend server through the BackendServer trait; the HTTP/1.1 adapter counts the bytes written to each connection, so that a request reported as not sent truly was not sent.

--- /dev/null
+++ b/crates/cranberrypitch-agent/src/backend/http.rs
@@ -0,0 +1,400 @@
+//! The adapter for backend servers that speak HTTP/1.1.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use cranberrypitch_core::ByteSize;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{HOST, HeaderMap, TRANSFER_ENCODING};
+use hyper::http::request::Builder;
+use hyper::{Method, Request, Response, StatusCode};
+use serde::de::DeserializeOwned;
+use tokio::time::{Instant, timeout_at};
+
+use super::body::{RequestBody, pump};
+use super::errors::{BackendError, Cause, Result};
+use super::feed::HttpFeed;
+use super::pool::{Exchange, Pool};
+use super::request::{Answer, BackendLoad, BackendState, CancelState, RequestId, RequestInfo};
+use super::{BackendServer, BodySource};
+
+const REQUEST_ID: &str = "x-request-id";
+const TENANT: &str = "x-tenant";
+const DEADLINE_MS: &str = "x-deadline-ms";
+const NOT_RUN: &str = "x-not-run";
+const FIRST_SEQUENCE: &str = "x-first-sequence";
+
+/// Settings of an [`HttpBackend`].
+#[derive(Clone, Copy, Debug)]
+pub struct HttpBackendOptions {
+    idle_max: usize,
+    idle_timeout: Duration,
+    connect_timeout: Duration,
+    probe_timeout: Duration,
+    answer_max: ByteSize,
+}
+
+impl Default for HttpBackendOptions {
+    fn default() -> Self {
+        Self {
+            idle_max: 64,
+            idle_timeout: Duration::from_secs(30),
+            connect_timeout: Duration::from_secs(1),
+            probe_timeout: Duration::from_secs(1),
+            answer_max: ByteSize::new(4 << 20),
+        }
+    }
+}
+
+impl HttpBackendOptions {
+    /// Sets how many idle connections are kept.
+    #[must_use]
+    pub const fn idle_max(mut self, idle_max: usize) -> Self {
+        self.idle_max = idle_max;
+        self
+    }
+
+    /// Sets how long an idle connection is kept.
+    #[must_use]
+    pub const fn idle_timeout(mut self, idle_timeout: Duration) -> Self {
+        self.idle_timeout = idle_timeout;
+        self
+    }
+
+    /// Sets how long a connection attempt may take.
+    #[must_use]
+    pub const fn connect_timeout(mut self, connect_timeout: Duration) -> Self {
+        self.connect_timeout = connect_timeout;
+        self
+    }
+
+    /// Sets how long a question about health or load, or a cancellation, may take.
+    #[must_use]
+    pub const fn probe_timeout(mut self, probe_timeout: Duration) -> Self {
+        self.probe_timeout = probe_timeout;
+        self
+    }
+
+    /// Sets how long an answer may be.
+    #[must_use]
+    pub const fn answer_max(mut self, answer_max: ByteSize) -> Self {
+        self.answer_max = answer_max;
+        self
+    }
+}
+
+/// A backend server that speaks HTTP/1.1.
+#[derive(Debug)]
+pub struct HttpBackend {
+    pool: Pool,
+    options: HttpBackendOptions,
+}
+
+/// The times that bound one request.
+#[derive(Clone, Copy, Debug)]
+struct Deadlines {
+    connect: Instant,
+    start: Instant,
+    answer: Instant,
+}
+
+impl HttpBackend {
+    /// Returns the adapter for the backend server at an address. Nothing is sent yet.
+    pub fn new(address: SocketAddr, options: HttpBackendOptions) -> Self {
+        Self {
+            pool: Pool::new(address, options.idle_max, options.idle_timeout),
+            options,
+        }
+    }
+
+    fn deadlines(&self, start_within: Duration, answer_within: Duration) -> Deadlines {
+        let now = Instant::now();
+        let connect_within = self.options.connect_timeout;
+        Deadlines {
+            connect: now + connect_within.min(start_within).min(answer_within),
+            start: now + start_within,
+            answer: now + answer_within,
+        }
+    }
+
+    fn request(&self, method: Method, path: &str) -> Builder {
+        Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.pool.address().to_string())
+    }
+
+    /// Sends a request whose body is at hand and returns the exchange and the head of the answer.
+    ///
+    /// A reused connection may turn out to be closed before anything is written to it; the request
+    /// then goes to a new connection.
+    async fn send(
+        &self,
+        deadlines: Deadlines,
+        build: impl Fn() -> Result<Request<RequestBody>>,
+    ) -> Result<(Exchange, Response<Incoming>)> {
+        let exchange = self.pool.take(deadlines.connect).await.map_err(not_sent)?;
+        let is_reused = exchange.is_reused;
+        match send_on(exchange, build()?, deadlines).await {
+            Err(error) if is_reused && error.is_not_sent() => {
+                let exchange = self.pool.open(deadlines.connect).await.map_err(not_sent)?;
+                send_on(exchange, build()?, deadlines).await
+            }
+            result => result,
+        }
+    }
+
+    /// Reads the answer as a whole and returns the connection to the pool.
+    async fn finish(
+        &self,
+        exchange: Exchange,
+        response: Response<Incoming>,
+        deadlines: Deadlines,
+        is_reusable: bool,
+    ) -> Result<Answer> {
+        let (head, body) = response.into_parts();
+        if !is_framed(&head.headers, &body) {
+            return Err(exchange.fail(Cause::Unframed));
+        }
+        let limit_bytes = usize::try_from(self.options.answer_max.get()).unwrap_or(usize::MAX);
+        let body = match timeout_at(deadlines.answer, read_whole(body, limit_bytes)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(cause)) => return Err(exchange.fail(cause)),
+            Err(_elapsed) => return Err(exchange.fail(Cause::Deadline)),
+        };
+        if is_reusable {
+            self.pool.put(exchange);
+        }
+        judge(head.status, &head.headers, body)
+    }
+
+    async fn probe<T: DeserializeOwned>(&self, method: Method, path: &str) -> Result<T> {
+        let within = self.options.probe_timeout;
+        let deadlines = self.deadlines(within, within);
+        let build = || finish_request(self.request(method.clone(), path), Bytes::new().into());
+        let (exchange, response) = self.send(deadlines, build).await?;
+        let answer = self.finish(exchange, response, deadlines, true).await?;
+        serde_json::from_slice(&answer.body).map_err(|_malformed| BackendError::Unknown {
+            cause: Cause::Malformed,
+        })
+    }
+
+    async fn stream_upload<S: BodySource>(
+        &self,
+        request: Builder,
+        body_len: ByteSize,
+        source: S,
+        deadlines: Deadlines,
+    ) -> Result<Answer> {
+        let exchange = self.pool.take(deadlines.connect).await.map_err(not_sent)?;
+        let (chunks, body) = RequestBody::streamed(body_len);
+        let request = finish_request(with_deadline(request, deadlines), body)?;
+        let sending = send_on(exchange, request, deadlines);
+        let pumping = pump(source, chunks, body_len);
+        tokio::pin!(sending, pumping);
+        // The answer may come before the body has been taken, as when the request is refused.
+        let (result, is_body_sent) = tokio::select! {
+            biased;
+            pumped = &mut pumping => match pumped {
+                Ok(is_body_sent) => (sending.await, is_body_sent),
+                Err(error) => return Err(after_broken_body(sending.await, &error)),
+            },
+            result = &mut sending => (result, false),
+        };
+        let (exchange, response) = result?;
+        self.finish(exchange, response, deadlines, is_body_sent)
+            .await
+    }
+}
+
+impl BackendServer for HttpBackend {
+    type Feed = HttpFeed;
+
+    async fn order(&self, info: &RequestInfo, body: Bytes) -> Result<Answer> {
+        let deadlines = self.deadlines(info.start_within, info.answer_within);
+        let build = || {
+            let request = with_info(self.request(Method::POST, "/orders"), info);
+            finish_request(with_deadline(request, deadlines), body.clone().into())
+        };
+        let (exchange, response) = self.send(deadlines, build).await?;
+        self.finish(exchange, response, deadlines, true).await
+    }
+
+    async fn upload<S: BodySource>(
+        &self,
+        info: &RequestInfo,
+        body_len: ByteSize,
+        body: S,
+    ) -> Result<Answer> {
+        let deadlines = self.deadlines(info.start_within, info.answer_within);
+        let request = with_info(self.request(Method::POST, "/uploads"), info);
+        self.stream_upload(request, body_len, body, deadlines).await
+    }
+
+    async fn feed(&self, info: &RequestInfo, from: Option<u64>) -> Result<HttpFeed> {
+        let deadlines = self.deadlines(info.start_within, info.answer_within);
+        let path = from.map_or_else(|| "/feeds".into(), |from| format!("/feeds?from={from}"));
+        let build = || {
+            let request = with_info(self.request(Method::GET, &path), info);
+            finish_request(with_deadline(request, deadlines), Bytes::new().into())
+        };
+        let (exchange, response) = self.send(deadlines, build).await?;
+        if !response.status().is_success() {
+            let refusal = self.finish(exchange, response, deadlines, true).await;
+            return Err(refusal.err().unwrap_or(BackendError::Unknown {
+                cause: Cause::Malformed,
+            }));
+        }
+        open_feed(exchange, response, from)
+    }
+
+    async fn health(&self) -> Result<BackendState> {
+        #[derive(serde::Deserialize)]
+        struct Health {
+            state: BackendState,
+        }
+        let health: Health = self.probe(Method::GET, "/health").await?;
+        Ok(health.state)
+    }
+
+    async fn load(&self) -> Result<BackendLoad> {
+        self.probe(Method::GET, "/load").await
+    }
+
+    async fn cancel(&self, id: RequestId) -> Result<CancelState> {
+        #[derive(serde::Deserialize)]
+        struct Cancelled {
+            state: CancelState,
+        }
+        let path = format!("/requests/{id}");
+        let cancelled: Cancelled = self.probe(Method::DELETE, &path).await?;
+        Ok(cancelled.state)
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.pool.address()
+    }
+}
+
+/// Sends a request and waits for the head of the answer.
+async fn send_on(
+    mut exchange: Exchange,
+    request: Request<RequestBody>,
+    deadlines: Deadlines,
+) -> Result<(Exchange, Response<Incoming>)> {
+    let answer = exchange.connection.sender.send_request(request);
+    match timeout_at(deadlines.answer, answer).await {
+        Ok(Ok(response)) => Ok((exchange, response)),
+        Ok(Err(error)) => Err(exchange.fail(cause_of(&error))),
+        Err(_elapsed) => Err(exchange.fail(Cause::Deadline)),
+    }
+}
+
+fn open_feed(
+    exchange: Exchange,
+    response: Response<Incoming>,
+    from: Option<u64>,
+) -> Result<HttpFeed> {
+    let (head, body) = response.into_parts();
+    if !is_framed(&head.headers, &body) {
+        return Err(exchange.fail(Cause::Unframed));
+    }
+    let Some(first) = first_sequence(&head.headers) else {
+        return Err(exchange.fail(Cause::Malformed));
+    };
+    match from {
+        Some(expected) if expected != first => Err(exchange.fail(Cause::Gap {
+            expected,
+            found: first,
+        })),
+        _ => Ok(HttpFeed::new(body, first, exchange)),
+    }
+}
+
+fn first_sequence(headers: &HeaderMap) -> Option<u64> {
+    headers.get(FIRST_SEQUENCE)?.to_str().ok()?.parse().ok()
+}
+
+fn with_info(request: Builder, info: &RequestInfo) -> Builder {
+    request
+        .header(REQUEST_ID, info.id.to_string())
+        .header(TENANT, info.tenant.as_str())
+}
+
+fn with_deadline(request: Builder, deadlines: Deadlines) -> Builder {
+    let left = deadlines.start.saturating_duration_since(Instant::now());
+    request.header(DEADLINE_MS, left.as_millis().to_string())
+}
+
+fn finish_request(request: Builder, body: RequestBody) -> Result<Request<RequestBody>> {
+    // Names, numbers and paths are checked by their types, so this can't fail.
+    request
+        .body(body)
+        .map_err(|_invalid| not_sent(Cause::Malformed))
+}
+
+fn is_framed(headers: &HeaderMap, body: &Incoming) -> bool {
+    body.size_hint().exact().is_some() || headers.contains_key(TRANSFER_ENCODING)
+}
+
+async fn read_whole(mut body: Incoming, limit_bytes: usize) -> std::result::Result<Bytes, Cause> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| cause_of(&error))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > limit_bytes {
+            return Err(Cause::TooLong { limit_bytes });
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
+
+/// Judges an answer that arrived whole.
+fn judge(status: StatusCode, headers: &HeaderMap, body: Bytes) -> Result<Answer> {
+    let is_not_run = headers.get(NOT_RUN).is_some_and(|value| value == "true");
+    match (status.is_success(), is_not_run) {
+        (true, false) => Ok(Answer { body }),
+        (true, true) => Err(BackendError::Unknown {
+            cause: Cause::Malformed,
+        }),
+        (false, true) => Err(not_sent(Cause::Refused {
+            status: status.as_u16(),
+        })),
+        (false, false) => Err(BackendError::Failed {
+            status: status.as_u16(),
+            body,
+        }),
+    }
+}
+
+const fn not_sent(cause: Cause) -> BackendError {
+    BackendError::NotSent { cause }
+}
+
+/// Returns the error of an upload whose source failed, which is unknown once bytes were written.
+fn after_broken_body(
+    result: Result<(Exchange, Response<Incoming>)>,
+    error: &io::Error,
+) -> BackendError {
+    let cause = Cause::BodySource { kind: error.kind() };
+    match result {
+        Ok((exchange, _)) => exchange.fail(cause),
+        Err(BackendError::NotSent { .. }) => not_sent(cause),
+        Err(_) => BackendError::Unknown { cause },
+    }
+}
+
+/// Returns what a failure of the HTTP library says about the answer.
+pub(crate) fn cause_of(error: &hyper::Error) -> Cause {
+    if error.is_parse() {
+        Cause::Malformed
+    } else {
+        Cause::Cut
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-agent/src/backend/pool.rs
@@ -0,0 +1,114 @@
+//! The pool of idle connections.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::time::{Instant, timeout_at};
+
+use super::connection::Connection;
+use super::errors::{BackendError, Cause};
+
+/// Idle connections to one backend server.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    address: SocketAddr,
+    idle_max: usize,
+    idle_timeout: Duration,
+    idle: Mutex<Vec<Idle>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+impl Pool {
+    pub(crate) fn new(address: SocketAddr, idle_max: usize, idle_timeout: Duration) -> Self {
+        Self {
+            address,
+            idle_max,
+            idle_timeout,
+            idle: Mutex::default(),
+        }
+    }
+
+    pub(crate) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Idle>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns a connection that is ready for a request.
+    pub(crate) async fn take(&self, deadline: Instant) -> Result<Exchange, Cause> {
+        while let Some(mut connection) = self.take_idle() {
+            match timeout_at(deadline, connection.sender.ready()).await {
+                Ok(Ok(())) => return Ok(Exchange::new(connection, true)),
+                Ok(Err(_closed)) => {}
+                Err(_elapsed) => return Err(Cause::Deadline),
+            }
+        }
+        self.open(deadline).await
+    }
+
+    /// Returns a new connection.
+    pub(crate) async fn open(&self, deadline: Instant) -> Result<Exchange, Cause> {
+        match timeout_at(deadline, Connection::open(self.address)).await {
+            Ok(Ok(connection)) => Ok(Exchange::new(connection, false)),
+            Ok(Err(error)) => Err(Cause::Connect { kind: error.kind() }),
+            Err(_elapsed) => Err(Cause::Deadline),
+        }
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.lock();
+        let now = Instant::now();
+        idle.retain(|entry| {
+            now < entry.since + self.idle_timeout && !entry.connection.sender.is_closed()
+        });
+        // A connection may still be writing the rest of its last request; it stays here until then.
+        let ready = idle.iter().rposition(|e| e.connection.sender.is_ready())?;
+        Some(idle.swap_remove(ready).connection)
+    }
+
+    /// Takes back the connection of an exchange whose answer has been read whole.
+    pub(crate) fn put(&self, exchange: Exchange) {
+        let connection = exchange.connection;
+        let mut idle = self.lock();
+        if idle.len() < self.idle_max && !connection.sender.is_closed() {
+            let since = Instant::now();
+            idle.push(Idle { connection, since });
+        }
+    }
+}
+
+/// One request on a connection. The connection closes when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    pub(crate) connection: Connection,
+    pub(crate) is_reused: bool,
+    written_before_bytes: u64,
+}
+
+impl Exchange {
+    fn new(connection: Connection, is_reused: bool) -> Self {
+        let written_before_bytes = connection.gate.written_bytes();
+        Self {
+            connection,
+            is_reused,
+            written_before_bytes,
+        }
+    }
+
+    /// Closes the connection and tells what is known about the request.
+    pub(crate) fn fail(self, cause: Cause) -> BackendError {
+        if self.connection.gate.shut() == self.written_before_bytes {
+            BackendError::NotSent { cause }
+        } else {
+            BackendError::Unknown { cause }
+        }
+    }
+}
--- a/crates/cranberrypitch-agent/src/lib.rs
+++ b/crates/cranberrypitch-agent/src/lib.rs
@@ -1,1 +1,3 @@
-//! To be filled.
+//! The agent beside a backend server.
+
+pub mod backend;
--- a/crates/cranberrypitch-standins/src/lib.rs
+++ b/crates/cranberrypitch-standins/src/lib.rs
@@ -1,1 +1,8 @@
-//! To be filled.
+//! Stand-ins for the systems around cranberrypitch, for tests and the demo.
+//!
+//! `docs/standins.md` describes each stand-in and its options.
+
+pub mod errors;
+pub mod fabric;
+
+pub use crate::errors::{Error, Result};
