--- /dev/null
+++ b/crates/cranberrypitch-agent/src/announce.rs
@@ -0,0 +1,192 @@
+//! The actor that reports the target's load to balancers and judges which of them are alive.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::{Announcement, Clock, ConnectionLimit, Revision};
+use cranberrypitch_proto::report::{Report, ReportAck};
+use cranberrypitch_proto::tunnel::Kind;
+use kameo::actor::{Actor, ActorRef};
+use kameo::error::Infallible;
+use kameo::message::{Context, Message};
+use tokio::sync::watch;
+
+use crate::balancers::BalancerTable;
+use crate::options::AgentIdentity;
+use crate::returns::{ReturnBalancer, ReturnPath};
+use crate::socket::{ControlDatagram, TunnelSocket};
+use crate::target::{Status, TargetActor, TargetStatus};
+
+/// The time between reports while the target carries flows. Its answers show within a second
+/// that a balancer has died.
+pub(crate) const BUSY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The time between reports while the target is idle and unchanged.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What the actor is started with.
+#[derive(Clone, Debug)]
+pub(crate) struct AnnounceArgs {
+    pub(crate) identity: AgentIdentity,
+    pub(crate) connections_max: ConnectionLimit,
+    pub(crate) balancers: Vec<ReturnBalancer>,
+    pub(crate) revision: watch::Receiver<Revision>,
+    pub(crate) returns: Arc<ReturnPath>,
+    pub(crate) socket: Arc<TunnelSocket>,
+    pub(crate) target: ActorRef<TargetActor>,
+    pub(crate) sequence: Arc<std::sync::atomic::AtomicU64>,
+    pub(crate) clock: Arc<dyn Clock>,
+}
+
+/// The actor.
+#[derive(Debug)]
+pub(crate) struct AnnounceActor {
+    args: AnnounceArgs,
+    table: BalancerTable,
+    reported: Option<TargetStatus>,
+    reported_at: Option<Instant>,
+}
+
+/// Reports what is due.
+#[derive(Debug)]
+pub(crate) struct ReportTick;
+
+/// Reports at once, whatever is due.
+#[derive(Debug)]
+pub(crate) struct ReportNow;
+
+/// Replaces what is known of live balancers.
+#[derive(Debug)]
+pub(crate) struct SetBalancers(pub(crate) Vec<ReturnBalancer>);
+
+impl Actor for AnnounceActor {
+    type Args = AnnounceArgs;
+    type Error = Infallible;
+
+    async fn on_start(args: AnnounceArgs, _: ActorRef<Self>) -> Result<Self, Infallible> {
+        let now = args.clock.now();
+        let mut table = BalancerTable::default();
+        for balancer in &args.balancers {
+            table.add(balancer.clone(), now);
+        }
+        let actor = Self {
+            args,
+            table,
+            reported: None,
+            reported_at: None,
+        };
+        actor.publish();
+        Ok(actor)
+    }
+}
+
+impl AnnounceActor {
+    fn publish(&self) {
+        self.args.returns.set_live(&self.table.live());
+    }
+
+    async fn report(&mut self, is_forced: bool) {
+        let Ok(Some(status)) = self.args.target.ask(Status).await else {
+            return;
+        };
+        let now = self.args.clock.now();
+        if !is_forced && !self.is_due(&status, now) {
+            return;
+        }
+        self.reported = Some(status);
+        self.reported_at = Some(now);
+        for due in self.table.take_due_reports(now) {
+            let report = self.compose(&status, due.needs_announcement);
+            if let Ok(bytes) = report.encode() {
+                // A report that is lost is followed by the next one.
+                let _sent = self.args.socket.send_control(due.to, Kind::Report, &bytes);
+            }
+        }
+        self.publish();
+    }
+
+    fn is_due(&self, status: &TargetStatus, now: Instant) -> bool {
+        let is_busy = status.load.connections > 0 || self.reported != Some(*status);
+        let interval = if is_busy {
+            BUSY_INTERVAL
+        } else {
+            IDLE_INTERVAL
+        };
+        let elapsed = self.reported_at.map(|at| now.saturating_duration_since(at));
+        // A tick comes a little early or late; half of it is left as a margin.
+        elapsed.is_none_or(|elapsed| elapsed + BUSY_INTERVAL / 2 >= interval)
+    }
+
+    fn compose(&self, status: &TargetStatus, with_announcement: bool) -> Report {
+        let identity = &self.args.identity;
+        let announcement = with_announcement.then(|| Announcement {
+            vm: identity.vm.clone(),
+            failure_domain: identity.failure_domain.clone(),
+            service: identity.service.clone(),
+            connections_max: self.args.connections_max,
+        });
+        Report {
+            incarnation: identity.incarnation,
+            sequence: self
+                .args
+                .sequence
+                .fetch_add(1, std::sync::atomic::Ordering::Relaxed),
+            state: status.state,
+            revision: *self.args.revision.borrow(),
+            load: status.load,
+            announcement,
+        }
+    }
+
+    fn take_ack(&mut self, datagram: &ControlDatagram) {
+        let Ok(ack) = ReportAck::decode(&datagram.payload) else {
+            return;
+        };
+        if ack.incarnation == self.args.identity.incarnation {
+            self.table
+                .on_ack(datagram.from, ack.announced, self.args.clock.now());
+        }
+    }
+}
+
+impl Message<ReportTick> for AnnounceActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: ReportTick, _: &mut Context<Self, ()>) {
+        self.report(false).await;
+    }
+}
+
+impl Message<ReportNow> for AnnounceActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: ReportNow, _: &mut Context<Self, ()>) {
+        self.report(true).await;
+    }
+}
+
+impl Message<ControlDatagram> for AnnounceActor {
+    type Reply = ();
+
+    async fn handle(&mut self, datagram: ControlDatagram, _: &mut Context<Self, ()>) {
+        match datagram.header.kind {
+            Kind::ReportAck => self.take_ack(&datagram),
+            Kind::Goodbye => self.table.on_goodbye(datagram.from),
+            _ => return,
+        }
+        self.publish();
+    }
+}
+
+impl Message<SetBalancers> for AnnounceActor {
+    type Reply = ();
+
+    async fn handle(&mut self, listed: SetBalancers, _: &mut Context<Self, ()>) {
+        let now = self.args.clock.now();
+        for balancer in listed.0 {
+            self.table.on_return(balancer.tunnel_address);
+            self.table.add(balancer, now);
+        }
+        self.publish();
+    }
+}
--- a/crates/cranberrypitch-agent/src/flows.rs
+++ b/crates/cranberrypitch-agent/src/flows.rs
@@ -38,7 +38,10 @@
         let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         let path = (caller, *service_address.ip());
         if let Some(entry) = entries.get_mut(&path) {
-            *entry = Entry { service_address, last_seen: now };
+            *entry = Entry {
+                service_address,
+                last_seen: now,
+            };
             return true;
         }
         if entries.len() >= MAX_ENTRIES {
@@ -47,7 +50,13 @@
         if entries.len() >= MAX_ENTRIES {
             return false;
         }
-        entries.insert(path, Entry { service_address, last_seen: now });
+        entries.insert(
+            path,
+            Entry {
+                service_address,
+                last_seen: now,
+            },
+        );
         true
     }
 
@@ -58,6 +67,8 @@
         service_ip: Option<Ipv4Addr>,
     ) -> Option<SocketAddrV4> {
         let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
-        entries.get(&(caller, service_ip?)).map(|e| e.service_address)
+        entries
+            .get(&(caller, service_ip?))
+            .map(|e| e.service_address)
     }
 }
--- a/crates/cranberrypitch-agent/src/ids.rs
+++ b/crates/cranberrypitch-agent/src/ids.rs
@@ -29,20 +29,33 @@
         keys: Arc<KeyRing>,
         lifetime: Duration,
     ) -> Self {
-        Self { agent, service, incarnation, keys, lifetime }
+        Self {
+            agent,
+            service,
+            incarnation,
+            keys,
+            lifetime,
+        }
+    }
+
+    /// Returns the keys now in force.
+    pub(crate) fn keys(&self) -> cranberrypitch_core::TokenKeys {
+        self.keys.token_keys()
     }
 
     /// Returns a new token, signed with the current key.
     pub(crate) fn issue(&self) -> [u8; TOKEN_LEN_BYTES] {
         let nonce = rand::rng().random();
         let token = RoutingToken::new(self.agent, self.service, self.incarnation, nonce);
-        token.encode(&self.keys.tokens())
+        token.encode(&self.keys.token_keys())
     }
 }
 
 impl fmt::Debug for TokenIssuer {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("TokenIssuer").field("agent", &self.agent).finish_non_exhaustive()
+        f.debug_struct("TokenIssuer")
+            .field("agent", &self.agent)
+            .finish_non_exhaustive()
     }
 }
 
--- a/crates/cranberrypitch-agent/src/returns.rs
+++ b/crates/cranberrypitch-agent/src/returns.rs
@@ -25,7 +25,11 @@
 
 impl ReturnPath {
     pub(crate) fn new(own_domain: FailureDomain) -> Self {
-        Self { own_domain, usable: ArcSwap::default(), next: AtomicUsize::new(0) }
+        Self {
+            own_domain,
+            usable: ArcSwap::default(),
+            next: AtomicUsize::new(0),
+        }
     }
 
     /// Replaces the live balancers. Those in the agent's own failure domain take all returns, as
--- a/crates/cranberrypitch-agent/src/socket.rs
+++ b/crates/cranberrypitch-agent/src/socket.rs
@@ -1,7 +1,6 @@
 //! The UDP socket of an agent, which unwraps tunnel datagrams for QUIC and wraps its answers.
 
 use std::fmt;
-use std::future::Future;
 use std::io::{self, IoSliceMut};
 use std::net::{IpAddr, SocketAddr, SocketAddrV4};
 use std::pin::Pin;
@@ -110,8 +109,10 @@
 
     /// Takes one tunnel datagram; returns its QUIC payload if it holds one for this agent.
     fn accept<'a>(&self, from: SocketAddr, datagram: &'a [u8]) -> Option<(RecvMeta, &'a [u8])> {
-        let SocketAddr::V4(from) = from else { return None };
-        let Ok((header, payload)) = Header::decode(datagram, &self.keys.tunnel()) else {
+        let SocketAddr::V4(from) = from else {
+            return None;
+        };
+        let Ok((header, payload)) = Header::decode(datagram, &self.keys.tunnel_keys()) else {
             self.counters.invalid.fetch_add(1, Ordering::Relaxed);
             return None;
         };
@@ -120,7 +121,11 @@
             Kind::ReportAck | Kind::Peer | Kind::Goodbye => {
                 let payload = payload.to_vec();
                 // A full queue drops the datagram as a full socket buffer would.
-                let _sent = self.control.try_send(ControlDatagram { from, header, payload });
+                let _sent = self.control.try_send(ControlDatagram {
+                    from,
+                    header,
+                    payload,
+                });
                 None
             }
             Kind::Return | Kind::Report | Kind::Place => {
@@ -144,7 +149,10 @@
                 return None;
             }
         }
-        if !self.callers.note(header.caller, header.service_address, self.clock.now()) {
+        if !self
+            .callers
+            .note(header.caller, header.service_address, self.clock.now())
+        {
             self.counters.unsent.fetch_add(1, Ordering::Relaxed);
             return None;
         }
@@ -176,12 +184,16 @@
             self.identity.incarnation.low_u16(),
         );
         let mut datagram = Vec::with_capacity(HEADER_LEN_BYTES + payload.len());
-        header.encode(payload, &self.keys.tunnel(), &mut datagram);
-        self.io.try_send_to(&datagram, SocketAddr::V4(to)).map(|_| ())
+        header.encode(payload, &self.keys.tunnel_keys(), &mut datagram);
+        self.io
+            .try_send_to(&datagram, SocketAddr::V4(to))
+            .map(|_| ())
     }
 
     fn return_header(&self, transmit: &Transmit<'_>) -> Option<Header> {
-        let SocketAddr::V4(caller) = transmit.destination else { return None };
+        let SocketAddr::V4(caller) = transmit.destination else {
+            return None;
+        };
         let service_ip = match transmit.src_ip {
             Some(IpAddr::V4(ip)) => Some(ip),
             _ => None,
@@ -199,13 +211,18 @@
 
 impl fmt::Debug for TunnelSocket {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("TunnelSocket").field("identity", &self.identity).finish_non_exhaustive()
+        f.debug_struct("TunnelSocket")
+            .field("identity", &self.identity)
+            .finish_non_exhaustive()
     }
 }
 
 impl AsyncUdpSocket for TunnelSocket {
     fn create_io_poller(self: Arc<Self>) -> Pin<Box<dyn UdpPoller>> {
-        Box::pin(WritePoller { socket: self, wait: Mutex::new(None) })
+        Box::pin(WritePoller {
+            socket: self,
+            wait: Mutex::new(None),
+        })
     }
 
     fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
@@ -215,9 +232,14 @@
             self.counters.unsent.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         };
-        let mut datagram = self.send_buffer.lock().unwrap_or_else(PoisonError::into_inner);
-        header.encode(transmit.contents, &self.keys.tunnel(), &mut datagram);
-        self.io.try_send_to(&datagram, SocketAddr::V4(balancer)).map(|_| ())
+        let mut datagram = self
+            .send_buffer
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        header.encode(transmit.contents, &self.keys.tunnel_keys(), &mut datagram);
+        self.io
+            .try_send_to(&datagram, SocketAddr::V4(balancer))
+            .map(|_| ())
     }
 
     fn poll_recv(
@@ -235,8 +257,12 @@
                     Poll::Pending if count > 0 => return Poll::Ready(Ok(count)),
                     other => ready!(other)?,
                 };
-                let Some((accepted, payload)) = self.accept(from, read.filled()) else { continue };
-                let Some(space) = buf.get_mut(..payload.len()) else { continue };
+                let Some((accepted, payload)) = self.accept(from, read.filled()) else {
+                    continue;
+                };
+                let Some(space) = buf.get_mut(..payload.len()) else {
+                    continue;
+                };
                 space.copy_from_slice(payload);
                 *meta = accepted;
                 count += 1;
--- /dev/null
+++ b/crates/cranberrypitch-agent/src/supervisor.rs
@@ -0,0 +1,112 @@
+//! The root of the agent's actors.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::actor::{Actor, ActorRef, Spawn};
+use kameo::error::Infallible;
+use kameo::mailbox;
+use kameo::message::{Context, Message};
+use kameo::supervision::RestartPolicy;
+use tokio::sync::{mpsc, watch};
+
+use crate::announce::{AnnounceActor, AnnounceArgs, BUSY_INTERVAL, ReportTick};
+use crate::socket::ControlDatagram;
+use crate::target::{TargetActor, TargetArgs};
+
+/// An actor that fails more often than this within [`RESTART_WINDOW`] takes the agent down.
+const MAX_RESTARTS: u32 = 5;
+
+const RESTART_WINDOW: Duration = Duration::from_secs(10);
+
+/// The supervisor. Its target actor is not restarted, as its state can't be rebuilt.
+#[derive(Debug)]
+pub(crate) struct Supervisor;
+
+impl Actor for Supervisor {
+    type Args = ();
+    type Error = Infallible;
+
+    async fn on_start((): (), _: ActorRef<Self>) -> Result<Self, Infallible> {
+        Ok(Self)
+    }
+}
+
+/// Starts the target actor.
+#[derive(Debug)]
+pub(crate) struct StartTarget(pub(crate) TargetArgs);
+
+impl Message<StartTarget> for Supervisor {
+    type Reply = ActorRef<TargetActor>;
+
+    async fn handle(
+        &mut self,
+        start: StartTarget,
+        ctx: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        TargetActor::supervise(ctx.actor_ref(), start.0)
+            .restart_policy(RestartPolicy::Never)
+            .spawn_with_mailbox(mailbox::unbounded())
+            .await
+    }
+}
+
+/// Starts the actor that reports to balancers.
+#[derive(Debug)]
+pub(crate) struct StartAnnounce(pub(crate) AnnounceArgs);
+
+impl Message<StartAnnounce> for Supervisor {
+    type Reply = ActorRef<AnnounceActor>;
+
+    async fn handle(
+        &mut self,
+        start: StartAnnounce,
+        ctx: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        AnnounceActor::supervise(ctx.actor_ref(), start.0)
+            .restart_limit(MAX_RESTARTS, RESTART_WINDOW)
+            .spawn()
+            .await
+    }
+}
+
+/// Feeds the announce actor with ticks and with what arrives on the tunnel.
+pub(crate) async fn drive_announce(
+    announce: ActorRef<AnnounceActor>,
+    mut datagrams: mpsc::Receiver<ControlDatagram>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let mut ticks = tokio::time::interval(BUSY_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let sent = tokio::select! {
+            _ = ticks.tick() => announce.tell(ReportTick).await.is_ok(),
+            datagram = datagrams.recv() => match datagram {
+                Some(datagram) => announce.tell(datagram).await.is_ok(),
+                None => false,
+            },
+            _ = stop.changed() => false,
+        };
+        if !sent {
+            return;
+        }
+    }
+}
+
+/// A shared flag that ends the agent's loops.
+#[derive(Clone, Debug)]
+pub(crate) struct StopFlag(Arc<watch::Sender<bool>>);
+
+impl StopFlag {
+    pub(crate) fn new() -> Self {
+        Self(Arc::new(watch::Sender::new(false)))
+    }
+
+    pub(crate) fn set(&self) {
+        self.0.send_replace(true);
+    }
+
+    pub(crate) fn subscribe(&self) -> watch::Receiver<bool> {
+        self.0.subscribe()
+    }
+}
--- a/crates/cranberrypitch-balancer/src/counters.rs
+++ b/crates/cranberrypitch-balancer/src/counters.rs
@@ -73,6 +73,10 @@
     /// Returns the dropped datagrams by reason, without the reasons that never occurred.
     pub fn dropped(&self) -> Vec<(DropReason, u64)> {
         let counts = self.dropped.iter().map(|c| c.load(Ordering::Relaxed));
-        DROP_REASONS.into_iter().zip(counts).filter(|(_, count)| *count > 0).collect()
+        DROP_REASONS
+            .into_iter()
+            .zip(counts)
+            .filter(|(_, count)| *count > 0)
+            .collect()
     }
 }
--- /dev/null
+++ b/crates/cranberrypitch-balancer/src/daemon.rs
@@ -0,0 +1,284 @@
+//! The balancer as a whole: its threads, its start and its graceful stop.
+
+use std::net::{SocketAddrV4, UdpSocket};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use cranberrypitch_core::membership::Target;
+use cranberrypitch_core::{FastSet, Revision, ServiceTag};
+use kameo::actor::{Actor, ActorRef, Spawn};
+use kameo::error::Infallible;
+use kameo::message::{Context, Message};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::LocalSet;
+
+use crate::counters::Counters;
+use crate::errors::{Error, Result};
+use crate::members::{
+    ListTargets, MembersActor, MembersArgs, MembersTick, SayGoodbye, TICK_INTERVAL,
+};
+use crate::options::BalancerOptions;
+use crate::routing::{Router, Sighting};
+use crate::traffic::{self, Addresses, ControlDatagram, ServiceSocket, TrafficParts};
+
+/// Messages for the control thread that may wait.
+const CONTROL_QUEUE_LEN: usize = 4096;
+
+/// Service sockets that the traffic thread has not taken over yet.
+const SOCKET_QUEUE_LEN: usize = 64;
+
+/// Goodbyes are repeated, as the tunnel may lose them.
+const GOODBYES: u32 = 3;
+
+const GOODBYE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// An actor that fails more often than this within [`RESTART_WINDOW`] takes the balancer down.
+const MAX_RESTARTS: u32 = 5;
+
+const RESTART_WINDOW: Duration = Duration::from_secs(10);
+
+/// A service address and the service behind it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServiceAddress {
+    /// The address that callers send to.
+    pub address: SocketAddrV4,
+    /// The service.
+    pub service: ServiceTag,
+}
+
+/// A running balancer.
+#[derive(Debug)]
+pub struct BalancerHandle {
+    members: ActorRef<MembersActor>,
+    addresses: Arc<ArcSwap<Addresses>>,
+    open: Mutex<FastSet<SocketAddrV4>>,
+    sockets: mpsc::Sender<ServiceSocket>,
+    counters: Arc<Counters>,
+    revision: watch::Sender<Revision>,
+    service_ip: Option<std::net::Ipv4Addr>,
+    linger: Duration,
+    stop: watch::Sender<bool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl BalancerHandle {
+    /// Starts a balancer that serves no address yet.
+    pub fn spawn(options: BalancerOptions) -> Result<Self> {
+        let address = options.identity.tunnel_address;
+        let tunnel = UdpSocket::bind(address).map_err(|e| Error::bind(address, e))?;
+        tunnel.set_nonblocking(true)?;
+        let control_tunnel = Arc::new(tunnel.try_clone()?);
+        let traffic_runtime = Builder::new_current_thread().enable_all().build()?;
+        let control_runtime = Builder::new_current_thread().enable_all().build()?;
+
+        let views = Arc::default();
+        let addresses: Arc<ArcSwap<Addresses>> = Arc::default();
+        let counters = Arc::<Counters>::default();
+        let revision = watch::Sender::new(Revision::default());
+        let stop = watch::Sender::new(false);
+        let (control_sender, control_datagrams) = mpsc::channel(CONTROL_QUEUE_LEN);
+        let (sighting_sender, sightings) = mpsc::channel(CONTROL_QUEUE_LEN);
+        let (sockets, service_sockets) = mpsc::channel(SOCKET_QUEUE_LEN);
+
+        let args = MembersArgs {
+            identity: options.identity,
+            options: options.membership,
+            keys: Arc::clone(&options.keys),
+            views: Arc::clone(&views),
+            tunnel: control_tunnel,
+            revision: revision.subscribe(),
+            clock: Arc::clone(&options.clock),
+        };
+        let inputs = ControlInputs {
+            datagrams: control_datagrams,
+            sightings,
+            stop: stop.subscribe(),
+        };
+        let (members_sender, members) = oneshot::channel();
+        let control_thread = std::thread::Builder::new()
+            .name("balancer-control".into())
+            .spawn(move || control_runtime.block_on(run_control(args, inputs, members_sender)))?;
+
+        let rng = options
+            .seed
+            .map_or_else(rand::make_rng, StdRng::seed_from_u64);
+        let router = Router::new(options.placement, views, sighting_sender, rng);
+        let parts = {
+            let _entered = traffic_runtime.enter();
+            TrafficParts {
+                keys: options.keys,
+                clock: options.clock,
+                addresses: Arc::clone(&addresses),
+                counters: Arc::clone(&counters),
+                tunnel: tokio::net::UdpSocket::from_std(tunnel)?,
+                router,
+                control: control_sender,
+                service_sockets,
+            }
+        };
+        let stop_traffic = stop.subscribe();
+        let traffic_thread = std::thread::Builder::new()
+            .name("balancer-traffic".into())
+            .spawn(move || run_traffic(&traffic_runtime, parts, stop_traffic))?;
+
+        let members = members
+            .blocking_recv()
+            .map_err(|_| Error::ended("control thread"))?;
+        Ok(Self {
+            members,
+            addresses,
+            open: Mutex::default(),
+            sockets,
+            counters,
+            revision,
+            service_ip: options.service_ip,
+            linger: options.linger,
+            stop,
+            threads: vec![control_thread, traffic_thread],
+        })
+    }
+
+    /// Replaces the service addresses. Sockets of addresses that are no longer listed stay open
+    /// for the flows that they still carry, and take no new ones.
+    pub async fn set_services(
+        &self,
+        services: &[ServiceAddress],
+        revision: Revision,
+    ) -> Result<()> {
+        for service in services {
+            self.open_socket(service.address).await?;
+        }
+        let addresses = services.iter().map(|s| (s.address, s.service)).collect();
+        self.addresses.store(Arc::new(addresses));
+        self.revision.send_replace(revision);
+        Ok(())
+    }
+
+    async fn open_socket(&self, address: SocketAddrV4) -> Result<()> {
+        let is_new = self
+            .open
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(address);
+        if !is_new {
+            return Ok(());
+        }
+        let ip = self.service_ip.unwrap_or(*address.ip());
+        let local = SocketAddrV4::new(ip, address.port());
+        let socket = UdpSocket::bind(local).map_err(|e| Error::bind(local, e))?;
+        socket.set_nonblocking(true)?;
+        let sent = self.sockets.send(ServiceSocket { address, socket }).await;
+        sent.map_err(|_| Error::ended("traffic thread"))
+    }
+
+    /// Returns the counters of the traffic path.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Returns the known targets, silent ones included.
+    pub async fn targets(&self) -> Result<Vec<Target>> {
+        self.members
+            .ask(ListTargets)
+            .await
+            .map_err(|_| Error::ended("members actor"))
+    }
+
+    /// Leaves: tells the agents, goes on forwarding for a while, and stops.
+    pub async fn leave(self) -> Result<()> {
+        for _ in 0..GOODBYES {
+            let sent = self.members.tell(SayGoodbye).await;
+            sent.map_err(|_| Error::ended("members actor"))?;
+            tokio::time::sleep(GOODBYE_INTERVAL).await;
+        }
+        tokio::time::sleep(self.linger).await;
+        self.kill();
+        Ok(())
+    }
+
+    /// Ends the balancer at once, as a crash would.
+    pub fn kill(self) {
+        self.stop.send_replace(true);
+        for thread in self.threads {
+            let _ended = thread.join();
+        }
+    }
+}
+
+/// The supervisor of the control thread's actors.
+#[derive(Debug)]
+struct Supervisor;
+
+impl Actor for Supervisor {
+    type Args = ();
+    type Error = Infallible;
+
+    async fn on_start((): (), _: ActorRef<Self>) -> std::result::Result<Self, Infallible> {
+        Ok(Self)
+    }
+}
+
+struct StartMembers(MembersArgs);
+
+impl Message<StartMembers> for Supervisor {
+    type Reply = ActorRef<MembersActor>;
+
+    async fn handle(
+        &mut self,
+        start: StartMembers,
+        ctx: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        MembersActor::supervise(ctx.actor_ref(), start.0)
+            .restart_limit(MAX_RESTARTS, RESTART_WINDOW)
+            .spawn()
+            .await
+    }
+}
+
+struct ControlInputs {
+    datagrams: mpsc::Receiver<ControlDatagram>,
+    sightings: mpsc::Receiver<Sighting>,
+    stop: watch::Receiver<bool>,
+}
+
+async fn run_control(
+    args: MembersArgs,
+    mut inputs: ControlInputs,
+    started: oneshot::Sender<ActorRef<MembersActor>>,
+) {
+    let supervisor = Supervisor::spawn(());
+    let Ok(members) = supervisor.ask(StartMembers(args)).await else {
+        return;
+    };
+    if started.send(members.clone()).is_err() {
+        return;
+    }
+    let mut ticks = tokio::time::interval(TICK_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let is_running = tokio::select! {
+            _ = ticks.tick() => members.tell(MembersTick).await.is_ok(),
+            Some(datagram) = inputs.datagrams.recv() => members.tell(datagram).await.is_ok(),
+            Some(sighting) = inputs.sightings.recv() => members.tell(sighting).await.is_ok(),
+            _ = inputs.stop.changed() => false,
+        };
+        if !is_running {
+            return;
+        }
+    }
+}
+
+fn run_traffic(runtime: &Runtime, parts: TrafficParts, mut stop: watch::Receiver<bool>) {
+    let local = LocalSet::new();
+    local.block_on(runtime, async move {
+        tokio::select! {
+            _ended = traffic::run(parts) => {}
+            _stopped = stop.changed() => {}
+        }
+    });
+}
--- a/crates/cranberrypitch-balancer/src/errors.rs
+++ b/crates/cranberrypitch-balancer/src/errors.rs
@@ -38,6 +38,11 @@
     pub(crate) const fn bind(address: std::net::SocketAddrV4, source: std::io::Error) -> Self {
         Self::Bind { address, source }
     }
+
+    /// Returns the error for a part that has ended.
+    pub(crate) const fn ended(part: &'static str) -> Self {
+        Self::Ended { part }
+    }
 }
 
 /// Why a datagram was dropped.
--- a/crates/cranberrypitch-balancer/src/lib.rs
+++ b/crates/cranberrypitch-balancer/src/lib.rs
@@ -1,1 +1,18 @@
-//! To be filled.
+//! The balancer of cranberrypitch.
+//!
+//! A balancer forwards datagrams between callers and agents. It holds no state for established
+//! flows: their connection ids carry the route. Only a first packet needs a decision.
+
+mod counters;
+mod daemon;
+mod errors;
+mod members;
+mod options;
+pub mod route;
+mod routing;
+mod traffic;
+
+pub use crate::counters::Counters;
+pub use crate::daemon::{BalancerHandle, ServiceAddress};
+pub use crate::errors::{DropReason, Error, Result};
+pub use crate::options::{BalancerIdentity, BalancerOptions, BalancerOptionsBuilder};
--- /dev/null
+++ b/crates/cranberrypitch-balancer/src/members.rs
@@ -0,0 +1,222 @@
+//! The actor that owns the balancer's view of targets and of other balancers.
+
+use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use cranberrypitch_core::membership::{
+    Membership, MembershipOptions, ReportResult, Target, TargetReport,
+};
+use cranberrypitch_core::placement::Candidate;
+use cranberrypitch_core::{Clock, FastMap, FastSet, Revision, ServiceTag, TargetState};
+use cranberrypitch_net::KeyRing;
+use cranberrypitch_proto::report::{Report, ReportAck};
+use cranberrypitch_proto::tunnel::{Header, Kind};
+use kameo::actor::{Actor, ActorRef};
+use kameo::error::Infallible;
+use kameo::message::{Context, Message};
+use tokio::sync::watch;
+
+use crate::options::BalancerIdentity;
+use crate::routing::{ServiceView, ServiceViews, Sighting};
+use crate::traffic::ControlDatagram;
+
+/// The time between judgements of silence.
+pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What the actor is started with.
+#[derive(Clone, Debug)]
+pub(crate) struct MembersArgs {
+    pub(crate) identity: BalancerIdentity,
+    pub(crate) options: MembershipOptions,
+    pub(crate) keys: Arc<KeyRing>,
+    pub(crate) views: Arc<ArcSwap<ServiceViews>>,
+    pub(crate) tunnel: Arc<UdpSocket>,
+    pub(crate) revision: watch::Receiver<Revision>,
+    pub(crate) clock: Arc<dyn Clock>,
+}
+
+/// The actor. After a failure it starts empty and learns all targets from their next reports.
+#[derive(Debug)]
+pub(crate) struct MembersActor {
+    args: MembersArgs,
+    membership: Membership,
+    services: FastSet<ServiceTag>,
+    agents: FastMap<SocketAddrV4, u16>,
+    is_leaving: bool,
+}
+
+/// Judges silence.
+#[derive(Debug)]
+pub(crate) struct MembersTick;
+
+/// Tells all agents that this balancer leaves.
+#[derive(Debug)]
+pub(crate) struct SayGoodbye;
+
+/// Asks for the known targets.
+#[derive(Debug)]
+pub(crate) struct ListTargets;
+
+impl Actor for MembersActor {
+    type Args = MembersArgs;
+    type Error = Infallible;
+
+    async fn on_start(args: MembersArgs, _: ActorRef<Self>) -> Result<Self, Infallible> {
+        let membership = Membership::new(args.options);
+        Ok(Self {
+            args,
+            membership,
+            services: FastSet::default(),
+            agents: FastMap::default(),
+            is_leaving: false,
+        })
+    }
+}
+
+impl MembersActor {
+    fn take_report(&mut self, datagram: &ControlDatagram) {
+        let Ok(report) = Report::decode(&datagram.payload) else {
+            return;
+        };
+        let (incarnation, sequence) = (report.incarnation, report.sequence);
+        self.agents.insert(datagram.from, incarnation.low_u16());
+        let is_gone = report.state == TargetState::Gone;
+        let result = self.membership.on_report(
+            TargetReport {
+                address: datagram.from,
+                incarnation,
+                sequence,
+                state: report.state,
+                revision: report.revision,
+                load: report.load,
+                announcement: report.announcement,
+            },
+            self.args.clock.now(),
+        );
+        let ReportResult::Accepted { announced } = result else {
+            return;
+        };
+        if is_gone {
+            self.agents.remove(&datagram.from);
+        }
+        self.publish(datagram.header.service);
+        self.acknowledge(datagram, incarnation, sequence, announced);
+    }
+
+    fn acknowledge(
+        &self,
+        datagram: &ControlDatagram,
+        incarnation: cranberrypitch_core::Incarnation,
+        sequence: u64,
+        announced: bool,
+    ) {
+        let revision = *self.args.revision.borrow();
+        let ack = ReportAck {
+            incarnation,
+            sequence,
+            announced,
+            revision,
+        };
+        if let Ok(bytes) = ack.encode() {
+            let header = &datagram.header;
+            self.send(
+                datagram.from,
+                Kind::ReportAck,
+                header.service,
+                header.incarnation_low,
+                &bytes,
+            );
+        }
+    }
+
+    fn send(
+        &self,
+        to: SocketAddrV4,
+        kind: Kind,
+        service: ServiceTag,
+        incarnation_low: u16,
+        payload: &[u8],
+    ) {
+        let mut datagram = Vec::new();
+        let header = Header::without_caller(kind, service, incarnation_low);
+        header.encode(payload, &self.args.keys.tunnel_keys(), &mut datagram);
+        // A lost control datagram is made up for by the agent's next report.
+        let _sent = self.args.tunnel.send_to(&datagram, SocketAddr::V4(to));
+    }
+
+    /// Publishes a service's targets to the traffic thread.
+    fn publish(&mut self, service: ServiceTag) {
+        self.services.insert(service);
+        let domain = &self.args.identity.failure_domain;
+        let targets = self.membership.candidates(service);
+        let candidates = targets.into_iter().map(|t| Candidate::new(t, domain));
+        let view = Arc::new(ServiceView {
+            candidates: candidates.collect(),
+            subset: Vec::new(),
+        });
+        let mut views = ServiceViews::clone(&self.args.views.load());
+        views.insert(service, view);
+        self.args.views.store(Arc::new(views));
+    }
+}
+
+impl Message<ControlDatagram> for MembersActor {
+    type Reply = ();
+
+    async fn handle(&mut self, datagram: ControlDatagram, _: &mut Context<Self, ()>) {
+        if datagram.header.kind == Kind::Report && !self.is_leaving {
+            self.take_report(&datagram);
+        }
+    }
+}
+
+impl Message<Sighting> for MembersActor {
+    type Reply = ();
+
+    async fn handle(&mut self, sighting: Sighting, _: &mut Context<Self, ()>) {
+        match sighting {
+            Sighting::Unanswered(address) => self.membership.on_unanswered(address),
+            Sighting::Answered(address) => self.membership.on_answer(address),
+        }
+    }
+}
+
+impl Message<MembersTick> for MembersActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: MembersTick, _: &mut Context<Self, ()>) {
+        self.membership.on_tick(self.args.clock.now());
+        for service in self.services.clone() {
+            self.publish(service);
+        }
+    }
+}
+
+impl Message<SayGoodbye> for MembersActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: SayGoodbye, _: &mut Context<Self, ()>) {
+        self.is_leaving = true;
+        for (address, incarnation_low) in &self.agents {
+            self.send(
+                *address,
+                Kind::Goodbye,
+                ServiceTag::default(),
+                *incarnation_low,
+                &[],
+            );
+        }
+    }
+}
+
+impl Message<ListTargets> for MembersActor {
+    type Reply = Vec<Target>;
+
+    async fn handle(&mut self, _: ListTargets, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let addresses = self.agents.keys();
+        let targets = addresses.filter_map(|a| self.membership.target(*a));
+        targets.cloned().collect()
+    }
+}
--- a/crates/cranberrypitch-balancer/src/route.rs
+++ b/crates/cranberrypitch-balancer/src/route.rs
@@ -55,7 +55,9 @@
     {
         return Err(DropReason::ShortInitial);
     }
-    Ok(Route::Place { connection_id: packet.connection_id })
+    Ok(Route::Place {
+        connection_id: packet.connection_id,
+    })
 }
 
 struct PacketHead<'a> {
@@ -68,7 +70,10 @@
         let (&first, rest) = datagram.split_first().ok_or(DropReason::Malformed)?;
         if first & LONG_HEADER_BIT == 0 {
             let connection_id = rest.get(..TOKEN_LEN_BYTES).ok_or(DropReason::Malformed)?;
-            return Ok(Self { connection_id, is_initial: false });
+            return Ok(Self {
+                connection_id,
+                is_initial: false,
+            });
         }
         let (version, rest) = rest.split_first_chunk().ok_or(DropReason::Malformed)?;
         if u32::from_be_bytes(*version) != QUIC_V1 {
@@ -80,6 +85,9 @@
             return Err(DropReason::Malformed);
         }
         let connection_id = rest.get(..id_len).ok_or(DropReason::Malformed)?;
-        Ok(Self { connection_id, is_initial: first & PACKET_TYPE_MASK == 0 })
+        Ok(Self {
+            connection_id,
+            is_initial: first & PACKET_TYPE_MASK == 0,
+        })
     }
 }
--- /dev/null
+++ b/crates/cranberrypitch-balancer/src/routing.rs
@@ -0,0 +1,160 @@
+//! Placement of first packets on the traffic thread.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use cranberrypitch_core::placement::{Candidate, InitialId, PlacementOptions, Placer};
+use cranberrypitch_core::{FastMap, Incarnation, ServiceTag};
+use rand::rngs::StdRng;
+use tokio::sync::mpsc;
+
+use crate::errors::DropReason;
+
+const LONG_HEADER_BIT: u8 = 0x80;
+
+/// A service as the control thread sees it.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceView {
+    /// The targets that new flows may go to.
+    pub(crate) candidates: Vec<Candidate>,
+    /// Other balancers that know the service's targets, if this one is not of their subset.
+    pub(crate) subset: Vec<SocketAddrV4>,
+}
+
+/// All services, replaced one by one.
+pub(crate) type ServiceViews = FastMap<ServiceTag, Arc<ServiceView>>;
+
+/// Where a first packet goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Destination {
+    /// To a target.
+    Target {
+        agent: SocketAddrV4,
+        incarnation: Incarnation,
+    },
+    /// To a balancer that knows the service's targets.
+    Balancer { tunnel_address: SocketAddrV4 },
+}
+
+/// What the traffic thread has seen of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Sighting {
+    /// It left a first packet unanswered.
+    Unanswered(SocketAddrV4),
+    /// It answered after it had left a first packet unanswered.
+    Answered(SocketAddrV4),
+}
+
+#[derive(Debug)]
+struct Service {
+    view: Arc<ServiceView>,
+    placer: Placer,
+}
+
+/// Picks the destinations of first packets.
+#[derive(Debug)]
+pub(crate) struct Router {
+    options: PlacementOptions,
+    views: Arc<ArcSwap<ServiceViews>>,
+    services: FastMap<ServiceTag, Service>,
+    sightings: mpsc::Sender<Sighting>,
+    rng: StdRng,
+}
+
+impl Router {
+    pub(crate) fn new(
+        options: PlacementOptions,
+        views: Arc<ArcSwap<ServiceViews>>,
+        sightings: mpsc::Sender<Sighting>,
+        rng: StdRng,
+    ) -> Self {
+        Self {
+            options,
+            views,
+            services: FastMap::default(),
+            sightings,
+            rng,
+        }
+    }
+
+    /// Picks a target, or a balancer of the service's subset.
+    pub(crate) fn place(
+        &mut self,
+        service: ServiceTag,
+        connection_id: &[u8],
+        now: Instant,
+    ) -> Result<Destination, DropReason> {
+        let view = self.view(service)?;
+        if let Some(tunnel_address) = pick_by_id(&view.subset, connection_id) {
+            return Ok(Destination::Balancer { tunnel_address });
+        }
+        self.place_here(service, connection_id, now)
+    }
+
+    /// Picks a target among those known here.
+    pub(crate) fn place_here(
+        &mut self,
+        service: ServiceTag,
+        connection_id: &[u8],
+        now: Instant,
+    ) -> Result<Destination, DropReason> {
+        let initial = InitialId::try_new(connection_id).ok_or(DropReason::Malformed)?;
+        let view = self.view(service)?;
+        let entry = self.services.entry(service).or_insert_with(|| Service {
+            view: Arc::default(),
+            placer: Placer::new(self.options),
+        });
+        if !Arc::ptr_eq(&entry.view, &view) {
+            entry.placer.set_candidates(&view.candidates, now);
+            entry.view = view;
+        }
+        let placed = entry.placer.place(initial, now, &mut self.rng);
+        let placed = placed.ok_or(DropReason::NoTarget)?;
+        if let Some(unanswered) = placed.unanswered {
+            // A sighting that finds the queue full is repeated by the next retransmission.
+            let _sent = self.sightings.try_send(Sighting::Unanswered(unanswered));
+        }
+        Ok(Destination::Target {
+            agent: placed.target,
+            incarnation: placed.incarnation,
+        })
+    }
+
+    /// Notes an answer of a target. Only packets of handshakes count, which keeps the cost off
+    /// established flows.
+    pub(crate) fn note_return(
+        &mut self,
+        service: ServiceTag,
+        target: SocketAddrV4,
+        payload: &[u8],
+        now: Instant,
+    ) {
+        if payload.first().is_none_or(|b| b & LONG_HEADER_BIT == 0) {
+            return;
+        }
+        let Some(service) = self.services.get_mut(&service) else {
+            return;
+        };
+        if service.placer.is_suspected(target, now) {
+            let _sent = self.sightings.try_send(Sighting::Answered(target));
+        }
+        service.placer.on_answer(target, now);
+    }
+
+    fn view(&self, service: ServiceTag) -> Result<Arc<ServiceView>, DropReason> {
+        let views = self.views.load();
+        views.get(&service).cloned().ok_or(DropReason::NoTarget)
+    }
+}
+
+/// Picks a balancer by the caller's connection id, so that a retransmission reaches the balancer
+/// that remembers the first packet.
+fn pick_by_id(balancers: &[SocketAddrV4], connection_id: &[u8]) -> Option<SocketAddrV4> {
+    let sum = connection_id.iter().fold(0_usize, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(usize::from(*byte))
+    });
+    let index = sum.checked_rem(balancers.len())?;
+    balancers.get(index).copied()
+}
--- a/crates/cranberrypitch-balancer/src/traffic.rs
+++ b/crates/cranberrypitch-balancer/src/traffic.rs
@@ -16,8 +16,8 @@
 
 use crate::counters::Counters;
 use crate::errors::DropReason;
-use crate::routing::{Destination, Router};
 use crate::route::{Route, route};
+use crate::routing::{Destination, Router};
 
 /// No datagram on the tunnel is longer than an Ethernet frame.
 const MAX_DATAGRAM_BYTES: usize = 1500;
@@ -83,7 +83,10 @@
     let mut service_sockets = parts.service_sockets;
     while let Some(opened) = service_sockets.recv().await {
         let socket = Rc::new(UdpSocket::from_std(opened.socket)?);
-        shared.sockets.borrow_mut().insert(opened.address, Rc::clone(&socket));
+        shared
+            .sockets
+            .borrow_mut()
+            .insert(opened.address, Rc::clone(&socket));
         tokio::task::spawn_local(serve_callers(Rc::clone(&shared), opened.address, socket));
     }
     tunnel.abort();
@@ -150,8 +153,12 @@
         caller: SocketAddrV4,
         datagram: &mut [u8],
     ) -> Result<(), DropReason> {
-        match route(&datagram[HEADER_LEN_BYTES..], &self.keys.tokens())? {
-            Route::Agent { agent, service, incarnation_low } => {
+        match route(&datagram[HEADER_LEN_BYTES..], &self.keys.token_keys())? {
+            Route::Agent {
+                agent,
+                service,
+                incarnation_low,
+            } => {
                 let header = Header {
                     kind: Kind::Forward,
                     service,
@@ -175,7 +182,11 @@
     }
 
     fn service_at(&self, address: SocketAddrV4) -> Result<ServiceTag, DropReason> {
-        self.addresses.load().get(&address).copied().ok_or(DropReason::NoService)
+        self.addresses
+            .load()
+            .get(&address)
+            .copied()
+            .ok_or(DropReason::NoService)
     }
 
     /// Sends a first packet to the target or the balancer that was picked.
@@ -197,7 +208,13 @@
                 (Kind::Place, tunnel_address, 0)
             }
         };
-        let header = Header { kind, service, service_address, caller, incarnation_low };
+        let header = Header {
+            kind,
+            service,
+            service_address,
+            caller,
+            incarnation_low,
+        };
         self.send(header, datagram, to)
     }
 
@@ -207,7 +224,7 @@
         datagram: &mut [u8],
         to: SocketAddrV4,
     ) -> Result<(), DropReason> {
-        header.write(&self.keys.tunnel(), datagram);
+        header.write(&self.keys.tunnel_keys(), datagram);
         match self.tunnel.try_send_to(datagram, SocketAddr::V4(to)) {
             Ok(_) => Ok(()),
             Err(_) => Err(DropReason::SendFailed),
@@ -221,7 +238,7 @@
         datagram: &mut [u8],
         control: &mpsc::Sender<ControlDatagram>,
     ) -> Result<(), DropReason> {
-        let Ok((header, payload)) = Header::decode(datagram, &self.keys.tunnel()) else {
+        let Ok((header, payload)) = Header::decode(datagram, &self.keys.tunnel_keys()) else {
             return Err(DropReason::InvalidTunnel);
         };
         match header.kind {
@@ -229,8 +246,14 @@
             Kind::Place => self.place_for_peer(header, datagram),
             Kind::Report | Kind::Goodbye => {
                 let payload = payload.to_vec();
-                let message = ControlDatagram { from, header, payload };
-                control.try_send(message).map_err(|_full| DropReason::SendFailed)
+                let message = ControlDatagram {
+                    from,
+                    header,
+                    payload,
+                };
+                control
+                    .try_send(message)
+                    .map_err(|_full| DropReason::SendFailed)
             }
             Kind::Forward | Kind::ReportAck | Kind::Peer => Err(DropReason::InvalidTunnel),
         }
@@ -243,7 +266,9 @@
         payload: &[u8],
     ) -> Result<(), DropReason> {
         let now = self.clock.now();
-        self.router.borrow_mut().note_return(header.service, from, payload, now);
+        self.router
+            .borrow_mut()
+            .note_return(header.service, from, payload, now);
         let sockets = self.sockets.borrow();
         let socket = sockets.get(&header.service_address);
         let socket = socket.ok_or(DropReason::UnknownServiceAddress)?;
@@ -260,12 +285,21 @@
     /// dropped, and never passed on again, so two balancers with different views can't loop.
     fn place_for_peer(&self, header: Header, datagram: &mut [u8]) -> Result<(), DropReason> {
         let Ok(Route::Place { connection_id }) =
-            route(&datagram[HEADER_LEN_BYTES..], &self.keys.tokens())
+            route(&datagram[HEADER_LEN_BYTES..], &self.keys.token_keys())
         else {
             return Err(DropReason::Malformed);
         };
         let now: Instant = self.clock.now();
-        let place = self.router.borrow_mut().place_here(header.service, connection_id, now)?;
-        self.send_first(place, header.service, header.service_address, header.caller, datagram)
+        let place = self
+            .router
+            .borrow_mut()
+            .place_here(header.service, connection_id, now)?;
+        self.send_first(
+            place,
+            header.service,
+            header.service_address,
+            header.caller,
+            datagram,
+        )
     }
 }
--- a/crates/cranberrypitch-caller/src/attempts.rs
+++ b/crates/cranberrypitch-caller/src/attempts.rs
@@ -24,7 +24,12 @@
 impl Attempts {
     pub(crate) fn start(deadline: Duration) -> Self {
         let deadline = Instant::now() + deadline;
-        Self { deadline, pause: FIRST_PAUSE, made: 0, redirects: 0 }
+        Self {
+            deadline,
+            pause: FIRST_PAUSE,
+            made: 0,
+            redirects: 0,
+        }
     }
 
     pub(crate) const fn count(&mut self) {
@@ -56,6 +61,10 @@
 
     /// Pauses after an attempt that failed before anything could run.
     pub(crate) async fn pause_after_error(&mut self, error: Error) -> Result<()> {
-        if self.pause().await { Ok(()) } else { Err(error) }
+        if self.pause().await {
+            Ok(())
+        } else {
+            Err(error)
+        }
     }
 }
--- a/crates/cranberrypitch-caller/src/client.rs
+++ b/crates/cranberrypitch-caller/src/client.rs
@@ -43,7 +43,11 @@
         connect_timeout: Duration,
     ) -> Result<Self> {
         let endpoint = Endpoint::client(SocketAddr::from((local_ip, 0)))?;
-        Ok(Self { endpoint, config, connect_timeout })
+        Ok(Self {
+            endpoint,
+            config,
+            connect_timeout,
+        })
     }
 
     /// Opens a connection; `route` leads it to one agent.
@@ -59,7 +63,10 @@
         let attempt = self
             .endpoint
             .connect_with(config, target.address.into(), target.service.as_str())
-            .map_err(|source| Error::Connect { service: target.service.clone(), source })?;
+            .map_err(|source| Error::Connect {
+                service: target.service.clone(),
+                source,
+            })?;
         match tokio::time::timeout(self.connect_timeout, attempt).await {
             Ok(connection) => Ok(Connection { inner: connection? }),
             Err(_) => Err(Error::ConnectTimeout {
@@ -96,9 +103,10 @@
         let (_send, mut recv) = self.start(&CallerFrame::IssueTicket).await?;
         match read_frame(&mut recv).await? {
             AgentFrame::Ticket(ticket) => Ok(ticket),
-            AgentFrame::Response { outcome: Outcome::NotRun(reason), .. } => {
-                Err(Error::NotRun { reason })
-            }
+            AgentFrame::Response {
+                outcome: Outcome::NotRun(reason),
+                ..
+            } => Err(Error::NotRun { reason }),
             _ => Err(Error::unexpected("ticket")),
         }
     }
@@ -151,7 +159,10 @@
     };
     let len_bytes = body_len.get();
     if len_bytes > MAX_ANSWER_BYTES {
-        return Err(Error::AnswerTooLong { len_bytes, limit_bytes: MAX_ANSWER_BYTES });
+        return Err(Error::AnswerTooLong {
+            len_bytes,
+            limit_bytes: MAX_ANSWER_BYTES,
+        });
     }
     let mut body = vec![0; usize::try_from(len_bytes).unwrap_or_default()];
     recv.read_exact(&mut body).await?;
--- a/crates/cranberrypitch-caller/src/feed.rs
+++ b/crates/cranberrypitch-caller/src/feed.rs
@@ -63,7 +63,13 @@
     pub async fn open(caller: Caller, options: FeedOptions) -> Result<Self> {
         let flow = open_with_retry(&caller, &options, options.resume_from).await?;
         let next_sequence = options.resume_from.unwrap_or(flow.first_sequence);
-        let mut feed = Self { caller, options, flow, next_sequence, stats: FeedStats::default() };
+        let mut feed = Self {
+            caller,
+            options,
+            flow,
+            next_sequence,
+            stats: FeedStats::default(),
+        };
         feed.check_start()?;
         Ok(feed)
     }
@@ -104,17 +110,26 @@
 
     fn take(&mut self, sequence: u64, payload: &[u8]) -> Result<Reading> {
         if sequence != self.next_sequence {
-            return Err(Error::FeedGap { expected: self.next_sequence, received: sequence });
+            return Err(Error::FeedGap {
+                expected: self.next_sequence,
+                received: sequence,
+            });
         }
         self.next_sequence += 1;
-        Ok(Reading { sequence, payload: payload.into() })
+        Ok(Reading {
+            sequence,
+            payload: payload.into(),
+        })
     }
 
     fn end(&self, next_sequence: u64) -> Result<Option<Reading>> {
         if next_sequence == self.next_sequence {
             Ok(None)
         } else {
-            Err(Error::FeedGap { expected: self.next_sequence, received: next_sequence })
+            Err(Error::FeedGap {
+                expected: self.next_sequence,
+                received: next_sequence,
+            })
         }
     }
 
@@ -131,7 +146,10 @@
         if received == self.next_sequence {
             Ok(())
         } else {
-            Err(Error::FeedGap { expected: self.next_sequence, received })
+            Err(Error::FeedGap {
+                expected: self.next_sequence,
+                received,
+            })
         }
     }
 }
@@ -169,10 +187,15 @@
     };
     let (_send, mut recv) = connection.start(&CallerFrame::Request(head)).await?;
     match read_frame(&mut recv).await? {
-        AgentFrame::FeedOpen { first_sequence } => Ok(Flow { connection, recv, first_sequence }),
-        AgentFrame::Response { outcome: cranberrypitch_core::Outcome::NotRun(reason), .. } => {
-            Err(Error::NotRun { reason })
-        }
+        AgentFrame::FeedOpen { first_sequence } => Ok(Flow {
+            connection,
+            recv,
+            first_sequence,
+        }),
+        AgentFrame::Response {
+            outcome: cranberrypitch_core::Outcome::NotRun(reason),
+            ..
+        } => Err(Error::NotRun { reason }),
         _ => Err(Error::unexpected("feed")),
     }
 }
--- a/crates/cranberrypitch-caller/src/order.rs
+++ b/crates/cranberrypitch-caller/src/order.rs
@@ -65,7 +65,12 @@
             outcome => {
                 let ticket = Some(ticket);
                 let attempts = attempts.made();
-                return Ok(OrderReport { outcome, answer: response.body, ticket, attempts });
+                return Ok(OrderReport {
+                    outcome,
+                    answer: response.body,
+                    ticket,
+                    attempts,
+                });
             }
         }
     }
@@ -79,7 +84,10 @@
     answer_timeout: Duration,
 ) -> Response {
     let asked = tokio::time::timeout(answer_timeout, ask_until_known(caller, target, ticket)).await;
-    asked.unwrap_or(Response { outcome: Outcome::Unknown, body: Vec::new() })
+    asked.unwrap_or(Response {
+        outcome: Outcome::Unknown,
+        body: Vec::new(),
+    })
 }
 
 async fn try_once(
@@ -89,7 +97,9 @@
     redirect: Option<Reservation>,
     remaining: Duration,
 ) -> Result<(Response, IssuedTicket)> {
-    let connection = caller.connect(&options.target, redirect.map(|r| r.token)).await?;
+    let connection = caller
+        .connect(&options.target, redirect.map(|r| r.token))
+        .await?;
     let issued = connection.issue_ticket().await?;
     let head = RequestHead {
         class: Class::Order,
--- a/crates/cranberrypitch-caller/src/upload.rs
+++ b/crates/cranberrypitch-caller/src/upload.rs
@@ -71,14 +71,22 @@
             Outcome::Done => {
                 check_receipt(&response.body, &sha256)?;
                 let attempts = attempts.made();
-                return Ok(UploadReport { outcome: Outcome::Done, sha256, attempts });
+                return Ok(UploadReport {
+                    outcome: Outcome::Done,
+                    sha256,
+                    attempts,
+                });
             }
             Outcome::Redirect(reservation) if attempts.may_follow_redirect() => {
                 redirect = Some(reservation);
             }
             ref outcome if outcome.is_not_run() && attempts.pause().await => {}
             outcome => {
-                return Ok(UploadReport { outcome, sha256, attempts: attempts.made() });
+                return Ok(UploadReport {
+                    outcome,
+                    sha256,
+                    attempts: attempts.made(),
+                });
             }
         }
     }
@@ -98,7 +106,10 @@
     remaining: Duration,
 ) -> std::result::Result<Response, Attempt> {
     let route = redirect.map(|r| r.token);
-    let connection = caller.connect(&options.target, route).await.map_err(Attempt::NotSent)?;
+    let connection = caller
+        .connect(&options.target, route)
+        .await
+        .map_err(Attempt::NotSent)?;
     let head = RequestHead {
         class: Class::Upload,
         tenant: options.tenant.clone(),
@@ -128,15 +139,20 @@
     if *receipt.sha256 == *sent {
         Ok(())
     } else {
-        Err(Error::HashMismatch { sent: sent.into(), received: receipt.sha256 })
+        Err(Error::HashMismatch {
+            sent: sent.into(),
+            received: receipt.sha256,
+        })
     }
 }
 
 fn hex(bytes: &[u8]) -> String {
     use std::fmt::Write;
 
-    bytes.iter().fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
-        let _infallible = write!(text, "{byte:02x}");
-        text
-    })
+    bytes
+        .iter()
+        .fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
+            let _infallible = write!(text, "{byte:02x}");
+            text
+        })
 }
