Add handoff decisions and their peer messages

A request that waits at one agent while a peer has a free slot waits for nothing. The core now decides which peers hear of waiting requests, which slots are reserved and offered, and when a request is redirected; reservations expire and messages are limited per second.

--- /dev/null
+++ b/crates/cranberrypitch-core/src/handoff.rs
@@ -0,0 +1,355 @@
+//! The move of a waiting request to a peer with a free slot.
+//!
+//! An agent with waiting requests tells a few peers of its service. A peer with a free slot and
+//! nothing waiting reserves the slot for a short time and offers it. The waiting agent takes its
+//! next request out of the queue and answers the caller with the reservation. A request is thus
+//! in one queue or at its caller, never at two agents, and a lost message costs only time.
+
+mod limiter;
+
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt};
+
+use self::limiter::Limiter;
+use crate::collections::FastMap;
+use crate::request::Reservation;
+
+/// Settings of a [`Handoff`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HandoffOptions {
+    /// How many peers a notice of waiting requests goes to.
+    pub fanout: usize,
+    /// The time between two notices.
+    pub notice_interval: Duration,
+    /// The time between two notices when earlier ones brought no offer.
+    pub notice_interval_max: Duration,
+    /// How long a peer acts on a notice.
+    pub notice_valid: Duration,
+    /// How long an offered slot stays reserved.
+    pub reserve_for: Duration,
+    /// The most messages sent per second.
+    pub messages_per_second: u32,
+    /// How many notices of peers are remembered.
+    pub notices_max: usize,
+}
+
+impl Default for HandoffOptions {
+    fn default() -> Self {
+        Self {
+            fanout: 3,
+            notice_interval: Duration::from_millis(50),
+            notice_interval_max: Duration::from_millis(200),
+            notice_valid: Duration::from_millis(500),
+            // An offer and a redirect take about 30 ms; the rest covers one lost packet.
+            reserve_for: Duration::from_millis(150),
+            messages_per_second: 80,
+            notices_max: 64,
+        }
+    }
+}
+
+/// What the agent's admission holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QueueState {
+    /// Slots in which no request runs, reserved ones included.
+    pub free_slots: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Waiting requests that may run at a peer.
+    pub movable: u32,
+    /// When the oldest movable request arrived.
+    pub oldest_since: Option<Instant>,
+    /// Whether slots may be offered, which a draining target's may not.
+    pub may_offer: bool,
+}
+
+/// What happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// Slots or waiting requests changed.
+    Queue(QueueState),
+    /// A peer has waiting requests.
+    Waiting {
+        /// The peer.
+        from: SocketAddrV4,
+        /// How many requests it would move.
+        count: u32,
+        /// How long the oldest of them has waited.
+        oldest: Duration,
+    },
+    /// A peer offers a slot.
+    Offer {
+        /// The peer.
+        from: SocketAddrV4,
+        /// The reserved slot.
+        reservation: Reservation,
+    },
+    /// A peer has no use for an offered slot.
+    Decline {
+        /// The peer.
+        from: SocketAddrV4,
+        /// The number of the reservation.
+        serial: u64,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What the agent has to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Tell a peer about waiting requests.
+    SendWaiting {
+        /// The peer.
+        to: SocketAddrV4,
+        /// How many requests may move.
+        count: u32,
+        /// How long the oldest of them has waited.
+        oldest: Duration,
+    },
+    /// Offer a reserved slot to a peer, with a connection id that leads here.
+    SendOffer {
+        /// The peer.
+        to: SocketAddrV4,
+        /// The number of the reservation.
+        serial: u64,
+    },
+    /// Tell a peer that its slot isn't needed.
+    SendDecline {
+        /// The peer.
+        to: SocketAddrV4,
+        /// The number of the reservation.
+        serial: u64,
+    },
+    /// Take the next movable request out of the queue and answer it with this reservation.
+    Redirect(Reservation),
+    /// A reserved slot is free for the agent's own requests again.
+    Released,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Notice {
+    count: u32,
+    oldest_since: Instant,
+    heard_at: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    serial: u64,
+    peer: SocketAddrV4,
+    until: Instant,
+}
+
+/// Offers that came twice are told apart by this many last serials.
+const SEEN_OFFERS_MAX: usize = 64;
+
+/// Decides on the moves of one agent's requests, and on offers of its slots.
+#[derive(Debug)]
+pub struct Handoff {
+    options: HandoffOptions,
+    peers: Vec<SocketAddrV4>,
+    queue: QueueState,
+    notices: FastMap<SocketAddrV4, Notice>,
+    held: Vec<Held>,
+    seen_offers: VecDeque<(SocketAddrV4, u64)>,
+    limiter: Limiter,
+    next_notice: Instant,
+    interval: Duration,
+}
+
+impl Handoff {
+    /// Returns the decisions of an agent without peers.
+    pub fn new(options: HandoffOptions, now: Instant) -> Self {
+        Self {
+            options,
+            peers: Vec::new(),
+            queue: QueueState::default(),
+            notices: FastMap::default(),
+            held: Vec::new(),
+            seen_offers: VecDeque::new(),
+            limiter: Limiter::new(options.messages_per_second, now),
+            next_notice: now,
+            interval: options.notice_interval,
+        }
+    }
+
+    /// Replaces the peers, which are other agents of the same service.
+    pub fn set_peers(&mut self, peers: Vec<SocketAddrV4>) {
+        self.notices.retain(|peer, _| peers.contains(peer));
+        self.peers = peers;
+    }
+
+    /// Returns the number of reserved slots, which no other request may take.
+    pub fn reserved(&self) -> u32 {
+        u32::try_from(self.held.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns when the next [`Event::Tick`] is due, if one is.
+    pub fn next_tick(&self) -> Option<Instant> {
+        let expiry = self.held.iter().map(|held| held.until).min();
+        let notice = (self.queue.movable > 0 && !self.peers.is_empty()).then_some(self.next_notice);
+        expiry.into_iter().chain(notice).min()
+    }
+
+    /// Ends a reservation because its request has come, and returns whether it was in force.
+    ///
+    /// A request with an expired reservation waits like any other.
+    pub fn claim(&mut self, serial: u64, now: Instant) -> bool {
+        let position = self.held.iter().position(|held| held.serial == serial);
+        let Some(index) = position else {
+            return false;
+        };
+        if now >= self.held[index].until {
+            return false;
+        }
+        self.held.swap_remove(index);
+        self.queue.free_slots = self.queue.free_slots.saturating_sub(1);
+        true
+    }
+
+    /// Takes in an event and returns what has to be done, in this order.
+    pub fn on_event(&mut self, event: Event, now: Instant, rng: &mut impl Rng) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Queue(queue) => self.on_queue(queue, now),
+            Event::Waiting {
+                from,
+                count,
+                oldest,
+            } => self.on_waiting(from, count, oldest, now),
+            Event::Offer { from, reservation } => {
+                self.on_offer(from, reservation, now, &mut actions);
+            }
+            Event::Decline { from, serial } => self.on_decline(from, serial, &mut actions),
+            Event::Tick => {}
+        }
+        self.expire(now, &mut actions);
+        self.offer_slots(now, rng, &mut actions);
+        self.tell_peers(now, rng, &mut actions);
+        actions
+    }
+
+    fn on_queue(&mut self, queue: QueueState, now: Instant) {
+        if self.queue.movable == 0 && queue.movable > 0 {
+            self.interval = self.options.notice_interval;
+            self.next_notice = self.next_notice.min(now);
+        }
+        self.queue = queue;
+    }
+
+    fn on_waiting(&mut self, from: SocketAddrV4, count: u32, oldest: Duration, now: Instant) {
+        if count == 0 || !self.peers.contains(&from) {
+            self.notices.remove(&from);
+            return;
+        }
+        let is_known = self.notices.contains_key(&from);
+        if !is_known && self.notices.len() >= self.options.notices_max {
+            return;
+        }
+        let notice = Notice {
+            count,
+            oldest_since: now.checked_sub(oldest).unwrap_or(now),
+            heard_at: now,
+        };
+        self.notices.insert(from, notice);
+    }
+
+    fn on_offer(
+        &mut self,
+        from: SocketAddrV4,
+        reservation: Reservation,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let offer = (from, reservation.serial);
+        if reservation.agent != from || self.seen_offers.contains(&offer) {
+            return;
+        }
+        if self.seen_offers.len() == SEEN_OFFERS_MAX {
+            self.seen_offers.pop_front();
+        }
+        self.seen_offers.push_back(offer);
+        if self.queue.movable > 0 {
+            self.queue.movable -= 1;
+            self.queue.waiting = self.queue.waiting.saturating_sub(1);
+            self.interval = self.options.notice_interval;
+            actions.push(Action::Redirect(reservation));
+        } else if self.limiter.try_take(now) {
+            actions.push(Action::SendDecline {
+                to: from,
+                serial: reservation.serial,
+            });
+        }
+    }
+
+    fn on_decline(&mut self, from: SocketAddrV4, serial: u64, actions: &mut Vec<Action>) {
+        let is_declined = |held: &Held| held.serial == serial && held.peer == from;
+        if let Some(index) = self.held.iter().position(is_declined) {
+            self.held.swap_remove(index);
+            self.notices.remove(&from);
+            actions.push(Action::Released);
+        }
+    }
+
+    fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let before = self.held.len();
+        self.held.retain(|held| now < held.until);
+        actions.extend((self.held.len()..before).map(|_| Action::Released));
+        let valid = self.options.notice_valid;
+        self.notices
+            .retain(|_, notice| now.saturating_duration_since(notice.heard_at) < valid);
+    }
+
+    fn offer_slots(&mut self, now: Instant, rng: &mut impl Rng, actions: &mut Vec<Action>) {
+        while self.queue.may_offer
+            && self.queue.waiting == 0
+            && self.queue.free_slots > self.reserved()
+        {
+            let oldest =
+                |(peer, notice): &(&SocketAddrV4, &mut Notice)| (notice.oldest_since, **peer);
+            let Some((&peer, notice)) = self.notices.iter_mut().min_by_key(oldest) else {
+                return;
+            };
+            if !self.limiter.try_take(now) {
+                return;
+            }
+            notice.count -= 1;
+            if notice.count == 0 {
+                self.notices.remove(&peer);
+            }
+            let serial = rng.random();
+            let until = now + self.options.reserve_for;
+            self.held.push(Held {
+                serial,
+                peer,
+                until,
+            });
+            actions.push(Action::SendOffer { to: peer, serial });
+        }
+    }
+
+    fn tell_peers(&mut self, now: Instant, rng: &mut impl Rng, actions: &mut Vec<Action>) {
+        if self.queue.movable == 0 || now < self.next_notice {
+            return;
+        }
+        let oldest_since = self.queue.oldest_since.unwrap_or(now);
+        let told = self.peers.sample(rng, self.options.fanout);
+        for &to in told {
+            if !self.limiter.try_take_spare(now) {
+                break;
+            }
+            actions.push(Action::SendWaiting {
+                to,
+                count: self.queue.movable,
+                oldest: now.saturating_duration_since(oldest_since),
+            });
+        }
+        self.next_notice = now + self.interval;
+        self.interval = (self.interval * 2).min(self.options.notice_interval_max);
+    }
+}
--- a/crates/cranberrypitch-core/src/lib.rs
+++ b/crates/cranberrypitch-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod collections;
 pub mod errors;
+pub mod handoff;
 pub mod ids;
 pub mod membership;
 pub mod orders;
--- a/crates/cranberrypitch-proto/src/lib.rs
+++ b/crates/cranberrypitch-proto/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod cbor;
 pub mod errors;
+pub mod peer;
 pub mod report;
 pub mod request;
 pub mod tunnel;
