Add numbered log events with their catalogue

Each event has a fixed number, level and typed payload. Dropped datagrams are counted per reason and logged at a limited rate.

--- /dev/null
+++ b/crates/cranberrypitch-net/src/events/catalogue.rs
@@ -0,0 +1,284 @@
+//! The events.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+use cranberrypitch_core::{
+    EditId, FailureDomain, Incarnation, KeyGeneration, NotRunReason, Revision, ServiceName, Slots,
+    TenantId, VmId,
+};
+use derive_more::Display;
+use log::Level;
+
+use crate::events::Entry;
+
+/// A daemon.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Program {
+    /// The balancer.
+    #[display("balancer")]
+    Balancer,
+    /// The agent.
+    #[display("agent")]
+    Agent,
+    /// The stand-ins.
+    #[display("standin")]
+    Standin,
+}
+
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum DropReason {
+    /// It is neither QUIC nor a tunnel datagram.
+    #[display("malformed")]
+    Malformed,
+    /// Its check value does not verify.
+    #[display("check value")]
+    CheckValue,
+    /// It names a key generation that is not held.
+    #[display("unknown key generation")]
+    UnknownKey,
+    /// It is meant for another service, agent or incarnation.
+    #[display("misdirected")]
+    Misdirected,
+    /// It is no first packet of a flow and its connection id does not validate.
+    #[display("no valid connection id")]
+    NoConnection,
+    /// It starts a flow of a service without a candidate target.
+    #[display("no target")]
+    NoTarget,
+    /// A queue was full.
+    #[display("queue full")]
+    QueueFull,
+    /// It could not be sent.
+    #[display("send failed")]
+    SendFailed,
+}
+
+impl DropReason {
+    /// All reasons, in the order of their discriminants.
+    pub const ALL: [Self; 8] = [
+        Self::Malformed,
+        Self::CheckValue,
+        Self::UnknownKey,
+        Self::Misdirected,
+        Self::NoConnection,
+        Self::NoTarget,
+        Self::QueueFull,
+        Self::SendFailed,
+    ];
+}
+
+macro_rules! events {
+    ($(
+        #[doc = $meaning:literal]
+        $number:literal $level:ident $name:ident
+        $({ $($field:ident: $type:ty),+ $(,)? })?
+        = $text:literal $(, $alias:ident = $value:expr)*;
+    )+) => {
+        /// A log event.
+        #[derive(Clone, Debug, Display, PartialEq, Eq)]
+        #[expect(missing_docs, reason = "the text of an event names each field")]
+        #[non_exhaustive]
+        pub enum Event {
+            $(
+                #[doc = $meaning]
+                #[display($text $(, $alias = $value)*)]
+                $name $({ $($field: $type),+ })?,
+            )+
+        }
+
+        impl Event {
+            /// Returns the number.
+            pub const fn number(&self) -> u16 {
+                match self {
+                    $(Self::$name { .. } => $number,)+
+                }
+            }
+
+            /// Returns the level.
+            pub const fn level(&self) -> Level {
+                match self {
+                    $(Self::$name { .. } => Level::$level,)+
+                }
+            }
+        }
+
+        /// All events, in the order of their numbers.
+        pub const CATALOGUE: &[Entry] = &[$(
+            Entry {
+                number: $number,
+                level: Level::$level,
+                name: stringify!($name),
+                text: $text,
+                meaning: $meaning.trim_ascii(),
+            },
+        )+];
+    };
+}
+
+events! {
+    /// A daemon has read its settings and begins to work.
+    101 Info Started { program: Program, vm: VmId, incarnation: Incarnation }
+        = "{program} started on {vm}, incarnation {incarnation}";
+    /// A signal asks for a graceful stop.
+    102 Info StopRequested { signal: &'static str }
+        = "graceful stop requested by {signal}";
+    /// A daemon has ended all its work.
+    103 Info Stopped { program: Program, exit_code: u8 }
+        = "{program} stopped with exit code {exit_code}";
+    /// A daemon ends because of an error.
+    104 Error Failed { program: Program, error: Box<str> }
+        = "{program} failed: {error}";
+    /// The supervisor restarts an actor.
+    105 Warn ActorRestarted { actor: &'static str, error: Box<str> }
+        = "actor {actor} restarted after: {error}";
+    /// A traffic thread ends unexpectedly, which ends the process.
+    106 Error ThreadFailed { thread: Box<str>, error: Box<str> }
+        = "thread {thread} failed: {error}";
+    /// The process did not run for a while, so leases and peers may have given it up.
+    107 Warn Paused { paused_ms: Duration }
+        = "process was paused for {milliseconds} ms", milliseconds = paused_ms.as_millis();
+
+    /// Settings have a problem; one line for each problem.
+    201 Error SettingsRefused { problem: Box<str> }
+        = "settings refused: {problem}";
+    /// A configuration takes effect in this process.
+    202 Info ConfigurationInForce { revision: Revision, edit_id: EditId, services: usize }
+        = "configuration {revision} in force, edit {edit_id}, {services} services";
+    /// A configuration is malformed or incomplete and the last one stays in force.
+    203 Error ConfigurationRefused { revision: Revision, error: Box<str> }
+        = "configuration {revision} refused: {error}";
+    /// A store or peer offers an older configuration than the one in force.
+    204 Warn ConfigurationStale { revision: Revision, in_force: Revision, source: Box<str> }
+        = "configuration {revision} from {source} ignored, {in_force} is in force";
+    /// The configuration does not list the service of this agent.
+    205 Warn ServiceNotConfigured { service: ServiceName, revision: Revision }
+        = "service {service} is not in configuration {revision}";
+    /// A service's address can't be bound on this balancer.
+    206 Error ServiceAddressRefused { service: ServiceName, address: SocketAddrV4, error: Box<str> }
+        = "address {address} of service {service} can't be bound: {error}";
+    /// A configuration was learned from a peer and not from the store.
+    207 Info ConfigurationFromPeer { revision: Revision, peer: SocketAddr }
+        = "configuration {revision} learned from peer {peer}";
+
+    /// An agent announces itself for the first time.
+    301 Info TargetJoined { vm: VmId, service: ServiceName, agent: SocketAddrV4, incarnation: Incarnation }
+        = "target {vm} of service {service} joined at {agent}, incarnation {incarnation}";
+    /// An agent says that it is gone.
+    302 Info TargetLeft { vm: VmId, service: ServiceName }
+        = "target {vm} of service {service} left";
+    /// An agent's reports are missing and it gets no new flows.
+    303 Warn TargetSilent { vm: VmId, service: ServiceName, silent_ms: Duration }
+        = "target {vm} of service {service} silent for {milliseconds} ms", milliseconds = silent_ms.as_millis();
+    /// Most targets of a service are silent at once, so the last known set is kept.
+    304 Warn TargetsKept { service: ServiceName, silent: usize, total: usize }
+        = "targets of service {service} kept, {silent} of {total} silent";
+    /// A silent target reports again.
+    305 Info TargetBack { vm: VmId, service: ServiceName }
+        = "target {vm} of service {service} reports again";
+    /// A target did not answer the first packet of a flow.
+    306 Warn TargetSuspected { vm: VmId, service: ServiceName }
+        = "target {vm} of service {service} suspected, a first packet got no answer";
+    /// An agent runs again with a new incarnation.
+    307 Info TargetRestarted { vm: VmId, service: ServiceName, incarnation: Incarnation }
+        = "target {vm} of service {service} restarted, incarnation {incarnation}";
+    /// A balancer appears in the list of live balancers.
+    310 Info BalancerJoined { vm: VmId, failure_domain: FailureDomain, tunnel: SocketAddrV4 }
+        = "balancer {vm} in {failure_domain} joined at {tunnel}";
+    /// A balancer's lease has ended.
+    311 Info BalancerLeft { vm: VmId }
+        = "balancer {vm} left";
+    /// A balancer says that it is leaving.
+    312 Info BalancerGoodbye { vm: VmId }
+        = "balancer {vm} said goodbye";
+    /// A balancer's heartbeats are missing and nothing is returned through it.
+    313 Warn BalancerSilent { tunnel: SocketAddrV4, silent_ms: Duration }
+        = "balancer at {tunnel} silent for {milliseconds} ms", milliseconds = silent_ms.as_millis();
+    /// This balancer's lease lapsed and is registered anew.
+    314 Warn LeaseLapsed { vm: VmId }
+        = "lease of balancer {vm} lapsed";
+
+    /// Datagrams were dropped; limited in rate.
+    401 Warn DatagramsDropped { count: u64, reason: DropReason }
+        = "{count} datagrams dropped: {reason}";
+    /// Datagrams for another service, agent or incarnation were dropped; limited in rate.
+    402 Warn MisdirectedDropped { count: u64 }
+        = "{count} misdirected datagrams dropped";
+    /// An agent returns datagrams through another balancer than before.
+    403 Info ReturnPathChanged { from: SocketAddrV4, to: SocketAddrV4 }
+        = "return path changed from balancer {from} to {to}";
+    /// An agent knows no live balancer to return datagrams through.
+    404 Error NoReturnPath { count: u64 }
+        = "no live balancer for {count} returned datagrams";
+
+    /// This agent or balancer begins to leave.
+    501 Info DrainStarted { reason: &'static str, deadline_ms: Duration }
+        = "drain started by {reason}, deadline {milliseconds} ms", milliseconds = deadline_ms.as_millis();
+    /// A drain goes on; repeated while it waits.
+    502 Info DrainWaits { running: usize, waiting: usize, feeds: usize, connections: usize }
+        = "drain waits for {running} running and {waiting} waiting requests, {feeds} feeds, {connections} connections";
+    /// Nothing is left to wait for.
+    503 Info DrainFinished { elapsed_ms: Duration }
+        = "drain finished after {milliseconds} ms", milliseconds = elapsed_ms.as_millis();
+    /// The deadline passed with requests or feeds still running.
+    504 Error DrainDeadline { running: usize, feeds: usize }
+        = "drain deadline passed with {running} requests and {feeds} feeds running";
+    /// The backend server can't be reached or fails.
+    505 Warn BackendDown { address: SocketAddrV4, error: Box<str> }
+        = "backend server {address} down: {error}";
+    /// The backend server can be used.
+    506 Info BackendReady { address: SocketAddrV4, slots: Slots }
+        = "backend server {address} ready with {slots} slots";
+    /// Outcomes contradict the backend server's health or load endpoint and overrule it.
+    507 Warn EndpointOverruled { endpoint: &'static str, detail: Box<str> }
+        = "{endpoint} endpoint overruled: {detail}";
+    /// Requests were refused as not run; limited in rate.
+    508 Warn RequestsRefused { count: u64, reason: NotRunReason }
+        = "{count} requests refused as not run: {reason}";
+    /// A waiting request is handed to a peer with a free slot.
+    509 Debug RequestRedirected { peer: SocketAddrV4, serial: u64 }
+        = "request redirected to {peer}, reservation {serial}";
+
+    /// An order was refused as not run.
+    601 Warn OrderRefused { tenant: TenantId, reason: NotRunReason }
+        = "order of tenant {tenant} refused as not run: {reason}";
+    /// It can't be told whether an order ran, and it is not run again.
+    602 Error OrderUnknown { tenant: TenantId, incarnation: Incarnation, serial: u64 }
+        = "outcome of order {serial} of tenant {tenant} unknown, ticket of incarnation {incarnation}";
+    /// A ticket came again and the stored answer was given.
+    603 Info OrderRepeated { tenant: TenantId, serial: u64 }
+        = "order {serial} of tenant {tenant} repeated, stored answer given";
+
+    /// The key file was read again.
+    701 Info KeysReloaded { generation: KeyGeneration }
+        = "keys reloaded, generation {generation} signs";
+    /// The key file is refused; on a reload, the last keys stay in force.
+    702 Error KeysRefused { problem: Box<str> }
+        = "keys refused: {problem}";
+    /// A control client did not authenticate; limited in rate.
+    703 Warn ControlPeerRefused { peer: SocketAddr, error: Box<str>, count: u64 }
+        = "control peer {peer} refused: {error} ({count} refused since the last line)";
+    /// A control server did not authenticate, or refused this client.
+    704 Warn ControlServerRefused { server: SocketAddr, error: Box<str> }
+        = "control server {server} refused: {error}";
+    /// An authenticated control session ended with an error.
+    705 Warn ControlSessionDropped { peer: SocketAddr, error: Box<str> }
+        = "control session of {peer} dropped: {error}";
+    /// A certificate or its key can't be used.
+    706 Error CertificateRefused { error: Box<str> }
+        = "certificate refused: {error}";
+
+    /// Calls to the store fail; what is in force stays in force.
+    801 Warn StoreDown { address: SocketAddrV4, error: Box<str> }
+        = "store {address} down: {error}";
+    /// Calls to the store succeed again.
+    802 Info StoreBack { address: SocketAddrV4, down_ms: Duration }
+        = "store {address} back after {milliseconds} ms", milliseconds = down_ms.as_millis();
+    /// A write got no answer and is resolved by reading back.
+    803 Warn StoreAnswerLost { key: Box<str> }
+        = "answer of the store to a write of {key} lost, reading back";
+    /// A compare-and-swap lost against another writer.
+    804 Info StoreConflict { key: Box<str> }
+        = "write of {key} lost against another writer";
+}
--- a/crates/cranberrypitch-net/src/lib.rs
+++ b/crates/cranberrypitch-net/src/lib.rs
@@ -1,10 +1,12 @@
 //! Shared runtime of the cranberrypitch daemons.
 
 pub mod errors;
+pub mod events;
 pub mod keys;
 pub mod settings;
 pub mod tls;
 
 pub use crate::errors::{Error, Result};
+pub use crate::events::Event;
 pub use crate::keys::KeyRing;
 pub use crate::settings::{AgentSettings, BalancerSettings};
