Add metrics over UDP and histograms per tenant and class

Counters, gauges and timers are typed and sent by cadence, or nowhere without an address. Tenants beyond a bound share one row of histograms, so tenant names can't take memory without limit.

--- a/crates/cranberrypitch-net/src/errors.rs
+++ b/crates/cranberrypitch-net/src/errors.rs
@@ -43,6 +43,12 @@
         /// What the library reported.
         detail: Box<str>,
     },
+    /// Metrics can't be sent to their address.
+    #[display("metrics: {detail}")]
+    Metrics {
+        /// What the operating system reported.
+        detail: Box<str>,
+    },
 }
 
 impl Error {
@@ -59,6 +65,13 @@
         }
     }
 
+    /// Returns an error about the address of metrics.
+    pub fn metrics(detail: &impl ToString) -> Self {
+        Self::Metrics {
+            detail: detail.to_string().into(),
+        }
+    }
+
     /// Returns an error about a TLS configuration.
     pub fn tls(detail: &impl ToString) -> Self {
         Self::Tls {
--- a/crates/cranberrypitch-net/src/lib.rs
+++ b/crates/cranberrypitch-net/src/lib.rs
@@ -3,10 +3,12 @@
 pub mod errors;
 pub mod events;
 pub mod keys;
+pub mod metrics;
 pub mod settings;
 pub mod tls;
 
 pub use crate::errors::{Error, Result};
 pub use crate::events::Event;
 pub use crate::keys::KeyRing;
+pub use crate::metrics::{Histograms, Metrics};
 pub use crate::settings::{AgentSettings, BalancerSettings};
--- /dev/null
+++ b/crates/cranberrypitch-net/src/metrics.rs
@@ -0,0 +1,181 @@
+//! Metrics: counters, gauges and timers sent over UDP, and histograms kept in memory.
+
+mod histograms;
+
+use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cadence::prelude::*;
+use cadence::{BufferedUdpMetricSink, NopMetricSink, StatsdClient};
+use cranberrypitch_core::{Class, VmId};
+use derive_more::Display;
+
+use crate::errors::{Error, Result};
+use crate::events::{DropReason, Program};
+pub use crate::metrics::histograms::{Histograms, Percentiles, Snapshot, TenantTimes};
+
+/// The prefix of all metric names, followed by the program.
+const PREFIX: &str = "cranberrypitch";
+
+/// What is counted.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+#[non_exhaustive]
+pub enum Counter {
+    /// Datagrams from callers passed to agents.
+    #[display("datagrams.forwarded")]
+    DatagramsForwarded,
+    /// Datagrams from agents passed to callers.
+    #[display("datagrams.returned")]
+    DatagramsReturned,
+    /// New flows placed on a target.
+    #[display("flows.placed")]
+    FlowsPlaced,
+    /// Requests that ran to their end.
+    #[display("requests.done")]
+    RequestsDone,
+    /// Requests refused as not run.
+    #[display("requests.not_run")]
+    RequestsNotRun,
+    /// Requests handed to a peer.
+    #[display("requests.redirected")]
+    RequestsRedirected,
+    /// Requests that failed at the backend server.
+    #[display("requests.failed")]
+    RequestsFailed,
+    /// Orders whose outcome can't be told.
+    #[display("orders.unknown")]
+    OrdersUnknown,
+    /// Reports sent or received.
+    #[display("reports")]
+    Reports,
+    /// Calls to the store.
+    #[display("store.calls")]
+    StoreCalls,
+    /// Calls to the store that failed.
+    #[display("store.errors")]
+    StoreErrors,
+    /// Control peers that were refused.
+    #[display("control.refused")]
+    ControlRefused,
+    /// Bytes sent and received on control sessions.
+    #[display("control.bytes")]
+    ControlBytes,
+}
+
+/// What is measured as a level.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+#[non_exhaustive]
+pub enum Gauge {
+    /// Targets that new flows may go to.
+    #[display("targets.ready")]
+    TargetsReady,
+    /// Live balancers.
+    #[display("balancers.live")]
+    BalancersLive,
+    /// Requests that run.
+    #[display("requests.running")]
+    RequestsRunning,
+    /// Requests that wait for a slot.
+    #[display("requests.waiting")]
+    RequestsWaiting,
+    /// Open connections.
+    #[display("connections")]
+    Connections,
+    /// The revision of the configuration in force.
+    #[display("configuration.revision")]
+    ConfigurationRevision,
+    /// Control sessions.
+    #[display("control.sessions")]
+    ControlSessions,
+}
+
+/// What is measured as a time.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+#[non_exhaustive]
+pub enum Timer {
+    /// From the arrival of a request to its start.
+    #[display("requests.wait")]
+    RequestWait,
+    /// From the start of a request to its end.
+    #[display("requests.service")]
+    RequestService,
+    /// One call to the store.
+    #[display("store.call")]
+    StoreCall,
+    /// From the write of a configuration to its effect here.
+    #[display("configuration.delay")]
+    ConfigurationDelay,
+    /// One drain.
+    #[display("drain")]
+    Drain,
+}
+
+/// Sends metrics in the `StatsD` format, or nowhere.
+///
+/// Each value costs a lock and some formatting, so traffic threads add up their counts and send
+/// them once per interval.
+#[derive(Clone, Debug)]
+pub struct Metrics(Arc<StatsdClient>);
+
+impl Metrics {
+    /// Returns metrics that are sent to an address, or nowhere without one.
+    pub fn try_new(address: Option<SocketAddrV4>, program: Program, vm: &VmId) -> Result<Self> {
+        let Some(address) = address else {
+            return Ok(Self::none());
+        };
+        let sink = sink(address).map_err(|e| Error::metrics(&e))?;
+        let prefix = format!("{PREFIX}.{program}");
+        // Metrics that can't be sent are lost: an error per value would flood the log.
+        let builder = StatsdClient::builder(&prefix, sink).with_error_handler(|_| ());
+        let client = builder.with_tag("vm", vm.as_str()).build();
+        Ok(Self(Arc::new(client)))
+    }
+
+    /// Returns metrics that are sent nowhere.
+    pub fn none() -> Self {
+        let client = StatsdClient::from_sink(PREFIX, NopMetricSink);
+        Self(Arc::new(client))
+    }
+
+    /// Adds to a counter.
+    pub fn count(&self, counter: Counter, count: u64) {
+        self.0.count_with_tags(&counter.to_string(), count).send();
+    }
+
+    /// Adds to the counter of dropped datagrams of a reason.
+    pub fn count_dropped(&self, reason: DropReason, count: u64) {
+        let reason = reason.to_string().replace(' ', "_");
+        let metric = self.0.count_with_tags("datagrams.dropped", count);
+        metric.with_tag("reason", &reason).send();
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, gauge: Gauge, value: u64) {
+        self.0.gauge_with_tags(&gauge.to_string(), value).send();
+    }
+
+    /// Records a time.
+    pub fn time(&self, timer: Timer, elapsed: Duration) {
+        self.0.time_with_tags(&timer.to_string(), elapsed).send();
+    }
+
+    /// Records a time of a request.
+    pub fn time_request(&self, timer: Timer, class: Class, elapsed: Duration) {
+        let key = timer.to_string();
+        let metric = self.0.time_with_tags(&key, elapsed);
+        metric.with_tag("class", &class.to_string()).send();
+    }
+
+    /// Sends what is buffered. A daemon calls this once per interval.
+    pub fn flush(&self) {
+        // As with single values, metrics that can't be sent are lost.
+        drop(self.0.flush());
+    }
+}
+
+fn sink(address: SocketAddrV4) -> std::result::Result<BufferedUdpMetricSink, cadence::MetricError> {
+    let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+    socket.set_nonblocking(true)?;
+    BufferedUdpMetricSink::from(address, socket)
+}
--- /dev/null
+++ b/crates/cranberrypitch-net/tests/metrics.rs
@@ -0,0 +1,80 @@
+//! Metrics over UDP and histograms in memory.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+
+use cranberrypitch_core::{Class, TenantId, VmId};
+use cranberrypitch_net::events::{DropReason, Program};
+use cranberrypitch_net::metrics::{Counter, Gauge, Timer};
+use cranberrypitch_net::{Histograms, Metrics};
+use expect_test::expect;
+
+fn tenant(name: &str) -> TenantId {
+    TenantId::try_new(name).expect("a valid name")
+}
+
+/// Guards against metrics that stay in the buffer, or lose name or tag.
+#[test]
+fn metrics_are_sent_in_statsd_format() {
+    let receiver = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    receiver
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .expect("a timeout");
+    let Ok(SocketAddr::V4(address)) = receiver.local_addr() else {
+        panic!("bound to IPv4");
+    };
+    let vm = VmId::try_new("vm-1").expect("a valid name");
+    let metrics = Metrics::try_new(Some(address), Program::Agent, &vm).expect("a socket");
+    metrics.count(Counter::FlowsPlaced, 3);
+    metrics.count_dropped(DropReason::NoTarget, 2);
+    metrics.gauge(Gauge::Connections, 7);
+    metrics.time_request(Timer::RequestWait, Class::Order, Duration::from_millis(12));
+    metrics.flush();
+    let mut buffer = [0; 2048];
+    let len_bytes = receiver.recv(&mut buffer).expect("metrics arrive");
+    let text = std::str::from_utf8(&buffer[..len_bytes]).expect("text");
+    expect![[r"
+        cranberrypitch.agent.flows.placed:3|c|#vm:vm-1
+        cranberrypitch.agent.datagrams.dropped:2|c|#vm:vm-1,reason:no_target
+        cranberrypitch.agent.connections:7|g|#vm:vm-1
+        cranberrypitch.agent.requests.wait:12|ms|#vm:vm-1,class:order
+    "]]
+    .assert_eq(text);
+}
+
+/// Guards against tenant names that take memory without bound, or values that get lost.
+#[test]
+fn tenants_beyond_the_bound_share_a_row() {
+    let mut histograms = Histograms::new(2);
+    for name in ["a", "b", "c", "d"] {
+        histograms.record_wait(&tenant(name), Class::Order, Duration::from_millis(10));
+    }
+    let rows = histograms.snapshot().rows;
+    let counts: Vec<_> = rows
+        .iter()
+        .map(|row| (row.tenant.clone(), row.wait.count))
+        .collect();
+    assert_eq!(
+        counts,
+        [(Some(tenant("a")), 1), (Some(tenant("b")), 1), (None, 2)]
+    );
+}
+
+/// Guards against classes or tenants that are mixed up when histograms are added and shown.
+#[test]
+fn a_snapshot_serializes_sums() {
+    let mut sum = Histograms::new(4);
+    for wait_ms in [10, 30] {
+        let mut histograms = Histograms::new(4);
+        histograms.record_wait(&tenant("a"), Class::Upload, Duration::from_millis(wait_ms));
+        histograms.record_service(&tenant("b"), Class::Order, Duration::MAX);
+        sum.add(&histograms);
+    }
+    let text = serde_json::to_string(&sum.snapshot()).expect("a snapshot serializes");
+    let text = text.replace("},", "},\n");
+    expect![[r#"
+        {"rows":[{"tenant":"a","class":"upload","wait":{"count":2,"mean_ms":20.016,"p50_ms":10.047,"p90_ms":30.079,"p99_ms":30.079,"max_ms":30.079},
+        "service":{"count":0,"mean_ms":0.0,"p50_ms":0.0,"p90_ms":0.0,"p99_ms":0.0,"max_ms":0.0}},
+        {"tenant":"b","class":"order","wait":{"count":0,"mean_ms":0.0,"p50_ms":0.0,"p90_ms":0.0,"p99_ms":0.0,"max_ms":0.0},
+        "service":{"count":2,"mean_ms":3598712.832,"p50_ms":3607101.439,"p90_ms":3607101.439,"p99_ms":3607101.439,"max_ms":3607101.439}}]}"#]].assert_eq(&text);
+}
