--- /dev/null
+++ b/crates/cranberrypitch-standins/src/backend/options.rs
@@ -0,0 +1,143 @@
+//! Options of a backend server.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, SystemTime};
+
+use cranberrypitch_core::{ConnectionLimit, Slots};
+
+use super::faults::Faults;
+use crate::errors::{Error, Result};
+
+/// How long a run takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServiceTime {
+    /// Each run takes this long.
+    Fixed(Duration),
+    /// The times of runs are drawn from an exponential distribution with this mean.
+    Exponential(Duration),
+}
+
+/// Options of a backend server.
+#[derive(Clone, Debug)]
+pub struct BackendOptions {
+    pub(crate) address: SocketAddr,
+    pub(crate) seed: u64,
+    pub(crate) slots: Slots,
+    pub(crate) connections: ConnectionLimit,
+    pub(crate) service_time: ServiceTime,
+    pub(crate) cold_start: Duration,
+    pub(crate) cold_start_factor: f64,
+    pub(crate) feed_seed: u64,
+    pub(crate) feed_epoch: SystemTime,
+    pub(crate) reading_interval: Duration,
+    pub(crate) feed_len: Option<u64>,
+    pub(crate) faults: Faults,
+}
+
+impl BackendOptions {
+    /// Returns options of a backend server with 4 slots on a free port of loopback; `seed` decides
+    /// its random draws.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            seed,
+            slots: Slots::new(4),
+            connections: ConnectionLimit::new(2000),
+            service_time: ServiceTime::Fixed(Duration::from_millis(10)),
+            cold_start: Duration::ZERO,
+            cold_start_factor: 1.0,
+            feed_seed: 0,
+            feed_epoch: SystemTime::UNIX_EPOCH,
+            reading_interval: Duration::from_millis(200),
+            feed_len: None,
+            faults: Faults::default(),
+        }
+    }
+
+    /// Sets the address that requests are sent to.
+    #[must_use]
+    pub const fn address(mut self, address: SocketAddr) -> Self {
+        self.address = address;
+        self
+    }
+
+    /// Sets how many orders and uploads run at once; further ones wait until their deadline.
+    #[must_use]
+    pub const fn slots(mut self, slots: Slots) -> Self {
+        self.slots = slots;
+        self
+    }
+
+    /// Sets how many connections are served; requests on further ones are refused as not run.
+    #[must_use]
+    pub const fn connections(mut self, connections: ConnectionLimit) -> Self {
+        self.connections = connections;
+        self
+    }
+
+    /// Sets how long a run takes.
+    #[must_use]
+    pub const fn service_time(mut self, service_time: ServiceTime) -> Self {
+        self.service_time = service_time;
+        self
+    }
+
+    /// Sets how long after its start runs take longer, and by which factor.
+    #[must_use]
+    pub const fn cold_start(mut self, length: Duration, factor: f64) -> Self {
+        self.cold_start = length;
+        self.cold_start_factor = factor;
+        self
+    }
+
+    /// Sets the seed of the readings, which is the same on every server of a service.
+    #[must_use]
+    pub const fn feed_seed(mut self, feed_seed: u64) -> Self {
+        self.feed_seed = feed_seed;
+        self
+    }
+
+    /// Sets the time of reading 0, which is the same on every server of a service.
+    #[must_use]
+    pub const fn feed_epoch(mut self, feed_epoch: SystemTime) -> Self {
+        self.feed_epoch = feed_epoch;
+        self
+    }
+
+    /// Sets the time from one reading to the next.
+    #[must_use]
+    pub const fn reading_interval(mut self, reading_interval: Duration) -> Self {
+        self.reading_interval = reading_interval;
+        self
+    }
+
+    /// Sets after how many readings a feed ends as a whole; without it, feeds never end.
+    #[must_use]
+    pub const fn feed_len(mut self, feed_len: u64) -> Self {
+        self.feed_len = Some(feed_len);
+        self
+    }
+
+    /// Sets the faults at the start.
+    #[must_use]
+    pub fn faults(mut self, faults: Faults) -> Self {
+        self.faults = faults;
+        self
+    }
+
+    pub(crate) fn check(&self) -> Result<()> {
+        if self.slots.get() == 0 {
+            return Err(Error::option("slots", "at least 1"));
+        }
+        if self.connections.get() == 0 {
+            return Err(Error::option("connections", "at least 1"));
+        }
+        if self.reading_interval < Duration::from_millis(1) {
+            return Err(Error::option("reading_interval", "at least 1 ms"));
+        }
+        if !(1.0..=1000.0).contains(&self.cold_start_factor) {
+            return Err(Error::option("cold_start_factor", "from 1 to 1000"));
+        }
+        self.faults.check()
+    }
+}
--- a/crates/cranberrypitch-standins/src/lib.rs
+++ b/crates/cranberrypitch-standins/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! `docs/standins.md` describes each stand-in and its options.
 
+pub mod backend;
 pub mod errors;
 pub mod fabric;
 
