Serve feeds, orders and uploads from end to end on loopback

A deployment of fabric, balancers, agents and backend servers runs inside one process; a test sends a feed, an order and an upload through packets that are sprayed over three balancers with 0 to 4 ms of jitter.

--- a/crates/cranberrypitch-agent/src/daemon.rs
+++ b/crates/cranberrypitch-agent/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::SyncSender;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use kameo::actor::{ActorRef, Spawn};
 use quinn::{Endpoint, TokioRuntime};
 use tokio::runtime::{Builder, Runtime};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 
 use crate::announce::{AnnounceActor, AnnounceArgs, ReportNow, SetBalancers};
 use crate::backend::{BackendServer, BackendState};
@@ -111,7 +112,7 @@
             clock: Arc::clone(&options.clock),
             state,
         };
-        let (parts_sender, parts) = oneshot::channel();
+        let (parts_sender, parts) = std::sync::mpsc::sync_channel(1);
         let announce_args = AnnounceSeed {
             options: &options,
             returns,
@@ -133,9 +134,7 @@
                     ));
                 }
             })?;
-        let parts = parts
-            .blocking_recv()
-            .map_err(|_| Error::ended("control thread"))?;
+        let parts = parts.recv().map_err(|_| Error::ended("control thread"))?;
         let server = Arc::new(Server {
             backend: Arc::new(backend),
             target: parts.target.clone(),
@@ -272,7 +271,7 @@
     target_args: TargetArgs,
     announce_args: impl FnOnce(ActorRef<TargetActor>) -> AnnounceArgs,
     datagrams: mpsc::Receiver<crate::socket::ControlDatagram>,
-    parts: oneshot::Sender<ControlParts>,
+    parts: SyncSender<ControlParts>,
     mut stop: watch::Receiver<bool>,
 ) {
     let supervisor = Supervisor::spawn(());
--- a/crates/cranberrypitch-balancer/src/daemon.rs
+++ b/crates/cranberrypitch-balancer/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The balancer as a whole: its threads, its start and its graceful stop.
 
 use std::net::{SocketAddrV4, UdpSocket};
+use std::sync::mpsc::SyncSender;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -14,7 +15,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::runtime::{Builder, Runtime};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 
 use crate::counters::Counters;
@@ -99,7 +100,7 @@
             sightings,
             stop: stop.subscribe(),
         };
-        let (members_sender, members) = oneshot::channel();
+        let (members_sender, members) = std::sync::mpsc::sync_channel(1);
         let control_thread = std::thread::Builder::new()
             .name("balancer-control".into())
             .spawn(move || control_runtime.block_on(run_control(args, inputs, members_sender)))?;
@@ -126,9 +127,7 @@
             .name("balancer-traffic".into())
             .spawn(move || run_traffic(&traffic_runtime, parts, stop_traffic))?;
 
-        let members = members
-            .blocking_recv()
-            .map_err(|_| Error::ended("control thread"))?;
+        let members = members.recv().map_err(|_| Error::ended("control thread"))?;
         Ok(Self {
             members,
             addresses,
@@ -249,7 +248,7 @@
 async fn run_control(
     args: MembersArgs,
     mut inputs: ControlInputs,
-    started: oneshot::Sender<ActorRef<MembersActor>>,
+    started: SyncSender<ActorRef<MembersActor>>,
 ) {
     let supervisor = Supervisor::spawn(());
     let Ok(members) = supervisor.ask(StartMembers(args)).await else {
--- /dev/null
+++ b/crates/cranberrypitch-standins/src/deployment.rs
@@ -0,0 +1,368 @@
+//! A whole deployment on loopback, inside one process: fabric, balancers, agents and backend
+//! servers, for tests and the demo.
+//!
+//! Each VM has an IP of its own in a subnet of 127.0.0.0/8, so several deployments can run side by
+//! side.
+
+mod ip;
+mod target;
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranberrypitch_agent::ReturnBalancer;
+use cranberrypitch_balancer::{BalancerHandle, BalancerIdentity, BalancerOptions, ServiceAddress};
+use cranberrypitch_caller::{Caller, ServiceEndpoint};
+use cranberrypitch_core::config::{Service, ServiceText};
+use cranberrypitch_core::{FailureDomain, KeyGeneration, Revision, ServiceName, VmId};
+use cranberrypitch_net::KeyRing;
+use cranberrypitch_net::tls::{self, Authorities, TransportOptions};
+
+pub use self::ip::Subnet;
+use self::target::TargetSeed;
+pub use self::target::TargetVm;
+use crate::backend::ServiceTime;
+use crate::certs::CertificateAuthority;
+use crate::errors::{Error, Result};
+use crate::fabric::{Fabric, FabricHandle, FabricOptions, LinkOptions};
+
+/// Where balancers receive tunnel datagrams.
+const BALANCER_TUNNEL_PORT: u16 = 20_000;
+
+/// How long an order may wait for its connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What a deployment is started with.
+#[derive(Clone, Debug)]
+pub struct DeploymentOptions {
+    text: ServiceText,
+    targets: Vec<(ServiceName, usize)>,
+    balancers: usize,
+    seed: u64,
+    to_balancers: LinkOptions,
+    to_callers: LinkOptions,
+    service_time: ServiceTime,
+    reading_interval: Duration,
+}
+
+impl DeploymentOptions {
+    /// Returns the options of a deployment with three balancers and no targets.
+    pub fn new(text: ServiceText, seed: u64) -> Self {
+        Self {
+            text,
+            targets: Vec::new(),
+            balancers: 3,
+            seed,
+            to_balancers: LinkOptions::default(),
+            to_callers: LinkOptions::default(),
+            service_time: ServiceTime::Fixed(Duration::from_millis(20)),
+            reading_interval: Duration::from_millis(50),
+        }
+    }
+
+    /// Sets the number of targets of a service.
+    #[must_use]
+    pub fn targets(mut self, service: ServiceName, count: usize) -> Self {
+        self.targets.push((service, count));
+        self
+    }
+
+    /// Sets the number of balancers.
+    #[must_use]
+    pub const fn balancers(mut self, count: usize) -> Self {
+        self.balancers = count;
+        self
+    }
+
+    /// Sets the properties of the links between callers and balancers, in both directions.
+    #[must_use]
+    pub const fn links(mut self, to_balancers: LinkOptions, to_callers: LinkOptions) -> Self {
+        self.to_balancers = to_balancers;
+        self.to_callers = to_callers;
+        self
+    }
+
+    /// Sets how long a run at a backend server takes.
+    #[must_use]
+    pub const fn service_time(mut self, service_time: ServiceTime) -> Self {
+        self.service_time = service_time;
+        self
+    }
+
+    /// Sets the time between two readings of a feed.
+    #[must_use]
+    pub const fn reading_interval(mut self, interval: Duration) -> Self {
+        self.reading_interval = interval;
+        self
+    }
+}
+
+/// A running balancer VM.
+#[derive(Debug)]
+pub struct BalancerVm {
+    /// The IP of the VM.
+    pub ip: Ipv4Addr,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// The balancer.
+    pub handle: BalancerHandle,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Deployment {
+    options: DeploymentOptions,
+    subnet: Subnet,
+    keys: Arc<KeyRing>,
+    authority: CertificateAuthority,
+    fabric: FabricHandle,
+    balancers: Vec<BalancerVm>,
+    targets: Vec<TargetVm>,
+    services: Vec<ServiceAddress>,
+    revision: Revision,
+}
+
+impl Deployment {
+    /// Starts a deployment on the current tokio runtime and waits until its targets are ready.
+    pub async fn start(options: DeploymentOptions) -> Result<Self> {
+        let mut subnet = Subnet::claim();
+        let public_ip = subnet.next();
+        let secret = [options.seed.to_be_bytes(); 4].concat();
+        let secret = secret.try_into().unwrap_or([0; 32]);
+        let keys = Arc::new(KeyRing::from_secret(KeyGeneration::new(1), &secret));
+        let authority = CertificateAuthority::try_new()?;
+        let services: Vec<_> = options
+            .text
+            .services
+            .iter()
+            .flat_map(|service| {
+                let on_public = move |a: &SocketAddrV4| SocketAddrV4::new(public_ip, a.port());
+                service
+                    .addresses
+                    .iter()
+                    .map(on_public)
+                    .map(|address| ServiceAddress {
+                        address,
+                        service: service.tag(),
+                    })
+            })
+            .collect();
+        let mut fabric = FabricOptions::new(options.seed)
+            .to_balancers(options.to_balancers)
+            .to_callers(options.to_callers);
+        for service in &services {
+            fabric = fabric.service(service.address, service.address.port());
+        }
+        let mut deployment = Self {
+            fabric: Fabric::spawn(fabric).await?,
+            subnet,
+            keys,
+            authority,
+            balancers: Vec::new(),
+            targets: Vec::new(),
+            services,
+            revision: Revision::new(1),
+            options,
+        };
+        for _ in 0..deployment.options.balancers {
+            deployment.add_balancer().await?;
+        }
+        for (service, count) in deployment.options.targets.clone() {
+            for _ in 0..count {
+                deployment.add_target(&service).await?;
+            }
+        }
+        deployment.wait_until_ready().await?;
+        Ok(deployment)
+    }
+
+    /// Adds a balancer.
+    pub async fn add_balancer(&mut self) -> Result<()> {
+        let ip = self.subnet.next();
+        let number = self.balancers.len();
+        let failure_domain = self.domain(number);
+        let identity = BalancerIdentity {
+            vm: vm_id("balancer", ip)?,
+            failure_domain: failure_domain.clone(),
+            tunnel_address: SocketAddrV4::new(ip, BALANCER_TUNNEL_PORT),
+        };
+        let options = BalancerOptions::builder(identity, Arc::clone(&self.keys))
+            .service_ip(ip)
+            .linger(Duration::from_millis(300))
+            .build();
+        let handle = BalancerHandle::spawn(options)?;
+        handle.set_services(&self.services, self.revision).await?;
+        self.balancers.push(BalancerVm {
+            ip,
+            failure_domain,
+            handle,
+        });
+        self.announce_balancers().await
+    }
+
+    /// Replaces the balancer at `index` as a planned change: the fabric stops sending to it, it
+    /// says goodbye and lingers, and a new one takes its place.
+    pub async fn replace_balancer(&mut self, index: usize) -> Result<()> {
+        self.add_balancer().await?;
+        self.wait_until_ready().await?;
+        let leaving = self.balancers.swap_remove(index);
+        self.update_fabric();
+        leaving.handle.leave().await?;
+        Ok(())
+    }
+
+    /// Kills the balancer at `index`. The fabric notices only when [`Self::update_fabric`] is called.
+    pub fn kill_balancer(&mut self, index: usize) {
+        self.balancers.swap_remove(index).handle.kill();
+    }
+
+    /// Tells the fabric which balancers are live.
+    pub fn update_fabric(&self) {
+        let live: Vec<_> = self.balancers.iter().map(|b| b.ip).collect();
+        self.fabric.set_balancers(&live);
+    }
+
+    async fn announce_balancers(&self) -> Result<()> {
+        self.update_fabric();
+        for target in &self.targets {
+            target
+                .agent()?
+                .set_balancers(self.return_balancers())
+                .await?;
+        }
+        Ok(())
+    }
+
+    fn return_balancers(&self) -> Vec<ReturnBalancer> {
+        let balancers = self.balancers.iter().map(|b| ReturnBalancer {
+            tunnel_address: SocketAddrV4::new(b.ip, BALANCER_TUNNEL_PORT),
+            failure_domain: b.failure_domain.clone(),
+        });
+        balancers.collect()
+    }
+
+    /// Adds a target to a service.
+    pub async fn add_target(&mut self, name: &ServiceName) -> Result<usize> {
+        let service = self.service(name)?.clone();
+        let seed = TargetSeed {
+            ip: self.subnet.next(),
+            failure_domain: self.domain(self.targets.len()),
+            keys: Arc::clone(&self.keys),
+            certificate: self.authority.issue(name)?,
+            balancers: self.return_balancers(),
+            seed: self.options.seed.wrapping_add(self.targets.len() as u64),
+            service_time: self.options.service_time,
+            reading_interval: self.options.reading_interval,
+            service,
+        };
+        self.targets.push(TargetVm::start(seed).await?);
+        Ok(self.targets.len() - 1)
+    }
+
+    /// Waits until every balancer knows every target that runs as ready.
+    pub async fn wait_until_ready(&self) -> Result<()> {
+        const POLL: Duration = Duration::from_millis(20);
+        const TIMEOUT: Duration = Duration::from_secs(10);
+        let all_ready = async {
+            while !self.is_ready().await? {
+                tokio::time::sleep(POLL).await;
+            }
+            Ok(())
+        };
+        tokio::time::timeout(TIMEOUT, all_ready)
+            .await
+            .unwrap_or(Err(Error::NotReady))
+    }
+
+    async fn is_ready(&self) -> Result<bool> {
+        let running: Vec<_> = self.targets.iter().filter(|t| t.is_running()).collect();
+        for balancer in &self.balancers {
+            let known = balancer.handle.targets().await?;
+            let is_known = |t: &&&TargetVm| known.iter().any(|k| t.is_ready_as(k));
+            if running.iter().filter(is_known).count() < running.len() {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    /// Returns a caller's transport.
+    pub fn caller(&self) -> Result<Caller> {
+        self.caller_with(&TransportOptions::default())
+    }
+
+    /// Returns a caller's transport with these timeouts.
+    pub fn caller_with(&self, transport: &TransportOptions) -> Result<Caller> {
+        let authorities = Authorities::from_pem(self.authority.certificate_pem().as_bytes())?;
+        let config = tls::client_config(&authorities, tls::transport_config(transport)?)?;
+        Ok(Caller::try_new(
+            Ipv4Addr::LOCALHOST,
+            config,
+            CONNECT_TIMEOUT,
+        )?)
+    }
+
+    /// Returns where callers find a service.
+    pub fn endpoint(&self, name: &ServiceName) -> Result<ServiceEndpoint> {
+        let tag = self.service(name)?.tag();
+        let found = self.services.iter().find(|s| s.service == tag);
+        let address = found.ok_or_else(|| Error::unknown_service(name))?.address;
+        Ok(ServiceEndpoint {
+            service: name.clone(),
+            address,
+        })
+    }
+
+    /// Returns the targets, stopped ones included.
+    pub fn targets(&self) -> &[TargetVm] {
+        &self.targets
+    }
+
+    /// Returns the targets for changes.
+    pub fn targets_mut(&mut self) -> &mut [TargetVm] {
+        &mut self.targets
+    }
+
+    /// Returns the balancers.
+    pub fn balancers(&self) -> &[BalancerVm] {
+        &self.balancers
+    }
+
+    /// Returns the fabric.
+    pub const fn fabric(&self) -> &FabricHandle {
+        &self.fabric
+    }
+
+    /// Returns the service addresses in force.
+    pub fn services(&self) -> &[ServiceAddress] {
+        &self.services
+    }
+
+    /// Replaces the service addresses at all balancers.
+    pub async fn set_services(&mut self, services: Vec<ServiceAddress>) -> Result<()> {
+        self.revision = self.revision.next();
+        self.services = services;
+        for balancer in &self.balancers {
+            balancer
+                .handle
+                .set_services(&self.services, self.revision)
+                .await?;
+        }
+        Ok(())
+    }
+
+    fn service(&self, name: &ServiceName) -> Result<&Service> {
+        let found = self.options.text.service(name);
+        found.ok_or_else(|| Error::unknown_service(name))
+    }
+
+    fn domain(&self, number: usize) -> FailureDomain {
+        let domains = &self.options.text.deployment.failure_domains;
+        domains[number % domains.len()].clone()
+    }
+}
+
+fn vm_id(role: &str, ip: Ipv4Addr) -> Result<VmId> {
+    Ok(VmId::try_new(&format!("{role}-{ip}"))?)
+}
--- a/crates/cranberrypitch-standins/src/errors.rs
+++ b/crates/cranberrypitch-standins/src/errors.rs
@@ -3,16 +3,18 @@
 use std::io;
 use std::net::SocketAddr;
 
-use derive_more::{Display, Error};
+use cranberrypitch_core::ServiceName;
+use derive_more::{Display, Error, From};
 
 /// A result with the error type of this crate.
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Everything that can fail when a stand-in starts.
-#[derive(Debug, Display, Error)]
+#[derive(Debug, Display, Error, From)]
 #[non_exhaustive]
 pub enum Error {
     /// An address can't be listened on.
+    #[from(ignore)]
     #[display("can't listen on {address}: {source}")]
     Listen {
         /// The address.
@@ -21,6 +23,7 @@
         source: io::Error,
     },
     /// An option is out of range.
+    #[from(ignore)]
     #[display("option {option} must be {rule}")]
     Option {
         /// The option.
@@ -28,6 +31,37 @@
         /// The allowed range.
         rule: &'static str,
     },
+    /// A certificate can't be made.
+    #[display("certificate: {_0}")]
+    Certificate(rcgen::Error),
+    /// The text has no such service.
+    #[from(ignore)]
+    #[display("no service '{service}'")]
+    UnknownService {
+        /// The service asked for.
+        service: ServiceName,
+    },
+    /// The agent of a target has been stopped.
+    #[display("the agent is not running")]
+    NotRunning,
+    /// The deployment did not become ready in time.
+    #[display("the deployment did not become ready in time")]
+    NotReady,
+    /// A balancer failed.
+    #[display("balancer: {_0}")]
+    Balancer(cranberrypitch_balancer::Error),
+    /// An agent failed.
+    #[display("agent: {_0}")]
+    Agent(cranberrypitch_agent::Error),
+    /// A caller failed.
+    #[display("caller: {_0}")]
+    Caller(cranberrypitch_caller::Error),
+    /// A name or a limit is invalid.
+    #[display("{_0}")]
+    Core(cranberrypitch_core::Error),
+    /// The shared runtime failed.
+    #[display("{_0}")]
+    Net(cranberrypitch_net::Error),
 }
 
 impl Error {
@@ -39,6 +73,13 @@
         }
     }
 
+    /// Returns an error for a service that the text doesn't have.
+    pub fn unknown_service(service: &ServiceName) -> Self {
+        Self::UnknownService {
+            service: service.clone(),
+        }
+    }
+
     /// Returns an error for an option that is out of range.
     pub const fn option(option: &'static str, rule: &'static str) -> Self {
         Self::Option { option, rule }
--- a/crates/cranberrypitch-standins/src/lib.rs
+++ b/crates/cranberrypitch-standins/src/lib.rs
@@ -3,7 +3,10 @@
 //! `docs/standins.md` describes each stand-in and its options.
 
 pub mod backend;
+pub mod certs;
+pub mod deployment;
 pub mod errors;
 pub mod fabric;
 
+pub use crate::deployment::{Deployment, DeploymentOptions};
 pub use crate::errors::{Error, Result};
--- /dev/null
+++ b/crates/cranberrypitch/tests/common/mod.rs
@@ -0,0 +1,72 @@
+//! A deployment for tests, and shorthands for names and options.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::time::Duration;
+
+use cranberrypitch_caller::{FeedOptions, OrderOptions, UploadOptions};
+use cranberrypitch_core::config::ServiceText;
+use cranberrypitch_core::{ServiceName, TenantId};
+use cranberrypitch_standins::fabric::LinkOptions;
+use cranberrypitch_standins::{Deployment, DeploymentOptions};
+
+pub const VALVES: &str = include_str!("../../../../samples/valves.json");
+
+pub fn service(name: &str) -> ServiceName {
+    ServiceName::try_new(name).unwrap()
+}
+
+pub fn tenant(name: &str) -> TenantId {
+    TenantId::try_new(name).unwrap()
+}
+
+/// Options of a small deployment whose fabric delays each packet by 1 ms plus 0 to 4 ms.
+pub fn small(matchers: usize, tracers: usize, seed: u64) -> DeploymentOptions {
+    let link = LinkOptions::new()
+        .delay(Duration::from_millis(1))
+        .jitter(Duration::from_millis(4));
+    DeploymentOptions::new(ServiceText::parse(VALVES).unwrap(), seed)
+        .targets(service("matcher"), matchers)
+        .targets(service("tracer"), tracers)
+        .links(link, link)
+}
+
+pub fn order_options(deployment: &Deployment, name: &str) -> OrderOptions {
+    OrderOptions {
+        target: deployment.endpoint(&service(name)).unwrap(),
+        tenant: tenant("santa-maria"),
+        deadline: Duration::from_secs(5),
+        answer_timeout: Duration::from_secs(5),
+    }
+}
+
+pub fn upload_options(deployment: &Deployment, name: &str) -> UploadOptions {
+    UploadOptions {
+        target: deployment.endpoint(&service(name)).unwrap(),
+        tenant: tenant("bench-1"),
+        deadline: Duration::from_secs(10),
+        is_repeatable: true,
+    }
+}
+
+pub fn feed_options(deployment: &Deployment, name: &str) -> FeedOptions {
+    FeedOptions {
+        target: deployment.endpoint(&service(name)).unwrap(),
+        tenant: tenant("workshop-7"),
+        resume_from: None,
+        max_attempts: 20,
+        attempt_interval: Duration::from_millis(200),
+    }
+}
+
+pub fn order_body(key: &str) -> Vec<u8> {
+    format!("{{\"key\":\"{key}\"}}").into_bytes()
+}
+
+/// Returns how often each order key ran at any backend server of the deployment.
+pub fn runs_of(deployment: &Deployment, key: &str) -> usize {
+    let journals = deployment.targets().iter().flat_map(|t| t.journal());
+    journals
+        .filter(|entry| entry.order_key.as_deref() == Some(key))
+        .count()
+}
--- /dev/null
+++ b/crates/cranberrypitch/tests/whole_path.rs
@@ -0,0 +1,56 @@
+//! Feeds, orders and uploads from end to end, through a fabric that sprays each packet.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{feed_options, order_body, order_options, runs_of, small, upload_options};
+use cranberrypitch_caller::{Feed, place_order, upload};
+use cranberrypitch_core::Outcome;
+use cranberrypitch_standins::Deployment;
+
+const SECONDS_10: Duration = Duration::from_secs(10);
+
+/// Guards against a path that loses, changes or misdelivers requests when nothing fails.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn serves_feed_order_and_upload_through_sprayed_packets() {
+    let deployment = Deployment::start(small(2, 1, 7)).await.unwrap();
+    let caller = deployment.caller().unwrap();
+
+    let mut feed = Feed::open(caller.clone(), feed_options(&deployment, "matcher"))
+        .await
+        .unwrap();
+    let first = feed.next().await.unwrap().unwrap().sequence;
+
+    let order = place_order(
+        &caller,
+        &order_options(&deployment, "matcher"),
+        &order_body("quad-1"),
+    )
+    .await
+    .unwrap();
+    assert_eq!(order.outcome, Outcome::Done);
+    assert!(String::from_utf8_lossy(&order.answer).contains("quad-1"));
+    assert_eq!(runs_of(&deployment, "quad-1"), 1);
+
+    let file: Vec<u8> = (0..3_000_000_u32)
+        .map(|n| n.to_le_bytes()[n as usize % 3])
+        .collect();
+    let options = upload_options(&deployment, "tracer");
+    let sent = upload(&caller, &options, &file);
+    let report = tokio::time::timeout(SECONDS_10, sent)
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!(report.outcome, Outcome::Done);
+
+    for step in 1..10 {
+        assert_eq!(feed.next().await.unwrap().unwrap().sequence, first + step);
+    }
+    assert_eq!(feed.stats().broken, 0);
+    let used = deployment
+        .balancers()
+        .iter()
+        .filter(|b| b.handle.counters().forwarded() > 0);
+    assert_eq!(used.count(), 3, "every balancer has to take part");
+}
