Add a workload with a checked report and tests of the path under failure

The workload's callers note what they were told, and the report compares it with the journals of the backend servers: broken flows, doubled and lost orders, false refusals, misdelivered answers.

--- a/crates/cranberrypitch-standins/src/deployment.rs
+++ b/crates/cranberrypitch-standins/src/deployment.rs
@@ -226,10 +226,9 @@
     async fn announce_balancers(&self) -> Result<()> {
         self.update_fabric();
         for target in &self.targets {
-            target
-                .agent()?
-                .set_balancers(self.return_balancers())
-                .await?;
+            if let Ok(agent) = target.agent() {
+                agent.set_balancers(self.return_balancers()).await?;
+            }
         }
         Ok(())
     }
@@ -260,6 +259,13 @@
         Ok(self.targets.len() - 1)
     }
 
+    /// Starts a stopped agent again, as a new incarnation on the same address.
+    pub async fn restart_agent(&mut self, index: usize) -> Result<()> {
+        let balancers = self.return_balancers();
+        let target = self.targets.get_mut(index).ok_or(Error::NotRunning)?;
+        target.start_agent(balancers)
+    }
+
     /// Waits until every balancer knows every target that runs as ready.
     pub async fn wait_until_ready(&self) -> Result<()> {
         const POLL: Duration = Duration::from_millis(20);
--- a/crates/cranberrypitch-standins/src/deployment/target.rs
+++ b/crates/cranberrypitch-standins/src/deployment/target.rs
@@ -112,7 +112,7 @@
     }
 
     /// Starts the agent again, as a new incarnation on the same address.
-    pub async fn start_agent(&mut self, balancers: Vec<ReturnBalancer>) -> Result<()> {
+    pub fn start_agent(&mut self, balancers: Vec<ReturnBalancer>) -> Result<()> {
         self.seed.balancers = balancers;
         self.agent = Some(start_agent(&self.seed, self.backend.address())?);
         Ok(())
--- a/crates/cranberrypitch-standins/src/lib.rs
+++ b/crates/cranberrypitch-standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod deployment;
 pub mod errors;
 pub mod fabric;
+pub mod workload;
 
 pub use crate::deployment::{Deployment, DeploymentOptions};
 pub use crate::errors::{Error, Result};
--- /dev/null
+++ b/crates/cranberrypitch-standins/src/workload/tasks.rs
@@ -0,0 +1,168 @@
+//! The callers of a workload.
+
+use std::time::{Duration, Instant};
+
+use cranberrypitch_caller::{
+    self as caller, Feed, FeedOptions, OrderOptions, ServiceEndpoint, UploadOptions, place_order,
+    upload,
+};
+use cranberrypitch_core::{Class, Outcome, TenantId};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use tokio::sync::watch;
+
+use super::report::{End, Record};
+use super::{Log, WorkloadOptions};
+
+/// How often a feed that breaks is opened again.
+const FEED_ATTEMPTS: u32 = 30;
+
+const FEED_ATTEMPT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How long a caller waits for the outcome of an order that may have started.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// One caller.
+#[derive(Debug)]
+pub(super) struct Caller {
+    pub(super) transport: caller::Caller,
+    pub(super) target: ServiceEndpoint,
+    pub(super) tenant: TenantId,
+    pub(super) number: usize,
+    pub(super) options: WorkloadOptions,
+    pub(super) log: Log,
+    pub(super) stop: watch::Receiver<bool>,
+}
+
+impl Caller {
+    /// Sends requests of one class until the workload stops.
+    pub(super) async fn run(mut self, class: Class) {
+        if class == Class::Feed {
+            self.follow_feed().await;
+            return;
+        }
+        let mut count = 0;
+        while !*self.stop.borrow() {
+            let started = Instant::now();
+            let (key, end, attempts) = match class {
+                Class::Upload => self.send_file(count).await,
+                _ => self.send_order(count).await,
+            };
+            self.note(class, key, end, attempts, started.elapsed());
+            count += 1;
+            let pause = tokio::time::sleep(self.options.think_time);
+            tokio::select! {
+                () = pause => {}
+                _ = self.stop.changed() => {}
+            }
+        }
+    }
+
+    fn note(&self, class: Class, key: Box<str>, end: End, attempts: u32, elapsed: Duration) {
+        self.log.note(Record {
+            service: self.target.service.clone(),
+            class,
+            tenant: self.tenant.clone(),
+            key,
+            end,
+            attempts,
+            elapsed,
+        });
+    }
+
+    async fn send_order(&self, count: usize) -> (Box<str>, End, u32) {
+        let key: Box<str> = format!("{}-{}-{count}", self.target.service, self.number).into();
+        let options = OrderOptions {
+            target: self.target.clone(),
+            tenant: self.tenant.clone(),
+            deadline: self.options.deadline,
+            answer_timeout: ANSWER_TIMEOUT,
+        };
+        let body = format!("{{\"key\":\"{key}\"}}");
+        match place_order(&self.transport, &options, body.as_bytes()).await {
+            Ok(report) => {
+                let end = match report.outcome {
+                    Outcome::Done => {
+                        let answer = String::from_utf8_lossy(&report.answer);
+                        let is_own = answer.contains(&format!("\"{key}\""));
+                        if is_own { End::Done } else { End::Misdelivered }
+                    }
+                    outcome => end_of(&outcome),
+                };
+                (key, end, report.attempts)
+            }
+            // Every order that may have started ends with a report, so this one was not sent.
+            Err(_) => (key, End::NotRun, 1),
+        }
+    }
+
+    async fn send_file(&self, count: usize) -> (Box<str>, End, u32) {
+        let key: Box<str> = format!("{}-{}-{count}", self.target.service, self.number).into();
+        let mut file = vec![0; self.options.upload_len_bytes];
+        let seed = self.options.seed ^ ((self.number as u64) << 32) ^ count as u64;
+        Pcg64::seed_from_u64(seed).fill_bytes(&mut file);
+        let options = UploadOptions {
+            target: self.target.clone(),
+            tenant: self.tenant.clone(),
+            deadline: self.options.deadline,
+            is_repeatable: false,
+        };
+        match upload(&self.transport, &options, &file).await {
+            Ok(report) => {
+                let end = match report.outcome {
+                    Outcome::Done => End::Done,
+                    outcome => end_of(&outcome),
+                };
+                (key, end, report.attempts)
+            }
+            Err(caller::Error::HashMismatch { .. }) => (key, End::Misdelivered, 1),
+            Err(_) => (key, End::NotRun, 1),
+        }
+    }
+
+    async fn follow_feed(&mut self) {
+        let started = Instant::now();
+        let key: Box<str> = format!("{}-{}", self.target.service, self.number).into();
+        let options = FeedOptions {
+            target: self.target.clone(),
+            tenant: self.tenant.clone(),
+            resume_from: None,
+            max_attempts: FEED_ATTEMPTS,
+            attempt_interval: FEED_ATTEMPT_INTERVAL,
+        };
+        let (end, attempts) = match Feed::open(self.transport.clone(), options).await {
+            Ok(feed) => self.read_feed(feed).await,
+            Err(_) => (End::NotRun, 1),
+        };
+        self.note(Class::Feed, key, end, attempts, started.elapsed());
+    }
+
+    async fn read_feed(&mut self, mut feed: Feed) -> (End, u32) {
+        loop {
+            let reading = tokio::select! {
+                reading = feed.next() => reading,
+                _ = self.stop.changed() => break,
+            };
+            if !matches!(reading, Ok(Some(_))) {
+                return (End::Broken, 1);
+            }
+        }
+        feed.close();
+        let stats = feed.stats();
+        let end = if stats.broken > 0 {
+            End::Broken
+        } else {
+            End::Done
+        };
+        (end, 1 + stats.moved + stats.broken)
+    }
+}
+
+fn end_of(outcome: &Outcome) -> End {
+    match outcome {
+        Outcome::Done => End::Done,
+        Outcome::NotRun(_) | Outcome::Redirect(_) => End::NotRun,
+        Outcome::Failed => End::Failed,
+        _ => End::Broken,
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch/tests/failures.rs
@@ -0,0 +1,245 @@
+//! Promises of the whole path while parts of it fail or are replaced.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{feed_options, order_body, order_options, runs_of, service, small, upload_options};
+use cranberrypitch_caller::{Feed, place_order, query_order, upload};
+use cranberrypitch_core::Outcome;
+use cranberrypitch_standins::Deployment;
+use cranberrypitch_standins::backend::ServiceTime;
+use cranberrypitch_standins::fabric::LinkOptions;
+use cranberrypitch_standins::workload::{Workload, WorkloadOptions, WorkloadReport};
+use tokio::time::sleep;
+
+fn workload(deployment: &Deployment) -> Workload {
+    let services = [service("matcher"), service("tracer")];
+    Workload::start(deployment, &WorkloadOptions::light(&services, 11)).unwrap()
+}
+
+fn assert_clean(report: &WorkloadReport) {
+    assert!(report.is_clean(), "{report}");
+    let orders = &report.services["matcher"][&cranberrypitch_core::Class::Order];
+    assert!(orders.done > 0, "{report}");
+}
+
+/// G1, G7: guards against flows that depend on the balancer which placed them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_balancer_replaced_in_turn_breaks_nothing() {
+    let mut deployment = Deployment::start(small(3, 2, 1)).await.unwrap();
+    let workload = workload(&deployment);
+    for _ in 0..3 {
+        sleep(Duration::from_millis(300)).await;
+        deployment.replace_balancer(0).await.unwrap();
+    }
+    sleep(Duration::from_millis(300)).await;
+    assert_clean(&workload.finish(&deployment).await);
+}
+
+/// G1: guards against state in a balancer that flows would lose with it. The fabric goes on
+/// sending to the dead balancer for a while.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn killed_balancer_breaks_nothing() {
+    let mut deployment = Deployment::start(small(3, 2, 2)).await.unwrap();
+    let workload = workload(&deployment);
+    sleep(Duration::from_millis(400)).await;
+    deployment.kill_balancer(1);
+    sleep(Duration::from_millis(500)).await;
+    deployment.update_fabric();
+    sleep(Duration::from_millis(1500)).await;
+    assert_clean(&workload.finish(&deployment).await);
+}
+
+/// G1, G6, G7: guards against a drain that cuts requests, loses readings or lets new work in.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drained_target_cuts_nothing_and_gets_no_new_work() {
+    let mut deployment = Deployment::start(small(3, 2, 3)).await.unwrap();
+    let workload = workload(&deployment);
+    sleep(Duration::from_millis(400)).await;
+    let cut = deployment.targets_mut()[0].stop().await.unwrap();
+    assert!(cut.is_idle(), "{cut:?}");
+    let ran = deployment.targets()[0].journal().len();
+    sleep(Duration::from_millis(600)).await;
+    assert_clean(&workload.finish(&deployment).await);
+    assert_eq!(
+        deployment.targets()[0].journal().len(),
+        ran,
+        "new work after the drain"
+    );
+}
+
+/// G1, G6, G7: guards against changes that are harmless alone and harmful together.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn balancer_replaced_while_targets_drain_and_join() {
+    let mut deployment = Deployment::start(small(3, 2, 4)).await.unwrap();
+    let workload = workload(&deployment);
+    for index in 0..2 {
+        deployment.add_target(&service("matcher")).await.unwrap();
+        deployment.targets()[index]
+            .agent()
+            .unwrap()
+            .drain()
+            .await
+            .unwrap();
+        deployment.replace_balancer(0).await.unwrap_or_default();
+        deployment.targets_mut()[index].stop().await.unwrap();
+    }
+    assert_clean(&workload.finish(&deployment).await);
+}
+
+/// G5: guards against copies of a packet that would run an order again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn duplicated_and_lost_packets_run_no_order_twice() {
+    let link = LinkOptions::new()
+        .delay(Duration::from_millis(1))
+        .jitter(Duration::from_millis(4))
+        .loss(0.05)
+        .duplication(0.2);
+    let deployment = Deployment::start(small(3, 2, 5).links(link, link))
+        .await
+        .unwrap();
+    let workload = workload(&deployment);
+    sleep(Duration::from_secs(2)).await;
+    assert_clean(&workload.finish(&deployment).await);
+}
+
+/// G4, G5: guards against an order that runs again, or is called "not run", after its agent died
+/// while it ran.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_whose_agent_is_killed_is_unknown_and_never_runs_again() {
+    let slow = ServiceTime::Fixed(Duration::from_millis(500));
+    let options = small(1, 0, 6).service_time(slow);
+    let mut deployment = Deployment::start(options).await.unwrap();
+    let caller = deployment.caller().unwrap();
+    let mut options = order_options(&deployment, "matcher");
+    options.answer_timeout = Duration::from_secs(3);
+    let order = tokio::spawn({
+        let (caller, options) = (caller.clone(), options.clone());
+        async move { place_order(&caller, &options, &order_body("once")).await }
+    });
+    sleep(Duration::from_millis(250)).await;
+    assert_eq!(
+        runs_of(&deployment, "once"),
+        1,
+        "the order has to run when its agent dies"
+    );
+    deployment.targets_mut()[0].kill_agent();
+    deployment.restart_agent(0).await.unwrap();
+    let report = order.await.unwrap().unwrap();
+    assert_eq!(report.outcome, Outcome::Unknown);
+
+    let ticket = report.ticket.unwrap();
+    let timeout = Duration::from_secs(2);
+    let asked = query_order(&caller, &options.target, &ticket, timeout).await;
+    assert_eq!(asked.outcome, Outcome::Unknown);
+    assert_eq!(runs_of(&deployment, "once"), 1);
+}
+
+/// G5: guards against a second run of an order whose answer was lost on the way back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_asked_again_through_another_connection_has_one_run_and_one_answer() {
+    let deployment = Deployment::start(small(2, 0, 8)).await.unwrap();
+    let caller = deployment.caller().unwrap();
+    let options = order_options(&deployment, "matcher");
+    let first = place_order(&caller, &options, &order_body("pair"))
+        .await
+        .unwrap();
+    assert_eq!(first.outcome, Outcome::Done);
+
+    let other_caller = deployment.caller().unwrap();
+    let ticket = first.ticket.unwrap();
+    for _ in 0..3 {
+        let timeout = Duration::from_secs(2);
+        let again = query_order(&other_caller, &options.target, &ticket, timeout).await;
+        assert_eq!(
+            (again.outcome, again.body),
+            (Outcome::Done, first.answer.clone())
+        );
+    }
+    assert_eq!(runs_of(&deployment, "pair"), 1);
+}
+
+/// G2: guards against old flows that follow an address to its new service, and against new flows
+/// that reach the old one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn address_that_moves_to_another_service_keeps_old_flows_and_takes_no_wrong_ones() {
+    let mut deployment = Deployment::start(small(2, 2, 9)).await.unwrap();
+    let caller = deployment.caller().unwrap();
+    let mut feed = Feed::open(caller.clone(), feed_options(&deployment, "matcher"))
+        .await
+        .unwrap();
+    let old_target = deployment.endpoint(&service("matcher")).unwrap();
+
+    let mut services = deployment.services().to_vec();
+    let (matcher, tracer) = (services[0].service, services[1].service);
+    (services[0].service, services[1].service) = (tracer, matcher);
+    deployment.set_services(services).await.unwrap();
+
+    for _ in 0..10 {
+        feed.next().await.unwrap().unwrap();
+    }
+    assert_eq!(feed.stats(), cranberrypitch_caller::FeedStats::default());
+
+    // A caller that still dials the old address reaches agents of the other service, whose
+    // certificate it refuses.
+    let refused = caller.connect(&old_target, None).await;
+    refused.unwrap_err();
+    let mut options = order_options(&deployment, "matcher");
+    options.deadline = Duration::from_secs(3);
+    let order = place_order(&caller, &options, &order_body("matcher-1"))
+        .await
+        .unwrap();
+    assert_eq!(order.outcome, Outcome::Done);
+    let tracers = deployment
+        .targets()
+        .iter()
+        .filter(|t| t.service().as_str() == "tracer");
+    assert_eq!(tracers.map(|t| t.journal().len()).sum::<usize>(), 0);
+}
+
+/// G1: guards against a caller that waits for a timeout when its agent was restarted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_agent_resets_old_connections_so_that_feeds_move_at_once() {
+    let mut deployment = Deployment::start(small(1, 0, 10)).await.unwrap();
+    let caller = deployment.caller().unwrap();
+    let mut feed = Feed::open(caller.clone(), feed_options(&deployment, "matcher"))
+        .await
+        .unwrap();
+    let first = feed.next().await.unwrap().unwrap().sequence;
+    deployment.targets_mut()[0].kill_agent();
+    deployment.restart_agent(0).await.unwrap();
+
+    let next = tokio::time::timeout(Duration::from_secs(8), async {
+        while feed.stats().broken == 0 {
+            feed.next().await.unwrap().unwrap();
+        }
+        feed.next().await.unwrap().unwrap().sequence
+    });
+    let next = next
+        .await
+        .expect("a reset has to come before the idle timeout of 30 s");
+    assert!(next > first);
+}
+
+/// G3: guards against an upload that is reported as whole although its agent died.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upload_whose_agent_is_killed_is_sent_again_as_a_whole() {
+    let options = small(0, 2, 12).service_time(ServiceTime::Fixed(Duration::from_millis(300)));
+    let mut deployment = Deployment::start(options).await.unwrap();
+    let caller = deployment.caller().unwrap();
+    let options = upload_options(&deployment, "tracer");
+    let file = vec![7; 2_000_000];
+    let sent = tokio::spawn(async move { upload(&caller, &options, &file).await });
+    sleep(Duration::from_millis(150)).await;
+    let running = deployment
+        .targets()
+        .iter()
+        .position(|t| !t.journal().is_empty());
+    if let Some(index) = running {
+        deployment.targets_mut()[index].kill_agent();
+        deployment.restart_agent(index).await.unwrap();
+    }
+    let report = sent.await.unwrap().unwrap();
+    assert_eq!(report.outcome, Outcome::Done);
+}
