Add measure placement

The verb drives membership, placement and handoff of the core in a discrete-event run with the same flows for each policy, without and with handoff, and for one shared queue.

--- a/crates/cranberrypitch-measure/src/lib.rs
+++ b/crates/cranberrypitch-measure/src/lib.rs
@@ -1,1 +1,43 @@
-//! To be filled.
+//! Measurements of policies and capacity on the decision core.
+//!
+//! Each verb of the `measure` command is one module with a `run` function in [`VERBS`].
+
+pub mod errors;
+pub mod placement;
+
+use pico_args::Arguments;
+
+pub use crate::errors::{Error, Result};
+
+/// A verb of the `measure` command.
+#[derive(Clone, Copy, Debug)]
+pub struct Verb {
+    /// The name on the command line.
+    pub name: &'static str,
+    /// What it measures.
+    pub summary: &'static str,
+    /// Takes its options out of the arguments and returns the text to print.
+    pub run: fn(&mut Arguments) -> Result<String>,
+}
+
+/// All verbs.
+pub const VERBS: [Verb; 1] = [Verb {
+    name: "placement",
+    summary: "waits and imbalance of each placement policy",
+    run: placement::run,
+}];
+
+/// Runs the verb that the arguments name.
+pub fn run(mut arguments: Arguments) -> Result<String> {
+    let name = arguments.subcommand()?.unwrap_or_default();
+    let verb = VERBS.iter().find(|verb| verb.name == name);
+    let Some(verb) = verb else {
+        return Err(Error::unknown_verb(&name));
+    };
+    let text = (verb.run)(&mut arguments)?;
+    let rest = arguments.finish();
+    match rest.first() {
+        None => Ok(text),
+        Some(argument) => Err(Error::unknown_argument(&argument.to_string_lossy())),
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-measure/src/placement/queue.rs
@@ -0,0 +1,72 @@
+//! Waiting requests, one queue per tenant, served in turn.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// The most requests of one tenant that wait at one target.
+const TENANT_QUEUE_MAX: usize = 64;
+
+/// The time within which a request must start.
+pub(crate) const DEADLINE: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) flow: usize,
+    pub(crate) since: Instant,
+}
+
+#[derive(Debug)]
+pub(crate) struct TenantQueues {
+    queues: Vec<VecDeque<Waiting>>,
+    turns: VecDeque<usize>,
+    len: u32,
+}
+
+impl TenantQueues {
+    pub(crate) fn new(tenants: u32) -> Self {
+        Self {
+            queues: vec![VecDeque::new(); tenants as usize],
+            turns: VecDeque::new(),
+            len: 0,
+        }
+    }
+
+    pub(crate) fn len(&self) -> u32 {
+        self.len
+    }
+
+    pub(crate) fn oldest_since(&self) -> Option<Instant> {
+        let fronts = self.queues.iter().filter_map(VecDeque::front);
+        fronts.map(|waiting| waiting.since).min()
+    }
+
+    /// Adds a request, unless the tenant's queue is full.
+    pub(crate) fn push(&mut self, tenant: usize, waiting: Waiting) -> bool {
+        let queue = &mut self.queues[tenant];
+        if queue.len() >= TENANT_QUEUE_MAX {
+            return false;
+        }
+        if queue.is_empty() {
+            self.turns.push_back(tenant);
+        }
+        queue.push_back(waiting);
+        self.len += 1;
+        true
+    }
+
+    pub(crate) fn pop(&mut self) -> Option<Waiting> {
+        let tenant = self.turns.pop_front()?;
+        let waiting = self.queues[tenant].pop_front()?;
+        if !self.queues[tenant].is_empty() {
+            self.turns.push_back(tenant);
+        }
+        self.len -= 1;
+        Some(waiting)
+    }
+
+    pub(crate) fn clear(&mut self) -> u32 {
+        self.queues.iter_mut().for_each(VecDeque::clear);
+        self.turns.clear();
+        std::mem::take(&mut self.len)
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-measure/src/placement/target.rs
@@ -0,0 +1,217 @@
+//! An agent with its slots, its waiting requests and its handoff decisions.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::handoff::{Action, Event, Handoff, HandoffOptions, QueueState};
+use cranberrypitch_core::membership::TargetReport;
+use cranberrypitch_core::{
+    Announcement, ConnectionLimit, FailureDomain, Incarnation, Load, Revision, ServiceName, Slots,
+    TargetState, VmId,
+};
+use rand_pcg::Pcg64Mcg;
+
+use super::options::Options;
+use super::queue::{TenantQueues, Waiting};
+use super::statistics::Gauge;
+
+pub(crate) const FAILURE_DOMAINS: [&str; 3] = ["mitt-a", "mitt-b", "mitt-c"];
+const SERVICE: &str = "verkstad";
+const CONNECTIONS_MAX: u32 = 1_000_000;
+
+pub(crate) fn address(target: usize) -> SocketAddrV4 {
+    let low = u32::try_from(target).unwrap_or(u32::MAX);
+    SocketAddrV4::new(Ipv4Addr::from_bits((10 << 24) | low), 4000)
+}
+
+pub(crate) fn index(address: SocketAddrV4) -> usize {
+    (address.ip().to_bits() & 0x00ff_ffff) as usize
+}
+
+pub(crate) fn service_name() -> ServiceName {
+    ServiceName::try_new(SERVICE).expect("the constant is a valid name")
+}
+
+pub(crate) fn failure_domain(number: usize) -> FailureDomain {
+    let name = FAILURE_DOMAINS[number % FAILURE_DOMAINS.len()];
+    FailureDomain::try_new(name).expect("the constants are valid names")
+}
+
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub(crate) is_alive: bool,
+    pub(crate) incarnation: u64,
+    pub(crate) connections: u32,
+    pub(crate) requests: Gauge,
+    pub(crate) tick_at: Option<Instant>,
+    number: usize,
+    slots: u32,
+    running: u32,
+    sequence: u64,
+    queues: TenantQueues,
+    handoff: Option<Handoff>,
+    announcement: Announcement,
+}
+
+impl Target {
+    pub(crate) fn new(number: usize, options: &Options, now: Instant) -> Self {
+        Self {
+            is_alive: true,
+            incarnation: 1,
+            connections: 0,
+            requests: Gauge::new(now),
+            tick_at: None,
+            number,
+            slots: options.slots,
+            running: 0,
+            sequence: 0,
+            queues: TenantQueues::new(options.tenants),
+            handoff: None,
+            announcement: Announcement {
+                vm: VmId::try_new(&format!("vm-{number}")).expect("the format is a valid name"),
+                failure_domain: failure_domain(number),
+                service: service_name(),
+                connections_max: ConnectionLimit::new(CONNECTIONS_MAX),
+            },
+        }
+    }
+
+    pub(crate) fn enable_handoff(&mut self, targets: usize, now: Instant) {
+        let mut handoff = Handoff::new(HandoffOptions::default(), now);
+        let peers = (0..targets).filter(|peer| *peer != self.number);
+        handoff.set_peers(peers.map(address).collect());
+        self.handoff = Some(handoff);
+    }
+
+    /// Ends everything at the target and returns the number of flows that break.
+    pub(crate) fn kill(&mut self, now: Instant) -> u32 {
+        self.is_alive = false;
+        self.queues.clear();
+        self.running = 0;
+        self.handoff = None;
+        self.note_requests(now);
+        std::mem::take(&mut self.connections)
+    }
+
+    pub(crate) fn revive(&mut self) {
+        self.is_alive = true;
+        self.incarnation += 1;
+        self.sequence = 0;
+    }
+
+    pub(crate) fn report(&mut self) -> TargetReport {
+        self.sequence += 1;
+        TargetReport {
+            address: address(self.number),
+            incarnation: Incarnation::new(self.incarnation),
+            sequence: self.sequence,
+            state: TargetState::Ready,
+            revision: Revision::new(1),
+            load: Load {
+                slots: Slots::new(self.slots),
+                running: self.running,
+                waiting: self.queues.len(),
+                connections: self.connections,
+            },
+            announcement: Some(self.announcement.clone()),
+        }
+    }
+
+    /// Takes a request in and returns whether it starts at once; a full queue returns nothing.
+    pub(crate) fn admit(
+        &mut self,
+        tenant: usize,
+        waiting: Waiting,
+        serial: Option<u64>,
+        now: Instant,
+    ) -> Admitted {
+        if serial.is_some_and(|serial| self.claim(serial, now)) {
+            self.running += 1;
+            self.note_requests(now);
+            return Admitted::Claimed;
+        }
+        let is_queued = self.queues.push(tenant, waiting);
+        self.note_requests(now);
+        if is_queued {
+            Admitted::Queued
+        } else {
+            Admitted::Refused
+        }
+    }
+
+    /// Returns the next request that can start, and gives it a slot.
+    pub(crate) fn start_next(&mut self, now: Instant) -> Option<Waiting> {
+        let reserved = self.handoff.as_ref().map_or(0, Handoff::reserved);
+        if self.running + reserved >= self.slots {
+            return None;
+        }
+        let next = self.queues.pop()?;
+        self.running += 1;
+        self.note_requests(now);
+        Some(next)
+    }
+
+    pub(crate) fn take_waiting(&mut self, now: Instant) -> Option<Waiting> {
+        let next = self.queues.pop()?;
+        self.note_requests(now);
+        Some(next)
+    }
+
+    pub(crate) fn finish(&mut self, now: Instant) {
+        self.running -= 1;
+        self.note_requests(now);
+    }
+
+    /// Returns the event that tells the handoff about slots and waiting requests.
+    pub(crate) fn queue_event(&self) -> Event {
+        Event::Queue(QueueState {
+            free_slots: self.slots - self.running,
+            waiting: self.queues.len(),
+            movable: self.queues.len(),
+            oldest_since: self.queues.oldest_since(),
+            may_offer: true,
+        })
+    }
+
+    pub(crate) fn on_event(
+        &mut self,
+        event: Event,
+        now: Instant,
+        rng: &mut Pcg64Mcg,
+    ) -> Vec<Action> {
+        match &mut self.handoff {
+            Some(handoff) => handoff.on_event(event, now, rng),
+            None => Vec::new(),
+        }
+    }
+
+    /// Returns when a tick must be scheduled, if none is due by then.
+    pub(crate) fn tick_to_schedule(&mut self, now: Instant) -> Option<Instant> {
+        let due = self
+            .handoff
+            .as_ref()?
+            .next_tick()?
+            .max(now + Duration::from_micros(1));
+        if self.tick_at.is_some_and(|scheduled| scheduled <= due) {
+            return None;
+        }
+        self.tick_at = Some(due);
+        Some(due)
+    }
+
+    fn claim(&mut self, serial: u64, now: Instant) -> bool {
+        let handoff = self.handoff.as_mut();
+        handoff.is_some_and(|handoff| handoff.claim(serial, now))
+    }
+
+    fn note_requests(&mut self, now: Instant) {
+        self.requests.set(self.running + self.queues.len(), now);
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Admitted {
+    Claimed,
+    Queued,
+    Refused,
+}
