--- a/crates/cranberrypitch-standins/src/deployment.rs
+++ b/crates/cranberrypitch-standins/src/deployment.rs
@@ -266,7 +266,7 @@
         target.start_agent(balancers)
     }
 
-    /// Waits until every balancer knows every target that runs as ready.
+    /// Waits until every balancer knows every target that takes work as ready.
     pub async fn wait_until_ready(&self) -> Result<()> {
         const POLL: Duration = Duration::from_millis(20);
         const TIMEOUT: Duration = Duration::from_secs(10);
@@ -282,7 +282,7 @@
     }
 
     async fn is_ready(&self) -> Result<bool> {
-        let running: Vec<_> = self.targets.iter().filter(|t| t.is_running()).collect();
+        let running: Vec<_> = self.targets.iter().filter(|t| t.takes_work()).collect();
         for balancer in &self.balancers {
             let known = balancer.handle.targets().await?;
             let is_known = |t: &&&TargetVm| known.iter().any(|k| t.is_ready_as(k));
--- a/crates/cranberrypitch-standins/src/deployment/target.rs
+++ b/crates/cranberrypitch-standins/src/deployment/target.rs
@@ -81,6 +81,12 @@
         self.agent.is_some()
     }
 
+    /// Returns whether the agent runs and is not draining.
+    pub fn takes_work(&self) -> bool {
+        let state = self.agent.as_ref().map(|agent| *agent.state().borrow());
+        matches!(state, Some(TargetState::Starting | TargetState::Ready))
+    }
+
     /// Returns whether a balancer's view of a target is this one, in state ready.
     pub(crate) fn is_ready_as(&self, known: &Target) -> bool {
         known.address == self.tunnel_address() && known.state == TargetState::Ready
--- a/crates/cranberrypitch/tests/failures.rs
+++ b/crates/cranberrypitch/tests/failures.rs
@@ -82,8 +82,9 @@
             .drain()
             .await
             .unwrap();
-        deployment.replace_balancer(0).await.unwrap_or_default();
-        deployment.targets_mut()[index].stop().await.unwrap();
+        deployment.replace_balancer(0).await.unwrap();
+        let cut = deployment.targets_mut()[index].stop().await.unwrap();
+        assert!(cut.is_idle(), "{cut:?}");
     }
     assert_clean(&workload.finish(&deployment).await);
 }
