--- a/crates/cranberrypitch-net/src/lib.rs
+++ b/crates/cranberrypitch-net/src/lib.rs
@@ -1,1 +1,3 @@
-//! To be filled.
+//! Shared runtime of the cranberrypitch daemons.
+
+pub mod store;
--- /dev/null
+++ b/crates/cranberrypitch-net/src/store/memory.rs
@@ -0,0 +1,181 @@
+//! A store in memory with fault switches.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::{Clock, SystemClock};
+use tokio::sync::Notify;
+
+use crate::store::counters::{CallCounters, Operation};
+use crate::store::errors::{Error, Result};
+use crate::store::faults::{Fault, Faults};
+use crate::store::state::State;
+use crate::store::{Entry, LeaseId, Listing, Put, Store, StoreKey, Version, Watched};
+
+/// The time after which a waiting watch looks for lapsed leases and changed fault switches.
+const WATCH_TICK: Duration = Duration::from_millis(20);
+
+/// A store in memory. Clones share the content.
+#[derive(Clone, Debug)]
+pub struct MemoryStore {
+    shared: Arc<Shared>,
+    call_timeout: Duration,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Notify,
+    clock: Arc<dyn Clock>,
+    faults: Faults,
+    counters: CallCounters,
+}
+
+impl MemoryStore {
+    /// Returns an empty store whose leases follow `clock`. A call that is delayed for `call_timeout`
+    /// fails as it would through the adapter.
+    pub fn new(clock: Arc<dyn Clock>, call_timeout: Duration) -> Self {
+        let shared = Shared {
+            state: Mutex::default(),
+            changed: Notify::new(),
+            clock,
+            faults: Faults::default(),
+            counters: CallCounters::default(),
+        };
+        Self {
+            shared: Arc::new(shared),
+            call_timeout,
+        }
+    }
+
+    /// Returns the fault switches.
+    pub fn faults(&self) -> &Faults {
+        &self.shared.faults
+    }
+
+    /// Returns the counts of calls.
+    pub fn counters(&self) -> &CallCounters {
+        &self.shared.counters
+    }
+
+    async fn call<T: Send>(
+        &self,
+        operation: Operation,
+        effect: impl FnOnce(&mut State, Instant) -> Result<T> + Send,
+    ) -> Result<T> {
+        self.shared
+            .counters
+            .count(operation, self.shared.clock.now());
+        let (delay, fault) = self.shared.faults.next(operation.is_write());
+        let late = delay >= self.call_timeout;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay.min(self.call_timeout)).await;
+        }
+        match fault {
+            Fault::Refused => return Err(Error::unavailable(&"switched off")),
+            Fault::RequestLost => return Err(Error::outcome_unknown(&"request lost")),
+            Fault::None | Fault::AnswerLost => {}
+        }
+        let answer = self.apply(operation, effect);
+        match (late, operation.is_write()) {
+            (true, true) => Err(Error::outcome_unknown(&"no answer in time")),
+            (true, false) => Err(Error::unavailable(&"no answer in time")),
+            (false, _) if fault == Fault::AnswerLost => Err(Error::outcome_unknown(&"answer lost")),
+            (false, _) => answer,
+        }
+    }
+
+    fn apply<T>(
+        &self,
+        operation: Operation,
+        effect: impl FnOnce(&mut State, Instant) -> Result<T>,
+    ) -> Result<T> {
+        let now = self.shared.clock.now();
+        let mut state = self.lock();
+        let lapsed = state.sweep(now);
+        let answer = effect(&mut state, now);
+        drop(state);
+        if lapsed || operation.is_write() {
+            self.shared.changed.notify_waiters();
+        }
+        answer
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let state = self.shared.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for MemoryStore {
+    fn default() -> Self {
+        const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+        Self::new(Arc::new(SystemClock), CALL_TIMEOUT)
+    }
+}
+
+impl Store for MemoryStore {
+    async fn get(&self, key: &StoreKey) -> Result<Option<Entry>> {
+        self.call(Operation::Get, |state, _| Ok(state.get(key)))
+            .await
+    }
+
+    async fn put(&self, put: Put) -> Result<Version> {
+        self.call(Operation::Put, |state, _| state.put(put)).await
+    }
+
+    async fn delete(&self, key: &StoreKey, version: Version) -> Result<()> {
+        self.call(Operation::Delete, |state, _| state.delete(key, version))
+            .await
+    }
+
+    async fn list(&self, prefix: &StoreKey) -> Result<Listing> {
+        self.call(Operation::List, |state, _| Ok(state.list(prefix)))
+            .await
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId> {
+        self.call(Operation::Grant, |state, now| Ok(state.grant(ttl, now)))
+            .await
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<()> {
+        self.call(Operation::Renew, |state, now| state.renew(lease, now))
+            .await
+    }
+
+    async fn release(&self, lease: LeaseId) -> Result<()> {
+        self.call(Operation::Release, |state, _| state.release(lease))
+            .await
+    }
+
+    async fn watch(&self, prefix: &StoreKey, after: Version, wait: Duration) -> Result<Watched> {
+        let until = tokio::time::Instant::now() + wait;
+        let mut answer = self
+            .call(
+                Operation::Watch,
+                |state, _| Ok(state.changes(prefix, after)),
+            )
+            .await?;
+        loop {
+            if let Some(watched) = answer {
+                return Ok(watched);
+            }
+            let left = until.saturating_duration_since(tokio::time::Instant::now());
+            if left.is_zero() {
+                return Ok(Watched::Unchanged);
+            }
+            let changed = self.shared.changed.notified();
+            let woken = tokio::time::timeout(left.min(WATCH_TICK), changed).await;
+            if self.shared.faults.is_down() {
+                return Err(Error::unavailable(&"switched off"));
+            }
+            // A tick looks for changes as a wake-up does, as a lease may have lapsed in silence.
+            drop(woken);
+            answer = self.apply(
+                Operation::Watch,
+                |state, _| Ok(state.changes(prefix, after)),
+            )?;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-net/src/store/state.rs
@@ -0,0 +1,200 @@
+//! The content of a store in memory.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::FastMap;
+
+use crate::store::errors::{Error, Result};
+use crate::store::{
+    Entry, Expected, KeyChange, LeaseId, Listing, MAX_VALUE_BYTES, Put, StoreKey, Version, Watched,
+};
+
+/// The writes that a watch may be behind before it has to list again.
+const MAX_LOG: usize = 10_000;
+
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    version: u64,
+    entries: BTreeMap<StoreKey, Entry>,
+    leases: FastMap<LeaseId, Lease>,
+    next_lease: u64,
+    log: VecDeque<(Version, StoreKey)>,
+    log_starts_after: Version,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl: Duration,
+    lapses_at: Instant,
+    keys: BTreeSet<StoreKey>,
+}
+
+impl State {
+    /// Ends the leases that have lapsed; returns whether there were any.
+    pub(crate) fn sweep(&mut self, now: Instant) -> bool {
+        let lapsed: Vec<_> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.lapses_at <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in &lapsed {
+            self.end_lease(*id);
+        }
+        !lapsed.is_empty()
+    }
+
+    pub(crate) fn get(&self, key: &StoreKey) -> Option<Entry> {
+        self.entries.get(key).cloned()
+    }
+
+    pub(crate) fn put(&mut self, put: Put) -> Result<Version> {
+        if put.value.len() > MAX_VALUE_BYTES {
+            return Err(Error::ValueTooLong {
+                len_bytes: put.value.len(),
+                limit_bytes: MAX_VALUE_BYTES,
+            });
+        }
+        let current = self.entries.get(&put.key).map(|e| e.version);
+        let expected = match put.expected {
+            Expected::Absent => None,
+            Expected::Version(version) => Some(version),
+        };
+        if current != expected {
+            return Err(Error::Conflict { current });
+        }
+        self.bind(&put.key, put.lease)?;
+        let version = self.next_version(&put.key);
+        let entry = Entry {
+            key: put.key.clone(),
+            value: put.value,
+            version,
+            lease: put.lease,
+        };
+        self.entries.insert(put.key, entry);
+        Ok(version)
+    }
+
+    pub(crate) fn delete(&mut self, key: &StoreKey, version: Version) -> Result<()> {
+        let current = self.entries.get(key).map(|e| e.version);
+        if current != Some(version) {
+            return Err(Error::Conflict { current });
+        }
+        self.remove(key);
+        Ok(())
+    }
+
+    pub(crate) fn list(&self, prefix: &StoreKey) -> Listing {
+        let from = self.entries.range(prefix.clone()..);
+        let under = from.take_while(|(key, _)| key.as_str().starts_with(prefix.as_str()));
+        Listing {
+            version: Version::new(self.version),
+            entries: under.map(|(_, entry)| entry.clone()).collect(),
+        }
+    }
+
+    pub(crate) fn grant(&mut self, ttl: Duration, now: Instant) -> LeaseId {
+        self.next_lease += 1;
+        let id = LeaseId::new(self.next_lease);
+        let lease = Lease {
+            ttl,
+            lapses_at: now + ttl,
+            keys: BTreeSet::new(),
+        };
+        self.leases.insert(id, lease);
+        id
+    }
+
+    pub(crate) fn renew(&mut self, id: LeaseId, now: Instant) -> Result<()> {
+        match self.leases.get_mut(&id) {
+            Some(lease) => {
+                lease.lapses_at = now + lease.ttl;
+                Ok(())
+            }
+            None => Err(Error::LeaseLapsed { lease: id }),
+        }
+    }
+
+    pub(crate) fn release(&mut self, id: LeaseId) -> Result<()> {
+        if self.end_lease(id) {
+            Ok(())
+        } else {
+            Err(Error::LeaseLapsed { lease: id })
+        }
+    }
+
+    /// Returns the changes under a prefix after a version, or `None` when there are none yet.
+    pub(crate) fn changes(&self, prefix: &StoreKey, after: Version) -> Option<Watched> {
+        if after < self.log_starts_after || after.get() > self.version {
+            return Some(Watched::Reset);
+        }
+        let first = self.log.partition_point(|(version, _)| *version <= after);
+        let keys: BTreeSet<_> = self
+            .log
+            .range(first..)
+            .map(|(_, key)| key)
+            .filter(|key| key.as_str().starts_with(prefix.as_str()))
+            .collect();
+        if keys.is_empty() {
+            return None;
+        }
+        let change = |key: &StoreKey| KeyChange {
+            key: key.clone(),
+            entry: self.get(key),
+        };
+        Some(Watched::Changed {
+            version: Version::new(self.version),
+            changes: keys.into_iter().map(change).collect(),
+        })
+    }
+
+    fn bind(&mut self, key: &StoreKey, lease: Option<LeaseId>) -> Result<()> {
+        if let Some(id) = lease {
+            let Some(lease) = self.leases.get_mut(&id) else {
+                return Err(Error::LeaseLapsed { lease: id });
+            };
+            lease.keys.insert(key.clone());
+        }
+        let older = self.entries.get(key).and_then(|e| e.lease);
+        if older != lease {
+            self.unbind(key, older);
+        }
+        Ok(())
+    }
+
+    fn unbind(&mut self, key: &StoreKey, lease: Option<LeaseId>) {
+        if let Some(lease) = lease.and_then(|id| self.leases.get_mut(&id)) {
+            lease.keys.remove(key);
+        }
+    }
+
+    fn end_lease(&mut self, id: LeaseId) -> bool {
+        let Some(lease) = self.leases.remove(&id) else {
+            return false;
+        };
+        for key in &lease.keys {
+            self.remove(key);
+        }
+        true
+    }
+
+    fn remove(&mut self, key: &StoreKey) {
+        if let Some(entry) = self.entries.remove(key) {
+            self.unbind(key, entry.lease);
+            self.next_version(key);
+        }
+    }
+
+    fn next_version(&mut self, key: &StoreKey) -> Version {
+        self.version += 1;
+        let version = Version::new(self.version);
+        self.log.push_back((version, key.clone()));
+        if self.log.len() > MAX_LOG
+            && let Some((dropped, _)) = self.log.pop_front()
+        {
+            self.log_starts_after = dropped;
+        }
+        version
+    }
+}
--- a/crates/cranberrypitch-standins/src/lib.rs
+++ b/crates/cranberrypitch-standins/src/lib.rs
@@ -1,1 +1,3 @@
-//! To be filled.
+//! Stand-ins of the systems around cranberrypitch, for tests and the demo.
+
+pub mod store;
--- /dev/null
+++ b/crates/cranberrypitch-standins/src/store.rs
@@ -0,0 +1,170 @@
+//! The stand-in of the platform's key-value service: the store in memory behind HTTP/1.1.
+
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+
+use bytes::Bytes;
+use cranberrypitch_net::store::wire::{Answer, Call, MAX_BODY_BYTES, PATH};
+use cranberrypitch_net::store::{CallCounters, Error, Faults, MemoryStore, Result, Store};
+use derive_more::{Display, Error as DeriveError};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, JoinSet};
+
+/// A running stand-in of the store. It stops when it is dropped.
+#[derive(Debug)]
+pub struct StoreServer {
+    address: SocketAddrV4,
+    store: MemoryStore,
+    task: JoinHandle<()>,
+}
+
+/// Closes the connection without an answer.
+#[derive(Clone, Copy, Debug, Display, DeriveError)]
+#[display("answer withheld")]
+struct NoAnswer;
+
+impl StoreServer {
+    /// Binds to an address and serves `store` there. Port 0 takes any free port.
+    pub async fn bind(address: SocketAddrV4, store: MemoryStore) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let SocketAddr::V4(address) = listener.local_addr()? else {
+            return Err(io::ErrorKind::AddrNotAvailable.into());
+        };
+        let task = tokio::spawn(accept(listener, store.clone()));
+        Ok(Self {
+            address,
+            store,
+            task,
+        })
+    }
+
+    /// Returns the address that is served.
+    pub const fn address(&self) -> SocketAddrV4 {
+        self.address
+    }
+
+    /// Returns the store behind the address.
+    pub const fn store(&self) -> &MemoryStore {
+        &self.store
+    }
+
+    /// Returns the fault switches.
+    pub fn faults(&self) -> &Faults {
+        self.store.faults()
+    }
+
+    /// Returns the counts of calls per second.
+    pub fn counters(&self) -> &CallCounters {
+        self.store.counters()
+    }
+}
+
+impl Drop for StoreServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, store: MemoryStore) {
+    let mut connections = JoinSet::new();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                connections.spawn(serve(stream, store.clone()));
+            }
+            Err(error) => log::warn!("the store's stand-in can't accept: {error}"),
+        }
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn serve(stream: TcpStream, store: MemoryStore) {
+    // Without this, each answer waits for the delayed acknowledgement of the one before.
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(|request| answer(request, &store));
+    let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = served.await {
+        log::debug!("a connection to the store's stand-in ended: {error}");
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    store: &MemoryStore,
+) -> std::result::Result<Response<Full<Bytes>>, NoAnswer> {
+    if request.method() != Method::POST || request.uri().path() != PATH {
+        return Ok(error_response(&Error::refused(&"no such path")));
+    }
+    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
+    let Ok(body) = body.await else {
+        return Ok(error_response(&Error::refused(&"body not readable")));
+    };
+    let outcome = match Call::decode(&body.to_bytes()) {
+        Ok(call) if call.operation().is_write() => run_to_end(call, store.clone()).await,
+        Ok(call) => run(call, store).await,
+        Err(error) => Err(error),
+    };
+    match outcome {
+        Ok(answer) => Ok(json_response(StatusCode::OK, &answer)),
+        Err(Error::OutcomeUnknown { .. }) => Err(NoAnswer),
+        Err(error) => Ok(error_response(&error)),
+    }
+}
+
+/// Runs a write in a task of its own: as in a real service, it takes effect although the caller has
+/// given up on it.
+async fn run_to_end(call: Call, store: MemoryStore) -> Result<Answer> {
+    match tokio::spawn(async move { run(call, &store).await }).await {
+        Ok(outcome) => outcome,
+        Err(error) => Err(Error::outcome_unknown(&error)),
+    }
+}
+
+async fn run(call: Call, store: &MemoryStore) -> Result<Answer> {
+    Ok(match call {
+        Call::Get { key } => Answer::Entry(store.get(&key).await?),
+        Call::Put(put) => Answer::Written(store.put(put).await?),
+        Call::Delete { key, version } => done(store.delete(&key, version).await?),
+        Call::List { prefix } => Answer::Listing(store.list(&prefix).await?),
+        Call::Grant { ttl } => Answer::Granted(store.grant(ttl).await?),
+        Call::Renew { lease } => done(store.renew(lease).await?),
+        Call::Release { lease } => done(store.release(lease).await?),
+        Call::Watch {
+            prefix,
+            after,
+            wait,
+        } => Answer::Watched(store.watch(&prefix, after, wait).await?),
+    })
+}
+
+const fn done((): ()) -> Answer {
+    Answer::Done
+}
+
+fn error_response(error: &Error) -> Response<Full<Bytes>> {
+    let status = match error {
+        Error::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        Error::Conflict { .. } => StatusCode::CONFLICT,
+        Error::LeaseLapsed { .. } => StatusCode::GONE,
+        Error::ValueTooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        _ => StatusCode::BAD_REQUEST,
+    };
+    json_response(status, error)
+}
+
+fn json_response(status: StatusCode, body: &impl serde::Serialize) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    let json = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
