--- a/crates/cranberrypitch-net/src/lib.rs
+++ b/crates/cranberrypitch-net/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod keys;
 pub mod metrics;
 pub mod settings;
+pub mod store;
 pub mod tls;
 
 pub use crate::errors::{Error, Result};
