--- a/crates/cranberrypitch-proto/src/lib.rs
+++ b/crates/cranberrypitch-proto/src/lib.rs
@@ -4,6 +4,7 @@
 //! panics, and none allocates more than the size of its input asks for.
 
 pub(crate) mod cbor;
+pub mod control;
 pub mod errors;
 pub mod report;
 pub mod request;
