--- a/crates/cranberrypitch-agent/src/backend/http.rs
+++ b/crates/cranberrypitch-agent/src/backend/http.rs
@@ -2,17 +2,20 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use cranberrypitch_core::ByteSize;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::header::{HOST, HeaderMap, TRANSFER_ENCODING};
+use hyper::ext::on_informational;
+use hyper::header::{EXPECT, HOST, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::request::Builder;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::de::DeserializeOwned;
-use tokio::time::{Instant, timeout_at};
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::body::{RequestBody, pump};
 use super::errors::{BackendError, Cause, Result};
@@ -34,6 +37,7 @@
     idle_timeout: Duration,
     connect_timeout: Duration,
     probe_timeout: Duration,
+    continue_timeout: Duration,
     answer_max: ByteSize,
 }
 
@@ -44,6 +48,7 @@
             idle_timeout: Duration::from_secs(30),
             connect_timeout: Duration::from_secs(1),
             probe_timeout: Duration::from_secs(1),
+            continue_timeout: Duration::from_secs(1),
             answer_max: ByteSize::new(4 << 20),
         }
     }
@@ -78,6 +83,17 @@
         self
     }
 
+    /// Sets how long an upload waits for the backend server's consent before its body is sent anyway.
+    ///
+    /// A backend server that refuses an upload while its body arrives may reset the connection and
+    /// lose its answer with it, so that the outcome is unknown. Hence the body waits for the status
+    /// `100 Continue`, which some backend servers never send.
+    #[must_use]
+    pub const fn continue_timeout(mut self, continue_timeout: Duration) -> Self {
+        self.continue_timeout = continue_timeout;
+        self
+    }
+
     /// Sets how long an answer may be.
     #[must_use]
     pub const fn answer_max(mut self, answer_max: ByteSize) -> Self {
@@ -191,9 +207,15 @@
     ) -> Result<Answer> {
         let exchange = self.pool.take(deadlines.connect).await.map_err(not_sent)?;
         let (chunks, body) = RequestBody::streamed(body_len);
-        let request = finish_request(with_deadline(request, deadlines), body)?;
+        let request = with_deadline(request, deadlines).header(EXPECT, "100-continue");
+        let mut request = finish_request(request, body)?;
+        let consent = consent_to(&mut request);
         let sending = send_on(exchange, request, deadlines);
-        let pumping = pump(source, chunks, body_len);
+        let pumping = async {
+            // Without consent in time the body is sent all the same.
+            let _consent = timeout(self.options.continue_timeout, consent.notified()).await;
+            pump(source, chunks, body_len).await
+        };
         tokio::pin!(sending, pumping);
         // The answer may come before the body has been taken, as when the request is refused.
         let (result, is_body_sent) = tokio::select! {
@@ -293,6 +315,18 @@
     }
 }
 
+/// Returns what is notified when the backend server asks for the body.
+fn consent_to(request: &mut Request<RequestBody>) -> Arc<Notify> {
+    let consent = Arc::new(Notify::new());
+    let consented = Arc::clone(&consent);
+    on_informational(request, move |answer| {
+        if answer.status() == StatusCode::CONTINUE {
+            consented.notify_one();
+        }
+    });
+    consent
+}
+
 fn open_feed(
     exchange: Exchange,
     response: Response<Incoming>,
--- a/crates/cranberrypitch-standins/tests/backend_contract.rs
+++ b/crates/cranberrypitch-standins/tests/backend_contract.rs
@@ -297,6 +297,17 @@
     assert_eq!(runs(&server, 3), [RunOutcome::Done]);
 }
 
+/// Guards against connections that stay busy after their request was abandoned.
+#[tokio::test]
+async fn abandoned_requests_close_their_connections() {
+    let (server, backend) = spawn(|options| options).await;
+    let abandoned = tokio::time::timeout(SERVICE_TIME / 2, order(&backend, 1)).await;
+    assert!(abandoned.is_err(), "the order still ran");
+    sleep(SERVICE_TIME).await;
+    assert_eq!(server.load().connections, 0);
+    assert_eq!(runs(&server, 1), [RunOutcome::Done]);
+}
+
 /// Guards against requests beyond the slots or connections that are not refused as not run.
 #[tokio::test]
 async fn full_servers_refuse_as_not_run() {
@@ -340,6 +351,23 @@
     assert_eq!(runs(&server, 2), [RunOutcome::Interrupted]);
 }
 
+/// Guards against a refusal that is lost because the file was still being sent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn refusals_of_large_uploads_are_heard() {
+    static LARGE: [u8; 16 << 20] = [7; 16 << 20];
+    let (server, backend) = spawn(|options| options).await;
+    server.drain();
+    for id in 0..50 {
+        let file = Parts {
+            rest: &LARGE,
+            breaks_off: false,
+        };
+        let len = ByteSize::new(LARGE.len() as u64);
+        let result = backend.upload(&info(id), len, file).await;
+        assert_eq!(report(result), Report::NotSent, "upload {id}");
+    }
+}
+
 /// Guards against answers to uploads that don't state what arrived.
 #[tokio::test]
 async fn uploads_are_answered_with_length_and_hash() {
