--- a/crates/cranberrypitch-standins/src/errors.rs
+++ b/crates/cranberrypitch-standins/src/errors.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 
 use derive_more::{Display, Error};
 
@@ -28,6 +29,20 @@
         /// The allowed range.
         rule: &'static str,
     },
+    /// A settings file can't be read or has a field that is wrong.
+    #[display("{file}: {detail}")]
+    Settings {
+        /// The file.
+        file: Box<str>,
+        /// What is wrong, with the field or the place in the file.
+        detail: Box<str>,
+    },
+    /// A certificate can't be made.
+    #[display("can't make a certificate: {detail}")]
+    Certificate {
+        /// The failure.
+        detail: Box<str>,
+    },
 }
 
 impl Error {
@@ -43,4 +58,19 @@
     pub const fn option(option: &'static str, rule: &'static str) -> Self {
         Self::Option { option, rule }
     }
+
+    /// Returns an error for a settings file.
+    pub fn settings(file: &Path, detail: &impl ToString) -> Self {
+        Self::Settings {
+            file: file.display().to_string().into(),
+            detail: detail.to_string().into(),
+        }
+    }
+
+    /// Returns an error for a certificate that can't be made.
+    pub fn certificate(detail: &impl ToString) -> Self {
+        Self::Certificate {
+            detail: detail.to_string().into(),
+        }
+    }
 }
--- a/crates/cranberrypitch-standins/src/lib.rs
+++ b/crates/cranberrypitch-standins/src/lib.rs
@@ -3,7 +3,9 @@
 //! `docs/standins.md` describes each stand-in and its options.
 
 pub mod backend;
+pub mod certs;
 pub mod errors;
 pub mod fabric;
+pub mod settings;
 
 pub use crate::errors::{Error, Result};
--- /dev/null
+++ b/crates/cranberrypitch-standins/src/settings.rs
@@ -0,0 +1,180 @@
+//! Settings files of the `standin` program, which are JSON.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::Path;
+use std::time::Duration;
+
+use cranberrypitch_core::{ConnectionLimit, Slots};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use crate::backend::{BackendOptions, Faults, ServiceTime};
+use crate::errors::{Error, Result};
+use crate::fabric::{FabricOptions, LinkOptions};
+
+/// Settings of `standin fabric`.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FabricSettings {
+    seed: u64,
+    services: Vec<FabricService>,
+    balancers: Vec<Ipv4Addr>,
+    #[serde(default)]
+    to_balancers: LinkSettings,
+    #[serde(default)]
+    to_callers: LinkSettings,
+    callers_max: Option<usize>,
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(rename = "idle_timeout_ms", default)]
+    idle_timeout: Option<Duration>,
+    queue_max: Option<usize>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FabricService {
+    public: SocketAddrV4,
+    port: u16,
+}
+
+#[serde_as]
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct LinkSettings {
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "delay_ms")]
+    delay: Duration,
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "jitter_ms")]
+    jitter: Duration,
+    loss: f64,
+    duplication: f64,
+}
+
+impl LinkSettings {
+    fn options(self) -> LinkOptions {
+        LinkOptions::new()
+            .delay(self.delay)
+            .jitter(self.jitter)
+            .loss(self.loss)
+            .duplication(self.duplication)
+    }
+}
+
+impl FabricSettings {
+    /// Reads a settings file.
+    pub fn read(file: &Path) -> Result<Self> {
+        read(file)
+    }
+
+    /// Returns the options that the settings ask for.
+    pub fn options(&self) -> FabricOptions {
+        let mut options = FabricOptions::new(self.seed)
+            .balancers(&self.balancers)
+            .to_balancers(self.to_balancers.options())
+            .to_callers(self.to_callers.options());
+        for service in &self.services {
+            options = options.service(service.public, service.port);
+        }
+        if let Some(callers_max) = self.callers_max {
+            options = options.callers_max(callers_max);
+        }
+        if let Some(idle_timeout) = self.idle_timeout {
+            options = options.idle_timeout(idle_timeout);
+        }
+        if let Some(queue_max) = self.queue_max {
+            options = options.queue_max(queue_max);
+        }
+        options
+    }
+}
+
+/// Settings of `standin backend`.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BackendSettings {
+    seed: u64,
+    address: SocketAddr,
+    slots: Option<Slots>,
+    connections: Option<ConnectionLimit>,
+    service_time: Option<ServiceTimeSettings>,
+    cold_start: Option<ColdStartSettings>,
+    #[serde(default)]
+    feed_seed: u64,
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(rename = "reading_interval_ms", default)]
+    reading_interval: Option<Duration>,
+    feed_len: Option<u64>,
+    #[serde(default)]
+    faults: Faults,
+}
+
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize)]
+enum ServiceTimeSettings {
+    #[serde(rename = "fixed_ms")]
+    Fixed(#[serde_as(as = "DurationMilliSeconds<u64>")] Duration),
+    #[serde(rename = "exponential_ms")]
+    Exponential(#[serde_as(as = "DurationMilliSeconds<u64>")] Duration),
+}
+
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ColdStartSettings {
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "length_ms")]
+    length: Duration,
+    factor: f64,
+}
+
+impl From<ServiceTimeSettings> for ServiceTime {
+    fn from(settings: ServiceTimeSettings) -> Self {
+        match settings {
+            ServiceTimeSettings::Fixed(time) => Self::Fixed(time),
+            ServiceTimeSettings::Exponential(mean) => Self::Exponential(mean),
+        }
+    }
+}
+
+impl BackendSettings {
+    /// Reads a settings file.
+    pub fn read(file: &Path) -> Result<Self> {
+        read(file)
+    }
+
+    /// Returns the options that the settings ask for.
+    pub fn options(&self) -> BackendOptions {
+        let mut options = BackendOptions::new(self.seed)
+            .address(self.address)
+            .feed_seed(self.feed_seed)
+            .faults(self.faults.clone());
+        if let Some(slots) = self.slots {
+            options = options.slots(slots);
+        }
+        if let Some(connections) = self.connections {
+            options = options.connections(connections);
+        }
+        if let Some(service_time) = self.service_time {
+            options = options.service_time(service_time.into());
+        }
+        if let Some(cold_start) = self.cold_start {
+            options = options.cold_start(cold_start.length, cold_start.factor);
+        }
+        if let Some(reading_interval) = self.reading_interval {
+            options = options.reading_interval(reading_interval);
+        }
+        if let Some(feed_len) = self.feed_len {
+            options = options.feed_len(feed_len);
+        }
+        options
+    }
+}
+
+fn read<T: DeserializeOwned>(file: &Path) -> Result<T> {
+    let text = std::fs::read_to_string(file).map_err(|e| Error::settings(file, &e))?;
+    serde_json::from_str(&text).map_err(|e| Error::settings(file, &e))
+}
--- /dev/null
+++ b/crates/cranberrypitch-standins/tests/backend.rs
@@ -0,0 +1,136 @@
+//! Tests of the stand-in for a backend server, over its HTTP interface.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime};
+
+use cranberrypitch_core::Class;
+use cranberrypitch_standins::backend::{
+    BackendOptions, BackendStandin, JournalEntry, RunOutcome, ServiceTime, reading,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Sends a request on a connection of its own and returns the whole answer.
+async fn exchange(address: SocketAddr, line: &str, headers: &str, body: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("connect");
+    let len_bytes = body.len();
+    let request = format!(
+        "{line} HTTP/1.1\r\nhost: standin\r\nconnection: close\r\n\
+         content-length: {len_bytes}\r\n{headers}\r\n{body}"
+    );
+    stream.write_all(request.as_bytes()).await.expect("send");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("answer");
+    answer
+}
+
+async fn order(address: SocketAddr, id: &str, body: &str) -> String {
+    let headers = format!("x-request-id: {id}\r\nx-tenant: shop-1\r\nx-deadline-ms: 1000\r\n");
+    exchange(address, "POST /orders", &headers, body).await
+}
+
+/// Guards against a double run that the journal hides.
+#[tokio::test]
+async fn journal_shows_an_order_that_ran_twice() {
+    let server = BackendStandin::spawn(BackendOptions::new(1)).await;
+    let server = server.expect("server");
+    let address = server.address();
+    for id in ["a", "b"] {
+        let answer = order(address, id, r#"{"key":"pair-7"}"#).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    let answer = exchange(address, "GET /journal", "", "").await;
+    let (_, body) = answer.split_once("\r\n\r\n").expect("a body");
+    let journal: Vec<JournalEntry> = serde_json::from_str(body).expect("journal");
+    let ids: Vec<_> = journal.iter().map(|e| &*e.request_id).collect();
+    assert_eq!(ids, ["a", "b"]);
+    for entry in &journal {
+        assert_eq!(entry.order_key.as_deref(), Some("pair-7"));
+        assert_eq!((entry.class, &*entry.tenant), (Class::Order, "shop-1"));
+        assert_eq!(entry.outcome, RunOutcome::Done);
+        assert!(entry.finished > Some(entry.started), "{entry:?}");
+    }
+}
+
+/// Guards against refusals that lack the promise that the request was not run.
+#[tokio::test]
+async fn refusals_promise_that_nothing_ran() {
+    let server = BackendStandin::spawn(BackendOptions::new(1)).await;
+    let server = server.expect("server");
+    let address = server.address();
+    let late = "x-request-id: a\r\nx-tenant: t\r\nx-deadline-ms: 0\r\n";
+    let cases = [
+        ("no id", "x-tenant: t\r\n", "400"),
+        ("no tenant", "x-request-id: a\r\n", "400"),
+        ("late", late, "503"),
+    ];
+    for (name, headers, status) in cases {
+        let answer = exchange(address, "POST /orders", headers, "{}").await;
+        let expected = format!("HTTP/1.1 {status}");
+        assert!(answer.starts_with(&expected), "{name}: {answer}");
+        assert!(answer.contains("x-not-run: true"), "{name}: {answer}");
+    }
+    let drained = exchange(address, "POST /drain", "", "").await;
+    assert!(drained.starts_with("HTTP/1.1 202"), "{drained}");
+    let answer = order(address, "b", "{}").await;
+    assert!(answer.contains("x-not-run: true"), "{answer}");
+    assert_eq!(server.journal(), []);
+}
+
+/// Guards against a cold start without effect, or without end.
+#[tokio::test]
+async fn cold_start_slows_runs_down_for_its_length() {
+    let length = Duration::from_millis(100);
+    let service_time = Duration::from_millis(30);
+    let options = BackendOptions::new(1)
+        .service_time(ServiceTime::Fixed(service_time))
+        .cold_start(length, 5.0);
+    let server = BackendStandin::spawn(options).await.expect("server");
+    let mut times = Vec::new();
+    for id in ["cold", "warm"] {
+        let start = Instant::now();
+        order(server.address(), id, "{}").await;
+        times.push(start.elapsed());
+    }
+    assert!(times[0] >= service_time * 5, "{times:?}");
+    assert!(times[1] < service_time * 5, "{times:?}");
+}
+
+/// Guards against a killed server that goes on with its runs unseen.
+#[tokio::test]
+async fn kill_interrupts_runs() {
+    let long = ServiceTime::Fixed(Duration::from_secs(10));
+    let options = BackendOptions::new(1).service_time(long);
+    let server = BackendStandin::spawn(options).await.expect("server");
+    let address = server.address();
+    let (answer, ()) = tokio::join!(order(address, "a", "{}"), async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        server.kill();
+    });
+    assert_eq!(answer, "");
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    assert_eq!(server.journal()[0].outcome, RunOutcome::Interrupted);
+    assert!(TcpStream::connect(address).await.is_err(), "still listens");
+}
+
+/// Guards against readings that differ between servers, or a newest one that isn't the time's.
+#[tokio::test]
+async fn feeds_start_at_the_newest_reading() {
+    let interval = Duration::from_secs(100);
+    let epoch = SystemTime::now() - Duration::from_secs(750);
+    let headers = "x-request-id: a\r\nx-tenant: t\r\n";
+    let mut answers = Vec::new();
+    for seed in [1, 2] {
+        let options = BackendOptions::new(seed)
+            .feed_seed(5)
+            .feed_epoch(epoch)
+            .reading_interval(interval)
+            .feed_len(1);
+        let server = BackendStandin::spawn(options).await.expect("server");
+        answers.push(exchange(server.address(), "GET /feeds", headers, "").await);
+    }
+    for answer in answers {
+        assert!(answer.contains("x-first-sequence: 7\r\n"), "{answer}");
+        assert!(answer.contains(&reading(5, 7)), "{answer}");
+    }
+}
