--- a/crates/cranberrypitch-standins/src/deployment.rs
+++ b/crates/cranberrypitch-standins/src/deployment.rs
@@ -248,7 +248,7 @@
             ip: self.subnet.next(),
             failure_domain: self.domain(self.targets.len()),
             keys: Arc::clone(&self.keys),
-            certificate: self.authority.issue(name)?,
+            certificate: Arc::new(self.authority.issue(name)?),
             balancers: self.return_balancers(),
             seed: self.options.seed.wrapping_add(self.targets.len() as u64),
             service_time: self.options.service_time,
@@ -300,7 +300,7 @@
 
     /// Returns a caller's transport with these timeouts.
     pub fn caller_with(&self, transport: &TransportOptions) -> Result<Caller> {
-        let authorities = Authorities::from_pem(self.authority.certificate_pem().as_bytes())?;
+        let authorities = Authorities::from_pem(self.authority.pem().as_bytes())?;
         let config = tls::client_config(&authorities, tls::transport_config(transport)?)?;
         Ok(Caller::try_new(
             Ipv4Addr::LOCALHOST,
--- a/crates/cranberrypitch-standins/src/deployment/target.rs
+++ b/crates/cranberrypitch-standins/src/deployment/target.rs
@@ -17,7 +17,7 @@
 
 use super::vm_id;
 use crate::backend::{BackendHandle, BackendOptions, BackendStandin, JournalEntry, ServiceTime};
-use crate::certs::IssuedCertificate;
+use crate::certs::ServiceCertificate;
 use crate::errors::{Error, Result};
 
 /// Where agents receive tunnel datagrams.
@@ -32,7 +32,7 @@
     pub(crate) ip: Ipv4Addr,
     pub(crate) failure_domain: FailureDomain,
     pub(crate) keys: Arc<KeyRing>,
-    pub(crate) certificate: IssuedCertificate,
+    pub(crate) certificate: Arc<ServiceCertificate>,
     pub(crate) balancers: Vec<ReturnBalancer>,
     pub(crate) seed: u64,
     pub(crate) service_time: ServiceTime,
@@ -144,7 +144,7 @@
         incarnation: incarnation_now(),
     };
     let certificate = Certificate::from_pem(
-        seed.certificate.certificate_pem().as_bytes(),
+        seed.certificate.pem().as_bytes(),
         seed.certificate.key_pem().as_bytes(),
     )?;
     let admission = AdmissionOptions::builder(seed.service.slots, seed.service.connections)
