Add the control channel between daemons

Both ends of a session prove that they hold a control key of the same generation, and each message is signed with a key of the session. Sessions, handshakes, message sizes and waiting notices are bounded, and peers that are slow, silent or unknown are dropped with a typed error and an event at both ends.

--- /dev/null
+++ b/crates/cranberrypitch-net/src/control/handshake.rs
@@ -0,0 +1,136 @@
+//! Mutual authentication at the begin of a session.
+//!
+//! The client names the key generations it holds and the server picks one. Each end signs its
+//! role and both nonces, so a recorded or returned signature proves nothing.
+
+use cranberrypitch_core::KeyGeneration;
+use cranberrypitch_proto::control::{Handshake, NONCE_LEN_BYTES, RefusalReason, VERSION};
+use ring::rand::{SecureRandom, SystemRandom};
+
+use crate::control::channel::Channel;
+use crate::control::session::{Nonces, Role, SessionKey};
+use crate::errors::ControlFault;
+use crate::keys::ControlKeys;
+
+type Outcome<T> = std::result::Result<T, ControlFault>;
+
+/// Authenticates the server to this client and the reverse.
+pub(super) async fn as_client(channel: &mut Channel, keys: &ControlKeys) -> Outcome<SessionKey> {
+    let result = client_steps(channel, keys).await;
+    tell_refusal(channel, &result).await;
+    result
+}
+
+/// Authenticates the client to this server and the reverse. The caller sends
+/// [`Handshake::Welcome`] or refuses the client for want of room.
+pub(super) async fn as_server(channel: &mut Channel, keys: &ControlKeys) -> Outcome<SessionKey> {
+    let result = server_steps(channel, keys).await;
+    tell_refusal(channel, &result).await;
+    result
+}
+
+/// Sends a message of the handshake.
+pub(super) async fn send(channel: &mut Channel, message: &Handshake) -> Outcome<()> {
+    let bytes = message.encode().map_err(ControlFault::Message)?;
+    channel.send(bytes).await
+}
+
+async fn client_steps(channel: &mut Channel, keys: &ControlKeys) -> Outcome<SessionKey> {
+    let client = nonce()?;
+    let hello = Handshake::Hello {
+        version: VERSION,
+        nonce: client,
+        generations: keys.generations(),
+    };
+    send(channel, &hello).await?;
+    let Handshake::Challenge {
+        nonce: server,
+        generation,
+        tag,
+    } = receive(channel).await?
+    else {
+        return Err(unexpected("a challenge"));
+    };
+    let nonces = Nonces { client, server };
+    nonces.verify(Role::Server, keys, generation, &tag)?;
+    let tag = nonces.sign(Role::Client, keys, generation)?;
+    send(channel, &Handshake::Proof { tag }).await?;
+    let Handshake::Welcome = receive(channel).await? else {
+        return Err(unexpected("a welcome"));
+    };
+    SessionKey::derive(&nonces, keys, generation, Role::Client)
+}
+
+async fn server_steps(channel: &mut Channel, keys: &ControlKeys) -> Outcome<SessionKey> {
+    let Handshake::Hello {
+        version,
+        nonce: client,
+        generations,
+    } = receive(channel).await?
+    else {
+        return Err(unexpected("a hello"));
+    };
+    if version != VERSION {
+        return Err(ControlFault::UnknownVersion { version });
+    }
+    let generation = pick_generation(keys, &generations)?;
+    let nonces = Nonces {
+        client,
+        server: nonce()?,
+    };
+    let challenge = Handshake::Challenge {
+        nonce: nonces.server,
+        generation,
+        tag: nonces.sign(Role::Server, keys, generation)?,
+    };
+    send(channel, &challenge).await?;
+    let Handshake::Proof { tag } = receive(channel).await? else {
+        return Err(unexpected("a proof"));
+    };
+    nonces.verify(Role::Client, keys, generation, &tag)?;
+    SessionKey::derive(&nonces, keys, generation, Role::Server)
+}
+
+/// Prefers the generation that signs here, so sessions follow a rotation.
+fn pick_generation(keys: &ControlKeys, offered: &[KeyGeneration]) -> Outcome<KeyGeneration> {
+    let mut held = keys.generations().into_iter();
+    let shared = held.find(|generation| offered.contains(generation));
+    shared.ok_or(ControlFault::NoSharedKey)
+}
+
+async fn receive(channel: &mut Channel) -> Outcome<Handshake> {
+    let bytes = channel.receive().await?;
+    match Handshake::decode(&bytes).map_err(ControlFault::Message)? {
+        Handshake::Refused(reason) => Err(ControlFault::Refused(reason)),
+        message => Ok(message),
+    }
+}
+
+/// Tells the other end why it is refused, so the failure is typed and logged at both ends.
+async fn tell_refusal(channel: &mut Channel, result: &Outcome<SessionKey>) {
+    let reason = match result {
+        Err(ControlFault::NoSharedKey) => RefusalReason::NoSharedKey,
+        Err(ControlFault::WrongKey { .. }) => RefusalReason::WrongKey,
+        Err(ControlFault::UnknownVersion { .. }) => RefusalReason::UnknownVersion,
+        Err(ControlFault::Message(_) | ControlFault::Unexpected { .. }) => {
+            RefusalReason::Unexpected
+        }
+        _ => return,
+    };
+    // The connection ends anyway, so a refusal that can't be sent changes nothing.
+    drop(send(channel, &Handshake::Refused(reason)).await);
+}
+
+const fn unexpected(expected: &'static str) -> ControlFault {
+    ControlFault::Unexpected { expected }
+}
+
+fn nonce() -> Outcome<[u8; NONCE_LEN_BYTES]> {
+    let mut nonce = [0; NONCE_LEN_BYTES];
+    match SystemRandom::new().fill(&mut nonce) {
+        Ok(()) => Ok(nonce),
+        Err(ring::error::Unspecified) => {
+            Err(ControlFault::connection(&"no random bytes available"))
+        }
+    }
+}
--- a/crates/cranberrypitch-net/src/errors.rs
+++ b/crates/cranberrypitch-net/src/errors.rs
@@ -1,10 +1,11 @@
 //! The error type of the crate.
 
 use std::io;
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::Path;
 
 use cranberrypitch_core::KeyGeneration;
+use cranberrypitch_proto::control::RefusalReason;
 use derive_more::{Display, Error};
 
 /// A result with the error type of this crate.
@@ -17,18 +18,6 @@
     /// A settings or key file is refused.
     #[display("{_0}")]
     Refused(#[error(not(source))] Problems),
-    /// A signature names a key generation that is not held.
-    #[display("no key of generation {generation}")]
-    UnknownKeyGeneration {
-        /// The generation found.
-        generation: KeyGeneration,
-    },
-    /// A signature does not match the key of its generation.
-    #[display("signature does not match the key of generation {generation}")]
-    WrongKey {
-        /// The generation found.
-        generation: KeyGeneration,
-    },
     /// A certificate or its key can't be used.
     #[display("{what}: {detail}")]
     Certificate {
@@ -43,6 +32,22 @@
         /// What the library reported.
         detail: Box<str>,
     },
+    /// An address can't be bound.
+    #[display("address {address} can't be bound: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddrV4,
+        /// What the operating system reported.
+        source: io::Error,
+    },
+    /// A control session failed or could not begin.
+    #[display("control session with {peer}: {fault}")]
+    Control {
+        /// The other end.
+        peer: SocketAddr,
+        /// What went wrong.
+        fault: ControlFault,
+    },
     /// Metrics can't be sent to their address.
     #[display("metrics: {detail}")]
     Metrics {
@@ -221,3 +226,89 @@
         }
     }
 }
+
+/// What went wrong with a control session.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum ControlFault {
+    /// The other end refused this one.
+    #[display("refused by the other end: {_0}")]
+    Refused(RefusalReason),
+    /// No key generation is held by both ends.
+    #[display("no shared key generation")]
+    NoSharedKey,
+    /// The signature of the other end does not match the key.
+    #[display("signature does not match the key of generation {generation}")]
+    WrongKey {
+        /// The generation that both ends hold.
+        generation: KeyGeneration,
+    },
+    /// The other end speaks another version.
+    #[display("protocol version {version} is not known")]
+    UnknownVersion {
+        /// The version found.
+        version: u8,
+    },
+    /// A message is malformed or too long.
+    #[display("{_0}")]
+    Message(cranberrypitch_proto::Error),
+    /// A message does not belong here.
+    #[display("unexpected message instead of {expected}")]
+    Unexpected {
+        /// What was expected.
+        expected: &'static str,
+    },
+    /// The signature of a message in a session does not match.
+    #[display("message signature does not match")]
+    Forged,
+    /// Something took longer than its timeout.
+    #[display("timeout: {step}")]
+    Timeout {
+        /// What took too long.
+        step: &'static str,
+    },
+    /// The other end does not read fast enough.
+    #[display("the other end is too slow")]
+    Slow,
+    /// There are as many sessions, handshakes or requests as there may be.
+    #[display("too many {what}")]
+    Busy {
+        /// What there are too many of.
+        what: &'static str,
+    },
+    /// The server could not answer in time.
+    #[display("the server could not answer in time")]
+    Failed,
+    /// The session has ended.
+    #[display("closed")]
+    Closed,
+    /// The connection failed.
+    #[display("connection: {detail}")]
+    Connection {
+        /// What the connection reported.
+        detail: Box<str>,
+    },
+}
+
+impl ControlFault {
+    /// Returns whether the fault means that one end did not accept the other one.
+    pub const fn is_refusal(&self) -> bool {
+        matches!(
+            self,
+            Self::Refused(_)
+                | Self::NoSharedKey
+                | Self::WrongKey { .. }
+                | Self::UnknownVersion { .. }
+        )
+    }
+
+    pub(crate) fn connection(detail: &impl ToString) -> Self {
+        Self::Connection {
+            detail: detail.to_string().into(),
+        }
+    }
+
+    pub(crate) const fn at(self, peer: SocketAddr) -> Error {
+        Error::Control { peer, fault: self }
+    }
+}
--- a/crates/cranberrypitch-net/src/keys.rs
+++ b/crates/cranberrypitch-net/src/keys.rs
@@ -10,10 +10,11 @@
 use arc_swap::ArcSwap;
 use cranberrypitch_core::KeyGeneration;
 use cranberrypitch_core::token::{CheckKey, TokenKeys};
+use cranberrypitch_proto::control::TAG_LEN_BYTES;
 use ring::{hkdf, hmac};
 use serde_json::{Map, Value};
 
-use crate::errors::{Error, Fault, Problem, Problems, Result};
+use crate::errors::{ControlFault, Error, Fault, Problem, Problems, Result};
 
 /// The length of a generation's secret.
 pub const SECRET_LEN_BYTES: usize = 32;
@@ -140,25 +141,46 @@
         self.current.0
     }
 
+    /// Returns all generations held, the one that signs first.
+    pub fn generations(&self) -> Vec<KeyGeneration> {
+        let other = self.other.iter().map(|key| key.0);
+        std::iter::once(self.current.0).chain(other).collect()
+    }
+
     /// Signs `content` with a generation's key.
-    pub fn sign(&self, generation: KeyGeneration, content: &[u8]) -> Result<hmac::Tag> {
-        Ok(hmac::sign(self.by_generation(generation)?, content))
+    pub fn sign(
+        &self,
+        generation: KeyGeneration,
+        content: &[u8],
+    ) -> std::result::Result<[u8; TAG_LEN_BYTES], ControlFault> {
+        let signed = hmac::sign(self.by_generation(generation)?, content);
+        let mut tag = [0; TAG_LEN_BYTES];
+        tag.copy_from_slice(signed.as_ref());
+        Ok(tag)
     }
 
     /// Verifies the signature of `content` in constant time.
-    pub fn verify(&self, generation: KeyGeneration, content: &[u8], tag: &[u8]) -> Result<()> {
+    pub fn verify(
+        &self,
+        generation: KeyGeneration,
+        content: &[u8],
+        tag: &[u8],
+    ) -> std::result::Result<(), ControlFault> {
         let key = self.by_generation(generation)?;
         match hmac::verify(key, content, tag) {
             Ok(()) => Ok(()),
-            Err(ring::error::Unspecified) => Err(Error::WrongKey { generation }),
+            Err(ring::error::Unspecified) => Err(ControlFault::WrongKey { generation }),
         }
     }
 
-    fn by_generation(&self, generation: KeyGeneration) -> Result<&hmac::Key> {
+    fn by_generation(
+        &self,
+        generation: KeyGeneration,
+    ) -> std::result::Result<&hmac::Key, ControlFault> {
         match &self.other {
             _ if self.current.0 == generation => Ok(&self.current.1),
             Some((held, key)) if *held == generation => Ok(key),
-            _ => Err(Error::UnknownKeyGeneration { generation }),
+            _ => Err(ControlFault::NoSharedKey),
         }
     }
 }
--- a/crates/cranberrypitch-net/src/lib.rs
+++ b/crates/cranberrypitch-net/src/lib.rs
@@ -1,5 +1,6 @@
 //! Shared runtime of the cranberrypitch daemons.
 
+pub mod control;
 pub mod errors;
 pub mod events;
 pub mod keys;
@@ -7,6 +8,7 @@
 pub mod settings;
 pub mod tls;
 
+pub use crate::control::{ControlClient, ControlServer};
 pub use crate::errors::{Error, Result};
 pub use crate::events::Event;
 pub use crate::keys::KeyRing;
--- /dev/null
+++ b/crates/cranberrypitch-net/tests/control.rs
@@ -0,0 +1,462 @@
+//! The contract of the control channel, over loopback.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use cranberrypitch_core::{KeyGeneration, Revision, ServiceName, VmId};
+use cranberrypitch_net::control::{ControlHandler, ControlOptions};
+use cranberrypitch_net::errors::ControlFault;
+use cranberrypitch_net::{ControlClient, ControlServer, Error, KeyRing};
+use cranberrypitch_proto::control::{
+    BalancerEntry, ConfigHead, ConfigShard, Digest, Handshake, Message, Notice, RefusalReason,
+    Request,
+};
+use futures_util::{SinkExt, StreamExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_tungstenite::tungstenite::Message as Frame;
+
+const ANY: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 0);
+const DIGEST: Digest = Digest::new([5; 32]);
+
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+struct Recorder;
+
+impl log::Log for Recorder {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        LINES
+            .lock()
+            .expect("no panic")
+            .push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+/// Waits for a log line with both texts.
+async fn logged(start: &str, part: &str) {
+    let found = || {
+        let lines = LINES.lock().expect("no panic");
+        lines
+            .iter()
+            .any(|line| line.starts_with(start) && line.contains(part))
+    };
+    let wait = async {
+        while !found() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(5), wait).await;
+    assert!(
+        waited.is_ok(),
+        "no line {start} with {part} in {:?}",
+        LINES.lock()
+    );
+}
+
+struct Handler;
+
+impl ControlHandler for Handler {
+    async fn config_head(&self, since: Revision) -> Option<ConfigHead> {
+        (since < Revision::new(7)).then(|| head(10))
+    }
+
+    async fn config_shard(&self, digest: Digest) -> Option<ConfigShard> {
+        let body = Bytes::from(vec![1; 1 << 20]);
+        let revision = Revision::new(7);
+        (digest == DIGEST).then_some(ConfigShard {
+            revision,
+            digest,
+            body,
+        })
+    }
+
+    async fn balancers(&self) -> Vec<BalancerEntry> {
+        std::future::pending().await
+    }
+
+    async fn peer_targets(&self, _: ServiceName) -> Vec<SocketAddrV4> {
+        vec![ANY]
+    }
+
+    async fn status(&self) -> Box<str> {
+        "x".repeat(2 << 20).into()
+    }
+
+    async fn goodbye(&self, _: SocketAddr, _: VmId) {}
+}
+
+fn head(len_bytes: usize) -> ConfigHead {
+    ConfigHead {
+        revision: Revision::new(7),
+        digest: DIGEST,
+        body: Bytes::from(vec![2; len_bytes]),
+    }
+}
+
+fn vm() -> VmId {
+    VmId::try_new("vm-1").expect("a valid name")
+}
+
+fn keys(generation: u8, byte: u8) -> Arc<KeyRing> {
+    Arc::new(KeyRing::from_secret(
+        KeyGeneration::new(generation),
+        &[byte; 32],
+    ))
+}
+
+/// Returns the keys of generations 3 and 4, whose secrets are those of `keys(3, 3)` and
+/// `keys(4, 4)`.
+fn both_keys(current: u8) -> Arc<KeyRing> {
+    let name = format!(
+        "cranberrypitch-{}-control-{current}.json",
+        std::process::id()
+    );
+    let file = std::env::temp_dir().join(name);
+    let key = |generation: u8| {
+        let secret_hex = format!("{generation:02x}").repeat(32);
+        serde_json::json!({ "generation": generation, "secret_hex": secret_hex })
+    };
+    let text = serde_json::json!({ "current": current, "keys": [key(3), key(4)] });
+    std::fs::write(&file, text.to_string()).expect("the file is written");
+    let keys = KeyRing::load(&file).expect("the file is valid");
+    std::fs::remove_file(&file).expect("the file is removed");
+    Arc::new(keys)
+}
+
+fn options() -> ControlOptions {
+    ControlOptions {
+        request_timeout_ms: Duration::from_millis(300),
+        write_timeout_ms: Duration::from_millis(300),
+        handshake_timeout_ms: Duration::from_millis(800),
+        ..ControlOptions::default()
+    }
+}
+
+async fn serve(keys: Arc<KeyRing>, options: ControlOptions) -> (ControlServer, SocketAddrV4) {
+    // The first server of the process sets the logger, the others find it set.
+    if log::set_logger(&Recorder).is_ok() {
+        log::set_max_level(log::LevelFilter::Debug);
+    }
+    let server = ControlServer::bind_with(ANY, keys, Handler, options).await;
+    let server = server.expect("a free port");
+    let SocketAddr::V4(address) = server.local_address() else {
+        panic!("bound to IPv4");
+    };
+    (server, address)
+}
+
+async fn refusal(address: SocketAddrV4, keys: &KeyRing) -> ControlFault {
+    match ControlClient::connect_with(address, keys, options()).await {
+        Err(Error::Control { fault, .. }) => fault,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+fn fault<T: std::fmt::Debug>(result: Result<T, Error>) -> ControlFault {
+    match result {
+        Err(Error::Control { fault, .. }) => fault,
+        other => panic!("no control fault: {other:?}"),
+    }
+}
+
+async fn until_empty(server: &ControlServer) {
+    let wait = async {
+        while server.sessions() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(5), wait).await;
+    waited.expect("the session ends");
+}
+
+/// Guards against an answer that is lost, goes to another request or ends the session when it
+/// is late or too long.
+#[tokio::test]
+async fn each_request_gets_its_answer() {
+    let (server, address) = serve(keys(3, 3), options()).await;
+    let connected =
+        ControlClient::connect_with(address, &keys(3, 3), ControlOptions::default()).await;
+    let (client, mut notices) = connected.expect("the same key");
+    let (head_answer, shard, unknown) = tokio::join!(
+        client.config_head(Revision::new(6)),
+        client.config_shard(DIGEST),
+        client.config_shard(Digest::new([0; 32])),
+    );
+    assert_eq!(head_answer.expect("answered"), Some(head(10)));
+    assert_eq!(
+        shard.expect("answered").map(|shard| shard.body.len()),
+        Some(1 << 20)
+    );
+    assert_eq!(unknown.expect("answered"), None);
+    assert_eq!(
+        client
+            .config_head(Revision::new(7))
+            .await
+            .expect("answered"),
+        None
+    );
+    assert_eq!(
+        fault(client.balancers().await),
+        ControlFault::Failed,
+        "late"
+    );
+    assert_eq!(
+        fault(client.status().await),
+        ControlFault::Failed,
+        "too long"
+    );
+    client.goodbye(vm()).await.expect("answered");
+    client.ping().await.expect("answered");
+    server
+        .notify(Notice::Goodbye { vm: vm() })
+        .expect("it encodes");
+    server.stop().await;
+    assert_eq!(
+        notices.next().await.expect("sent before the stop"),
+        Notice::Goodbye { vm: vm() }
+    );
+    assert_eq!(fault(notices.next().await), ControlFault::Closed);
+    assert_eq!(fault(client.ping().await), ControlFault::Closed);
+}
+
+/// Guards against a rotation of keys that cuts sessions off.
+#[tokio::test]
+async fn either_generation_opens_a_session() {
+    let cases = [
+        (both_keys(4), keys(3, 3)),
+        (keys(3, 3), both_keys(4)),
+        (both_keys(3), both_keys(4)),
+        (keys(4, 4), both_keys(3)),
+    ];
+    for (server_keys, client_keys) in cases {
+        let (_server, address) = serve(server_keys, options()).await;
+        let (client, _) = ControlClient::connect(address, &client_keys)
+            .await
+            .expect("shared key");
+        client.ping().await.expect("answered");
+    }
+}
+
+/// Guards against a wrong or missing key that passes, or fails without a line at both ends.
+#[tokio::test]
+async fn a_wrong_key_is_refused_and_logged_at_both_ends() {
+    let refused = ControlFault::Refused(RefusalReason::NoSharedKey);
+    let cases = [
+        (
+            keys(3, 9),
+            ControlFault::WrongKey {
+                generation: KeyGeneration::new(3),
+            },
+            "wrong key",
+        ),
+        (keys(5, 3), refused, "no shared key generation"),
+    ];
+    for (client_keys, expected, server_text) in cases {
+        let (server, address) = serve(keys(3, 3), options()).await;
+        assert_eq!(refusal(address, &client_keys).await, expected);
+        logged("CP0704", &address.to_string()).await;
+        logged("CP0703", server_text).await;
+        assert_eq!(server.sessions(), 0);
+    }
+}
+
+/// Guards against a peer without a key that gets past the handshake by any first messages.
+#[tokio::test]
+async fn peers_without_a_key_are_refused() {
+    let hello = |version| {
+        let generations = vec![KeyGeneration::new(3)];
+        let hello = Handshake::Hello {
+            version,
+            nonce: [0; 32],
+            generations,
+        };
+        Frame::binary(hello.encode().expect("it encodes"))
+    };
+    let proof = Handshake::Proof { tag: [0; 32] }
+        .encode()
+        .expect("it encodes");
+    let request = Message::Request {
+        id: 1,
+        request: Request::StatusQuery,
+    };
+    let cases = [
+        (vec![Frame::binary(vec![0xff; 100])], "malformed handshake"),
+        (vec![Frame::binary(vec![0; 513])], "over the limit of 512"),
+        (
+            vec![Frame::binary(vec![0; 2 << 20])],
+            "over the limit of 1064992",
+        ),
+        (
+            vec![Frame::text("hello")],
+            "unexpected message instead of a binary frame",
+        ),
+        (
+            vec![Frame::binary(request.encode().expect("it encodes"))],
+            "malformed handshake",
+        ),
+        (
+            vec![Frame::binary(proof.clone())],
+            "unexpected message instead of a hello",
+        ),
+        (vec![hello(9)], "protocol version 9 is not known"),
+        (
+            vec![hello(1), hello(1)],
+            "unexpected message instead of a proof",
+        ),
+        (
+            vec![hello(1), Frame::binary(proof)],
+            "does not match the key of generation 3",
+        ),
+        (vec![hello(1)], "timeout: handshake"),
+    ];
+    for (frames, expected) in cases {
+        let (server, address) = serve(keys(3, 3), options()).await;
+        let opened = tokio_tungstenite::connect_async(format!("ws://{address}/")).await;
+        let (mut socket, _) = opened.expect("the port is open");
+        let local = match socket.get_ref() {
+            tokio_tungstenite::MaybeTlsStream::Plain(stream) => stream.local_addr(),
+            _ => panic!("plain TCP"),
+        };
+        for frame in frames {
+            // The server may have closed the connection already.
+            drop(socket.send(frame).await);
+        }
+        while let Some(Ok(frame)) = socket.next().await {
+            let message = Handshake::decode(&frame.into_data());
+            assert_ne!(message, Ok(Handshake::Welcome), "{expected}");
+        }
+        let peer = local.expect("connected");
+        logged(&format!("CP0703 control peer {peer} refused"), expected).await;
+        assert_eq!(server.sessions(), 0, "{expected}");
+    }
+}
+
+/// Guards against a client that waits forever for a server that accepts and stays silent.
+#[tokio::test]
+async fn a_silent_server_is_given_up() {
+    let listener = TcpListener::bind(ANY).await.expect("a free port");
+    let Ok(SocketAddr::V4(address)) = listener.local_addr() else {
+        panic!("bound to IPv4");
+    };
+    let expected = ControlFault::Timeout { step: "handshake" };
+    assert_eq!(refusal(address, &keys(3, 3)).await, expected);
+}
+
+/// Guards against more sessions than the memory of a daemon allows.
+#[tokio::test]
+async fn sessions_are_bounded() {
+    let bounded = ControlOptions {
+        sessions_max: 1,
+        ..options()
+    };
+    let (server, address) = serve(keys(3, 3), bounded).await;
+    let first = ControlClient::connect(address, &keys(3, 3))
+        .await
+        .expect("there is room");
+    let busy = ControlFault::Refused(RefusalReason::Busy);
+    assert_eq!(refusal(address, &keys(3, 3)).await, busy);
+    drop(first);
+    until_empty(&server).await;
+    ControlClient::connect(address, &keys(3, 3))
+        .await
+        .expect("there is room again");
+}
+
+/// Guards against a peer that does not read, or is frozen, and holds up others or a session.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_and_frozen_peers_are_dropped() {
+    let short = ControlOptions {
+        idle_timeout_ms: Duration::from_millis(400),
+        ..options()
+    };
+    let cases = [(options(), 40, "too slow"), (short, 0, "timeout: idle")];
+    for (options, notices, expected) in cases {
+        let (server, address) = serve(keys(3, 3), options).await;
+        // A runtime that nobody drives after the handshake freezes the client's end.
+        let frozen = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build();
+            let runtime = runtime.expect("a runtime");
+            let client = runtime.block_on(ControlClient::connect(address, &keys(3, 3)));
+            (client.expect("the same key"), runtime)
+        });
+        let frozen = frozen.join().expect("no panic");
+        for _ in 0..notices {
+            server
+                .notify(Notice::ConfigHead(head(1 << 20)))
+                .expect("it encodes");
+        }
+        until_empty(&server).await;
+        logged("CP0705", expected).await;
+        tokio::task::spawn_blocking(move || drop(frozen))
+            .await
+            .expect("no panic");
+    }
+}
+
+/// Guards against a reader of notices that stops reading and takes memory without bound.
+#[tokio::test]
+async fn unread_notices_end_the_session() {
+    let (server, address) = serve(keys(3, 3), options()).await;
+    let bounded = ControlOptions {
+        notices_max: 2,
+        ..options()
+    };
+    let connected = ControlClient::connect_with(address, &keys(3, 3), bounded).await;
+    let (client, mut notices) = connected.expect("the same key");
+    for _ in 0..3 {
+        server
+            .notify(Notice::Goodbye { vm: vm() })
+            .expect("it encodes");
+    }
+    until_empty(&server).await;
+    assert!(client.is_closed());
+    for _ in 0..2 {
+        notices.next().await.expect("it was in time");
+    }
+    assert_eq!(fault(notices.next().await), ControlFault::Closed);
+}
+
+/// Guards against a message that someone on the path has changed.
+#[tokio::test]
+async fn changed_messages_end_the_session() {
+    let (server, address) = serve(keys(3, 3), options()).await;
+    let listener = TcpListener::bind(ANY).await.expect("a free port");
+    let Ok(SocketAddr::V4(proxy)) = listener.local_addr() else {
+        panic!("bound to IPv4");
+    };
+    let (tamper, tampering) = tokio::sync::watch::channel(false);
+    tokio::spawn(async move {
+        let (client, _) = listener.accept().await.expect("a client");
+        let server = TcpStream::connect(address).await.expect("the server");
+        let (mut from_client, mut to_client) = client.into_split();
+        let (mut from_server, mut to_server) = server.into_split();
+        tokio::spawn(async move { tokio::io::copy(&mut from_client, &mut to_server).await });
+        let mut buffer = [0; 4096];
+        while let Ok(len_bytes @ 1..) = from_server.read(&mut buffer).await {
+            buffer[len_bytes - 1] ^= u8::from(*tampering.borrow());
+            to_client
+                .write_all(&buffer[..len_bytes])
+                .await
+                .expect("the client reads");
+        }
+    });
+    let connected = ControlClient::connect_with(proxy, &keys(3, 3), options()).await;
+    let (client, mut notices) = connected.expect("the proxy changes nothing yet");
+    client.ping().await.expect("answered");
+    tamper.send_replace(true);
+    server
+        .notify(Notice::Goodbye { vm: vm() })
+        .expect("it encodes");
+    assert_eq!(fault(notices.next().await), ControlFault::Forged);
+    logged("CP0705", "message signature does not match").await;
+}
