Add the start and stop of daemons

A daemon reads settings and keys, sets up the log, catches signals and runs on the control thread. SIGHUP reloads the keys, SIGTERM and SIGINT stop it gracefully, and a traffic thread that fails ends the process with code 1.

--- a/crates/cranberrypitch-net/src/errors.rs
+++ b/crates/cranberrypitch-net/src/errors.rs
@@ -48,6 +48,14 @@
         /// What went wrong.
         fault: ControlFault,
     },
+    /// A thread, its runtime or its signals failed.
+    #[display("{name}: {detail}")]
+    Thread {
+        /// The thread, or what it needs.
+        name: Box<str>,
+        /// What went wrong.
+        detail: Box<str>,
+    },
     /// Metrics can't be sent to their address.
     #[display("metrics: {detail}")]
     Metrics {
@@ -70,6 +78,14 @@
         }
     }
 
+    /// Returns an error about a thread, its runtime or its signals.
+    pub fn thread(name: &str, detail: &impl ToString) -> Self {
+        Self::Thread {
+            name: name.into(),
+            detail: detail.to_string().into(),
+        }
+    }
+
     /// Returns an error about the address of metrics.
     pub fn metrics(detail: &impl ToString) -> Self {
         Self::Metrics {
--- a/crates/cranberrypitch-net/src/lib.rs
+++ b/crates/cranberrypitch-net/src/lib.rs
@@ -1,6 +1,7 @@
 //! Shared runtime of the cranberrypitch daemons.
 
 pub mod control;
+pub mod daemon;
 pub mod errors;
 pub mod events;
 pub mod keys;
--- /dev/null
+++ b/crates/cranberrypitch-net/tests/daemon.rs
@@ -0,0 +1,214 @@
+//! Start, signals and exit codes of a daemon.
+
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cranberrypitch_core::ManualClock;
+use cranberrypitch_net::daemon::{self, ExitStatus, Signal, Startup, StopFlag, TrafficThreads};
+use cranberrypitch_net::{AgentSettings, Error};
+use serde_json::json;
+
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+struct Recorder;
+
+impl log::Log for Recorder {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        LINES
+            .lock()
+            .expect("no panic")
+            .push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+fn assert_logged(part: &str) {
+    let lines = LINES.lock().expect("no panic");
+    assert!(
+        lines.iter().any(|line| line.contains(part)),
+        "{part} not in {lines:?}"
+    );
+}
+
+/// A directory of its own for each test, removed at its end.
+struct TestFiles(PathBuf);
+
+impl TestFiles {
+    fn new(name: &str) -> Self {
+        // The first test of the process sets the logger, the others find it set.
+        drop(log::set_logger(&Recorder));
+        let name = format!("cranberrypitch-{}-{name}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&directory).expect("the directory is made");
+        let files = Self(directory);
+        files.write_keys(3);
+        let address = free_address();
+        let settings = json!({
+            "vm": "vm-1", "failure_domain": "mitt-a", "region": "sverige-mitt",
+            "service": "verkstad", "tunnel_address": address, "store_address": "127.0.0.1:1",
+            "backend_address": "127.0.0.1:1", "key_file": files.0.join("keys.json"),
+            "certificate_file": "unused", "certificate_key_file": "unused",
+        });
+        files.write("settings.json", &settings.to_string());
+        files
+    }
+
+    fn settings(&self) -> PathBuf {
+        self.0.join("settings.json")
+    }
+
+    fn write_keys(&self, generation: u8) {
+        let key = json!({ "generation": generation, "secret_hex": "07".repeat(32) });
+        let keys = json!({ "current": generation, "keys": [key] });
+        self.write("keys.json", &keys.to_string());
+    }
+
+    fn write(&self, name: &str, text: &str) {
+        std::fs::write(self.0.join(name), text).expect("the file is written");
+    }
+}
+
+impl Drop for TestFiles {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.0).expect("the directory is removed");
+    }
+}
+
+fn free_address() -> String {
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    socket.local_addr().expect("bound").to_string()
+}
+
+fn raise(signal: &str) {
+    let command = format!("kill -{signal} {}", std::process::id());
+    let status = std::process::Command::new("sh")
+        .args(["-c", &command])
+        .status();
+    assert!(status.expect("a shell").success());
+}
+
+async fn wait_for_line(part: &str) {
+    let found = || {
+        LINES
+            .lock()
+            .expect("no panic")
+            .iter()
+            .any(|line| line.contains(part))
+    };
+    for _ in 0..1000 {
+        if found() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("{part} was not logged");
+}
+
+/// Guards against a stop that is not graceful, and a SIGHUP that stops the daemon, takes no new
+/// keys or loses the keys in force.
+#[test]
+fn signals_reload_keys_and_stop_gracefully() {
+    let files = TestFiles::new("signals");
+    let body = async |mut startup: Startup<AgentSettings>| {
+        let keys = Arc::clone(&startup.keys);
+        let steps = async {
+            files.write_keys(4);
+            raise("HUP");
+            wait_for_line("CP0701 keys reloaded, generation 4 signs").await;
+            files.write("keys.json", "{}");
+            raise("HUP");
+            wait_for_line("CP0702 keys refused").await;
+            raise("TERM");
+        };
+        let stop = daemon::until_stop(&mut startup.signals, &keys);
+        let (signal, ()) = tokio::join!(stop, steps);
+        assert_eq!(signal, Signal::Terminate);
+        assert_eq!(keys.keys().control().generation().get(), 4);
+        Ok::<(), Error>(())
+    };
+    assert_eq!(daemon::run(&files.settings(), body), ExitStatus::Graceful);
+    assert_logged("CP0101 agent started on vm-1");
+    assert_logged("CP0102 graceful stop requested by SIGTERM");
+    assert_logged("CP0103 agent stopped with exit code 0");
+}
+
+/// Guards against a daemon that starts with refused settings, or ends with another code.
+#[test]
+fn refused_settings_end_with_code_2() {
+    let files = TestFiles::new("refused");
+    let run = |file: &Path| {
+        daemon::run(
+            file,
+            async |_: Startup<AgentSettings>| -> Result<(), Error> { panic!("the daemon starts") },
+        )
+    };
+    assert_eq!(run(Path::new("/nonexistent/a.json")), ExitStatus::Refused);
+    assert_logged("CP0201 settings refused: /nonexistent/a.json: can't be read");
+    files.write("keys.json", r#"{"current": 99, "keys": []}"#);
+    assert_eq!(run(&files.settings()), ExitStatus::Refused);
+    assert_logged("keys.json: keys: the value is not allowed");
+    assert_logged("keys.json: current: 99 is not allowed");
+    let settings = std::fs::read_to_string(files.settings()).expect("written above");
+    let settings: AgentSettings = AgentSettings::parse(Path::new("a"), &settings).expect("valid");
+    let _in_use = std::net::UdpSocket::bind(settings.tunnel_address).expect("a free port");
+    assert_eq!(run(&files.settings()), ExitStatus::Refused);
+    assert_logged("settings.json: tunnel_address: address 127.0.0.1:");
+    assert_eq!(ExitStatus::Refused.code(), 2);
+}
+
+/// Guards against a failed traffic thread that leaves a daemon running without traffic.
+#[test]
+fn a_failed_thread_ends_the_process_with_code_1() {
+    type Body = fn(&StopFlag) -> Result<(), Error>;
+    let cases: [(Body, &str); 3] = [
+        (
+            |_| Err(Error::thread("socket", &"broken")),
+            "socket: broken",
+        ),
+        (|_| Ok(()), "ended by itself"),
+        (|_| panic!("bug"), "panic: bug"),
+    ];
+    for (index, (thread_body, expected)) in cases.into_iter().enumerate() {
+        let files = TestFiles::new(&format!("thread-{index}"));
+        let body = async |_: Startup<AgentSettings>| {
+            let mut threads = TrafficThreads::new();
+            threads.spawn("traffic", thread_body)?;
+            Err::<(), Error>(threads.failure().await)
+        };
+        assert_eq!(daemon::run(&files.settings(), body), ExitStatus::Failed);
+        assert_logged(&format!("CP0106 thread traffic failed: {expected}"));
+    }
+    assert_logged("CP0104 agent failed: traffic: panic: bug");
+    assert_eq!(ExitStatus::Failed.code(), 1);
+}
+
+/// Guards against a stop that leaves traffic threads behind, or calls their end a failure.
+#[test]
+fn threads_end_when_asked_to() {
+    let mut threads = TrafficThreads::new();
+    for _ in 0..2 {
+        let body = |stop: &StopFlag| {
+            while !stop.is_set() {
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            Ok::<(), Error>(())
+        };
+        threads.spawn("traffic", body).expect("a thread");
+    }
+    threads.stop().expect("both end without a failure");
+}
+
+/// Guards against a restart whose incarnation does not exceed that of the run before.
+#[test]
+fn a_later_run_has_a_higher_incarnation() {
+    let clock = ManualClock::new();
+    let first = daemon::new_incarnation(&clock);
+    clock.advance(Duration::from_micros(1));
+    assert!(daemon::new_incarnation(&clock) > first);
+}
