--- a/crates/cranberrypitch-net/src/lib.rs
+++ b/crates/cranberrypitch-net/src/lib.rs
@@ -1,5 +1,7 @@
 //! Shared runtime of the cranberrypitch daemons.
 
+pub mod control;
+pub mod daemon;
 pub mod errors;
 pub mod events;
 pub mod keys;
@@ -8,6 +10,7 @@
 pub mod store;
 pub mod tls;
 
+pub use crate::control::{ControlClient, ControlServer};
 pub use crate::errors::{Error, Result};
 pub use crate::events::Event;
 pub use crate::keys::KeyRing;
