--- a/crates/cranberrypitch-agent/src/announce.rs
+++ b/crates/cranberrypitch-agent/src/announce.rs
@@ -168,10 +168,10 @@
 impl Message<ControlDatagram> for AnnounceActor {
     type Reply = ();
 
-    async fn handle(&mut self, datagram: ControlDatagram, _: &mut Context<Self, ()>) {
-        match datagram.header.kind {
-            Kind::ReportAck => self.take_ack(&datagram),
-            Kind::Goodbye => self.table.on_goodbye(datagram.from),
+    async fn handle(&mut self, msg: ControlDatagram, _: &mut Context<Self, ()>) {
+        match msg.header.kind {
+            Kind::ReportAck => self.take_ack(&msg),
+            Kind::Goodbye => self.table.on_goodbye(msg.from),
             _ => return,
         }
         self.publish();
@@ -181,9 +181,9 @@
 impl Message<SetBalancers> for AnnounceActor {
     type Reply = ();
 
-    async fn handle(&mut self, listed: SetBalancers, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, msg: SetBalancers, _: &mut Context<Self, ()>) {
         let now = self.args.clock.now();
-        for balancer in listed.0 {
+        for balancer in msg.0 {
             self.table.on_return(balancer.tunnel_address);
             self.table.add(balancer, now);
         }
--- a/crates/cranberrypitch-agent/src/daemon.rs
+++ b/crates/cranberrypitch-agent/src/daemon.rs
@@ -134,7 +134,9 @@
                     ));
                 }
             })?;
-        let parts = parts.recv().map_err(|_| Error::ended("control thread"))?;
+        let parts = parts
+            .recv()
+            .map_err(|_closed| Error::ended("control thread"))?;
         let server = Arc::new(Server {
             backend: Arc::new(backend),
             target: parts.target.clone(),
@@ -188,7 +190,7 @@
     /// Tells the agent which balancers are listed as live.
     pub async fn set_balancers(&self, balancers: Vec<ReturnBalancer>) -> Result<()> {
         let sent = self.announce.tell(SetBalancers(balancers)).await;
-        sent.map_err(|_| Error::ended("announce actor"))
+        sent.map_err(|_closed| Error::ended("announce actor"))
     }
 
     /// Tells the agent which configuration is in force.
@@ -201,11 +203,11 @@
         self.target
             .tell(Drain)
             .await
-            .map_err(|_| Error::ended("target actor"))?;
+            .map_err(|_closed| Error::ended("target actor"))?;
         self.announce
             .tell(ReportNow)
             .await
-            .map_err(|_| Error::ended("announce actor"))
+            .map_err(|_closed| Error::ended("announce actor"))
     }
 
     /// Drains, waits until nothing runs any more or the drain deadline has passed, and stops.
--- a/crates/cranberrypitch-agent/src/flows.rs
+++ b/crates/cranberrypitch-agent/src/flows.rs
@@ -8,7 +8,7 @@
 
 /// Entries that have been idle for longer may be dropped: no connection outlives it, as its idle
 /// timeout is shorter.
-const IDLE: Duration = Duration::from_secs(120);
+const IDLE: Duration = Duration::from_mins(2);
 
 /// Bounds the memory that spoofed caller addresses can take.
 const MAX_ENTRIES: usize = 65_536;
--- a/crates/cranberrypitch-agent/src/run.rs
+++ b/crates/cranberrypitch-agent/src/run.rs
@@ -47,7 +47,7 @@
         order.finish(ended_by(result)).await
     });
     run.await
-        .unwrap_or_else(|_| Ended::without_body(Outcome::Unknown))
+        .unwrap_or_else(|_panicked| Ended::without_body(Outcome::Unknown))
 }
 
 /// Passes an upload on.
--- a/crates/cranberrypitch-agent/src/server.rs
+++ b/crates/cranberrypitch-agent/src/server.rs
@@ -6,9 +6,7 @@
 
 use cranberrypitch_core::RoutingToken;
 use cranberrypitch_core::ids::RequestId;
-use cranberrypitch_core::{
-    ByteSize, Class, Incarnation, NotRunReason, Outcome, TargetState, TokenKeys,
-};
+use cranberrypitch_core::{ByteSize, Class, Incarnation, NotRunReason, Outcome, TargetState};
 use cranberrypitch_proto::request::{
     AgentFrame, CallerFrame, PREFIX_LEN_BYTES, RequestHead, decode_frame, encode_frame, frame_len,
 };
@@ -76,8 +74,7 @@
 
     /// Returns whether the caller has chosen this agent by a routing token.
     fn comes_back(&self, incoming: &Incoming) -> bool {
-        let keys: TokenKeys = self.issuer.keys();
-        RoutingToken::decode(&incoming.orig_dst_cid(), &keys).is_ok()
+        RoutingToken::decode(&incoming.orig_dst_cid(), &self.issuer.keys()).is_ok()
     }
 
     async fn serve_streams(self: &Arc<Self>, incoming: Incoming) {
@@ -144,23 +141,21 @@
                     send_response(&mut send, &Ended::not_run(NotRunReason::Invalid)).await;
                     return;
                 };
-                let ended = match self.submit(id, &head, &mut send).await {
-                    Some(ended) => ended,
-                    None => {
-                        let order = started(self.info(id, &head));
-                        run_order(Arc::clone(&self.backend), order, body.into()).await
-                    }
+                let ended = if let Some(ended) = self.submit(id, &head, &mut send).await {
+                    ended
+                } else {
+                    let order = started(self.info(id, &head));
+                    run_order(Arc::clone(&self.backend), order, body.into()).await
                 };
                 send_response(&mut send, &ended).await;
             }
             Class::Upload => {
-                let ended = match self.submit(id, &head, &mut send).await {
-                    Some(ended) => ended,
-                    None => {
-                        let body = StreamBody::new(recv, head.body_len);
-                        let upload = started(self.info(id, &head));
-                        run_upload(&*self.backend, upload, head.body_len, body).await
-                    }
+                let ended = if let Some(ended) = self.submit(id, &head, &mut send).await {
+                    ended
+                } else {
+                    let body = StreamBody::new(recv, head.body_len);
+                    let upload = started(self.info(id, &head));
+                    run_upload(&*self.backend, upload, head.body_len, body).await
                 };
                 send_response(&mut send, &ended).await;
             }
--- a/crates/cranberrypitch-agent/src/supervisor.rs
+++ b/crates/cranberrypitch-agent/src/supervisor.rs
@@ -41,10 +41,10 @@
 
     async fn handle(
         &mut self,
-        start: StartTarget,
+        msg: StartTarget,
         ctx: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
-        TargetActor::supervise(ctx.actor_ref(), start.0)
+        TargetActor::supervise(ctx.actor_ref(), msg.0)
             .restart_policy(RestartPolicy::Never)
             .spawn_with_mailbox(mailbox::unbounded())
             .await
@@ -60,10 +60,10 @@
 
     async fn handle(
         &mut self,
-        start: StartAnnounce,
+        msg: StartAnnounce,
         ctx: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
-        AnnounceActor::supervise(ctx.actor_ref(), start.0)
+        AnnounceActor::supervise(ctx.actor_ref(), msg.0)
             .restart_limit(MAX_RESTARTS, RESTART_WINDOW)
             .spawn()
             .await
--- a/crates/cranberrypitch-agent/src/target.rs
+++ b/crates/cranberrypitch-agent/src/target.rs
@@ -159,7 +159,7 @@
     type Args = TargetArgs;
     type Error = Infallible;
 
-    async fn on_start(args: TargetArgs, this: ActorRef<Self>) -> Result<Self, Infallible> {
+    async fn on_start(args: TargetArgs, actor_ref: ActorRef<Self>) -> Result<Self, Infallible> {
         let now = args.clock.now();
         let identity = &args.identity;
         let keys = args.issuer.keys();
@@ -174,7 +174,7 @@
             pending: FastMap::default(),
             args,
             tick_at: None,
-            this: this.downgrade(),
+            this: actor_ref.downgrade(),
         })
     }
 
@@ -286,23 +286,23 @@
 impl Message<Submit> for TargetActor {
     type Reply = ();
 
-    async fn handle(&mut self, submit: Submit, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, msg: Submit, _: &mut Context<Self, ()>) {
         let now = self.args.clock.now();
-        if let Err(ended) = self.check_ticket(&submit, now) {
-            let _sent = submit.reply.send(Verdict::Answer(ended));
+        if let Err(ended) = self.check_ticket(&msg, now) {
+            let _sent = msg.reply.send(Verdict::Answer(ended));
             return;
         }
         let pending = Pending {
-            ticket: submit.ticket,
-            reply: Some(submit.reply),
+            ticket: msg.ticket,
+            reply: Some(msg.reply),
         };
-        self.pending.insert(submit.request, pending);
+        self.pending.insert(msg.request, pending);
         self.handle_event(Event::Submit(Submission {
-            request: submit.request,
-            tenant: submit.tenant,
-            class: submit.class,
-            deadline: now + submit.deadline,
-            reservation: submit.reservation,
+            request: msg.request,
+            tenant: msg.tenant,
+            class: msg.class,
+            deadline: now + msg.deadline,
+            reservation: msg.reservation,
         }));
     }
 }
@@ -310,15 +310,15 @@
 impl Message<Finish> for TargetActor {
     type Reply = ();
 
-    async fn handle(&mut self, finish: Finish, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, msg: Finish, _: &mut Context<Self, ()>) {
         let now = self.args.clock.now();
-        self.end(finish.request, &finish.ended, now);
-        let result = match finish.ended.outcome {
+        self.end(msg.request, &msg.ended, now);
+        let result = match msg.ended.outcome {
             Outcome::NotRun(_) => FinishResult::NotRun,
             _ => FinishResult::Ran,
         };
         self.handle_event(Event::Finish {
-            request: finish.request,
+            request: msg.request,
             result,
         });
     }
@@ -327,8 +327,8 @@
 impl Message<Cancel> for TargetActor {
     type Reply = ();
 
-    async fn handle(&mut self, cancel: Cancel, _: &mut Context<Self, ()>) {
-        self.handle_event(Event::Cancel { request: cancel.0 });
+    async fn handle(&mut self, msg: Cancel, _: &mut Context<Self, ()>) {
+        self.handle_event(Event::Cancel { request: msg.0 });
     }
 }
 
@@ -351,13 +351,9 @@
 impl Message<QueryOrder> for TargetActor {
     type Reply = Option<Ended>;
 
-    async fn handle(
-        &mut self,
-        query: QueryOrder,
-        _: &mut Context<Self, Self::Reply>,
-    ) -> Self::Reply {
+    async fn handle(&mut self, msg: QueryOrder, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
         self.refresh_keys();
-        Some(ended_by(&self.book.query(&query.0, self.args.clock.now())))
+        Some(ended_by(&self.book.query(&msg.0, self.args.clock.now())))
     }
 }
 
@@ -401,8 +397,8 @@
 impl Message<SetReady> for TargetActor {
     type Reply = ();
 
-    async fn handle(&mut self, ready: SetReady, _: &mut Context<Self, ()>) {
-        let state = if ready.0 {
+    async fn handle(&mut self, msg: SetReady, _: &mut Context<Self, ()>) {
+        let state = if msg.0 {
             TargetState::Ready
         } else {
             TargetState::Starting
--- a/crates/cranberrypitch-balancer/src/daemon.rs
+++ b/crates/cranberrypitch-balancer/src/daemon.rs
@@ -127,7 +127,9 @@
             .name("balancer-traffic".into())
             .spawn(move || run_traffic(&traffic_runtime, parts, stop_traffic))?;
 
-        let members = members.recv().map_err(|_| Error::ended("control thread"))?;
+        let members = members
+            .recv()
+            .map_err(|_closed| Error::ended("control thread"))?;
         Ok(Self {
             members,
             addresses,
@@ -172,7 +174,7 @@
         let socket = UdpSocket::bind(local).map_err(|e| Error::bind(local, e))?;
         socket.set_nonblocking(true)?;
         let sent = self.sockets.send(ServiceSocket { address, socket }).await;
-        sent.map_err(|_| Error::ended("traffic thread"))
+        sent.map_err(|_closed| Error::ended("traffic thread"))
     }
 
     /// Returns the counters of the traffic path.
@@ -185,14 +187,14 @@
         self.members
             .ask(ListTargets)
             .await
-            .map_err(|_| Error::ended("members actor"))
+            .map_err(|_closed| Error::ended("members actor"))
     }
 
     /// Leaves: tells the agents, goes on forwarding for a while, and stops.
     pub async fn leave(self) -> Result<()> {
         for _ in 0..GOODBYES {
             let sent = self.members.tell(SayGoodbye).await;
-            sent.map_err(|_| Error::ended("members actor"))?;
+            sent.map_err(|_closed| Error::ended("members actor"))?;
             tokio::time::sleep(GOODBYE_INTERVAL).await;
         }
         tokio::time::sleep(self.linger).await;
@@ -229,10 +231,10 @@
 
     async fn handle(
         &mut self,
-        start: StartMembers,
+        msg: StartMembers,
         ctx: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
-        MembersActor::supervise(ctx.actor_ref(), start.0)
+        MembersActor::supervise(ctx.actor_ref(), msg.0)
             .restart_limit(MAX_RESTARTS, RESTART_WINDOW)
             .spawn()
             .await
--- a/crates/cranberrypitch-balancer/src/members.rs
+++ b/crates/cranberrypitch-balancer/src/members.rs
@@ -165,9 +165,9 @@
 impl Message<ControlDatagram> for MembersActor {
     type Reply = ();
 
-    async fn handle(&mut self, datagram: ControlDatagram, _: &mut Context<Self, ()>) {
-        if datagram.header.kind == Kind::Report && !self.is_leaving {
-            self.take_report(&datagram);
+    async fn handle(&mut self, msg: ControlDatagram, _: &mut Context<Self, ()>) {
+        if msg.header.kind == Kind::Report && !self.is_leaving {
+            self.take_report(&msg);
         }
     }
 }
@@ -175,8 +175,8 @@
 impl Message<Sighting> for MembersActor {
     type Reply = ();
 
-    async fn handle(&mut self, sighting: Sighting, _: &mut Context<Self, ()>) {
-        match sighting {
+    async fn handle(&mut self, msg: Sighting, _: &mut Context<Self, ()>) {
+        match msg {
             Sighting::Unanswered(address) => self.membership.on_unanswered(address),
             Sighting::Answered(address) => self.membership.on_answer(address),
         }
--- a/crates/cranberrypitch-balancer/src/traffic.rs
+++ b/crates/cranberrypitch-balancer/src/traffic.rs
@@ -26,7 +26,7 @@
 const BATCH: usize = 64;
 
 /// A socket whose address left the configuration stays open for the flows that it still carries.
-const UNUSED_SOCKET_IDLE: Duration = Duration::from_secs(600);
+const UNUSED_SOCKET_IDLE: Duration = Duration::from_mins(10);
 
 /// A tunnel datagram for the control thread.
 #[derive(Debug)]
--- a/crates/cranberrypitch-standins/src/deployment.rs
+++ b/crates/cranberrypitch-standins/src/deployment.rs
@@ -127,7 +127,7 @@
     /// Starts a deployment on the current tokio runtime and waits until its targets are ready.
     pub async fn start(options: DeploymentOptions) -> Result<Self> {
         let mut subnet = Subnet::claim();
-        let public_ip = subnet.next();
+        let public_ip = subnet.next_ip();
         let secret = [options.seed.to_be_bytes(); 4].concat();
         let secret = secret.try_into().unwrap_or([0; 32]);
         let keys = Arc::new(KeyRing::from_secret(KeyGeneration::new(1), &secret));
@@ -179,7 +179,7 @@
 
     /// Adds a balancer.
     pub async fn add_balancer(&mut self) -> Result<()> {
-        let ip = self.subnet.next();
+        let ip = self.subnet.next_ip();
         let number = self.balancers.len();
         let failure_domain = self.domain(number);
         let identity = BalancerIdentity {
@@ -245,7 +245,7 @@
     pub async fn add_target(&mut self, name: &ServiceName) -> Result<usize> {
         let service = self.service(name)?.clone();
         let seed = TargetSeed {
-            ip: self.subnet.next(),
+            ip: self.subnet.next_ip(),
             failure_domain: self.domain(self.targets.len()),
             keys: Arc::clone(&self.keys),
             certificate: Arc::new(self.authority.issue(name)?),
@@ -260,7 +260,7 @@
     }
 
     /// Starts a stopped agent again, as a new incarnation on the same address.
-    pub async fn restart_agent(&mut self, index: usize) -> Result<()> {
+    pub fn restart_agent(&mut self, index: usize) -> Result<()> {
         let balancers = self.return_balancers();
         let target = self.targets.get_mut(index).ok_or(Error::NotRunning)?;
         target.start_agent(balancers)
--- a/crates/cranberrypitch-standins/src/deployment/ip.rs
+++ b/crates/cranberrypitch-standins/src/deployment/ip.rs
@@ -29,7 +29,7 @@
     }
 
     /// Returns an IP that has not been handed out.
-    pub fn next(&mut self) -> Ipv4Addr {
+    pub fn next_ip(&mut self) -> Ipv4Addr {
         let ip = Ipv4Addr::new(127, self.process, self.number, self.next_host);
         self.next_host = self.next_host.wrapping_add(1);
         ip
--- a/crates/cranberrypitch/tests/common/mod.rs
+++ b/crates/cranberrypitch/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use cranberrypitch_caller::{FeedOptions, OrderOptions, UploadOptions};
 use cranberrypitch_core::config::ServiceText;
 use cranberrypitch_core::{ServiceName, TenantId};
+use cranberrypitch_standins::deployment::TargetVm;
 use cranberrypitch_standins::fabric::LinkOptions;
 use cranberrypitch_standins::{Deployment, DeploymentOptions};
 
@@ -65,7 +66,7 @@
 
 /// Returns how often each order key ran at any backend server of the deployment.
 pub fn runs_of(deployment: &Deployment, key: &str) -> usize {
-    let journals = deployment.targets().iter().flat_map(|t| t.journal());
+    let journals = deployment.targets().iter().flat_map(TargetVm::journal);
     journals
         .filter(|entry| entry.order_key.as_deref() == Some(key))
         .count()
--- a/crates/cranberrypitch/tests/failures.rs
+++ b/crates/cranberrypitch/tests/failures.rs
@@ -126,7 +126,7 @@
         "the order has to run when its agent dies"
     );
     deployment.targets_mut()[0].kill_agent();
-    deployment.restart_agent(0).await.unwrap();
+    deployment.restart_agent(0).unwrap();
     let report = order.await.unwrap().unwrap();
     assert_eq!(report.outcome, Outcome::Unknown);
 
@@ -209,7 +209,7 @@
         .unwrap();
     let first = feed.next().await.unwrap().unwrap().sequence;
     deployment.targets_mut()[0].kill_agent();
-    deployment.restart_agent(0).await.unwrap();
+    deployment.restart_agent(0).unwrap();
 
     let next = tokio::time::timeout(Duration::from_secs(8), async {
         while feed.stats().broken == 0 {
@@ -239,7 +239,7 @@
         .position(|t| !t.journal().is_empty());
     if let Some(index) = running {
         deployment.targets_mut()[index].kill_agent();
-        deployment.restart_agent(index).await.unwrap();
+        deployment.restart_agent(index).unwrap();
     }
     let report = sent.await.unwrap().unwrap();
     assert_eq!(report.outcome, Outcome::Done);
