Let agents move waiting requests, judge their backend server and learn peers

Agents take handoff, health and the stages of a drain from the decision core. Answers to load reports now carry a sample of peers and live balancers, so an agent needs neither the store nor a session to learn of them.

--- a/crates/cranberrypitch-agent/src/announce.rs
+++ b/crates/cranberrypitch-agent/src/announce.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use cranberrypitch_core::{Announcement, Clock, ConnectionLimit, Revision};
+use cranberrypitch_core::{Announcement, Clock, ConnectionLimit, Revision, TargetState};
 use cranberrypitch_proto::report::{Report, ReportAck};
 use cranberrypitch_proto::tunnel::Kind;
 use kameo::actor::{Actor, ActorRef};
@@ -15,7 +15,7 @@
 use crate::options::AgentIdentity;
 use crate::returns::{ReturnBalancer, ReturnPath};
 use crate::socket::{ControlDatagram, TunnelSocket};
-use crate::target::{Status, TargetActor, TargetStatus};
+use crate::target::{SetPeers, Status, TargetActor, TargetStatus};
 
 /// The time between reports while the target carries flows. Its answers show within a second
 /// that a balancer has died.
@@ -31,6 +31,7 @@
     pub(crate) connections_max: ConnectionLimit,
     pub(crate) balancers: Vec<ReturnBalancer>,
     pub(crate) revision: watch::Receiver<Revision>,
+    pub(crate) newest_revision: watch::Sender<Revision>,
     pub(crate) returns: Arc<ReturnPath>,
     pub(crate) socket: Arc<TunnelSocket>,
     pub(crate) target: ActorRef<TargetActor>,
@@ -55,6 +56,10 @@
 #[derive(Debug)]
 pub(crate) struct ReportNow;
 
+/// Reports that the agent has stopped.
+#[derive(Debug)]
+pub(crate) struct ReportGone;
+
 /// Replaces what is known of live balancers.
 #[derive(Debug)]
 pub(crate) struct SetBalancers(pub(crate) Vec<ReturnBalancer>);
@@ -93,6 +98,10 @@
         if !is_forced && !self.is_due(&status, now) {
             return;
         }
+        self.send_reports(status, now);
+    }
+
+    fn send_reports(&mut self, status: TargetStatus, now: Instant) {
         self.reported = Some(status);
         self.reported_at = Some(now);
         for due in self.table.take_due_reports(now) {
@@ -106,7 +115,10 @@
     }
 
     fn is_due(&self, status: &TargetStatus, now: Instant) -> bool {
-        let is_busy = status.load.connections > 0 || self.reported != Some(*status);
+        let has_changed = self
+            .reported
+            .is_none_or(|r| (r.state, r.load) != (status.state, status.load));
+        let is_busy = status.load.connections > 0 || has_changed;
         let interval = if is_busy {
             BUSY_INTERVAL
         } else {
@@ -138,14 +150,25 @@
         }
     }
 
-    fn take_ack(&mut self, datagram: &ControlDatagram) {
+    async fn take_ack(&mut self, datagram: &ControlDatagram) {
         let Ok(ack) = ReportAck::decode(&datagram.payload) else {
             return;
         };
-        if ack.incarnation == self.args.identity.incarnation {
-            self.table
-                .on_ack(datagram.from, ack.announced, self.args.clock.now());
+        if ack.incarnation != self.args.identity.incarnation {
+            return;
+        }
+        let now = self.args.clock.now();
+        self.table.on_ack(datagram.from, ack.announced, now);
+        self.args.newest_revision.send_if_modified(|newest| {
+            let is_newer = *newest < ack.revision;
+            *newest = (*newest).max(ack.revision);
+            is_newer
+        });
+        let Some(hints) = ack.hints else { return };
+        for hint in hints.balancers {
+            self.table.add(hint.into(), now);
         }
+        let _sent = self.args.target.tell(SetPeers(hints.peers)).await;
     }
 }
 
@@ -165,12 +188,24 @@
     }
 }
 
+impl Message<ReportGone> for AnnounceActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: ReportGone, _: &mut Context<Self, ()>) {
+        let Some(mut status) = self.reported else {
+            return;
+        };
+        status.state = TargetState::Gone;
+        self.send_reports(status, self.args.clock.now());
+    }
+}
+
 impl Message<ControlDatagram> for AnnounceActor {
     type Reply = ();
 
     async fn handle(&mut self, msg: ControlDatagram, _: &mut Context<Self, ()>) {
         match msg.header.kind {
-            Kind::ReportAck => self.take_ack(&msg),
+            Kind::ReportAck => self.take_ack(&msg).await,
             Kind::Goodbye => self.table.on_goodbye(msg.from),
             _ => return,
         }
--- a/crates/cranberrypitch-agent/src/daemon.rs
+++ b/crates/cranberrypitch-agent/src/daemon.rs
@@ -14,7 +14,7 @@
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{mpsc, watch};
 
-use crate::announce::{AnnounceActor, AnnounceArgs, ReportNow, SetBalancers};
+use crate::announce::{AnnounceActor, AnnounceArgs, ReportGone, ReportNow, SetBalancers};
 use crate::backend::{BackendServer, BackendState};
 use crate::errors::{Error, Result};
 use crate::ids::TokenIssuer;
@@ -22,8 +22,8 @@
 use crate::returns::{ReturnBalancer, ReturnPath};
 use crate::server::Server;
 use crate::socket::{SocketCounters, SocketIdentity, TunnelSocket, TunnelSocketParts};
-use crate::supervisor::{StartAnnounce, StartTarget, StopFlag, Supervisor, drive_announce};
-use crate::target::{Drain, SetReady, Status, TargetActor, TargetArgs, TargetStatus};
+use crate::supervisor::{StartAnnounce, StartTarget, StopFlag, Supervisor, drive_control};
+use crate::target::{Drain, HealthAnswer, Status, TargetActor, TargetArgs, TargetStatus};
 
 /// Tunnel datagrams for the control thread that may wait.
 const CONTROL_QUEUE_LEN: usize = 1024;
@@ -41,6 +41,7 @@
     announce: ActorRef<AnnounceActor>,
     state: watch::Receiver<TargetState>,
     revision: watch::Sender<Revision>,
+    newest_revision: watch::Sender<Revision>,
     counters: Arc<SocketCounters>,
     open_streams: Arc<dyn OpenStreams>,
     endpoint: Endpoint,
@@ -103,12 +104,16 @@
         let state = watch::Sender::new(TargetState::Starting);
         let state_receiver = state.subscribe();
         let revision = watch::Sender::new(Revision::default());
+        let newest_revision = watch::Sender::new(Revision::default());
         let stop = StopFlag::new();
         let target_args = TargetArgs {
             identity: identity.clone(),
             admission: options.admission,
             tickets: options.tickets,
+            health: options.health,
+            drain: options.drain,
             issuer: issuer.clone(),
+            socket: Arc::clone(&socket),
             clock: Arc::clone(&options.clock),
             state,
         };
@@ -118,6 +123,7 @@
             returns,
             socket: Arc::clone(&socket),
             revision: revision.subscribe(),
+            newest_revision: newest_revision.clone(),
         };
         let announce_args = announce_args.into_args();
         let stop_control = stop.subscribe();
@@ -161,6 +167,7 @@
             announce: parts.announce,
             state: state_receiver,
             revision,
+            newest_revision,
             counters,
             open_streams: server,
             endpoint,
@@ -198,6 +205,11 @@
         self.revision.send_replace(revision);
     }
 
+    /// Returns the newest configuration that any balancer has told of.
+    pub fn newest_revision(&self) -> watch::Receiver<Revision> {
+        self.newest_revision.subscribe()
+    }
+
     /// Begins the drain: from now on nothing new starts.
     pub async fn drain(&self) -> Result<()> {
         self.target
@@ -217,12 +229,13 @@
         let give_up = self.clock.now() + self.drain_deadline;
         let last = loop {
             let status = self.status().await?;
-            let is_idle = status.is_idle() && self.open_streams.count() == 0;
-            if is_idle || self.clock.now() >= give_up {
+            let may_exit = status.exit_in.is_some_and(|wait| wait.is_zero());
+            if (may_exit && self.open_streams.count() == 0) || self.clock.now() >= give_up {
                 break status;
             }
             tokio::time::sleep(DRAIN_POLL).await;
         };
+        let _sent = self.announce.ask(ReportGone).await;
         self.endpoint.close(0_u32.into(), b"drained");
         self.endpoint.wait_idle().await;
         let _stopped = self.target.stop_gracefully().await;
@@ -246,6 +259,7 @@
     returns: Arc<ReturnPath>,
     socket: Arc<TunnelSocket>,
     revision: watch::Receiver<Revision>,
+    newest_revision: watch::Sender<Revision>,
 }
 
 impl AnnounceSeed<'_> {
@@ -255,11 +269,13 @@
         let balancers = self.options.balancers.clone();
         let clock = Arc::clone(&self.options.clock);
         let (returns, socket, revision) = (self.returns, self.socket, self.revision);
+        let newest_revision = self.newest_revision;
         move |target| AnnounceArgs {
             identity,
             connections_max,
             balancers,
             revision,
+            newest_revision,
             returns,
             socket,
             target,
@@ -284,7 +300,12 @@
     let Ok(announce) = supervisor.ask(StartAnnounce(announce_args)).await else {
         return;
     };
-    let driver = tokio::spawn(drive_announce(announce.clone(), datagrams, stop.clone()));
+    let driver = tokio::spawn(drive_control(
+        target.clone(),
+        announce.clone(),
+        datagrams,
+        stop.clone(),
+    ));
     let handed_out = parts.send(ControlParts { target, announce }).is_ok();
     if handed_out {
         let _stopped = stop.changed().await;
@@ -310,11 +331,11 @@
 /// Asks the backend server for its health and passes it on.
 async fn watch_health<B: BackendServer>(backend: Arc<B>, target: ActorRef<TargetActor>) {
     loop {
-        let is_ready = matches!(
+        let is_ok = matches!(
             backend.health().await,
             Ok(BackendState::Ready | BackendState::Starting)
         );
-        if target.tell(SetReady(is_ready)).await.is_err() {
+        if target.tell(HealthAnswer { is_ok }).await.is_err() {
             return;
         }
         tokio::time::sleep(HEALTH_INTERVAL).await;
--- a/crates/cranberrypitch-agent/src/ids.rs
+++ b/crates/cranberrypitch-agent/src/ids.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Returns the address that the tokens lead to.
+    pub(crate) const fn agent(&self) -> SocketAddrV4 {
+        self.agent
+    }
+
     /// Returns the keys now in force.
     pub(crate) fn keys(&self) -> cranberrypitch_core::TokenKeys {
         self.keys.token_keys()
--- a/crates/cranberrypitch-agent/src/options.rs
+++ b/crates/cranberrypitch-agent/src/options.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use cranberrypitch_core::admission::AdmissionOptions;
+use cranberrypitch_core::drain::DrainOptions;
+use cranberrypitch_core::health::HealthOptions;
 use cranberrypitch_core::orders::TicketBookOptions;
 use cranberrypitch_core::{Clock, FailureDomain, Incarnation, ServiceName, SystemClock, VmId};
 use cranberrypitch_net::KeyRing;
@@ -38,6 +40,8 @@
     pub(crate) transport: TransportOptions,
     pub(crate) token_lifetime: Duration,
     pub(crate) drain_deadline: Duration,
+    pub(crate) drain: DrainOptions,
+    pub(crate) health: HealthOptions,
     pub(crate) answer_timeout: Duration,
     pub(crate) balancers: Vec<ReturnBalancer>,
     pub(crate) clock: Arc<dyn Clock>,
@@ -61,6 +65,8 @@
                 transport: TransportOptions::default(),
                 token_lifetime: Duration::from_mins(10),
                 drain_deadline: Duration::from_mins(10),
+                drain: DrainOptions::default(),
+                health: HealthOptions::default(),
                 answer_timeout: Duration::from_mins(2),
                 balancers: Vec::new(),
                 clock: Arc::new(SystemClock),
@@ -102,6 +108,18 @@
         self
     }
 
+    /// Sets the stages of a drain.
+    pub const fn drain(mut self, drain: DrainOptions) -> Self {
+        self.options.drain = drain;
+        self
+    }
+
+    /// Sets how the backend server is judged.
+    pub const fn health(mut self, health: HealthOptions) -> Self {
+        self.options.health = health;
+        self
+    }
+
     /// Sets how long the backend server may take for a whole answer.
     pub const fn answer_timeout(mut self, timeout: Duration) -> Self {
         self.options.answer_timeout = timeout;
--- a/crates/cranberrypitch-agent/src/returns.rs
+++ b/crates/cranberrypitch-agent/src/returns.rs
@@ -5,16 +5,29 @@
 
 use arc_swap::ArcSwap;
 use cranberrypitch_core::FailureDomain;
+use cranberrypitch_proto::report::BalancerHint;
 
 /// A balancer as an agent knows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReturnBalancer {
     /// Where it receives tunnel datagrams.
     pub tunnel_address: SocketAddrV4,
+    /// Where it serves control sessions, if it does.
+    pub control_address: Option<SocketAddrV4>,
     /// Its failure domain.
     pub failure_domain: FailureDomain,
 }
 
+impl From<BalancerHint> for ReturnBalancer {
+    fn from(hint: BalancerHint) -> Self {
+        Self {
+            tunnel_address: hint.tunnel,
+            control_address: hint.control,
+            failure_domain: hint.failure_domain,
+        }
+    }
+}
+
 /// The balancers that returns are spread over.
 #[derive(Debug)]
 pub(crate) struct ReturnPath {
--- a/crates/cranberrypitch-agent/src/run.rs
+++ b/crates/cranberrypitch-agent/src/run.rs
@@ -1,6 +1,7 @@
 //! Requests that were admitted, at the backend server.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use cranberrypitch_core::ids::RequestId;
@@ -10,9 +11,9 @@
 use quinn::{SendStream, VarInt};
 use tokio::sync::watch;
 
-use crate::backend::{Answer, BackendError, BackendServer, FeedSource, RequestInfo};
+use crate::backend::{Answer, BackendError, BackendServer, Cause, FeedSource, RequestInfo};
 use crate::body::StreamBody;
-use crate::target::{Ended, Finish, TargetActor};
+use crate::target::{Ended, Finish, Sight, TargetActor};
 
 /// The code with which a feed is reset that its backend server has broken off.
 const FEED_BROKEN: VarInt = VarInt::from_u32(1);
@@ -26,9 +27,10 @@
 }
 
 impl Started {
-    async fn finish(self, ended: Ended) -> Ended {
+    async fn finish(self, ended: Ended, sight: Option<Sight>) -> Ended {
         let finish = Finish {
             request: self.id,
+            sight,
             ended: ended.clone(),
         };
         let _sent = self.target.tell(finish).await;
@@ -43,8 +45,10 @@
     body: Bytes,
 ) -> Ended {
     let run = tokio::spawn(async move {
+        let since = Instant::now();
         let result = backend.order(&order.info, body).await;
-        order.finish(ended_by(result)).await
+        let sight = sight_of(&result, since.elapsed());
+        order.finish(ended_by(result), sight).await
     });
     run.await
         .unwrap_or_else(|_panicked| Ended::without_body(Outcome::Unknown))
@@ -57,8 +61,30 @@
     body_len: ByteSize,
     body: StreamBody,
 ) -> Ended {
+    let since = Instant::now();
     let result = backend.upload(&upload.info, body_len, body).await;
-    upload.finish(ended_by(result)).await
+    let sight = sight_of(&result, since.elapsed());
+    upload.finish(ended_by(result), sight).await
+}
+
+/// Returns what a result says about the backend server, if it says anything: a caller that broke
+/// its request off does not count against it.
+fn sight_of(result: &Result<Answer, BackendError>, latency: Duration) -> Option<Sight> {
+    match result {
+        Ok(_) => Some(Sight::Answered(latency)),
+        Err(
+            BackendError::NotSent {
+                cause: Cause::BodySource { .. } | Cause::Deadline,
+            }
+            | BackendError::Unknown {
+                cause: Cause::BodySource { .. },
+            },
+        ) => None,
+        Err(BackendError::NotSent {
+            cause: Cause::Refused { .. },
+        }) => Some(Sight::Shed),
+        Err(_) => Some(Sight::Failed),
+    }
 }
 
 fn ended_by(result: Result<Answer, BackendError>) -> Ended {
@@ -104,7 +130,7 @@
         }
     };
     let _closed = send.finish();
-    started.finish(Ended::without_body(outcome)).await;
+    started.finish(Ended::without_body(outcome), None).await;
 }
 
 /// Returns whether the feed ended as a whole or at the caller's wish.
--- a/crates/cranberrypitch-agent/src/socket.rs
+++ b/crates/cranberrypitch-agent/src/socket.rs
@@ -118,6 +118,10 @@
         };
         match header.kind {
             Kind::Forward => self.accept_forward(&header, payload),
+            Kind::Peer if header.service != self.identity.service => {
+                self.counters.misdirected.fetch_add(1, Ordering::Relaxed);
+                None
+            }
             Kind::ReportAck | Kind::Peer | Kind::Goodbye => {
                 let payload = payload.to_vec();
                 // A full queue drops the datagram as a full socket buffer would.
--- a/crates/cranberrypitch-agent/src/supervisor.rs
+++ b/crates/cranberrypitch-agent/src/supervisor.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cranberrypitch_proto::tunnel::Kind;
 use kameo::actor::{Actor, ActorRef, Spawn};
 use kameo::error::Infallible;
 use kameo::mailbox;
@@ -70,8 +71,9 @@
     }
 }
 
-/// Feeds the announce actor with ticks and with what arrives on the tunnel.
-pub(crate) async fn drive_announce(
+/// Passes ticks and what arrives on the tunnel to the actors.
+pub(crate) async fn drive_control(
+    target: ActorRef<TargetActor>,
     announce: ActorRef<AnnounceActor>,
     mut datagrams: mpsc::Receiver<ControlDatagram>,
     mut stop: watch::Receiver<bool>,
@@ -82,6 +84,9 @@
         let sent = tokio::select! {
             _ = ticks.tick() => announce.tell(ReportTick).await.is_ok(),
             datagram = datagrams.recv() => match datagram {
+                Some(datagram) if datagram.header.kind == Kind::Peer => {
+                    target.tell(datagram).await.is_ok()
+                }
                 Some(datagram) => announce.tell(datagram).await.is_ok(),
                 None => false,
             },
--- /dev/null
+++ b/crates/cranberrypitch-agent/src/target/messages.rs
@@ -0,0 +1,128 @@
+//! What the target actor is told and asked.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranberrypitch_core::ids::RequestId;
+use cranberrypitch_core::orders::Ticket;
+use cranberrypitch_core::{Class, Load, NotRunReason, Outcome, TargetState, TenantId};
+use tokio::sync::oneshot;
+
+/// The end of a request, with the body of its answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Ended {
+    pub(crate) outcome: Outcome,
+    pub(crate) body: Arc<[u8]>,
+}
+
+impl Ended {
+    pub(crate) fn without_body(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            body: Arc::default(),
+        }
+    }
+
+    pub(crate) fn not_run(reason: NotRunReason) -> Self {
+        Self::without_body(Outcome::NotRun(reason))
+    }
+}
+
+/// What becomes of a submitted request.
+#[derive(Debug)]
+pub(crate) enum Verdict {
+    /// It starts now and has to be finished with [`Finish`].
+    Start,
+    /// It does not start.
+    Answer(Ended),
+}
+
+/// Submits a request.
+#[derive(Debug)]
+pub(crate) struct Submit {
+    pub(crate) request: RequestId,
+    pub(crate) tenant: TenantId,
+    pub(crate) class: Class,
+    pub(crate) deadline: Duration,
+    pub(crate) ticket: Option<Ticket>,
+    pub(crate) reservation: Option<u64>,
+    pub(crate) reply: oneshot::Sender<Verdict>,
+}
+
+/// What the end of a request says about the backend server's health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Sight {
+    /// It answered after this time.
+    Answered(Duration),
+    /// It could not be reached, broke off or answered with an error.
+    Failed,
+    /// It shed the request.
+    Shed,
+}
+
+/// Reports the end of a request that was started.
+#[derive(Debug)]
+pub(crate) struct Finish {
+    pub(crate) request: RequestId,
+    pub(crate) sight: Option<Sight>,
+    pub(crate) ended: Ended,
+}
+
+/// Withdraws a request whose caller has gone.
+#[derive(Debug)]
+pub(crate) struct Cancel(pub(crate) RequestId);
+
+/// Asks for a ticket.
+#[derive(Debug)]
+pub(crate) struct IssueTicket;
+
+/// Asks for the outcome of an order.
+#[derive(Debug)]
+pub(crate) struct QueryOrder(pub(crate) Ticket);
+
+/// Asks for a connection; the reply is `None` if it may be taken.
+#[derive(Debug)]
+pub(crate) struct OpenConnection;
+
+/// Gives a connection back.
+#[derive(Debug)]
+pub(crate) struct CloseConnection;
+
+/// Begins the drain.
+#[derive(Debug)]
+pub(crate) struct Drain;
+
+/// Passes on what the health endpoint of the backend server said.
+#[derive(Debug)]
+pub(crate) struct HealthAnswer {
+    pub(crate) is_ok: bool,
+}
+
+/// Replaces the known peers, which are other agents of the service.
+#[derive(Debug)]
+pub(crate) struct SetPeers(pub(crate) Vec<SocketAddrV4>);
+
+/// Asks for state and load.
+#[derive(Debug)]
+pub(crate) struct Status;
+
+/// State and load of the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TargetStatus {
+    /// The state.
+    pub state: TargetState,
+    /// The load.
+    pub load: Load,
+    /// Feeds that are open.
+    pub feeds: u32,
+    /// The time until a draining agent may exit, once nothing is left.
+    pub exit_in: Option<Duration>,
+}
+
+impl TargetStatus {
+    /// Returns whether nothing waits or runs any more.
+    pub const fn is_idle(&self) -> bool {
+        self.load.running == 0 && self.load.waiting == 0 && self.feeds == 0
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-agent/src/target/moves.rs
@@ -0,0 +1,121 @@
+//! The exchange with peers about waiting requests and free slots.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Instant;
+
+use cranberrypitch_core::Reservation;
+use cranberrypitch_core::handoff::{Action, Event, Handoff, HandoffOptions, QueueState};
+use cranberrypitch_proto::peer::PeerMessage;
+use cranberrypitch_proto::tunnel::Kind;
+use rand::rngs::StdRng;
+
+use crate::ids::TokenIssuer;
+use crate::socket::{ControlDatagram, TunnelSocket};
+
+/// The decisions about moves, with the messages that carry them out.
+#[derive(Debug)]
+pub(super) struct Moves {
+    handoff: Handoff,
+    issuer: TokenIssuer,
+    socket: Arc<TunnelSocket>,
+    rng: StdRng,
+}
+
+/// What admission has to do for a move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Step {
+    /// Take the next waiting request out and redirect it.
+    Redirect(Reservation),
+    /// Hold a slot for this reservation, and offer it.
+    Reserve { peer: SocketAddrV4, serial: u64 },
+}
+
+impl Moves {
+    pub(super) fn new(issuer: TokenIssuer, socket: Arc<TunnelSocket>, now: Instant) -> Self {
+        Self {
+            handoff: Handoff::new(HandoffOptions::default(), now),
+            issuer,
+            socket,
+            rng: rand::make_rng(),
+        }
+    }
+
+    pub(super) fn set_peers(&mut self, peers: Vec<SocketAddrV4>) {
+        self.handoff.set_peers(peers);
+    }
+
+    /// Returns the slots that are reserved for requests of peers.
+    pub(super) fn reserved(&self) -> u32 {
+        self.handoff.reserved()
+    }
+
+    pub(super) fn next_tick(&self) -> Option<Instant> {
+        self.handoff.next_tick()
+    }
+
+    /// Ends a reservation because its request has come.
+    pub(super) fn claim(&mut self, serial: u64, now: Instant) {
+        self.handoff.claim(serial, now);
+    }
+
+    /// Takes in the state of the queue.
+    pub(super) fn observe(&mut self, queue: QueueState, now: Instant) -> Vec<Step> {
+        self.handle(Event::Queue(queue), now)
+    }
+
+    /// Takes in a peer's message.
+    pub(super) fn receive(&mut self, datagram: &ControlDatagram, now: Instant) -> Vec<Step> {
+        let from = datagram.from;
+        let event = match PeerMessage::decode(&datagram.payload) {
+            Ok(PeerMessage::Waiting { count, oldest }) => Event::Waiting {
+                from,
+                count,
+                oldest,
+            },
+            Ok(PeerMessage::Offer(reservation)) => Event::Offer { from, reservation },
+            Ok(PeerMessage::Decline { serial }) => Event::Decline { from, serial },
+            Err(_) => return Vec::new(),
+        };
+        self.handle(event, now)
+    }
+
+    /// Sends the offer of a slot that admission now holds.
+    pub(super) fn offer(&self, peer: SocketAddrV4, serial: u64) {
+        let reservation = Reservation {
+            agent: self.issuer.agent(),
+            token: self.issuer.issue(),
+            serial,
+        };
+        self.send(peer, &PeerMessage::Offer(reservation));
+    }
+
+    fn handle(&mut self, event: Event, now: Instant) -> Vec<Step> {
+        let actions = self.handoff.on_event(event, now, &mut self.rng);
+        let mut steps = Vec::new();
+        for action in actions {
+            match action {
+                Action::SendWaiting { to, count, oldest } => {
+                    self.send(to, &PeerMessage::Waiting { count, oldest });
+                }
+                Action::SendDecline { to, serial } => {
+                    self.send(to, &PeerMessage::Decline { serial });
+                }
+                Action::SendOffer { to, serial } => {
+                    steps.push(Step::Reserve { peer: to, serial });
+                }
+                Action::Redirect(reservation) => steps.push(Step::Redirect(reservation)),
+                // Admission lets its own copy of the reservation lapse at the same time.
+                Action::Released => {}
+            }
+        }
+        steps
+    }
+
+    fn send(&self, to: SocketAddrV4, message: &PeerMessage) {
+        if let Ok(bytes) = message.encode() {
+            // A lost message costs time only: the next notice repeats it.
+            let _sent = self.socket.send_control(to, Kind::Peer, &bytes);
+        }
+    }
+}
--- a/crates/cranberrypitch-balancer/src/daemon.rs
+++ b/crates/cranberrypitch-balancer/src/daemon.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 use cranberrypitch_core::membership::Target;
 use cranberrypitch_core::{FastSet, Revision, ServiceTag};
+use cranberrypitch_proto::report::BalancerHint;
 use kameo::actor::{Actor, ActorRef, Spawn};
 use kameo::error::Infallible;
 use kameo::message::{Context, Message};
@@ -21,7 +22,7 @@
 use crate::counters::Counters;
 use crate::errors::{Error, Result};
 use crate::members::{
-    ListTargets, MembersActor, MembersArgs, MembersTick, SayGoodbye, TICK_INTERVAL,
+    ListTargets, MembersActor, MembersArgs, MembersTick, SayGoodbye, SetBalancers, TICK_INTERVAL,
 };
 use crate::options::BalancerOptions;
 use crate::routing::{Router, Sighting};
@@ -177,6 +178,12 @@
         sent.map_err(|_closed| Error::ended("traffic thread"))
     }
 
+    /// Replaces the live balancers, this one among them, of which agents are told.
+    pub async fn set_balancers(&self, balancers: Vec<BalancerHint>) -> Result<()> {
+        let sent = self.members.tell(SetBalancers(balancers)).await;
+        sent.map_err(|_closed| Error::ended("members actor"))
+    }
+
     /// Returns the counters of the traffic path.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/crates/cranberrypitch-balancer/src/members.rs
+++ b/crates/cranberrypitch-balancer/src/members.rs
@@ -11,11 +11,13 @@
 use cranberrypitch_core::placement::Candidate;
 use cranberrypitch_core::{Clock, FastMap, FastSet, Revision, ServiceTag, TargetState};
 use cranberrypitch_net::KeyRing;
-use cranberrypitch_proto::report::{Report, ReportAck};
+use cranberrypitch_proto::report::{AckHints, BalancerHint, Report, ReportAck};
 use cranberrypitch_proto::tunnel::{Header, Kind};
 use kameo::actor::{Actor, ActorRef};
 use kameo::error::Infallible;
 use kameo::message::{Context, Message};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
 use tokio::sync::watch;
 
 use crate::options::BalancerIdentity;
@@ -25,6 +27,12 @@
 /// The time between judgements of silence.
 pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Every so many reports are answered with hints.
+const HINT_INTERVAL: u64 = 8;
+
+/// The most addresses of each kind in one answer, which keeps it far below one datagram.
+const MAX_HINTS: usize = 8;
+
 /// What the actor is started with.
 #[derive(Clone, Debug)]
 pub(crate) struct MembersArgs {
@@ -44,9 +52,15 @@
     membership: Membership,
     services: FastSet<ServiceTag>,
     agents: FastMap<SocketAddrV4, u16>,
+    balancers: Vec<BalancerHint>,
     is_leaving: bool,
+    rng: StdRng,
 }
 
+/// Replaces the live balancers, this one among them.
+#[derive(Debug)]
+pub(crate) struct SetBalancers(pub(crate) Vec<BalancerHint>);
+
 /// Judges silence.
 #[derive(Debug)]
 pub(crate) struct MembersTick;
@@ -70,7 +84,9 @@
             membership,
             services: FastSet::default(),
             agents: FastMap::default(),
+            balancers: Vec::new(),
             is_leaving: false,
+            rng: rand::make_rng(),
         })
     }
 }
@@ -102,35 +118,49 @@
             self.agents.remove(&datagram.from);
         }
         self.publish(datagram.header.service);
-        self.acknowledge(datagram, incarnation, sequence, announced);
+        let is_due = !announced || sequence.is_multiple_of(HINT_INTERVAL);
+        let hints = is_due.then(|| self.hints_for(datagram));
+        let revision = *self.args.revision.borrow();
+        self.acknowledge(
+            datagram,
+            &ReportAck {
+                incarnation,
+                sequence,
+                announced,
+                revision,
+                hints,
+            },
+        );
     }
 
-    fn acknowledge(
-        &self,
-        datagram: &ControlDatagram,
-        incarnation: cranberrypitch_core::Incarnation,
-        sequence: u64,
-        announced: bool,
-    ) {
-        let revision = *self.args.revision.borrow();
-        let ack = ReportAck {
-            incarnation,
-            sequence,
-            announced,
-            revision,
-        };
+    fn acknowledge(&self, datagram: &ControlDatagram, ack: &ReportAck) {
         if let Ok(bytes) = ack.encode() {
             let header = &datagram.header;
+            let (service, incarnation_low) = (header.service, header.incarnation_low);
             self.send(
                 datagram.from,
                 Kind::ReportAck,
-                header.service,
-                header.incarnation_low,
+                service,
+                incarnation_low,
                 &bytes,
             );
         }
     }
 
+    /// Returns a random sample of what an agent needs to know. It is random so that an agent of a
+    /// large service hears of other peers with each answer.
+    fn hints_for(&mut self, datagram: &ControlDatagram) -> AckHints {
+        let targets = self.membership.candidates(datagram.header.service);
+        let peers = targets.into_iter().map(|t| t.address);
+        let peers: Vec<_> = peers.filter(|a| *a != datagram.from).collect();
+        let peers = peers.sample(&mut self.rng, MAX_HINTS).copied().collect();
+        let balancers = self.balancers.sample(&mut self.rng, MAX_HINTS);
+        AckHints {
+            peers,
+            balancers: balancers.cloned().collect(),
+        }
+    }
+
     fn send(
         &self,
         to: SocketAddrV4,
@@ -194,6 +224,14 @@
     }
 }
 
+impl Message<SetBalancers> for MembersActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: SetBalancers, _: &mut Context<Self, ()>) {
+        self.balancers = msg.0;
+    }
+}
+
 impl Message<SayGoodbye> for MembersActor {
     type Reply = ();
 
--- a/crates/cranberrypitch-proto/src/report.rs
+++ b/crates/cranberrypitch-proto/src/report.rs
@@ -1,7 +1,9 @@
 //! Load reports of agents and the answers of balancers.
 
 pub use cranberrypitch_core::target::{Announcement, Load, TargetState};
-use cranberrypitch_core::{Incarnation, Revision};
+use std::net::SocketAddrV4;
+
+use cranberrypitch_core::{FailureDomain, Incarnation, Revision};
 use serde::{Deserialize, Serialize};
 
 use crate::cbor;
@@ -45,7 +47,7 @@
 }
 
 /// A balancer's answer to a report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReportAck {
     /// The incarnation of the agent that reported.
     #[serde(rename = "i")]
@@ -59,6 +61,34 @@
     /// The configuration in force at the balancer.
     #[serde(rename = "r")]
     pub revision: Revision,
+    /// Addresses that the agent needs, sent with some answers only.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub hints: Option<AckHints>,
+}
+
+/// Addresses that an agent learns from a balancer.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AckHints {
+    /// Some agents of the same service, by their tunnel addresses.
+    #[serde(rename = "p")]
+    pub peers: Vec<SocketAddrV4>,
+    /// Some live balancers, the sender among them.
+    #[serde(rename = "b")]
+    pub balancers: Vec<BalancerHint>,
+}
+
+/// A live balancer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BalancerHint {
+    /// Where it receives tunnel datagrams.
+    #[serde(rename = "t")]
+    pub tunnel: SocketAddrV4,
+    /// Where it serves control sessions, if it does.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub control: Option<SocketAddrV4>,
+    /// Its failure domain.
+    #[serde(rename = "f")]
+    pub failure_domain: FailureDomain,
 }
 
 impl ReportAck {
--- a/crates/cranberrypitch-standins/src/deployment.rs
+++ b/crates/cranberrypitch-standins/src/deployment.rs
@@ -236,6 +236,7 @@
     fn return_balancers(&self) -> Vec<ReturnBalancer> {
         let balancers = self.balancers.iter().map(|b| ReturnBalancer {
             tunnel_address: SocketAddrV4::new(b.ip, BALANCER_TUNNEL_PORT),
+            control_address: None,
             failure_domain: b.failure_domain.clone(),
         });
         balancers.collect()
--- a/crates/cranberrypitch-standins/src/deployment/target.rs
+++ b/crates/cranberrypitch-standins/src/deployment/target.rs
@@ -10,6 +10,7 @@
 };
 use cranberrypitch_core::admission::{AdmissionOptions, ColdStart};
 use cranberrypitch_core::config::Service;
+use cranberrypitch_core::drain::DrainOptions;
 use cranberrypitch_core::membership::Target;
 use cranberrypitch_core::{FailureDomain, Incarnation, ServiceName, Slots, TargetState};
 use cranberrypitch_net::KeyRing;
@@ -26,6 +27,13 @@
 /// The cold start of agents in a stand-in deployment, short enough for tests.
 const COLD_START: Duration = Duration::from_millis(200);
 
+/// The stages of a drain in a stand-in deployment, short enough for tests.
+const DRAIN: DrainOptions = DrainOptions {
+    start_grace: Duration::from_millis(500),
+    notice: Duration::from_millis(500),
+    linger: Duration::from_millis(100),
+};
+
 /// What a target VM is started with.
 #[derive(Clone, Debug)]
 pub(crate) struct TargetSeed {
@@ -156,6 +164,7 @@
     let options = AgentOptions::builder(identity, Arc::clone(&seed.keys), certificate, admission)
         .balancers(seed.balancers.clone())
         .drain_deadline(Duration::from_secs(20))
+        .drain(DRAIN)
         .build();
     let backend = HttpBackend::new(backend, HttpBackendOptions::default());
     Ok(AgentHandle::spawn(options, backend)?)
