--- a/crates/cranberrypitch-agent/src/announce.rs
+++ b/crates/cranberrypitch-agent/src/announce.rs
@@ -206,7 +206,7 @@
     async fn handle(&mut self, msg: ControlDatagram, _: &mut Context<Self, ()>) {
         match msg.header.kind {
             Kind::ReportAck => self.take_ack(&msg).await,
-            Kind::Goodbye => self.table.on_goodbye(msg.from),
+            Kind::Goodbye => self.table.on_goodbye(msg.from, self.args.clock.now()),
             _ => return,
         }
         self.publish();
@@ -219,7 +219,6 @@
     async fn handle(&mut self, msg: SetBalancers, _: &mut Context<Self, ()>) {
         let now = self.args.clock.now();
         for balancer in msg.0 {
-            self.table.on_return(balancer.tunnel_address);
             self.table.add(balancer, now);
         }
         self.publish();
--- a/crates/cranberrypitch-agent/src/balancers.rs
+++ b/crates/cranberrypitch-agent/src/balancers.rs
@@ -10,6 +10,10 @@
 /// Reports in a row that a balancer may leave unanswered before returns avoid it.
 const MAX_UNANSWERED: u32 = 4;
 
+/// A list that is this much younger than a goodbye names a later run on the address. Older ones
+/// may come from a balancer that has not heard of the goodbye.
+const REJOIN_AFTER: Duration = Duration::from_secs(5);
+
 /// How long a silent balancer is still told of the load, so that it is found again after a cut.
 const FORGET_AFTER: Duration = Duration::from_mins(10);
 
@@ -19,7 +23,7 @@
     unanswered: u32,
     has_answered: bool,
     knows_announcement: bool,
-    is_leaving: bool,
+    left_at: Option<Instant>,
     heard_at: Instant,
 }
 
@@ -47,10 +51,15 @@
                 unanswered: 0,
                 has_answered: false,
                 knows_announcement: false,
-                is_leaving: false,
+                left_at: None,
                 heard_at: now,
             });
         entry.balancer = balancer;
+        let may_rejoin = |left: Instant| now.saturating_duration_since(left) >= REJOIN_AFTER;
+        if entry.left_at.is_some_and(may_rejoin) {
+            entry.left_at = None;
+            entry.knows_announcement = false;
+        }
     }
 
     /// Notes the answer to a report.
@@ -63,18 +72,10 @@
         }
     }
 
-    /// Notes that a balancer is leaving. It stays out until it answers a report of a later run.
-    pub(crate) fn on_goodbye(&mut self, from: SocketAddrV4) {
+    /// Notes that a balancer is leaving. It stays out until it is listed again later.
+    pub(crate) fn on_goodbye(&mut self, from: SocketAddrV4, now: Instant) {
         if let Some(entry) = self.entries.get_mut(&from) {
-            entry.is_leaving = true;
-        }
-    }
-
-    /// Notes that a balancer that had left is listed again.
-    pub(crate) fn on_return(&mut self, address: SocketAddrV4) {
-        if let Some(entry) = self.entries.get_mut(&address) {
-            entry.is_leaving = false;
-            entry.knows_announcement = false;
+            entry.left_at = Some(now);
         }
     }
 
@@ -85,7 +86,7 @@
         let due = self
             .entries
             .values_mut()
-            .filter(|e| !e.is_leaving)
+            .filter(|e| e.left_at.is_none())
             .map(|entry| {
                 entry.unanswered = entry.unanswered.saturating_add(1);
                 if entry.unanswered > MAX_UNANSWERED {
@@ -103,7 +104,11 @@
     /// Returns the balancers that take returns: those that answer, or all that are not leaving
     /// when none does.
     pub(crate) fn live(&self) -> Vec<ReturnBalancer> {
-        let staying: Vec<_> = self.entries.values().filter(|e| !e.is_leaving).collect();
+        let staying: Vec<_> = self
+            .entries
+            .values()
+            .filter(|e| e.left_at.is_none())
+            .collect();
         let answers = |e: &&Entry| e.has_answered && e.unanswered <= MAX_UNANSWERED;
         let answering: Vec<_> = staying.iter().copied().filter(answers).collect();
         let live = if answering.is_empty() {
--- a/crates/cranberrypitch-caller/src/attempts.rs
+++ b/crates/cranberrypitch-caller/src/attempts.rs
@@ -1,70 +1,109 @@
-//! The attempts of one request, within its deadline.
+//! The attempts of one request: the decisions of the core, with the waits between them.
 
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use crate::errors::{Error, Result};
+use cranberrypitch_core::retry::{
+    AttemptEnd, RetryBudget, RetryDecision, RetryOptions, RetryState,
+};
+use cranberrypitch_core::{Clock, NotRunReason, Outcome, Reservation};
 
-/// Redirects that one request follows before it treats the next one as a refusal.
-const MAX_REDIRECTS: u32 = 3;
+/// The retries that all requests of a caller share.
+#[derive(Clone, Debug)]
+pub(crate) struct SharedBudget {
+    options: RetryOptions,
+    budget: Arc<Mutex<RetryBudget>>,
+}
 
-/// The first pause after an attempt that did not run; it doubles with each further one.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
+impl SharedBudget {
+    pub(crate) fn new(options: RetryOptions) -> Self {
+        let budget = Arc::new(Mutex::new(RetryBudget::new(&options)));
+        Self { options, budget }
+    }
+}
 
-/// The longest pause between attempts.
-const MAX_PAUSE: Duration = Duration::from_secs(1);
+/// What comes after an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Next {
+    /// The outcome is final.
+    Finish,
+    /// Another attempt, on a connection that leads to the peer if one holds a slot.
+    Attempt(Option<Reservation>),
+}
 
 #[derive(Debug)]
 pub(crate) struct Attempts {
+    state: RetryState,
+    shared: SharedBudget,
+    clock: Arc<dyn Clock>,
     deadline: Instant,
-    pause: Duration,
     made: u32,
-    redirects: u32,
 }
 
 impl Attempts {
-    pub(crate) fn start(deadline: Duration) -> Self {
-        let deadline = Instant::now() + deadline;
+    pub(crate) fn start(
+        shared: &SharedBudget,
+        clock: &Arc<dyn Clock>,
+        is_repeatable: bool,
+        deadline: Duration,
+    ) -> Self {
+        let deadline = clock.now() + deadline;
         Self {
+            state: RetryState::new(shared.options, is_repeatable, deadline),
+            shared: shared.clone(),
+            clock: Arc::clone(clock),
             deadline,
-            pause: FIRST_PAUSE,
             made: 0,
-            redirects: 0,
         }
     }
 
-    pub(crate) const fn count(&mut self) {
-        self.made += 1;
-    }
-
     pub(crate) const fn made(&self) -> u32 {
         self.made
     }
 
     pub(crate) fn remaining(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline.saturating_duration_since(self.clock.now())
     }
 
-    pub(crate) const fn may_follow_redirect(&mut self) -> bool {
-        self.redirects += 1;
-        self.redirects <= MAX_REDIRECTS
+    /// Decides after an attempt, and waits until the next one is due.
+    pub(crate) async fn after(&mut self, outcome: &Outcome) -> Next {
+        self.made += 1;
+        match self.decide(outcome) {
+            RetryDecision::Finish => Next::Finish,
+            RetryDecision::Follow(reservation) => Next::Attempt(Some(reservation)),
+            RetryDecision::RetryAt(at) => {
+                let wait = at.saturating_duration_since(self.clock.now());
+                tokio::time::sleep(wait).await;
+                Next::Attempt(None)
+            }
+        }
     }
 
-    /// Pauses before the next attempt. Returns false when the deadline leaves no time for one.
-    pub(crate) async fn pause(&mut self) -> bool {
-        if self.remaining() <= self.pause {
-            return false;
-        }
-        tokio::time::sleep(self.pause).await;
-        self.pause = (self.pause * 2).min(MAX_PAUSE);
-        true
+    /// Decides after an attempt that failed before anything of it could run.
+    pub(crate) async fn after_unsent(&mut self) -> Next {
+        self.after(&Outcome::NotRun(NotRunReason::BackendUnavailable))
+            .await
     }
 
-    /// Pauses after an attempt that failed before anything could run.
-    pub(crate) async fn pause_after_error(&mut self, error: Error) -> Result<()> {
-        if self.pause().await {
-            Ok(())
-        } else {
-            Err(error)
-        }
+    fn decide(&mut self, outcome: &Outcome) -> RetryDecision {
+        let end = AttemptEnd {
+            outcome,
+            target: self.next_target(),
+            targets: usize::MAX,
+        };
+        let mut budget = self
+            .shared
+            .budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        self.state
+            .decide(end, &mut budget, &mut rand::rng(), self.clock.now())
+    }
+
+    /// Stands for the target of the last attempt. A caller does not know its targets; balancers
+    /// see to it that a new connection goes to one with room.
+    fn next_target(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::from_bits(self.made), 0)
     }
 }
--- a/crates/cranberrypitch-caller/src/client.rs
+++ b/crates/cranberrypitch-caller/src/client.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 
 use cranberrypitch_core::orders::Ticket;
+use cranberrypitch_core::retry::RetryOptions;
 use cranberrypitch_core::token::TOKEN_LEN_BYTES;
-use cranberrypitch_core::{Outcome, ServiceName};
+use cranberrypitch_core::{Clock, Outcome, ServiceName, SystemClock};
 use cranberrypitch_proto::request::{
     AgentFrame, CallerFrame, IssuedTicket, PREFIX_LEN_BYTES, RequestHead, decode_frame,
     encode_frame, frame_len,
 };
 use quinn::{ConnectionId, Endpoint, RecvStream, SendStream};
 
+use crate::attempts::{Attempts, SharedBudget};
 use crate::errors::{Error, Result};
 
 /// The longest body of an answer that a caller takes.
@@ -33,6 +35,8 @@
     endpoint: Endpoint,
     config: quinn::ClientConfig,
     connect_timeout: Duration,
+    retries: SharedBudget,
+    clock: Arc<dyn Clock>,
 }
 
 impl Caller {
@@ -47,9 +51,23 @@
             endpoint,
             config,
             connect_timeout,
+            retries: SharedBudget::new(RetryOptions::default()),
+            clock: Arc::new(SystemClock),
         })
     }
 
+    /// Replaces the settings of retries; the retries already earned are lost.
+    #[must_use]
+    pub fn with_retries(mut self, options: RetryOptions) -> Self {
+        self.retries = SharedBudget::new(options);
+        self
+    }
+
+    /// Returns the state of a new request's attempts.
+    pub(crate) fn attempts(&self, is_repeatable: bool, deadline: Duration) -> Attempts {
+        Attempts::start(&self.retries, &self.clock, is_repeatable, deadline)
+    }
+
     /// Opens a connection; `route` leads it to one agent.
     pub async fn connect(
         &self,
--- a/crates/cranberrypitch-caller/src/order.rs
+++ b/crates/cranberrypitch-caller/src/order.rs
@@ -5,7 +5,7 @@
 use cranberrypitch_core::{ByteSize, Class, Outcome, Reservation, TenantId};
 use cranberrypitch_proto::request::{IssuedTicket, RequestHead};
 
-use crate::attempts::Attempts;
+use crate::attempts::Next;
 use crate::client::{Caller, Connection, Response, ServiceEndpoint};
 use crate::errors::Result;
 
@@ -44,34 +44,28 @@
     options: &OrderOptions,
     body: &[u8],
 ) -> Result<OrderReport> {
-    let mut attempts = Attempts::start(options.deadline);
+    // An order is never repeatable: it goes out again only after it was stated as not run.
+    let mut attempts = caller.attempts(false, options.deadline);
     let mut redirect: Option<Reservation> = None;
     loop {
-        attempts.count();
         let tried = try_once(caller, options, body, redirect.take(), attempts.remaining()).await;
-        let (response, ticket) = match tried {
-            Ok(tried) => tried,
-            // No ticket was used, so nothing can have run.
-            Err(error) => {
-                attempts.pause_after_error(error).await?;
-                continue;
-            }
-        };
-        match response.outcome {
-            Outcome::Redirect(reservation) if attempts.may_follow_redirect() => {
-                redirect = Some(reservation);
-            }
-            ref outcome if outcome.is_not_run() && attempts.pause().await => {}
-            outcome => {
-                let ticket = Some(ticket);
-                let attempts = attempts.made();
-                return Ok(OrderReport {
-                    outcome,
+        let (next, report) = match tried {
+            Ok((response, ticket)) => {
+                let next = attempts.after(&response.outcome).await;
+                let report = OrderReport {
+                    outcome: response.outcome,
                     answer: response.body,
-                    ticket,
-                    attempts,
-                });
+                    ticket: Some(ticket),
+                    attempts: attempts.made(),
+                };
+                (next, Ok(report))
             }
+            // No ticket was used, so nothing can have run.
+            Err(error) => (attempts.after_unsent().await, Err(error)),
+        };
+        match next {
+            Next::Attempt(reservation) => redirect = reservation,
+            Next::Finish => return report,
         }
     }
 }
--- a/crates/cranberrypitch-caller/src/upload.rs
+++ b/crates/cranberrypitch-caller/src/upload.rs
@@ -7,7 +7,7 @@
 use ring::digest::{SHA256, digest};
 use serde::Deserialize;
 
-use crate::attempts::Attempts;
+use crate::attempts::Next;
 use crate::client::{Caller, Response, ServiceEndpoint, read_response};
 use crate::errors::{Error, Result};
 
@@ -44,50 +44,37 @@
 /// Uploads a file.
 pub async fn upload(caller: &Caller, options: &UploadOptions, file: &[u8]) -> Result<UploadReport> {
     let sha256: Box<str> = hex(digest(&SHA256, file).as_ref()).into();
-    let mut attempts = Attempts::start(options.deadline);
+    let mut attempts = caller.attempts(options.is_repeatable, options.deadline);
     let mut redirect: Option<Reservation> = None;
     loop {
-        attempts.count();
         let remaining = attempts.remaining();
-        let response = match try_once(caller, options, file, redirect.take(), remaining).await {
-            Ok(response) => response,
-            Err(Attempt::NotSent(error)) => {
-                attempts.pause_after_error(error).await?;
-                continue;
+        let tried = try_once(caller, options, file, redirect.take(), remaining).await;
+        let (next, outcome) = match tried {
+            Ok(response) => {
+                if response.outcome == Outcome::Done {
+                    check_receipt(&response.body, &sha256)?;
+                }
+                (
+                    attempts.after(&response.outcome).await,
+                    Ok(response.outcome),
+                )
             }
-            Err(Attempt::MayHaveRun(error)) if options.is_repeatable => {
-                attempts.pause_after_error(error).await?;
-                continue;
-            }
-            Err(Attempt::MayHaveRun(_)) => {
-                return Ok(UploadReport {
-                    outcome: Outcome::Unknown,
-                    sha256,
-                    attempts: attempts.made(),
-                });
+            Err(Attempt::NotSent(error)) => (attempts.after_unsent().await, Err(error)),
+            Err(Attempt::MayHaveRun) => {
+                let outcome = Outcome::Unknown;
+                (attempts.after(&outcome).await, Ok(outcome))
             }
         };
-        match response.outcome {
-            Outcome::Done => {
-                check_receipt(&response.body, &sha256)?;
+        match next {
+            Next::Attempt(reservation) => redirect = reservation,
+            Next::Finish => {
                 let attempts = attempts.made();
                 return Ok(UploadReport {
-                    outcome: Outcome::Done,
+                    outcome: outcome?,
                     sha256,
                     attempts,
                 });
             }
-            Outcome::Redirect(reservation) if attempts.may_follow_redirect() => {
-                redirect = Some(reservation);
-            }
-            ref outcome if outcome.is_not_run() && attempts.pause().await => {}
-            outcome => {
-                return Ok(UploadReport {
-                    outcome,
-                    sha256,
-                    attempts: attempts.made(),
-                });
-            }
         }
     }
 }
@@ -95,7 +82,7 @@
 /// An attempt that got no answer.
 enum Attempt {
     NotSent(Error),
-    MayHaveRun(Error),
+    MayHaveRun,
 }
 
 async fn try_once(
@@ -120,7 +107,7 @@
         body_len: ByteSize::new(file.len() as u64),
     };
     let started = connection.start(&CallerFrame::Request(head)).await;
-    let (mut send, mut recv) = started.map_err(Attempt::MayHaveRun)?;
+    let (mut send, mut recv) = started.map_err(|_cut| Attempt::MayHaveRun)?;
     // The answer is read while the file is sent, as a refusal may come before its end.
     let write = async {
         if send.write_all(file).await.is_ok() {
@@ -129,7 +116,7 @@
     };
     let (response, ()) = tokio::join!(read_response(&mut recv), write);
     connection.close();
-    response.map_err(Attempt::MayHaveRun)
+    response.map_err(|_cut| Attempt::MayHaveRun)
 }
 
 fn check_receipt(body: &[u8], sent: &str) -> Result<()> {
--- a/crates/cranberrypitch-standins/src/deployment.rs
+++ b/crates/cranberrypitch-standins/src/deployment.rs
@@ -18,6 +18,7 @@
 use cranberrypitch_core::{FailureDomain, KeyGeneration, Revision, ServiceName, VmId};
 use cranberrypitch_net::KeyRing;
 use cranberrypitch_net::tls::{self, Authorities, TransportOptions};
+use cranberrypitch_proto::report::BalancerHint;
 
 pub use self::ip::Subnet;
 use self::target::TargetSeed;
@@ -109,6 +110,16 @@
     pub handle: BalancerHandle,
 }
 
+impl BalancerVm {
+    fn hint(&self) -> BalancerHint {
+        BalancerHint {
+            tunnel: SocketAddrV4::new(self.ip, BALANCER_TUNNEL_PORT),
+            control: None,
+            failure_domain: self.failure_domain.clone(),
+        }
+    }
+}
+
 /// A running deployment.
 #[derive(Debug)]
 pub struct Deployment {
@@ -225,21 +236,16 @@
 
     async fn announce_balancers(&self) -> Result<()> {
         self.update_fabric();
-        for target in &self.targets {
-            if let Ok(agent) = target.agent() {
-                agent.set_balancers(self.return_balancers()).await?;
-            }
+        let hints: Vec<_> = self.balancers.iter().map(BalancerVm::hint).collect();
+        for balancer in &self.balancers {
+            balancer.handle.set_balancers(hints.clone()).await?;
         }
         Ok(())
     }
 
     fn return_balancers(&self) -> Vec<ReturnBalancer> {
-        let balancers = self.balancers.iter().map(|b| ReturnBalancer {
-            tunnel_address: SocketAddrV4::new(b.ip, BALANCER_TUNNEL_PORT),
-            control_address: None,
-            failure_domain: b.failure_domain.clone(),
-        });
-        balancers.collect()
+        let hints = self.balancers.iter().map(BalancerVm::hint);
+        hints.map(ReturnBalancer::from).collect()
     }
 
     /// Adds a target to a service.
