Refuse repeated fields in settings and key files

serde_json keeps the last of two fields with one name, so a forgotten line further down would silently win. Key files can also be parsed from a text. The decoders of both files are tested with random texts.

--- a/crates/cranberrypitch-net/src/events/catalogue.rs
+++ b/crates/cranberrypitch-net/src/events/catalogue.rs
@@ -161,6 +161,9 @@
     /// A configuration was learned from a peer and not from the store.
     207 Info ConfigurationFromPeer { revision: Revision, peer: SocketAddr }
         = "configuration {revision} learned from peer {peer}";
+    /// The command line of a program is refused.
+    208 Error ArgumentsRefused { problem: Box<str> }
+        = "arguments refused: {problem}";
 
     /// An agent announces itself for the first time.
     301 Info TargetJoined { vm: VmId, service: ServiceName, agent: SocketAddrV4, incarnation: Incarnation }
--- a/crates/cranberrypitch-net/src/keys.rs
+++ b/crates/cranberrypitch-net/src/keys.rs
@@ -15,6 +15,7 @@
 use serde_json::{Map, Value};
 
 use crate::errors::{ControlFault, Error, Fault, Problem, Problems, Result};
+use crate::json;
 
 /// The length of a generation's secret.
 pub const SECRET_LEN_BYTES: usize = 32;
@@ -47,6 +48,15 @@
         })
     }
 
+    /// Reads the keys from a text; `file` is the name for error messages and is not read.
+    pub fn parse(file: &Path, text: &str) -> Result<Self> {
+        let keys = parse_keys(file, text)?;
+        Ok(Self {
+            file: None,
+            keys: ArcSwap::from_pointee(keys),
+        })
+    }
+
     /// Returns a key ring of one generation without a file, for tests and the demo.
     pub fn from_secret(generation: KeyGeneration, secret: &[u8; SECRET_LEN_BYTES]) -> Self {
         let current = GenerationKeys::derive(generation, secret);
@@ -233,10 +243,14 @@
 fn read_keys(file: &Path) -> Result<Keys> {
     let refuse = |fault| Error::refused(Problem::new(file, "", fault));
     let text = std::fs::read_to_string(file).map_err(|e| refuse(Fault::unreadable(&e)))?;
+    parse_keys(file, &text)
+}
+
+fn parse_keys(file: &Path, text: &str) -> Result<Keys> {
     // A parser message could quote a part of a secret, so only the place is reported.
-    let value: Value = serde_json::from_str(&text).map_err(|e| {
+    let value = json::parse(text).map_err(|e| {
         let detail = format!("line {} column {}", e.line(), e.column()).into();
-        refuse(Fault::NotJson { detail })
+        Error::refused(Problem::new(file, "", Fault::NotJson { detail }))
     })?;
     KeyFile::new(file).keys(&value)
 }
--- a/crates/cranberrypitch-net/src/lib.rs
+++ b/crates/cranberrypitch-net/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod daemon;
 pub mod errors;
 pub mod events;
+pub(crate) mod json;
 pub mod keys;
 pub mod metrics;
 pub mod settings;
--- a/crates/cranberrypitch-net/src/settings/check.rs
+++ b/crates/cranberrypitch-net/src/settings/check.rs
@@ -5,6 +5,7 @@
 use serde_json::{Map, Value};
 
 use crate::errors::{Error, Fault, Problem, Problems, Result};
+use crate::json;
 use crate::settings::fields::{Field, Presence};
 
 /// The fields of a settings text.
@@ -26,7 +27,7 @@
     rules: &Rules,
 ) -> Result<Value> {
     let refuse = |fault| Error::refused(Problem::new(file, "", fault));
-    let value = serde_json::from_str(text).map_err(|e| refuse(Fault::not_json(&e)))?;
+    let value = json::parse(text).map_err(|e| refuse(Fault::not_json(&e)))?;
     let Value::Object(mut settings) = value else {
         return Err(refuse(Fault::invalid(&"the text", "a JSON object")));
     };
--- a/crates/cranberrypitch-net/tests/control.rs
+++ b/crates/cranberrypitch-net/tests/control.rs
@@ -1,10 +1,14 @@
 //! The contract of the control channel, over loopback.
 
+mod common;
+
 use std::net::{SocketAddr, SocketAddrV4};
-use std::sync::{Arc, Mutex};
+use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use common::logged;
 use cranberrypitch_core::{KeyGeneration, Revision, ServiceName, VmId};
 use cranberrypitch_net::control::{ControlHandler, ControlOptions};
 use cranberrypitch_net::errors::ControlFault;
@@ -21,46 +25,6 @@
 const ANY: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 0);
 const DIGEST: Digest = Digest::new([5; 32]);
 
-static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
-
-struct Recorder;
-
-impl log::Log for Recorder {
-    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
-        true
-    }
-
-    fn log(&self, record: &log::Record<'_>) {
-        LINES
-            .lock()
-            .expect("no panic")
-            .push(record.args().to_string());
-    }
-
-    fn flush(&self) {}
-}
-
-/// Waits for a log line with both texts.
-async fn logged(start: &str, part: &str) {
-    let found = || {
-        let lines = LINES.lock().expect("no panic");
-        lines
-            .iter()
-            .any(|line| line.starts_with(start) && line.contains(part))
-    };
-    let wait = async {
-        while !found() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    let waited = tokio::time::timeout(Duration::from_secs(5), wait).await;
-    assert!(
-        waited.is_ok(),
-        "no line {start} with {part} in {:?}",
-        LINES.lock()
-    );
-}
-
 struct Handler;
 
 impl ControlHandler for Handler {
@@ -115,20 +79,13 @@
 /// Returns the keys of generations 3 and 4, whose secrets are those of `keys(3, 3)` and
 /// `keys(4, 4)`.
 fn both_keys(current: u8) -> Arc<KeyRing> {
-    let name = format!(
-        "cranberrypitch-{}-control-{current}.json",
-        std::process::id()
-    );
-    let file = std::env::temp_dir().join(name);
     let key = |generation: u8| {
         let secret_hex = format!("{generation:02x}").repeat(32);
         serde_json::json!({ "generation": generation, "secret_hex": secret_hex })
     };
     let text = serde_json::json!({ "current": current, "keys": [key(3), key(4)] });
-    std::fs::write(&file, text.to_string()).expect("the file is written");
-    let keys = KeyRing::load(&file).expect("the file is valid");
-    std::fs::remove_file(&file).expect("the file is removed");
-    Arc::new(keys)
+    let keys = KeyRing::parse(Path::new("keys.json"), &text.to_string());
+    Arc::new(keys.expect("the text is valid"))
 }
 
 fn options() -> ControlOptions {
@@ -141,10 +98,7 @@
 }
 
 async fn serve(keys: Arc<KeyRing>, options: ControlOptions) -> (ControlServer, SocketAddrV4) {
-    // The first server of the process sets the logger, the others find it set.
-    if log::set_logger(&Recorder).is_ok() {
-        log::set_max_level(log::LevelFilter::Debug);
-    }
+    common::record_log();
     let server = ControlServer::bind_with(ANY, keys, Handler, options).await;
     let server = server.expect("a free port");
     let SocketAddr::V4(address) = server.local_address() else {
--- a/crates/cranberrypitch-net/tests/daemon.rs
+++ b/crates/cranberrypitch-net/tests/daemon.rs
@@ -1,48 +1,23 @@
 //! Start, signals and exit codes of a daemon.
 
+mod common;
+
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
+use common::logged;
 use cranberrypitch_core::ManualClock;
 use cranberrypitch_net::daemon::{self, ExitStatus, Signal, Startup, StopFlag, TrafficThreads};
 use cranberrypitch_net::{AgentSettings, Error};
 use serde_json::json;
 
-static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
-
-struct Recorder;
-
-impl log::Log for Recorder {
-    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
-        true
-    }
-
-    fn log(&self, record: &log::Record<'_>) {
-        LINES
-            .lock()
-            .expect("no panic")
-            .push(record.args().to_string());
-    }
-
-    fn flush(&self) {}
-}
-
-fn assert_logged(part: &str) {
-    let lines = LINES.lock().expect("no panic");
-    assert!(
-        lines.iter().any(|line| line.contains(part)),
-        "{part} not in {lines:?}"
-    );
-}
-
 /// A directory of its own for each test, removed at its end.
 struct TestFiles(PathBuf);
 
 impl TestFiles {
     fn new(name: &str) -> Self {
-        // The first test of the process sets the logger, the others find it set.
-        drop(log::set_logger(&Recorder));
+        common::record_log();
         let name = format!("cranberrypitch-{}-{name}", std::process::id());
         let directory = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&directory).expect("the directory is made");
@@ -93,23 +68,6 @@
     assert!(status.expect("a shell").success());
 }
 
-async fn wait_for_line(part: &str) {
-    let found = || {
-        LINES
-            .lock()
-            .expect("no panic")
-            .iter()
-            .any(|line| line.contains(part))
-    };
-    for _ in 0..1000 {
-        if found() {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    panic!("{part} was not logged");
-}
-
 /// Guards against a stop that is not graceful, and a SIGHUP that stops the daemon, takes no new
 /// keys or loses the keys in force.
 #[test]
@@ -120,10 +78,10 @@
         let steps = async {
             files.write_keys(4);
             raise("HUP");
-            wait_for_line("CP0701 keys reloaded, generation 4 signs").await;
+            logged("CP0701", "keys reloaded, generation 4 signs").await;
             files.write("keys.json", "{}");
             raise("HUP");
-            wait_for_line("CP0702 keys refused").await;
+            logged("CP0702", "keys refused").await;
             raise("TERM");
         };
         let stop = daemon::until_stop(&mut startup.signals, &keys);
@@ -133,9 +91,9 @@
         Ok::<(), Error>(())
     };
     assert_eq!(daemon::run(&files.settings(), body), ExitStatus::Graceful);
-    assert_logged("CP0101 agent started on vm-1");
-    assert_logged("CP0102 graceful stop requested by SIGTERM");
-    assert_logged("CP0103 agent stopped with exit code 0");
+    common::assert_logged("CP0101 agent started on vm-1");
+    common::assert_logged("CP0102 graceful stop requested by SIGTERM");
+    common::assert_logged("CP0103 agent stopped with exit code 0");
 }
 
 /// Guards against a daemon that starts with refused settings, or ends with another code.
@@ -149,16 +107,16 @@
         )
     };
     assert_eq!(run(Path::new("/nonexistent/a.json")), ExitStatus::Refused);
-    assert_logged("CP0201 settings refused: /nonexistent/a.json: can't be read");
+    common::assert_logged("CP0201 settings refused: /nonexistent/a.json: can't be read");
     files.write("keys.json", r#"{"current": 99, "keys": []}"#);
     assert_eq!(run(&files.settings()), ExitStatus::Refused);
-    assert_logged("keys.json: keys: the value is not allowed");
-    assert_logged("keys.json: current: 99 is not allowed");
+    common::assert_logged("keys.json: keys: the value is not allowed");
+    common::assert_logged("keys.json: current: 99 is not allowed");
     let settings = std::fs::read_to_string(files.settings()).expect("written above");
     let settings: AgentSettings = AgentSettings::parse(Path::new("a"), &settings).expect("valid");
     let _in_use = std::net::UdpSocket::bind(settings.tunnel_address).expect("a free port");
     assert_eq!(run(&files.settings()), ExitStatus::Refused);
-    assert_logged("settings.json: tunnel_address: address 127.0.0.1:");
+    common::assert_logged("settings.json: tunnel_address: address 127.0.0.1:");
     assert_eq!(ExitStatus::Refused.code(), 2);
 }
 
@@ -182,9 +140,9 @@
             Err::<(), Error>(threads.failure().await)
         };
         assert_eq!(daemon::run(&files.settings(), body), ExitStatus::Failed);
-        assert_logged(&format!("CP0106 thread traffic failed: {expected}"));
+        common::assert_logged(&format!("CP0106 thread traffic failed: {expected}"));
     }
-    assert_logged("CP0104 agent failed: traffic: panic: bug");
+    common::assert_logged("CP0104 agent failed: traffic: panic: bug");
     assert_eq!(ExitStatus::Failed.code(), 1);
 }
 
--- a/crates/cranberrypitch-net/tests/keys.rs
+++ b/crates/cranberrypitch-net/tests/keys.rs
@@ -5,6 +5,8 @@
 use cranberrypitch_core::KeyGeneration;
 use cranberrypitch_net::KeyRing;
 use cranberrypitch_net::errors::ControlFault;
+use proptest::prelude::*;
+use proptest::sample::Index;
 
 fn hex(byte: u8) -> String {
     format!("{byte:02x}").repeat(32)
@@ -91,6 +93,10 @@
             r#"{"current": 1, "extra": 1, "keys": [{"generation": 1, "secret_hex": "GOOD"}]}"#,
             "extra: unknown field; known are current, keys",
         ),
+        (
+            r#"{"current": 1, "current": 1, "keys": [{"generation": 1, "secret_hex": "GOOD"}]}"#,
+            ": is not JSON: line 1",
+        ),
         (
             r#"{"current": 1, "keys": [{"generation": 1, "secret_hex": "GOOD", "x": 0}]}"#,
             "keys[0].x: unknown field",
@@ -101,13 +107,12 @@
             "keys[1].generation: 1 is not allowed",
         ),
     ];
-    let file = TestFile::new("refused", "");
     for (text, expected) in cases {
-        file.write(&text.replace("GOOD", &good));
-        let error = KeyRing::load(&file.0).expect_err(text);
+        let text = text.replace("GOOD", &good);
+        let error = KeyRing::parse("keys.json".as_ref(), &text).expect_err(&text);
         let message = error.to_string();
         assert!(message.contains(expected), "{text}: {message}");
-        assert!(message.contains(&file.0.display().to_string()), "{message}");
+        assert!(message.contains("keys.json: "), "{message}");
         assert!(
             !message.contains(&good),
             "the message shows a secret: {message}"
@@ -143,8 +148,8 @@
 #[test]
 fn the_current_generation_signs_and_both_verify() {
     for (current, other) in [(3, 4), (4, 3)] {
-        let file = TestFile::new(&format!("current-{current}"), &two_keys(current));
-        let ring = KeyRing::load(&file.0).expect("the file is valid");
+        let ring = KeyRing::parse("keys.json".as_ref(), &two_keys(current));
+        let ring = ring.expect("the text is valid");
         let keys = ring.keys();
         assert_eq!(keys.token().current().generation().get(), current);
         assert_eq!(keys.control().generation().get(), current);
@@ -189,3 +194,20 @@
     ring.reload().expect("the file is valid");
     assert_eq!(ring.token_keys().current().generation().get(), 2);
 }
+
+proptest! {
+    /// Guards against a key file that makes a daemon panic, or a secret that ends up in a log.
+    #[test]
+    fn any_key_file_is_accepted_or_refused(place in any::<Index>(), text in ".{0,8}") {
+        let good = two_keys(3);
+        let mut changed: Vec<char> = good.chars().collect();
+        let place = place.index(changed.len());
+        changed.splice(place..=place, text.chars());
+        let changed: String = changed.into_iter().collect();
+        for text in [text, changed] {
+            if let Err(error) = KeyRing::parse("keys.json".as_ref(), &text) {
+                prop_assert!(!error.to_string().contains("01010101"), "{}", error);
+            }
+        }
+    }
+}
--- a/crates/cranberrypitch-net/tests/settings.rs
+++ b/crates/cranberrypitch-net/tests/settings.rs
@@ -7,6 +7,7 @@
 use cranberrypitch_net::settings::{AGENT_FIELDS, BALANCER_FIELDS, Field, Presence};
 use cranberrypitch_net::{AgentSettings, BalancerSettings, Error};
 use expect_test::expect;
+use proptest::prelude::*;
 use serde_json::{Map, Value, json};
 
 const FILE: &str = "test.json";
@@ -150,7 +151,7 @@
 /// Guards against text that is not JSON, or not an object, and gets past the check.
 #[test]
 fn other_texts_are_refused() {
-    for text in ["", "{", "[]", "null", "{} {}"] {
+    for text in ["", "{", "[]", "null", "{} {}", r#"{"vm": "a", "vm": "b"}"#] {
         let parsed = AgentSettings::parse(Path::new(FILE), text);
         let message = parsed.expect_err(text).to_string();
         assert!(message.starts_with("test.json: "), "{message}");
@@ -163,6 +164,28 @@
     );
 }
 
+proptest! {
+    /// Guards against a settings file that makes a daemon panic, or that passes the check of the
+    /// table and not that of the type.
+    #[test]
+    fn any_text_is_accepted_or_refused_by_the_table(
+        text in ".{0,40}",
+        field in 0..BALANCER_FIELDS.len(),
+        number in any::<i64>(),
+    ) {
+        let field = BALANCER_FIELDS[field].name;
+        let by_text = with(balancer(), field, json!(text)).to_string();
+        let by_number = with(balancer(), field, json!(number)).to_string();
+        drop(BalancerSettings::parse(Path::new(FILE), &text));
+        for settings in [by_text, by_number] {
+            if let Err(error) = BalancerSettings::parse(Path::new(FILE), &settings) {
+                let message = error.to_string();
+                prop_assert!(message.starts_with(&format!("{FILE}: {field}: ")), "{}", message);
+            }
+        }
+    }
+}
+
 /// Guards against a table of fields that does not match the type.
 #[test]
 fn tables_match_the_types() {
--- a/crates/cranberrypitch-net/tests/tls.rs
+++ b/crates/cranberrypitch-net/tests/tls.rs
@@ -145,3 +145,18 @@
         Err(Error::Tls { .. })
     ));
 }
+
+/// Guards against loss detection with the defaults, which report false losses on sprayed packets.
+#[test]
+fn both_ends_use_the_thresholds_of_the_design() {
+    let transport = tls::transport_config(&TransportOptions::default()).expect("valid options");
+    let text = format!("{transport:?}");
+    let expected = [
+        "packet_threshold: 64",
+        "time_threshold: 3.0",
+        "initial_mtu: 1200",
+    ];
+    for expected in expected.into_iter().chain(["upper_bound: 1350"]) {
+        assert!(text.contains(expected), "{expected} not in {text}");
+    }
+}
