Log refused keys at the start as key events, drop slow control peers at once

A key file refused at the start was logged as refused settings. A peer that took no message in time was also given the time to take a close frame.

--- a/crates/cranberrypitch-net/src/control/server.rs
+++ b/crates/cranberrypitch-net/src/control/server.rs
@@ -217,7 +217,10 @@
     /// Serves a session to its end.
     async fn serve(&self, mut begun: Begun, peer: SocketAddr) {
         let result = self.session_steps(&mut begun, peer).await;
-        begun.session.close().await;
+        // A peer that took no message in time would not take the close in time either.
+        if result != Err(ControlFault::Slow) {
+            begun.session.close().await;
+        }
         drop(begun.slot);
         match result {
             Ok(()) | Err(ControlFault::Closed) => {}
--- a/crates/cranberrypitch-net/src/daemon.rs
+++ b/crates/cranberrypitch-net/src/daemon.rs
@@ -166,10 +166,7 @@
     init_log(LevelFilter::Info);
     let status = match read(settings_file) {
         Ok(read) => run_control(settings_file, read, body),
-        Err(error) => {
-            log_refused(&error);
-            error.exit_status()
-        }
+        Err(error) => error.exit_status(),
     };
     let exit_code = status.code();
     let program = S::PROGRAM;
@@ -215,12 +212,12 @@
     metrics: Metrics,
 }
 
+/// Reads settings and keys and logs what is refused.
 fn read<S: DaemonSettings>(file: &Path) -> Result<Read<S>> {
-    let settings = S::read_file(file)?;
-    log::set_max_level(settings.log_level());
-    settings.check_listening(file)?;
-    let keys = KeyRing::load(settings.key_file())?;
-    let metrics = Metrics::try_new(settings.metrics_address(), S::PROGRAM, settings.vm())?;
+    let settings = read_settings::<S>(file).inspect_err(log_settings_refused)?;
+    let keys = KeyRing::load(settings.key_file()).inspect_err(signals::log_keys_refused)?;
+    let metrics = Metrics::try_new(settings.metrics_address(), S::PROGRAM, settings.vm())
+        .inspect_err(log_settings_refused)?;
     Ok(Read {
         settings,
         keys,
@@ -228,6 +225,13 @@
     })
 }
 
+fn read_settings<S: DaemonSettings>(file: &Path) -> Result<S> {
+    let settings = S::read_file(file)?;
+    log::set_max_level(settings.log_level());
+    settings.check_listening(file)?;
+    Ok(settings)
+}
+
 fn run_control<S, E, F>(
     settings_file: &Path,
     read: Read<S>,
@@ -287,14 +291,8 @@
     status
 }
 
-/// Logs each problem of a file as an event of its own.
-fn log_refused(error: &Error) {
-    let Error::Refused(problems) = error else {
-        let problem = error.to_string().into();
-        return Event::SettingsRefused { problem }.log();
-    };
-    for problem in problems.as_slice() {
-        let problem = problem.to_string().into();
+fn log_settings_refused(error: &Error) {
+    for problem in error.problems() {
         Event::SettingsRefused { problem }.log();
     }
 }
--- a/crates/cranberrypitch-net/src/daemon/signals.rs
+++ b/crates/cranberrypitch-net/src/daemon/signals.rs
@@ -3,7 +3,7 @@
 use derive_more::Display;
 use tokio::signal::unix::{Signal as Stream, SignalKind, signal};
 
-use crate::errors::{Error, Problems, Result};
+use crate::errors::{Error, Result};
 use crate::events::Event;
 use crate::keys::KeyRing;
 
@@ -80,17 +80,13 @@
             let generation = keys.keys().control().generation();
             Event::KeysReloaded { generation }.log();
         }
-        Err(error) => log_refused(&error),
+        Err(error) => log_keys_refused(&error),
     }
 }
 
-fn log_refused(error: &Error) {
-    let problems = match error {
-        Error::Refused(problems) => Problems::as_slice(problems),
-        _ => &[],
-    };
-    for problem in problems {
-        let problem = problem.to_string().into();
+/// Logs each problem of a key file as an event of its own.
+pub(super) fn log_keys_refused(error: &Error) {
+    for problem in error.problems() {
         Event::KeysRefused { problem }.log();
     }
 }
--- a/crates/cranberrypitch-net/src/errors.rs
+++ b/crates/cranberrypitch-net/src/errors.rs
@@ -70,6 +70,14 @@
         Self::Refused(Problems(Box::new([problem])))
     }
 
+    /// Returns one text for each problem: several for a refused file, one for any other error.
+    pub(crate) fn problems(&self) -> Vec<Box<str>> {
+        match self {
+            Self::Refused(problems) => problems.texts(),
+            error => vec![error.to_string().into()],
+        }
+    }
+
     /// Returns an error about a certificate or its key.
     pub fn certificate(what: &impl ToString, detail: &impl ToString) -> Self {
         Self::Certificate {
@@ -111,6 +119,11 @@
         &self.0
     }
 
+    fn texts(&self) -> Vec<Box<str>> {
+        let texts = self.0.iter().map(|problem| problem.to_string().into());
+        texts.collect()
+    }
+
     /// Returns an error if there are problems.
     pub(crate) fn check(problems: Vec<Problem>) -> Result<()> {
         if problems.is_empty() {
--- a/crates/cranberrypitch-net/tests/daemon.rs
+++ b/crates/cranberrypitch-net/tests/daemon.rs
@@ -112,6 +112,7 @@
     assert_eq!(run(&files.settings()), ExitStatus::Refused);
     common::assert_logged("keys.json: keys: the value is not allowed");
     common::assert_logged("keys.json: current: 99 is not allowed");
+    common::assert_logged("CP0702 keys refused: ");
     let settings = std::fs::read_to_string(files.settings()).expect("written above");
     let settings: AgentSettings = AgentSettings::parse(Path::new("a"), &settings).expect("valid");
     let _in_use = std::net::UdpSocket::bind(settings.tunnel_address).expect("a free port");
