--- a/crates/cranberrypitch-net/src/control/client.rs
+++ b/crates/cranberrypitch-net/src/control/client.rs
@@ -227,7 +227,7 @@
 
 impl Worker {
     async fn run(mut self) {
-        let fault = self.steps().await.err();
+        let fault = self.session_loop().await.err();
         self.session.close().await;
         let Some(fault) = fault else {
             return;
@@ -246,7 +246,7 @@
     }
 
     /// Runs until all clients are dropped, or the session fails.
-    async fn steps(&mut self) -> Outcome<()> {
+    async fn session_loop(&mut self) -> Outcome<()> {
         let period = self.options.ping_interval_ms;
         let mut pings = interval_at(Instant::now() + period, period);
         loop {
--- a/crates/cranberrypitch-net/src/control/handshake.rs
+++ b/crates/cranberrypitch-net/src/control/handshake.rs
@@ -16,7 +16,7 @@
 
 /// Authenticates the server to this client and the reverse.
 pub(super) async fn as_client(channel: &mut Channel, keys: &ControlKeys) -> Outcome<SessionKey> {
-    let result = client_steps(channel, keys).await;
+    let result = client_handshake(channel, keys).await;
     tell_refusal(channel, &result).await;
     result
 }
@@ -24,7 +24,7 @@
 /// Authenticates the client to this server and the reverse. The caller sends
 /// [`Handshake::Welcome`] or refuses the client for want of room.
 pub(super) async fn as_server(channel: &mut Channel, keys: &ControlKeys) -> Outcome<SessionKey> {
-    let result = server_steps(channel, keys).await;
+    let result = server_handshake(channel, keys).await;
     tell_refusal(channel, &result).await;
     result
 }
@@ -35,7 +35,7 @@
     channel.send(bytes).await
 }
 
-async fn client_steps(channel: &mut Channel, keys: &ControlKeys) -> Outcome<SessionKey> {
+async fn client_handshake(channel: &mut Channel, keys: &ControlKeys) -> Outcome<SessionKey> {
     let client = nonce()?;
     let hello = Handshake::Hello {
         version: VERSION,
@@ -61,7 +61,7 @@
     SessionKey::derive(&nonces, keys, generation, Role::Client)
 }
 
-async fn server_steps(channel: &mut Channel, keys: &ControlKeys) -> Outcome<SessionKey> {
+async fn server_handshake(channel: &mut Channel, keys: &ControlKeys) -> Outcome<SessionKey> {
     let Handshake::Hello {
         version,
         nonce: client,
--- a/crates/cranberrypitch-net/src/control/server.rs
+++ b/crates/cranberrypitch-net/src/control/server.rs
@@ -171,24 +171,24 @@
             let session = shared.handshake_in_time(stream).await;
             drop(permit);
             match session {
-                Ok(begun) => shared.serve(begun, peer).await,
+                Ok(opened) => shared.serve(opened, peer).await,
                 Err(fault) => shared.log_refusal(peer, &fault),
             }
         });
     }
 
-    async fn handshake_in_time(&self, stream: TcpStream) -> Outcome<Begun> {
+    async fn handshake_in_time(&self, stream: TcpStream) -> Outcome<OpenedSession> {
         let mut stopped = self.stopped.clone();
         let limit = self.options.handshake_timeout_ms;
         tokio::select! {
-            begun = timeout(limit, self.handshake(stream)) => {
-                begun.unwrap_or(Err(ControlFault::Timeout { step: "handshake" }))
+            opened = timeout(limit, self.handshake(stream)) => {
+                opened.unwrap_or(Err(ControlFault::Timeout { step: "handshake" }))
             }
             () = until_stopped(&mut stopped) => Err(ControlFault::Closed),
         }
     }
 
-    async fn handshake(&self, stream: TcpStream) -> Outcome<Begun> {
+    async fn handshake(&self, stream: TcpStream) -> Outcome<OpenedSession> {
         let write_timeout = self.options.write_timeout_ms;
         let mut channel = Channel::accept(stream, write_timeout).await?;
         let keys = self.keys.keys();
@@ -207,7 +207,7 @@
         // A notice sent after the client has read the welcome must reach it.
         let notices = self.notices.subscribe();
         handshake::send(&mut channel, &Handshake::Welcome).await?;
-        Ok(Begun {
+        Ok(OpenedSession {
             session: Session::new(channel, key),
             notices,
             slot,
@@ -215,23 +215,23 @@
     }
 
     /// Serves a session to its end.
-    async fn serve(&self, mut begun: Begun, peer: SocketAddr) {
-        let result = self.session_steps(&mut begun, peer).await;
+    async fn serve(&self, mut opened: OpenedSession, peer: SocketAddr) {
+        let result = self.session_loop(&mut opened, peer).await;
         // A peer that took no message in time would not take the close in time either.
         if result != Err(ControlFault::Slow) {
-            begun.session.close().await;
+            opened.session.close().await;
         }
-        drop(begun.slot);
+        drop(opened.slot);
         match result {
             Ok(()) | Err(ControlFault::Closed) => {}
             Err(fault) => log_dropped(peer, &fault),
         }
     }
 
-    async fn session_steps(&self, begun: &mut Begun, peer: SocketAddr) -> Outcome<()> {
-        let Begun {
+    async fn session_loop(&self, opened: &mut OpenedSession, peer: SocketAddr) -> Outcome<()> {
+        let OpenedSession {
             session, notices, ..
-        } = begun;
+        } = opened;
         let mut stopped = self.stopped.clone();
         let mut heard = tokio::time::Instant::now();
         loop {
@@ -321,7 +321,7 @@
 
 /// A session that has just begun.
 #[derive(Debug)]
-struct Begun {
+struct OpenedSession {
     session: Session,
     notices: broadcast::Receiver<Bytes>,
     slot: Slot,
--- a/crates/cranberrypitch-net/src/daemon.rs
+++ b/crates/cranberrypitch-net/src/daemon.rs
@@ -253,7 +253,7 @@
         };
         let startup = started(settings_file, read, signals);
         let metrics = startup.metrics.clone();
-        let housekeeping = tokio::spawn(keep_house(metrics.clone()));
+        let housekeeping = tokio::spawn(housekeeping_loop(metrics.clone()));
         let result = body(startup).await;
         housekeeping.abort();
         metrics.flush();
@@ -297,8 +297,8 @@
     }
 }
 
-/// Sends metrics and notices when the process was paused.
-async fn keep_house(metrics: Metrics) {
+/// Sends metrics, and logs when the process was paused.
+async fn housekeeping_loop(metrics: Metrics) {
     let mut ticks = interval(HOUSEKEEPING_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last = Instant::now();
--- a/crates/cranberrypitch-net/tests/control.rs
+++ b/crates/cranberrypitch-net/tests/control.rs
@@ -69,11 +69,20 @@
     VmId::try_new("vm-1").expect("a valid name")
 }
 
+fn goodbye() -> Notice {
+    Notice::Goodbye { vm: vm() }
+}
+
+fn v4(address: std::io::Result<SocketAddr>) -> SocketAddrV4 {
+    match address {
+        Ok(SocketAddr::V4(address)) => address,
+        other => panic!("not bound to IPv4: {other:?}"),
+    }
+}
+
 fn keys(generation: u8, byte: u8) -> Arc<KeyRing> {
-    Arc::new(KeyRing::from_secret(
-        KeyGeneration::new(generation),
-        &[byte; 32],
-    ))
+    let generation = KeyGeneration::new(generation);
+    Arc::new(KeyRing::from_secret(generation, &[byte; 32]))
 }
 
 /// Returns the keys of generations 3 and 4, whose secrets are those of `keys(3, 3)` and
@@ -101,17 +110,12 @@
     common::record_log();
     let server = ControlServer::bind_with(ANY, keys, Handler, options).await;
     let server = server.expect("a free port");
-    let SocketAddr::V4(address) = server.local_address() else {
-        panic!("bound to IPv4");
-    };
+    let address = v4(Ok(server.local_address()));
     (server, address)
 }
 
 async fn refusal(address: SocketAddrV4, keys: &KeyRing) -> ControlFault {
-    match ControlClient::connect_with(address, keys, options()).await {
-        Err(Error::Control { fault, .. }) => fault,
-        other => panic!("not refused: {other:?}"),
-    }
+    fault(ControlClient::connect_with(address, keys, options()).await)
 }
 
 fn fault<T: std::fmt::Debug>(result: Result<T, Error>) -> ControlFault {
@@ -145,38 +149,27 @@
         client.config_shard(Digest::new([0; 32])),
     );
     assert_eq!(head_answer.expect("answered"), Some(head(10)));
-    assert_eq!(
-        shard.expect("answered").map(|shard| shard.body.len()),
-        Some(1 << 20)
-    );
+    let shard = shard.expect("answered").expect("it is known");
+    assert_eq!(shard.body.len(), 1 << 20);
     assert_eq!(unknown.expect("answered"), None);
+    let newer = client.config_head(Revision::new(7)).await;
+    assert_eq!(newer.expect("answered"), None);
+    let late = fault(client.balancers().await);
+    let too_long = fault(client.status().await);
     assert_eq!(
-        client
-            .config_head(Revision::new(7))
-            .await
-            .expect("answered"),
-        None
-    );
-    assert_eq!(
-        fault(client.balancers().await),
-        ControlFault::Failed,
-        "late"
-    );
-    assert_eq!(
-        fault(client.status().await),
-        ControlFault::Failed,
-        "too long"
+        [late, too_long],
+        [ControlFault::Failed, ControlFault::Failed]
     );
+    let targets = client
+        .peer_targets(ServiceName::try_new("matcher").expect("valid"))
+        .await;
+    assert_eq!(targets.expect("answered"), [ANY]);
     client.goodbye(vm()).await.expect("answered");
     client.ping().await.expect("answered");
-    server
-        .notify(Notice::Goodbye { vm: vm() })
-        .expect("it encodes");
+    server.notify(goodbye()).expect("it encodes");
     server.stop().await;
-    assert_eq!(
-        notices.next().await.expect("sent before the stop"),
-        Notice::Goodbye { vm: vm() }
-    );
+    let notice = notices.next().await.expect("sent before the stop");
+    assert_eq!(notice, goodbye());
     assert_eq!(fault(notices.next().await), ControlFault::Closed);
     assert_eq!(fault(client.ping().await), ControlFault::Closed);
 }
@@ -192,9 +185,8 @@
     ];
     for (server_keys, client_keys) in cases {
         let (_server, address) = serve(server_keys, options()).await;
-        let (client, _) = ControlClient::connect(address, &client_keys)
-            .await
-            .expect("shared key");
+        let connected = ControlClient::connect(address, &client_keys).await;
+        let (client, _) = connected.expect("shared key");
         client.ping().await.expect("answered");
     }
 }
@@ -297,9 +289,7 @@
 #[tokio::test]
 async fn a_silent_server_is_given_up() {
     let listener = TcpListener::bind(ANY).await.expect("a free port");
-    let Ok(SocketAddr::V4(address)) = listener.local_addr() else {
-        panic!("bound to IPv4");
-    };
+    let address = v4(listener.local_addr());
     let expected = ControlFault::Timeout { step: "handshake" };
     assert_eq!(refusal(address, &keys(3, 3)).await, expected);
 }
@@ -368,9 +358,7 @@
     let connected = ControlClient::connect_with(address, &keys(3, 3), bounded).await;
     let (client, mut notices) = connected.expect("the same key");
     for _ in 0..3 {
-        server
-            .notify(Notice::Goodbye { vm: vm() })
-            .expect("it encodes");
+        server.notify(goodbye()).expect("it encodes");
     }
     until_empty(&server).await;
     assert!(client.is_closed());
@@ -385,9 +373,7 @@
 async fn changed_messages_end_the_session() {
     let (server, address) = serve(keys(3, 3), options()).await;
     let listener = TcpListener::bind(ANY).await.expect("a free port");
-    let Ok(SocketAddr::V4(proxy)) = listener.local_addr() else {
-        panic!("bound to IPv4");
-    };
+    let proxy = v4(listener.local_addr());
     let (tamper, tampering) = tokio::sync::watch::channel(false);
     tokio::spawn(async move {
         let (client, _) = listener.accept().await.expect("a client");
@@ -408,9 +394,7 @@
     let (client, mut notices) = connected.expect("the proxy changes nothing yet");
     client.ping().await.expect("answered");
     tamper.send_replace(true);
-    server
-        .notify(Notice::Goodbye { vm: vm() })
-        .expect("it encodes");
+    server.notify(goodbye()).expect("it encodes");
     assert_eq!(fault(notices.next().await), ControlFault::Forged);
     logged("CP0705", "message signature does not match").await;
 }
--- a/crates/cranberrypitch-net/tests/keys.rs
+++ b/crates/cranberrypitch-net/tests/keys.rs
@@ -1,52 +1,20 @@
 //! Key files: the check, the derivation and the reload.
 
-use std::path::PathBuf;
-
 use cranberrypitch_core::KeyGeneration;
 use cranberrypitch_net::KeyRing;
 use cranberrypitch_net::errors::ControlFault;
 use proptest::prelude::*;
 use proptest::sample::Index;
+use serde_json::json;
 
 fn hex(byte: u8) -> String {
     format!("{byte:02x}").repeat(32)
 }
 
-fn one_key(generation: u8, byte: u8) -> String {
-    let secret = hex(byte);
-    format!(
-        r#"{{"current": {generation}, "keys": [{{"generation": {generation}, "secret_hex": "{secret}"}}]}}"#
-    )
-}
-
-fn two_keys(current: u8) -> String {
-    let (a, b) = (hex(1), hex(2));
-    format!(
-        r#"{{"current": {current}, "keys": [{{"generation": 3, "secret_hex": "{a}"}},
-            {{"generation": 4, "secret_hex": "{b}"}}]}}"#
-    )
-}
-
-/// A key file of its own for each test, removed at its end.
-struct TestFile(PathBuf);
-
-impl TestFile {
-    fn new(name: &str, text: &str) -> Self {
-        let name = format!("cranberrypitch-{}-{name}.json", std::process::id());
-        let file = Self(std::env::temp_dir().join(name));
-        file.write(text);
-        file
-    }
-
-    fn write(&self, text: &str) {
-        std::fs::write(&self.0, text).expect("the file is written");
-    }
-}
-
-impl Drop for TestFile {
-    fn drop(&mut self) {
-        std::fs::remove_file(&self.0).expect("the file is removed");
-    }
+fn key_file(current: u8, keys: &[(u8, u8)]) -> String {
+    let key = |(generation, byte): &(u8, u8)| json!({ "generation": generation, "secret_hex": hex(*byte) });
+    let keys: Vec<_> = keys.iter().map(key).collect();
+    json!({ "current": current, "keys": keys }).to_string()
 }
 
 /// Guards against a malformed key file that is accepted, and against a message without the place.
@@ -148,7 +116,7 @@
 #[test]
 fn the_current_generation_signs_and_both_verify() {
     for (current, other) in [(3, 4), (4, 3)] {
-        let ring = KeyRing::parse("keys.json".as_ref(), &two_keys(current));
+        let ring = KeyRing::parse("keys.json".as_ref(), &key_file(current, &[(3, 1), (4, 2)]));
         let ring = ring.expect("the text is valid");
         let keys = ring.keys();
         assert_eq!(keys.token().current().generation().get(), current);
@@ -184,22 +152,25 @@
 /// Guards against a bad file on SIGHUP that leaves a daemon without keys.
 #[test]
 fn a_refused_reload_leaves_the_keys_in_force() {
-    let file = TestFile::new("reload", &one_key(1, 1));
-    let ring = KeyRing::load(&file.0).expect("the file is valid");
+    let file = std::env::temp_dir().join(format!("cranberrypitch-{}-keys", std::process::id()));
+    let write = |text: &str| std::fs::write(&file, text).expect("the file is written");
+    write(&key_file(1, &[(1, 1)]));
+    let ring = KeyRing::load(&file).expect("the file is valid");
     let before = ring.token_keys();
-    file.write("{}");
+    write("{}");
     ring.reload().expect_err("the file is refused");
     assert_eq!(ring.token_keys(), before);
-    file.write(&one_key(2, 2));
+    write(&key_file(2, &[(2, 2)]));
     ring.reload().expect("the file is valid");
     assert_eq!(ring.token_keys().current().generation().get(), 2);
+    std::fs::remove_file(&file).expect("the file is removed");
 }
 
 proptest! {
     /// Guards against a key file that makes a daemon panic, or a secret that ends up in a log.
     #[test]
     fn any_key_file_is_accepted_or_refused(place in any::<Index>(), text in ".{0,8}") {
-        let good = two_keys(3);
+        let good = key_file(3, &[(3, 1), (4, 2)]);
         let mut changed: Vec<char> = good.chars().collect();
         let place = place.index(changed.len());
         changed.splice(place..=place, text.chars());
