Break off feeds of killed stand-ins and bound the times that requests ask for

The adapter took a transfer coding other than chunked for one with an end, and an endless deadline overflowed.

--- a/crates/cranberrypitch-agent/src/backend/http.rs
+++ b/crates/cranberrypitch-agent/src/backend/http.rs
@@ -30,6 +30,9 @@
 const NOT_RUN: &str = "x-not-run";
 const FIRST_SEQUENCE: &str = "x-first-sequence";
 
+/// Longer times are cut to this, as callers may ask for any, and a deadline must not overflow.
+const MAX_WAIT: Duration = Duration::from_hours(24);
+
 /// Settings of an [`HttpBackend`].
 #[derive(Clone, Copy, Debug)]
 pub struct HttpBackendOptions {
@@ -130,9 +133,13 @@
         let now = Instant::now();
         let connect_within = self.options.connect_timeout;
         Deadlines {
-            connect: now + connect_within.min(start_within).min(answer_within),
-            start: now + start_within,
-            answer: now + answer_within,
+            connect: now
+                + connect_within
+                    .min(start_within)
+                    .min(answer_within)
+                    .min(MAX_WAIT),
+            start: now + start_within.min(MAX_WAIT),
+            answer: now + answer_within.min(MAX_WAIT),
         }
     }
 
@@ -370,8 +377,16 @@
         .map_err(|_invalid| not_sent(Cause::Malformed))
 }
 
+/// Returns whether the end of an answer can be told from a cut.
 fn is_framed(headers: &HeaderMap, body: &Incoming) -> bool {
-    body.size_hint().exact().is_some() || headers.contains_key(TRANSFER_ENCODING)
+    body.size_hint().exact().is_some() || is_chunked(headers)
+}
+
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    last.and_then(|value| value.to_str().ok())
+        .and_then(|codings| codings.rsplit(',').next())
+        .is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
 
 async fn read_whole(mut body: Incoming, limit_bytes: usize) -> std::result::Result<Bytes, Cause> {
--- a/crates/cranberrypitch-standins/src/backend/answer.rs
+++ b/crates/cranberrypitch-standins/src/backend/answer.rs
@@ -13,6 +13,15 @@
 
 pub(crate) const NOT_RUN: &str = "x-not-run";
 
+/// A part of a feed. A feed whose parts stop without an end breaks off, as when it is killed.
+#[derive(Debug)]
+pub(crate) enum FeedPart {
+    /// A reading with its line end.
+    Reading(Bytes),
+    /// The end of a feed that is whole.
+    End,
+}
+
 /// The body of an answer.
 #[derive(Debug)]
 pub(crate) enum AnswerBody {
@@ -21,7 +30,7 @@
     /// A body that breaks off after `part`, though a length of `len_bytes` was announced.
     Cut { part: Option<Bytes>, len_bytes: u64 },
     /// A feed.
-    Feed(mpsc::Receiver<io::Result<Bytes>>),
+    Feed(mpsc::Receiver<FeedPart>),
 }
 
 impl Body for AnswerBody {
@@ -38,9 +47,11 @@
                 Some(part) => Ok(Frame::data(part)),
                 None => Err(io::ErrorKind::ConnectionReset.into()),
             })),
-            Self::Feed(chunks) => chunks
-                .poll_recv(cx)
-                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            Self::Feed(parts) => parts.poll_recv(cx).map(|part| match part {
+                Some(FeedPart::Reading(line)) => Some(Ok(Frame::data(line))),
+                Some(FeedPart::End) => None,
+                None => Some(Err(io::ErrorKind::ConnectionReset.into())),
+            }),
         }
     }
 
--- a/crates/cranberrypitch-standins/src/backend/feed.rs
+++ b/crates/cranberrypitch-standins/src/backend/feed.rs
@@ -1,10 +1,8 @@
 //! Feeds of readings.
 
-use std::io;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
-use bytes::Bytes;
 use cranberrypitch_core::Class;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -12,6 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
+use super::answer::FeedPart;
 use super::journal::RunOutcome;
 use super::server::Server;
 
@@ -51,7 +50,8 @@
     fn time_until(&self, sequence: u64) -> Duration {
         let interval_ns = self.options.reading_interval.as_nanos();
         let due_ns = u128::from(sequence) * interval_ns;
-        let due = Duration::from_nanos_u128(due_ns);
+        // A reading that is further away than this can hold is never due.
+        let due = u64::try_from(due_ns).map_or(Duration::MAX, Duration::from_nanos);
         let age = SystemTime::now()
             .duration_since(self.options.feed_epoch)
             .unwrap_or_default();
@@ -63,7 +63,7 @@
         self: &Arc<Self>,
         first: u64,
         subscriber: Subscriber,
-    ) -> mpsc::Receiver<io::Result<Bytes>> {
+    ) -> mpsc::Receiver<FeedPart> {
         let (sender, receiver) = mpsc::channel(READINGS_IN_FLIGHT);
         let server = Arc::clone(self);
         self.spawn_task(async move {
@@ -78,11 +78,7 @@
         receiver
     }
 
-    async fn send_readings(
-        &self,
-        first: u64,
-        sender: &mpsc::Sender<io::Result<Bytes>>,
-    ) -> RunOutcome {
+    async fn send_readings(&self, first: u64, sender: &mpsc::Sender<FeedPart>) -> RunOutcome {
         let mut sequence = first;
         let mut sent = 0;
         loop {
@@ -91,13 +87,11 @@
                 (faults.feed_cut_after, faults.feed_gap_after)
             };
             if self.options.feed_len == Some(sent) {
+                let _closed = sender.send(FeedPart::End).await;
                 return RunOutcome::Done;
             }
             if cut_after.is_some_and(|after| sent >= after) {
                 sleep(FLUSH_PAUSE).await;
-                let _closed = sender
-                    .send(Err(io::ErrorKind::ConnectionReset.into()))
-                    .await;
                 return RunOutcome::Interrupted;
             }
             if gap_after == Some(sent) {
@@ -106,7 +100,7 @@
             sleep(self.time_until(sequence)).await;
             self.thawed().await;
             let line = reading(self.options.feed_seed, sequence) + "\n";
-            if sender.send(Ok(line.into())).await.is_err() {
+            if sender.send(FeedPart::Reading(line.into())).await.is_err() {
                 return RunOutcome::Done;
             }
             sequence += 1;
--- a/crates/cranberrypitch-standins/src/backend/options.rs
+++ b/crates/cranberrypitch-standins/src/backend/options.rs
@@ -132,6 +132,10 @@
         if self.connections.get() == 0 {
             return Err(Error::option("connections", "at least 1"));
         }
+        let (ServiceTime::Fixed(time) | ServiceTime::Exponential(time)) = self.service_time;
+        if time > Duration::from_hours(1) {
+            return Err(Error::option("service_time", "at most one hour"));
+        }
         if self.reading_interval < Duration::from_millis(1) {
             return Err(Error::option("reading_interval", "at least 1 ms"));
         }
--- a/crates/cranberrypitch-standins/src/backend/server.rs
+++ b/crates/cranberrypitch-standins/src/backend/server.rs
@@ -224,7 +224,7 @@
     let mut sample = lock(sample);
     let now = Instant::now();
     match &*sample {
-        Some(last) if now < last.taken + lag => last.value,
+        Some(last) if now - last.taken < lag => last.value,
         _ => {
             let value = current();
             *sample = Some(Sample { taken: now, value });
--- a/crates/cranberrypitch-standins/src/backend/service.rs
+++ b/crates/cranberrypitch-standins/src/backend/service.rs
@@ -195,7 +195,10 @@
         return Err(refuse(StatusCode::BAD_REQUEST, "x-tenant is missing"));
     };
     let deadline = match text("x-deadline-ms").map(str::parse).transpose() {
-        Ok(deadline_ms) => deadline_ms.map(|ms| Instant::now() + Duration::from_millis(ms)),
+        // A deadline beyond what an instant holds never passes.
+        Ok(deadline_ms) => {
+            deadline_ms.and_then(|ms| Instant::now().checked_add(Duration::from_millis(ms)))
+        }
         Err(_) => return Err(refuse(StatusCode::BAD_REQUEST, "x-deadline-ms is a number")),
     };
     Ok(Head {
--- a/crates/cranberrypitch-standins/src/fabric/options.rs
+++ b/crates/cranberrypitch-standins/src/fabric/options.rs
@@ -50,6 +50,9 @@
 
     pub(crate) fn check(&self) -> Result<()> {
         const RULE: &str = "a share from 0 to 1";
+        if self.delay.max(self.jitter) > Duration::from_mins(1) {
+            return Err(Error::option("delay and jitter", "at most one minute each"));
+        }
         if !(0.0..=1.0).contains(&self.loss) {
             return Err(Error::option("loss", RULE));
         }
@@ -151,8 +154,8 @@
         if self.callers_max == 0 {
             return Err(Error::option("callers_max", "at least 1"));
         }
-        if self.idle_timeout.is_zero() {
-            return Err(Error::option("idle_timeout", "longer than zero"));
+        if self.idle_timeout < Duration::from_millis(1) {
+            return Err(Error::option("idle_timeout", "at least 1 ms"));
         }
         self.to_balancers.check()?;
         self.to_callers.check()
--- a/crates/cranberrypitch-standins/tests/backend_contract.rs
+++ b/crates/cranberrypitch-standins/tests/backend_contract.rs
@@ -194,11 +194,16 @@
 #[tokio::test]
 async fn answers_that_are_not_whole_are_unknown() {
     let malformed = Cause::Malformed;
-    let cases: [(&str, &str, Cause); 7] = [
+    let cases: [(&str, &str, Cause); 8] = [
         ("nothing", "", Cause::Cut),
         ("half a head", "HTTP/1.1 200 OK\r\ncontent-le", Cause::Cut),
         ("no HTTP", "what do you want\r\n\r\n", malformed.clone()),
         ("no length", "HTTP/1.1 200 OK\r\n\r\n{}", Cause::Unframed),
+        (
+            "other coding than chunked",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n{}",
+            Cause::Unframed,
+        ),
         (
             "short success",
             "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}",
@@ -461,6 +466,39 @@
     }
 }
 
+/// Guards against a feed that seems to end as a whole when its server is killed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn feeds_of_killed_servers_break_off() {
+    let interval = Duration::from_millis(1);
+    for round in 0..50 {
+        let (server, backend) = spawn(|o| o.reading_interval(interval)).await;
+        let mut feed = backend.feed(&info(1), None).await.expect("feed");
+        feed.next_reading().await.expect("first reading");
+        server.kill();
+        let broken = loop {
+            match feed.next_reading().await {
+                Ok(Some(_)) => {}
+                Ok(None) => panic!("round {round}: the feed ended as a whole"),
+                Err(error) => break error,
+            }
+        };
+        assert!(broken.is_unknown(), "round {round}: {broken}");
+    }
+}
+
+/// Guards against a time that a caller may ask for and that overflows.
+#[tokio::test]
+async fn endless_deadlines_are_served() {
+    let (_server, backend) = spawn(|options| options).await;
+    let endless = RequestInfo {
+        start_within: Duration::MAX,
+        answer_within: Duration::MAX,
+        ..info(1)
+    };
+    let result = backend.order(&endless, Bytes::from_static(b"{}")).await;
+    assert_eq!(report(result), Report::Done);
+}
+
 /// Guards against a drain that breaks open feeds or still takes new ones, and against endpoints
 /// that can't be made to lag and lie.
 #[tokio::test]
