--- a/crates/cranberrypitch-standins/tests/backend.rs
+++ b/crates/cranberrypitch-standins/tests/backend.rs
@@ -1,6 +1,6 @@
 //! Tests of the stand-in for a backend server, over its HTTP interface.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant, SystemTime};
 
 use cranberrypitch_core::Class;
@@ -9,6 +9,7 @@
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 /// Sends a request on a connection of its own and returns the whole answer.
 async fn exchange(address: SocketAddr, line: &str, headers: &str, body: &str) -> String {
@@ -100,15 +101,23 @@
 #[tokio::test]
 async fn kill_interrupts_runs() {
     let long = ServiceTime::Fixed(Duration::from_secs(10));
-    let options = BackendOptions::new(1).service_time(long);
+    // Connections of other tests take ports of 127.0.0.1, so the server has an address of its own.
+    let own = SocketAddr::from((Ipv4Addr::new(127, 0, 73, 1), 0));
+    let options = BackendOptions::new(1).service_time(long).address(own);
     let server = BackendStandin::spawn(options).await.expect("server");
     let address = server.address();
     let (answer, ()) = tokio::join!(order(address, "a", "{}"), async {
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        while server.load().running == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
         server.kill();
     });
     assert_eq!(answer, "");
-    tokio::time::sleep(Duration::from_millis(20)).await;
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while server.load().connections > 0 || server.journal()[0].finished.is_none() {
+        assert!(Instant::now() < deadline, "still running");
+        sleep(Duration::from_millis(1)).await;
+    }
     assert_eq!(server.journal()[0].outcome, RunOutcome::Interrupted);
     assert!(TcpStream::connect(address).await.is_err(), "still listens");
 }
