--- a/crates/cranberrypitch-core/src/config/shard.rs
+++ b/crates/cranberrypitch-core/src/config/shard.rs
@@ -24,8 +24,8 @@
 pub struct ShardCount(usize);
 
 impl ShardCount {
-    /// The greatest number of shards.
-    pub const MAX: usize = 65_536;
+    /// The greatest number of shards: the head names them all in one value of the store.
+    pub const MAX: usize = 32_768;
 
     /// One shard.
     pub const ONE: Self = Self(1);
--- a/crates/cranberrypitch-core/src/errors.rs
+++ b/crates/cranberrypitch-core/src/errors.rs
@@ -54,7 +54,7 @@
         found: Digest,
     },
     /// The number of shards is no power of two or over the limit.
-    #[display("{count} shards; allowed are powers of two up to 65536")]
+    #[display("{count} shards; allowed are powers of two up to 32768")]
     ShardCount {
         /// The number found.
         count: usize,
--- /dev/null
+++ b/crates/cranberrypitch-net/src/config_store.rs
@@ -0,0 +1,98 @@
+//! The place of the configuration in the store.
+
+use cranberrypitch_core::config::{ConfigHead, Digest, Shard};
+use cranberrypitch_core::{DeploymentName, Error as CoreError, FailureDomain};
+use derive_more::{Display, Error};
+
+use crate::store::{Entry, Error as StoreError, Store, StoreKey, Version};
+
+/// A result of reading the configuration.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why the configuration could not be read from the store.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum Error {
+    /// The store failed.
+    #[display("{_0}")]
+    Store(StoreError),
+    /// What the store holds is no configuration.
+    #[display("{_0}")]
+    Content(CoreError),
+    /// A shard is gone, which happens when a newer head no longer names it.
+    #[display("no shard {digest} in the store")]
+    ShardGone {
+        /// The digest of the shard.
+        digest: Digest,
+    },
+    /// The store holds the configuration of another deployment.
+    #[display("the store holds deployment {in_force}, the text is for {given}")]
+    OtherDeployment {
+        /// The deployment in the store.
+        in_force: DeploymentName,
+        /// The deployment of the text.
+        given: DeploymentName,
+    },
+}
+
+impl From<StoreError> for Error {
+    fn from(error: StoreError) -> Self {
+        Self::Store(error)
+    }
+}
+
+impl From<CoreError> for Error {
+    fn from(error: CoreError) -> Self {
+        Self::Content(error)
+    }
+}
+
+/// Returns the key of the head.
+pub fn head_key() -> StoreKey {
+    fixed_key("config/head")
+}
+
+/// Returns the key of a shard.
+pub fn shard_key(digest: Digest) -> StoreKey {
+    fixed_key(&format!("config/shard/{digest}"))
+}
+
+/// Returns the key of a watcher slot.
+pub fn watcher_key(domain: &FailureDomain, slot: u32) -> StoreKey {
+    fixed_key(&format!("watch/{domain}/{slot}"))
+}
+
+/// The names that make up these keys hold only what keys may hold.
+fn fixed_key(text: &str) -> StoreKey {
+    StoreKey::try_new(text).expect("names are valid parts of a key")
+}
+
+/// Reads the head with the version of its key, or `None` before the first edit.
+pub async fn read_head<S: Store>(store: &S) -> Result<Option<(ConfigHead, Version)>> {
+    let entry = store.get(&head_key()).await?;
+    entry.map(|entry| decode_head(&entry)).transpose()
+}
+
+/// Decodes the value of the head's key.
+pub fn decode_head(entry: &Entry) -> Result<(ConfigHead, Version)> {
+    Ok((ConfigHead::decode(&entry.value)?, entry.version))
+}
+
+/// Reads a shard and checks its digest.
+pub async fn read_shard<S: Store>(store: &S, digest: Digest) -> Result<Shard> {
+    if digest == Shard::empty().digest() {
+        return Ok(Shard::empty());
+    }
+    let Some(entry) = store.get(&shard_key(digest)).await? else {
+        return Err(Error::ShardGone { digest });
+    };
+    let text = std::str::from_utf8(&entry.value);
+    let text = text.map_err(|e| CoreError::malformed("shard", &e))?;
+    let shard = Shard::decode(text)?;
+    let found = shard.digest();
+    if found != digest {
+        let expected = digest;
+        return Err(CoreError::DigestMismatch { expected, found }.into());
+    }
+    Ok(shard)
+}
--- /dev/null
+++ b/crates/cranberrypitch-net/src/keeper.rs
@@ -0,0 +1,370 @@
+//! Keeps the configuration of a process up to date.
+//!
+//! A few processes in each failure domain hold a watcher slot and ask the store; all others ask their
+//! peers. [`Keeper::run`] is one loop without tasks of its own, so a daemon stops it by dropping it.
+
+mod peer;
+mod slot;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::acceptance::{Acceptance, Progress, Snapshot, Update};
+use cranberrypitch_core::config::{ConfigHead, Digest};
+use cranberrypitch_core::{Clock, Error as CoreError, FailureDomain, Revision};
+use derive_more::{Display, Error, From};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::sync::watch;
+
+use crate::config_store::{self, decode_head, head_key, read_shard};
+use crate::keeper::slot::Slot;
+use crate::store::{Store, Version, Watched};
+
+pub use peer::{ConfigPeer, ConfigPeers, ConfigSource, PeerError, PeerResult};
+
+/// The shards that are asked of a peer at once; at their usual size they fill one answer.
+const SHARDS_PER_REQUEST: usize = 64;
+
+/// The peers that a starting process asks for their revision, so that one stale peer among them does
+/// not decide.
+const PEERS_AT_START: usize = 3;
+
+/// The options of a [`Keeper`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeeperOptions {
+    /// The failure domain of this process.
+    pub failure_domain: FailureDomain,
+    /// The watcher slots of each failure domain.
+    pub watchers_per_domain: u32,
+    /// The time after which a watcher slot lapses.
+    pub slot_ttl: Duration,
+    /// The mean time between two attempts of any of the contenders to take a slot.
+    pub contend_interval: Duration,
+    /// The processes of the failure domain that contend for its slots. Each waits this many intervals
+    /// between its attempts, so the calls to the store don't grow with the fleet.
+    pub contenders: u32,
+    /// The longest time that one watch waits.
+    pub watch_wait: Duration,
+    /// The mean time between two questions to peers, and between two attempts to reach the store.
+    pub poll_interval: Duration,
+    /// The time within which a peer answers.
+    pub peer_timeout: Duration,
+}
+
+impl KeeperOptions {
+    /// Returns the usual options for a failure domain.
+    pub const fn new(failure_domain: FailureDomain) -> Self {
+        Self {
+            failure_domain,
+            watchers_per_domain: 2,
+            slot_ttl: Duration::from_secs(10),
+            contend_interval: Duration::from_secs(2),
+            contenders: 1,
+            watch_wait: Duration::from_secs(30),
+            poll_interval: Duration::from_secs(1),
+            peer_timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Why one attempt to learn a newer configuration failed.
+#[derive(Clone, Debug, Display, Error, From, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum KeeperError {
+    /// The store failed, or holds no configuration.
+    Store(config_store::Error),
+    /// A peer failed.
+    Peer(PeerError),
+    /// A peer sent what can't be accepted.
+    Content(CoreError),
+    /// A peer did not answer in time.
+    #[from(skip)]
+    #[display("peer does not answer in time")]
+    PeerTimeout,
+}
+
+type Result<T> = std::result::Result<T, KeeperError>;
+
+/// Keeps the configuration of one process up to date.
+#[derive(Debug)]
+pub struct Keeper<S, P> {
+    store: S,
+    peers: P,
+    options: KeeperOptions,
+    clock: Arc<dyn Clock>,
+    random: StdRng,
+    acceptance: Arc<Mutex<Acceptance>>,
+    publisher: watch::Sender<Option<Arc<Snapshot>>>,
+    slot: Option<Slot>,
+    contend_at: Instant,
+    watched: Version,
+}
+
+impl<S: Store, P: ConfigPeers> Keeper<S, P> {
+    /// Returns a keeper with nothing in force, and where its configuration can be had.
+    pub fn new(
+        store: S,
+        peers: P,
+        options: KeeperOptions,
+        clock: Arc<dyn Clock>,
+        seed: u64,
+    ) -> (Self, ConfigSource) {
+        let acceptance = Arc::new(Mutex::new(Acceptance::new()));
+        let (publisher, receiver) = watch::channel(None);
+        let source = ConfigSource::new(Arc::clone(&acceptance), receiver);
+        let keeper = Self {
+            contend_at: clock.now(),
+            random: StdRng::seed_from_u64(seed),
+            watched: Version::default(),
+            slot: None,
+            store,
+            peers,
+            options,
+            clock,
+            acceptance,
+            publisher,
+        };
+        (keeper, source)
+    }
+
+    /// Runs until it is dropped.
+    pub async fn run(mut self) {
+        self.start().await;
+        loop {
+            self.step().await;
+        }
+    }
+
+    /// Learns a first configuration from the store, or from peers while the store is down.
+    pub async fn start(&mut self) {
+        if let Err(error) = self.learn_from_store().await {
+            log::debug!("no configuration from the store: {error}");
+            if let Err(error) = self.learn_from_newest_peer().await {
+                log::debug!("no configuration from peers: {error}");
+            }
+        }
+    }
+
+    /// Does what is due next, and waits as long as it makes sense.
+    pub async fn step(&mut self) {
+        self.keep_slot().await;
+        let outcome = match &self.slot {
+            Some(_) => self.watch_head().await,
+            None => self.ask_and_wait().await,
+        };
+        if let Err(error) = outcome {
+            log::debug!("configuration not learned: {error}");
+            // A watcher that is cut off from the store may still reach its peers.
+            if self.slot.is_some()
+                && let Err(error) = self.ask_peer().await
+            {
+                log_failure(&error);
+            }
+            self.pause().await;
+        }
+    }
+
+    /// Returns whether this process holds a watcher slot.
+    pub const fn holds_slot(&self) -> bool {
+        self.slot.is_some()
+    }
+
+    /// Gives the watcher slot up, so that another process can take it at once.
+    pub async fn leave(&mut self) {
+        if let Some(slot) = self.slot.take() {
+            slot.release(&self.store).await;
+        }
+    }
+
+    /// Notes a revision that is in force elsewhere, which heartbeats and reports carry.
+    pub fn heard_of(&self, revision: Revision) {
+        if self.lock().in_force().is_none() {
+            self.lock().raise_floor(revision);
+        }
+    }
+
+    async fn keep_slot(&mut self) {
+        if let Some(slot) = &mut self.slot {
+            if !slot.keep(&self.store, &*self.clock).await {
+                log::debug!("watcher slot {} has lapsed", slot.key());
+                self.slot = None;
+            }
+            return;
+        }
+        if self.clock.now() < self.contend_at {
+            return;
+        }
+        let turn = self.options.contend_interval * self.options.contenders.max(1);
+        self.contend_at = self.clock.now() + self.jitter(turn);
+        let taken = Slot::take(
+            &self.store,
+            &self.options.failure_domain,
+            self.options.watchers_per_domain,
+            self.options.slot_ttl,
+            &*self.clock,
+        );
+        match taken.await {
+            Ok(slot) => self.slot = slot,
+            Err(error) => log::debug!("no watcher slot: {error}"),
+        }
+    }
+
+    /// Waits for a newer head, and takes it in.
+    async fn watch_head(&mut self) -> Result<()> {
+        let now = self.clock.now();
+        let due = self.slot.as_ref().map(|slot| slot.renewal_due(now));
+        let wait = self.options.watch_wait.min(due.unwrap_or_default());
+        // A renewal that fails stays due, and must not turn the watch into a busy loop.
+        let wait = wait.max(self.options.poll_interval);
+        let watched = self.store.watch(&head_key(), self.watched, wait).await;
+        match watched.map_err(config_store::Error::from)? {
+            Watched::Unchanged => Ok(()),
+            Watched::Reset => self.learn_from_store().await,
+            Watched::Changed { version, changes } => {
+                for entry in changes.into_iter().filter_map(|change| change.entry) {
+                    let (head, _) = decode_head(&entry)?;
+                    self.take_in(head).await?;
+                }
+                self.watched = version;
+                Ok(())
+            }
+        }
+    }
+
+    async fn learn_from_store(&mut self) -> Result<()> {
+        let listing = self.store.list(&head_key()).await;
+        let listing = listing.map_err(config_store::Error::from)?;
+        for entry in &listing.entries {
+            let (head, _) = decode_head(entry)?;
+            self.take_in(head).await?;
+        }
+        self.watched = listing.version;
+        Ok(())
+    }
+
+    /// Brings a head from the store in force with the shards that it needs. When a shard is gone, an
+    /// even newer head has dropped it.
+    async fn take_in(&self, head: ConfigHead) -> Result<()> {
+        let progress = self.lock().offer_head(head)?;
+        self.publish(&progress);
+        let Progress::Lacking(digests) = progress else {
+            return Ok(());
+        };
+        for digest in digests {
+            let shard = read_shard(&self.store, digest).await?;
+            let progress = self.lock().offer_shard(shard.encoded())?;
+            self.publish(&progress);
+        }
+        Ok(())
+    }
+
+    async fn ask_and_wait(&mut self) -> Result<()> {
+        self.ask_peer().await?;
+        self.pause().await;
+        Ok(())
+    }
+
+    async fn ask_peer(&self) -> Result<()> {
+        match self.peers.pick(1).pop() {
+            Some(peer) => self.learn_from(&peer).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Learns from the peer with the newest configuration of a few, so that a stale peer does not
+    /// bring an old configuration in force in a process that has just started.
+    async fn learn_from_newest_peer(&self) -> Result<()> {
+        let mut newest: Option<(Revision, P::Peer)> = None;
+        for peer in self.peers.pick(PEERS_AT_START) {
+            match self.in_time(peer.revision()).await {
+                Ok(revision) if newest.as_ref().is_none_or(|(best, _)| revision > *best) => {
+                    newest = Some((revision, peer));
+                }
+                Ok(_) => {}
+                Err(error) => log_failure(&error),
+            }
+        }
+        let Some((revision, peer)) = newest else {
+            return Ok(());
+        };
+        self.lock().raise_floor(revision);
+        self.learn_from(&peer).await
+    }
+
+    async fn learn_from(&self, peer: &P::Peer) -> Result<()> {
+        let revision = self.lock().revision();
+        let Some(update) = self.in_time(peer.fetch_since(revision)).await? else {
+            return Ok(());
+        };
+        if let Err(error) = self.offer(update) {
+            log::debug!("update refused, asking for the whole head: {error}");
+            let whole = peer.fetch_since(Revision::default());
+            if let Some(update) = self.in_time(whole).await? {
+                self.offer(update)?;
+            }
+        }
+        self.fetch_lacking(peer).await
+    }
+
+    /// Fetches the shards that are still needed; stops when the peer has none of them.
+    async fn fetch_lacking(&self, peer: &P::Peer) -> Result<()> {
+        loop {
+            let mut lacking = self.lock().lacking();
+            lacking.truncate(SHARDS_PER_REQUEST);
+            if lacking.is_empty() || self.fetch_some(peer, &lacking).await? == 0 {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn fetch_some(&self, peer: &P::Peer, digests: &[Digest]) -> Result<usize> {
+        let shards = self.in_time(peer.fetch_shards(digests)).await?;
+        let mut useful = 0;
+        for shard in shards {
+            let progress = self.lock().offer_shard(&shard)?;
+            useful += usize::from(!matches!(progress, Progress::Ignored));
+            self.publish(&progress);
+        }
+        Ok(useful)
+    }
+
+    fn offer(&self, update: Update) -> Result<()> {
+        let progress = self.lock().offer(update)?;
+        self.publish(&progress);
+        Ok(())
+    }
+
+    fn publish(&self, progress: &Progress) {
+        if let Progress::InForce(snapshot) = progress {
+            self.publisher.send_replace(Some(Arc::clone(snapshot)));
+        }
+    }
+
+    async fn in_time<T>(&self, answer: impl Future<Output = PeerResult<T>>) -> Result<T> {
+        match tokio::time::timeout(self.options.peer_timeout, answer).await {
+            Ok(answer) => Ok(answer?),
+            Err(_) => Err(KeeperError::PeerTimeout),
+        }
+    }
+
+    async fn pause(&mut self) {
+        let pause = self.jitter(self.options.poll_interval);
+        tokio::time::sleep(pause).await;
+    }
+
+    /// Spreads the fleet's calls over time: returns a half to three halves of `mean`.
+    fn jitter(&mut self, mean: Duration) -> Duration {
+        mean.mul_f64(self.random.random_range(0.5..1.5))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Acceptance> {
+        self.acceptance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn log_failure(error: &KeeperError) {
+    log::debug!("configuration not learned from a peer: {error}");
+}
--- /dev/null
+++ b/crates/cranberrypitch-net/src/keeper/peer.rs
@@ -0,0 +1,107 @@
+//! The peers that a process learns its configuration from.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use cranberrypitch_core::Revision;
+use cranberrypitch_core::acceptance::{Acceptance, Snapshot, Update};
+use cranberrypitch_core::config::Digest;
+use derive_more::{Display, Error};
+use tokio::sync::watch;
+
+/// Why a peer did not answer.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("peer does not answer: {detail}")]
+pub struct PeerError {
+    /// What went wrong.
+    pub detail: Box<str>,
+}
+
+/// A result of a call to a peer.
+pub type PeerResult<T> = Result<T, PeerError>;
+
+/// A process that may know a newer configuration.
+pub trait ConfigPeer: Send + Sync {
+    /// Returns the revision in force at the peer, or 0 when there is none.
+    fn revision(&self) -> impl Future<Output = PeerResult<Revision>> + Send;
+
+    /// Returns what leads from `revision` to what is in force at the peer, or `None` when the peer
+    /// has nothing newer.
+    fn fetch_since(
+        &self,
+        revision: Revision,
+    ) -> impl Future<Output = PeerResult<Option<Update>>> + Send;
+
+    /// Returns the content of the shards that the peer has in force; it may return a part of them.
+    fn fetch_shards(
+        &self,
+        digests: &[Digest],
+    ) -> impl Future<Output = PeerResult<Vec<Box<str>>>> + Send;
+}
+
+/// The peers at hand.
+pub trait ConfigPeers: Send + Sync + 'static {
+    /// A peer.
+    type Peer: ConfigPeer;
+
+    /// Returns up to `count` different peers, other ones from call to call.
+    fn pick(&self, count: usize) -> Vec<Self::Peer>;
+}
+
+/// The configuration in force in this process, for its other parts and for its peers.
+#[derive(Clone, Debug)]
+pub struct ConfigSource {
+    acceptance: Arc<Mutex<Acceptance>>,
+    published: watch::Receiver<Option<Arc<Snapshot>>>,
+}
+
+impl ConfigSource {
+    pub(super) const fn new(
+        acceptance: Arc<Mutex<Acceptance>>,
+        published: watch::Receiver<Option<Arc<Snapshot>>>,
+    ) -> Self {
+        Self {
+            acceptance,
+            published,
+        }
+    }
+
+    /// Returns the channel on which each configuration appears as it comes into force.
+    pub fn published(&self) -> watch::Receiver<Option<Arc<Snapshot>>> {
+        self.published.clone()
+    }
+
+    /// Returns the revision in force, or 0 when there is none.
+    pub fn revision(&self) -> Revision {
+        self.lock().revision()
+    }
+
+    /// Returns what leads a peer from `revision` to what is in force here.
+    pub fn update_since(&self, revision: Revision) -> Option<Update> {
+        self.lock().update_since(revision)
+    }
+
+    /// Returns the content of the shards that are in force here, up to the limit of one answer.
+    pub fn shards(&self, digests: &[Digest]) -> Vec<Box<str>> {
+        self.lock().shards(digests)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Acceptance> {
+        self.acceptance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl ConfigPeer for ConfigSource {
+    async fn revision(&self) -> PeerResult<Revision> {
+        Ok(Self::revision(self))
+    }
+
+    async fn fetch_since(&self, revision: Revision) -> PeerResult<Option<Update>> {
+        Ok(self.update_since(revision))
+    }
+
+    async fn fetch_shards(&self, digests: &[Digest]) -> PeerResult<Vec<Box<str>>> {
+        Ok(self.shards(digests))
+    }
+}
