--- a/crates/cranberrypitch-net/src/keeper.rs
+++ b/crates/cranberrypitch-net/src/keeper.rs
@@ -15,7 +15,7 @@
 use derive_more::{Display, Error, From};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::config_store::{self, decode_head, head_key, read_shard};
 use crate::keeper::slot::Slot;
@@ -30,6 +30,9 @@
 /// not decide.
 const PEERS_AT_START: usize = 3;
 
+/// The shortest time between two questions to peers.
+const MIN_PAUSE: Duration = Duration::from_millis(20);
+
 /// The options of a [`Keeper`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeeperOptions {
@@ -96,6 +99,7 @@
     random: StdRng,
     acceptance: Arc<Mutex<Acceptance>>,
     publisher: watch::Sender<Option<Arc<Snapshot>>>,
+    newer: Arc<Notify>,
     slot: Option<Slot>,
     contend_at: Instant,
     watched: Version,
@@ -111,8 +115,9 @@
         seed: u64,
     ) -> (Self, ConfigSource) {
         let acceptance = Arc::new(Mutex::new(Acceptance::new()));
+        let newer = Arc::new(Notify::new());
         let (publisher, receiver) = watch::channel(None);
-        let source = ConfigSource::new(Arc::clone(&acceptance), receiver);
+        let source = ConfigSource::new(Arc::clone(&acceptance), receiver, Arc::clone(&newer));
         let keeper = Self {
             contend_at: clock.now(),
             random: StdRng::seed_from_u64(seed),
@@ -124,6 +129,7 @@
             clock,
             acceptance,
             publisher,
+            newer,
         };
         (keeper, source)
     }
@@ -177,13 +183,6 @@
         }
     }
 
-    /// Notes a revision that is in force elsewhere, which heartbeats and reports carry.
-    pub fn heard_of(&self, revision: Revision) {
-        if self.lock().in_force().is_none() {
-            self.lock().raise_floor(revision);
-        }
-    }
-
     async fn keep_slot(&mut self) {
         if let Some(slot) = &mut self.slot {
             if !slot.keep(&self.store, &*self.clock).await {
@@ -266,7 +265,8 @@
     }
 
     async fn ask_peer(&self) -> Result<()> {
-        match self.peers.pick(1).pop() {
+        let revision = self.lock().revision();
+        match self.peers.pick(1, revision).pop() {
             Some(peer) => self.learn_from(&peer).await,
             None => Ok(()),
         }
@@ -276,7 +276,7 @@
     /// bring an old configuration in force in a process that has just started.
     async fn learn_from_newest_peer(&self) -> Result<()> {
         let mut newest: Option<(Revision, P::Peer)> = None;
-        for peer in self.peers.pick(PEERS_AT_START) {
+        for peer in self.peers.pick(PEERS_AT_START, Revision::default()) {
             match self.in_time(peer.revision()).await {
                 Ok(revision) if newest.as_ref().is_none_or(|(best, _)| revision > *best) => {
                     newest = Some((revision, peer));
@@ -350,7 +350,11 @@
 
     async fn pause(&mut self) {
         let pause = self.jitter(self.options.poll_interval);
-        tokio::time::sleep(pause).await;
+        let heard = tokio::time::timeout(pause, self.newer.notified()).await;
+        // Announcements come in bursts, as all peers learn of a change at about the same time.
+        if heard.is_ok() {
+            tokio::time::sleep(MIN_PAUSE.min(pause)).await;
+        }
     }
 
     /// Spreads the fleet's calls over time: returns a half to three halves of `mean`.
--- a/crates/cranberrypitch-net/src/keeper/peer.rs
+++ b/crates/cranberrypitch-net/src/keeper/peer.rs
@@ -6,7 +6,7 @@
 use cranberrypitch_core::acceptance::{Acceptance, Snapshot, Update};
 use cranberrypitch_core::config::Digest;
 use derive_more::{Display, Error};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Why a peer did not answer.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -43,8 +43,9 @@
     /// A peer.
     type Peer: ConfigPeer;
 
-    /// Returns up to `count` different peers, other ones from call to call.
-    fn pick(&self, count: usize) -> Vec<Self::Peer>;
+    /// Returns up to `count` different peers, other ones from call to call. Those that are known to
+    /// have a newer revision than `revision` come first.
+    fn pick(&self, count: usize, revision: Revision) -> Vec<Self::Peer>;
 }
 
 /// The configuration in force in this process, for its other parts and for its peers.
@@ -52,16 +53,32 @@
 pub struct ConfigSource {
     acceptance: Arc<Mutex<Acceptance>>,
     published: watch::Receiver<Option<Arc<Snapshot>>>,
+    newer: Arc<Notify>,
 }
 
 impl ConfigSource {
     pub(super) const fn new(
         acceptance: Arc<Mutex<Acceptance>>,
         published: watch::Receiver<Option<Arc<Snapshot>>>,
+        newer: Arc<Notify>,
     ) -> Self {
         Self {
             acceptance,
             published,
+            newer,
+        }
+    }
+
+    /// Notes a revision that is in force at a peer, which announcements and heartbeats carry. The
+    /// keeper asks its peers at once when it is newer. A process that has nothing in force yet does
+    /// not accept an older one any more.
+    pub fn heard_of(&self, revision: Revision) {
+        let mut acceptance = self.lock();
+        if acceptance.in_force().is_none() {
+            acceptance.raise_floor(revision);
+        }
+        if revision > acceptance.revision() {
+            self.newer.notify_one();
         }
     }
 
--- a/crates/cranberrypitch-net/tests/keeper.rs
+++ b/crates/cranberrypitch-net/tests/keeper.rs
@@ -45,7 +45,7 @@
 impl ConfigPeers for Fleet {
     type Peer = FleetPeer;
 
-    fn pick(&self, count: usize) -> Vec<FleetPeer> {
+    fn pick(&self, count: usize, _: Revision) -> Vec<FleetPeer> {
         let sources = self.sources.lock().unwrap();
         let mut turn = self.turn.lock().unwrap();
         *turn += 1;
@@ -103,11 +103,16 @@
         }
     }
 
-    fn keeper(&self, seed: u64) -> (TestKeeper, ConfigSource) {
+    fn options() -> KeeperOptions {
         let mut options = KeeperOptions::new(FailureDomain::try_new("rs-sul").unwrap());
         options.watch_wait = Duration::from_millis(10);
         options.poll_interval = Duration::from_millis(2);
         options.peer_timeout = Duration::from_millis(50);
+        options
+    }
+
+    fn keeper(&self, seed: u64) -> (TestKeeper, ConfigSource) {
+        let options = Self::options();
         let clock = Arc::new(self.clock.clone());
         Keeper::new(self.store.clone(), self.fleet.clone(), options, clock, seed)
     }
@@ -261,8 +266,38 @@
     stale.step().await;
     bench.store.faults().set_down(true);
     let (mut keeper, source) = bench.keeper(1);
-    keeper.heard_of(Revision::new(2));
+    source.heard_of(Revision::new(2));
     keeper.start().await;
     keeper.step().await;
     assert!(source.published().borrow().is_none());
 }
+
+/// Guards against a change that waits for the next poll although it was announced.
+#[tokio::test]
+async fn an_announcement_ends_the_pause() {
+    let bench = Bench::new();
+    bench.apply(5, 0).await;
+    let (mut fresh, fresh_source) = bench.join(0).await;
+    fresh.step().await;
+    let (mut options, clock) = (Bench::options(), Arc::new(bench.clock.clone()));
+    options.poll_interval = Duration::from_mins(10);
+    options.watchers_per_domain = 0;
+    let (store, peers) = (bench.store.clone(), bench.fleet.clone());
+    let (mut waiting, source) = Keeper::new(store, peers, options, clock, 1);
+    let announced = async {
+        bench.apply(6, 1).await;
+        while fresh_source.revision() < Revision::new(2) {
+            fresh.step().await;
+        }
+        source.heard_of(Revision::new(2));
+    };
+    let learned = async {
+        while source.revision() < Revision::new(2) {
+            waiting.step().await;
+        }
+    };
+    let both = async { tokio::join!(announced, learned) };
+    tokio::time::timeout(Duration::from_secs(10), both)
+        .await
+        .unwrap();
+}
