--- a/crates/cranberrypitch-net/src/lib.rs
+++ b/crates/cranberrypitch-net/src/lib.rs
@@ -1,12 +1,15 @@
 //! Shared runtime of the cranberrypitch daemons.
 
+pub mod config_store;
 pub mod control;
 pub mod daemon;
 pub mod errors;
 pub mod events;
 pub(crate) mod json;
+pub mod keeper;
 pub mod keys;
 pub mod metrics;
+pub mod operator;
 pub mod settings;
 pub mod store;
 pub mod tls;
