--- a/crates/cranberrypitch-core/src/admission.rs
+++ b/crates/cranberrypitch-core/src/admission.rs
@@ -1,8 +1,8 @@
 //! Admission: the agent's authority over the slots and connections of its backend server.
 //!
 //! Orders and uploads take a slot while they run and wait for one in the queue of their tenant.
-//! Queues are served in turn, so a tenant with many requests delays only itself. Feeds take a
-//! connection and never wait. A request ends here in one of two ways: it was started and has
+//! The tenant with the fewest recent starts is next, so a tenant with many requests delays only
+//! itself. Feeds take a connection and never wait. A request ends here in one of two ways: it was started and has
 //! finished, or it was refused, redirected or withdrawn and was never started.
 
 mod estimate;
@@ -163,7 +163,7 @@
     /// Returns the admission of a backend server whose cold start begins now.
     pub fn new(options: AdmissionOptions, now: Instant) -> Self {
         Self {
-            queue: FairQueue::new(options.tenant_queue_len()),
+            queue: FairQueue::new(options.tenant_queue_len(), now),
             ramp: Ramp::new(options.slots().get(), options.cold_start(), now),
             service_time: ServiceTime::new(now),
             requests: FastMap::default(),
@@ -184,18 +184,15 @@
         match event {
             Event::Submit(submission) => self.submit(&submission, now, &mut actions),
             Event::Finish { request, result } => self.finish(request, result, now),
-            Event::Cancel { request } => self.cancel(request, &mut actions),
-            Event::Redirect { request } => self.redirect(request, &mut actions),
+            Event::Cancel { request } => self.cancel(request, now, &mut actions),
+            Event::Redirect { request } => self.redirect(request, now, &mut actions),
             Event::ConnectionOpened => self.open_connection(&mut actions),
             Event::ConnectionClosed => self.connections = self.connections.saturating_sub(1),
             Event::Reserve { serial, until } => self.reserve(serial, until, now, &mut actions),
             Event::Release { serial } => {
                 self.reservations.remove(&serial);
             }
-            Event::Allow(allowance) => {
-                self.ramp.allow(allowance, now);
-                self.service_time.progressed(now);
-            }
+            Event::Allow(allowance) => self.allow(allowance, now, &mut actions),
             Event::Drain { start_until } => self.drain(start_until, now, &mut actions),
             Event::Tick => {}
         }
@@ -218,8 +215,8 @@
         self.feeds
     }
 
-    /// Returns the number of tenants that have waiting requests.
-    pub fn waiting_tenants(&self) -> usize {
+    /// Returns the number of tenants that take memory: those that wait or were served recently.
+    pub fn known_tenants(&self) -> usize {
         self.queue.tenants()
     }
 
@@ -252,12 +249,12 @@
             if deadline > now {
                 break;
             }
-            self.take_waiting(request);
+            self.take_waiting(request, now);
             actions.push(Action::Refuse(request, NotRunReason::Deadline));
         }
         self.reservations.retain(|_, until| *until > now);
         if self.start_until.is_some_and(|until| until <= now) {
-            self.refuse_all_waiting(NotRunReason::Draining, actions);
+            self.refuse_all_waiting(NotRunReason::Draining, now, actions);
         }
     }
 
@@ -277,6 +274,7 @@
         } else if !submission.class.takes_slot() {
             self.open_feed(request, actions)
         } else if reserved && self.has_free_slot(now) {
+            self.queue.count_start(&submission.tenant, now);
             self.start(request, now, actions);
             Ok(())
         } else {
@@ -292,7 +290,7 @@
         request: RequestId,
         actions: &mut Vec<Action>,
     ) -> Result<(), NotRunReason> {
-        if self.ramp.is_closed() {
+        if !self.ramp.takes_feeds() {
             return Err(NotRunReason::BackendUnavailable);
         }
         if self.feeds >= self.options.connection_limit().get() {
@@ -310,14 +308,17 @@
         now: Instant,
         actions: &mut Vec<Action>,
     ) -> Result<(), NotRunReason> {
-        let ahead = self.queue.ahead_of(&submission.tenant);
+        if self.ramp.slots(now) == 0 {
+            return Err(NotRunReason::BackendUnavailable);
+        }
+        let ahead = self.queue.ahead_of(&submission.tenant, now);
         if self.is_hopeless(ahead, submission.deadline, now) {
             return Err(NotRunReason::Deadline);
         }
         if self.queue.len() >= self.options.queue_len() {
             let longest = self.queue.last_of_longer_queue(&submission.tenant);
             let displaced = longest.ok_or(NotRunReason::QueueFull)?;
-            self.take_waiting(displaced);
+            self.take_waiting(displaced, now);
             actions.push(Action::Refuse(displaced, NotRunReason::QueueFull));
         }
         let queue = self.queue.push(&submission.tenant, submission.request)?;
@@ -334,13 +335,6 @@
         if self.used().saturating_add(ahead) < slots {
             return false;
         }
-        // A closed or ramping backend server gets more slots soon, so the limit is the better
-        // divisor than what is allowed at this moment.
-        let slots = slots.max(if self.ramp.is_ramping(now) {
-            self.options.slots().get()
-        } else {
-            1
-        });
         match self.service_time.expected_wait(ahead, slots, now) {
             Some(wait) => wait > deadline.saturating_duration_since(now),
             None => false,
@@ -356,7 +350,7 @@
 
     fn start_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
         while self.has_free_slot(now) {
-            let Some(request) = self.queue.pop() else {
+            let Some(request) = self.queue.pop(now) else {
                 break;
             };
             if let Some(Phase::Waiting { deadline, .. }) = self.requests.get(&request) {
@@ -381,16 +375,16 @@
         self.requests.remove(&request);
     }
 
-    fn cancel(&mut self, request: RequestId, actions: &mut Vec<Action>) {
-        if self.take_waiting(request) {
+    fn cancel(&mut self, request: RequestId, now: Instant, actions: &mut Vec<Action>) {
+        if self.take_waiting(request, now) {
             actions.push(Action::Refuse(request, NotRunReason::Cancelled));
         } else if self.requests.contains_key(&request) {
             actions.push(Action::CancelRunning(request));
         }
     }
 
-    fn redirect(&mut self, request: RequestId, actions: &mut Vec<Action>) {
-        if self.take_waiting(request) {
+    fn redirect(&mut self, request: RequestId, now: Instant, actions: &mut Vec<Action>) {
+        if self.take_waiting(request, now) {
             actions.push(Action::Redirect(request));
         }
     }
@@ -416,6 +410,15 @@
         actions.push(Action::Reserved(serial));
     }
 
+    /// A closed backend server refuses what waits at once, so that callers can go elsewhere.
+    fn allow(&mut self, allowance: Allowance, now: Instant, actions: &mut Vec<Action>) {
+        self.ramp.allow(allowance, now);
+        self.service_time.progressed(now);
+        if allowance == Allowance::Closed {
+            self.refuse_all_waiting(NotRunReason::BackendUnavailable, now, actions);
+        }
+    }
+
     fn drain(&mut self, start_until: Instant, now: Instant, actions: &mut Vec<Action>) {
         let earlier = self.start_until.unwrap_or(start_until);
         self.start_until = Some(earlier.min(start_until));
@@ -423,21 +426,26 @@
         self.expire(now, actions);
     }
 
-    fn refuse_all_waiting(&mut self, reason: NotRunReason, actions: &mut Vec<Action>) {
+    fn refuse_all_waiting(
+        &mut self,
+        reason: NotRunReason,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
         while let Some(request) = self.queue.front() {
-            self.take_waiting(request);
+            self.take_waiting(request, now);
             actions.push(Action::Refuse(request, reason));
         }
     }
 
     /// Removes a request that waits, and returns whether it did.
-    fn take_waiting(&mut self, request: RequestId) -> bool {
+    fn take_waiting(&mut self, request: RequestId, now: Instant) -> bool {
         let Some(&Phase::Waiting { queue, deadline }) = self.requests.get(&request) else {
             return false;
         };
         self.requests.remove(&request);
         self.deadlines.remove(&(deadline, request));
-        self.queue.remove(queue, request);
+        self.queue.remove(queue, request, now);
         true
     }
 }
--- a/crates/cranberrypitch-core/src/admission/queue.rs
+++ b/crates/cranberrypitch-core/src/admission/queue.rs
@@ -1,11 +1,28 @@
-//! One queue per tenant, served in turn.
+//! One queue per tenant; the tenant that had the fewest recent starts is next.
 
 use std::collections::VecDeque;
+use std::time::{Duration, Instant};
 
 use crate::collections::FastMap;
 use crate::ids::{RequestId, TenantId};
 use crate::request::NotRunReason;
 
+/// A start counts half after this time. Serving tenants in a plain ring has no memory of a tenant
+/// whose queue is empty at times, and is no fairer than one queue for all if tenants are many.
+const HALF_LIFE: Duration = Duration::from_secs(30);
+
+/// A tenant without waiting requests is forgotten when its starts count less than this.
+const FORGOTTEN_SCORE: f64 = 0.125;
+
+/// The idle tenants that are kept without a look for ones to forget.
+const RECENT_LEN: usize = 64;
+
+/// The most idle tenants that are kept; beyond it all are forgotten.
+const RECENT_LEN_MAX: usize = 4096;
+
+/// After this many half-lives the scores are scaled down, so that they stay finite.
+const RESCALE_HALF_LIVES: f64 = 64.0;
+
 /// The place of a tenant's queue, valid while the queue holds a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct QueueIndex(usize);
@@ -13,33 +30,39 @@
 #[derive(Debug)]
 struct TenantQueue {
     tenant: TenantId,
-    requests: VecDeque<RequestId>,
+    score: f64,
+    requests: VecDeque<(u64, RequestId)>,
 }
 
-/// The queues of all tenants that have waiting requests.
+/// The queues of all tenants that have waiting requests, and the scores of recent tenants.
 ///
-/// A tenant without waiting requests takes no memory.
+/// The score of a tenant is the number of its starts, each halved per half-life. Instead of all
+/// scores that decay, the weight of a new start grows, which gives the same order.
 #[derive(Debug)]
 pub(super) struct FairQueue {
+    origin: Instant,
+    tenant_limit: usize,
     index: FastMap<TenantId, QueueIndex>,
     queues: Vec<Option<TenantQueue>>,
     vacant: Vec<usize>,
-    turns: VecDeque<QueueIndex>,
-    /// `longer_than[n]` is the number of queues with more than `n` requests, which makes the
-    /// number of requests ahead of a newcomer a short sum.
-    longer_than: Vec<u32>,
+    recent: FastMap<TenantId, f64>,
+    recent_limit: usize,
+    arrivals: u64,
     len: u32,
 }
 
 impl FairQueue {
     /// Returns empty queues of at most `tenant_limit` requests each.
-    pub(super) fn new(tenant_limit: u32) -> Self {
+    pub(super) fn new(tenant_limit: u32, now: Instant) -> Self {
         Self {
+            origin: now,
+            tenant_limit: tenant_limit as usize,
             index: FastMap::default(),
             queues: Vec::new(),
             vacant: Vec::new(),
-            turns: VecDeque::new(),
-            longer_than: vec![0; tenant_limit as usize],
+            recent: FastMap::default(),
+            recent_limit: RECENT_LEN,
+            arrivals: 0,
             len: 0,
         }
     }
@@ -48,17 +71,27 @@
         self.len
     }
 
+    /// Returns the number of tenants that are remembered.
     pub(super) fn tenants(&self) -> usize {
-        self.turns.len()
+        self.index.len() + self.recent.len()
     }
 
-    /// Returns how many waiting requests start before the next request of `tenant`.
-    pub(super) fn ahead_of(&self, tenant: &TenantId) -> u32 {
-        let own = match self.index.get(tenant) {
-            Some(index) => self.queue_len(*index),
-            None => 0,
+    /// Returns how many waiting requests would start before a new request of `tenant`.
+    pub(super) fn ahead_of(&self, tenant: &TenantId, now: Instant) -> u32 {
+        let weight = self.weight(now);
+        let (own_score, own_len) = match self.index.get(tenant) {
+            Some(index) => self.queue(*index).map_or((0.0, 0), |queue| {
+                (
+                    queue.score,
+                    u32::try_from(queue.requests.len()).unwrap_or(u32::MAX),
+                )
+            }),
+            None => (self.recent.get(tenant).copied().unwrap_or(0.0), 0),
         };
-        self.longer_than.iter().take(own + 1).sum()
+        let score = own_score + weight * f64::from(own_len);
+        let others = self.waiting().filter(|queue| queue.tenant != *tenant);
+        let ahead = others.map(|queue| queue.starts_before(score, weight));
+        own_len + ahead.sum::<u32>()
     }
 
     /// Adds a request to the end of its tenant's queue.
@@ -71,70 +104,129 @@
             Some(index) => *index,
             None => self.add_tenant(tenant),
         };
-        let Some(queue) = &mut self.queues[index.0] else {
+        let limit = self.tenant_limit;
+        let arrival = self.arrivals;
+        let Some(queue) = self.queues[index.0].as_mut() else {
             return Err(NotRunReason::QueueFull);
         };
-        let Some(longer) = self.longer_than.get_mut(queue.requests.len()) else {
+        if queue.requests.len() >= limit {
             return Err(NotRunReason::QueueFull);
-        };
-        *longer += 1;
-        queue.requests.push_back(request);
+        }
+        queue.requests.push_back((arrival, request));
+        self.arrivals += 1;
         self.len += 1;
         Ok(index)
     }
 
     /// Returns the request whose turn it is.
     pub(super) fn front(&self) -> Option<RequestId> {
-        let index = self.turns.front()?;
-        self.queues[index.0].as_ref()?.requests.front().copied()
+        let index = self.next_turn()?;
+        let (_, request) = self.queue(index)?.requests.front()?;
+        Some(*request)
     }
 
-    /// Takes the request whose turn it is; its tenant's next turn comes after all others'.
-    pub(super) fn pop(&mut self) -> Option<RequestId> {
-        let index = self.turns.pop_front()?;
-        let request = self.queues[index.0].as_mut()?.requests.pop_front()?;
-        self.turns.push_back(index);
-        self.removed_one(index);
+    /// Takes the request whose turn it is and counts a start of its tenant.
+    pub(super) fn pop(&mut self, now: Instant) -> Option<RequestId> {
+        self.rescale(now);
+        let weight = self.weight(now);
+        let index = self.next_turn()?;
+        let queue = self.queues[index.0].as_mut()?;
+        let (_, request) = queue.requests.pop_front()?;
+        queue.score += weight;
+        self.removed_one(index, weight);
         Some(request)
     }
 
+    /// Counts a start of a request that did not wait in its tenant's queue.
+    pub(super) fn count_start(&mut self, tenant: &TenantId, now: Instant) {
+        self.rescale(now);
+        let weight = self.weight(now);
+        if let Some(index) = self.index.get(tenant) {
+            if let Some(queue) = self.queues[index.0].as_mut() {
+                queue.score += weight;
+            }
+            return;
+        }
+        let score = self.recent.get(tenant).copied().unwrap_or(0.0);
+        self.remember(tenant.clone(), score + weight, weight);
+    }
+
     /// Returns the newest request of the longest queue, if that is longer than the queue of
     /// `tenant` would be with one more request.
     pub(super) fn last_of_longer_queue(&self, tenant: &TenantId) -> Option<RequestId> {
-        let own = match self.index.get(tenant) {
-            Some(index) => self.queue_len(*index),
-            None => 0,
-        };
-        let longest = self.longer_than.iter().take_while(|n| **n > 0).count();
-        if longest <= own + 1 {
+        let index = self.index.get(tenant);
+        let own = index.and_then(|index| self.queue(*index));
+        let own_len = own.map_or(0, |queue| queue.requests.len());
+        let newest = |queue: &TenantQueue| queue.requests.back().copied();
+        let longest = self
+            .waiting()
+            .max_by_key(|queue| (queue.requests.len(), newest(queue)))?;
+        if longest.requests.len() <= own_len + 1 {
             return None;
         }
-        let has_longest = |index: &&QueueIndex| self.queue_len(**index) == longest;
-        let index = self.turns.iter().rev().find(has_longest)?;
-        self.queues[index.0].as_ref()?.requests.back().copied()
+        newest(longest).map(|(_, request)| request)
     }
 
     /// Removes a request from anywhere in a queue.
-    pub(super) fn remove(&mut self, index: QueueIndex, request: RequestId) {
-        let Some(queue) = &mut self.queues[index.0] else {
+    pub(super) fn remove(&mut self, index: QueueIndex, request: RequestId, now: Instant) {
+        let Some(queue) = self.queues[index.0].as_mut() else {
             return;
         };
-        let Some(position) = queue.requests.iter().position(|r| *r == request) else {
+        let Some(position) = queue.requests.iter().position(|(_, r)| *r == request) else {
             return;
         };
         queue.requests.remove(position);
-        self.removed_one(index);
+        let weight = self.weight(now);
+        self.removed_one(index, weight);
+    }
+
+    fn queue(&self, index: QueueIndex) -> Option<&TenantQueue> {
+        self.queues[index.0].as_ref()
     }
 
-    fn queue_len(&self, index: QueueIndex) -> usize {
-        self.queues[index.0]
-            .as_ref()
-            .map_or(0, |queue| queue.requests.len())
+    fn waiting(&self) -> impl Iterator<Item = &TenantQueue> {
+        self.queues.iter().flatten()
+    }
+
+    /// Returns the queue with the lowest score; of equal ones, that with the oldest request.
+    fn next_turn(&self) -> Option<QueueIndex> {
+        let places = self.queues.iter().enumerate();
+        let waiting = places.filter_map(|(place, queue)| Some((place, queue.as_ref()?)));
+        let next = waiting.min_by(|(_, a), (_, b)| {
+            let by_score = a.score.total_cmp(&b.score);
+            by_score.then_with(|| a.requests.front().cmp(&b.requests.front()))
+        });
+        next.map(|(place, _)| QueueIndex(place))
+    }
+
+    fn weight(&self, now: Instant) -> f64 {
+        self.half_lives(now).exp2()
+    }
+
+    fn half_lives(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.origin);
+        elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64()
+    }
+
+    fn rescale(&mut self, now: Instant) {
+        let half_lives = self.half_lives(now);
+        if half_lives < RESCALE_HALF_LIVES {
+            return;
+        }
+        let scale = (-half_lives).exp2();
+        self.origin = now;
+        for queue in self.queues.iter_mut().flatten() {
+            queue.score *= scale;
+        }
+        for score in self.recent.values_mut() {
+            *score *= scale;
+        }
     }
 
     fn add_tenant(&mut self, tenant: &TenantId) -> QueueIndex {
         let queue = Some(TenantQueue {
             tenant: tenant.clone(),
+            score: self.recent.remove(tenant).unwrap_or(0.0),
             requests: VecDeque::new(),
         });
         let index = if let Some(place) = self.vacant.pop() {
@@ -145,32 +237,59 @@
             QueueIndex(self.queues.len() - 1)
         };
         self.index.insert(tenant.clone(), index);
-        self.turns.push_back(index);
         index
     }
 
-    /// Corrects the counts after a request left a queue, and releases the queue if it is empty.
-    fn removed_one(&mut self, index: QueueIndex) {
+    /// Corrects the count after a request left a queue, and releases the queue if it is empty.
+    fn removed_one(&mut self, index: QueueIndex, weight: f64) {
         self.len -= 1;
-        let remaining = self.queue_len(index);
-        self.longer_than[remaining] -= 1;
-        if remaining > 0 {
+        let is_empty = self
+            .queue(index)
+            .is_some_and(|queue| queue.requests.is_empty());
+        if !is_empty {
             return;
         }
         if let Some(queue) = self.queues[index.0].take() {
             self.index.remove(&queue.tenant);
+            self.remember(queue.tenant, queue.score, weight);
         }
         self.vacant.push(index.0);
-        self.turns.retain(|turn| *turn != index);
-        if self.turns.is_empty() {
-            self.release_memory();
+        if self.index.is_empty() {
+            self.queues = Vec::new();
+            self.vacant = Vec::new();
         }
     }
 
-    fn release_memory(&mut self) {
-        self.index = FastMap::default();
-        self.queues = Vec::new();
-        self.vacant = Vec::new();
-        self.turns = VecDeque::new();
+    /// Keeps the score of an idle tenant for as long as it counts.
+    fn remember(&mut self, tenant: TenantId, score: f64, weight: f64) {
+        let threshold = FORGOTTEN_SCORE * weight;
+        if score >= threshold {
+            self.recent.insert(tenant, score);
+        }
+        if self.recent.len() < self.recent_limit {
+            return;
+        }
+        self.recent.retain(|_, score| *score >= threshold);
+        if self.recent.len() >= RECENT_LEN_MAX {
+            self.recent.clear();
+        }
+        self.recent.shrink_to(RECENT_LEN);
+        self.recent_limit = (self.recent.len() * 2).clamp(RECENT_LEN, RECENT_LEN_MAX);
+    }
+}
+
+impl TenantQueue {
+    /// Returns how many of the waiting requests start before one with this score.
+    fn starts_before(&self, score: f64, weight: f64) -> u32 {
+        let mut own = self.score;
+        let mut starts = 0;
+        for _ in &self.requests {
+            if own > score {
+                break;
+            }
+            own += weight;
+            starts += 1;
+        }
+        starts
     }
 }
--- a/crates/cranberrypitch-core/src/admission/ramp.rs
+++ b/crates/cranberrypitch-core/src/admission/ramp.rs
@@ -7,7 +7,7 @@
 /// What the backend server may be given, as its health is judged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Allowance {
-    /// Nothing: waiting requests wait, and feeds are refused.
+    /// Nothing: requests are refused, also those that wait.
     Closed,
     /// At most this many requests at once, to find out whether it works.
     Probe(u32),
@@ -41,11 +41,12 @@
         self.since = now;
     }
 
-    pub(super) fn is_closed(&self) -> bool {
-        matches!(self.allowance, Allowance::Closed | Allowance::Probe(_))
+    /// Returns whether feeds may open: one that opens during a probe would be cut if it fails.
+    pub(super) fn takes_feeds(&self) -> bool {
+        matches!(self.allowance, Allowance::Ramp | Allowance::Full)
     }
 
-    pub(super) fn is_ramping(&self, now: Instant) -> bool {
+    fn is_ramping(&self, now: Instant) -> bool {
         self.allowance == Allowance::Ramp && self.slots(now) < self.limit
     }
 
--- /dev/null
+++ b/crates/cranberrypitch-measure/src/admission.rs
@@ -0,0 +1,426 @@
+//! Measures admission at one backend server: goodput, fairness, early refusals and waits.
+
+mod fifo;
+
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::admission::{
+    Action, Admission, AdmissionOptions, ColdStart, Event, FinishResult, Submission,
+};
+use cranberrypitch_core::{Class, ConnectionLimit, RequestId, Result, Slots, TenantId};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use serde::Serialize;
+
+use self::fifo::Fifo;
+use crate::timeline::{Timeline, count, exponential, jain_index, percentile_s, ratio};
+
+const HEAVY_TENANT_FACTOR: f64 = 10.0;
+const RAMP: Duration = Duration::from_secs(10);
+const CONNECTION_LIMIT: ConnectionLimit = ConnectionLimit::new(2000);
+const QUEUE_LEN: u32 = 512;
+const TENANT_QUEUE_LEN: u32 = 32;
+
+/// The sizes of the measurement.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionMeasureOptions {
+    /// The slots of the backend server.
+    pub slots: u32,
+    /// The tenants.
+    pub tenants: u32,
+    /// The demand as a multiple of the slots.
+    pub load: f64,
+    /// The mean service time, which is distributed exponentially.
+    pub service: Duration,
+    /// The time within which a request must start.
+    pub deadline: Duration,
+    /// The simulated time.
+    pub duration: Duration,
+}
+
+impl Default for AdmissionMeasureOptions {
+    fn default() -> Self {
+        Self {
+            slots: 4,
+            tenants: 8,
+            load: 2.0,
+            service: Duration::from_secs(1),
+            deadline: Duration::from_secs(2),
+            duration: Duration::from_mins(1),
+        }
+    }
+}
+
+/// The figures of one policy in one scenario.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct AdmissionFigures {
+    /// What is asked of the backend server.
+    pub scenario: &'static str,
+    /// How requests are admitted.
+    pub policy: &'static str,
+    /// Requests that arrived.
+    pub arrived: u32,
+    /// Requests that started within their deadline.
+    pub started_in_time: u32,
+    /// Requests that started after their deadline.
+    pub started_late: u32,
+    /// Requests that were refused.
+    pub refused: u32,
+    /// Slot time of requests that started in time, as a fraction of the capacity.
+    pub goodput: f64,
+    /// Jain's index of requests started in time over the tenants of equal demand.
+    pub jain: f64,
+    /// The fraction of requests of a tenant of usual demand that started in time.
+    pub usual_tenants_served: f64,
+    /// The fraction of requests of the tenant with ten times the demand that started in time.
+    pub heavy_tenant_served: f64,
+    /// The fraction of refusals that came at the arrival.
+    pub early_refusals: f64,
+    /// The median wait of requests that started, in seconds.
+    pub wait_p50_s: f64,
+    /// The 90th percentile of these waits.
+    pub wait_p90_s: f64,
+    /// The 99th percentile of these waits.
+    pub wait_p99_s: f64,
+}
+
+/// The figures of all scenarios and policies.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct AdmissionReport {
+    /// The seed.
+    pub seed: u64,
+    /// The figures.
+    pub figures: Vec<AdmissionFigures>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Scenario {
+    Overload,
+    HeavyTenant,
+    ColdStart,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Policy {
+    TenantQueues,
+    Fifo,
+    FifoWithDeadline,
+}
+
+/// Runs every scenario under every policy with the same arrivals.
+pub fn run(options: &AdmissionMeasureOptions, seed: u64) -> Result<AdmissionReport> {
+    let mut figures = Vec::new();
+    for scenario in [
+        Scenario::Overload,
+        Scenario::HeavyTenant,
+        Scenario::ColdStart,
+    ] {
+        for policy in [Policy::TenantQueues, Policy::Fifo, Policy::FifoWithDeadline] {
+            figures.push(Simulation::try_new(*options, scenario, policy, seed)?.run());
+        }
+    }
+    Ok(AdmissionReport { seed, figures })
+}
+
+#[derive(Debug)]
+enum Desk {
+    TenantQueues(Box<Admission>),
+    Fifo(Fifo),
+}
+
+impl Desk {
+    fn handle(&mut self, event: Event, now: Instant) -> Vec<Action> {
+        match self {
+            Self::TenantQueues(admission) => admission.handle(event, now),
+            Self::Fifo(fifo) => fifo.handle(event, now),
+        }
+    }
+
+    fn next_tick(&self, now: Instant) -> Option<Instant> {
+        match self {
+            Self::TenantQueues(admission) => admission.next_tick(now),
+            Self::Fifo(fifo) => fifo.next_tick(),
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Step {
+    Arrive { tenant: usize, service: Duration },
+    Finish(RequestId),
+}
+
+#[derive(Debug)]
+struct Request {
+    tenant: usize,
+    service: Duration,
+    arrived: Instant,
+    ends: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Simulation {
+    options: AdmissionMeasureOptions,
+    scenario: Scenario,
+    policy: Policy,
+    desk: Desk,
+    tenants: Vec<TenantId>,
+    start: Instant,
+    timeline: Timeline<Step>,
+    requests: Vec<Request>,
+    running: u32,
+    served: Vec<u32>,
+    late: u32,
+    refused: u32,
+    refused_early: u32,
+    good_time: Duration,
+    waits: Vec<Duration>,
+}
+
+impl Simulation {
+    fn try_new(
+        options: AdmissionMeasureOptions,
+        scenario: Scenario,
+        policy: Policy,
+        seed: u64,
+    ) -> Result<Self> {
+        let start = Instant::now();
+        let tenants = (0..options.tenants)
+            .map(|tenant| TenantId::try_new(&format!("tenant-{tenant}")))
+            .collect::<Result<Vec<_>>>()?;
+        let mut simulation = Self {
+            desk: desk(&options, scenario, policy, start)?,
+            served: vec![0; tenants.len()],
+            tenants,
+            options,
+            scenario,
+            policy,
+            start,
+            timeline: Timeline::new(),
+            requests: Vec::new(),
+            running: 0,
+            late: 0,
+            refused: 0,
+            refused_early: 0,
+            good_time: Duration::ZERO,
+            waits: Vec::new(),
+        };
+        simulation.enter_arrivals(seed);
+        Ok(simulation)
+    }
+
+    /// Enters the arrivals of all tenants, so that all policies see the same.
+    fn enter_arrivals(&mut self, seed: u64) {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let options = self.options;
+        let per_second = f64::from(options.slots) * options.load / options.service.as_secs_f64();
+        let weights: f64 = (0..self.tenants.len())
+            .map(|tenant| self.weight(tenant))
+            .sum();
+        for tenant in 0..self.tenants.len() {
+            let rate = per_second * self.weight(tenant) / weights;
+            let gap = Duration::from_secs_f64(1.0 / rate);
+            let mut at = exponential(gap, &mut rng);
+            while at < options.duration {
+                let service = exponential(options.service, &mut rng);
+                let step = Step::Arrive { tenant, service };
+                self.timeline.push(self.start + at, step);
+                at += exponential(gap, &mut rng);
+            }
+        }
+    }
+
+    fn is_heavy(&self, tenant: usize) -> bool {
+        self.scenario == Scenario::HeavyTenant && tenant == 0
+    }
+
+    fn weight(&self, tenant: usize) -> f64 {
+        if self.is_heavy(tenant) {
+            HEAVY_TENANT_FACTOR
+        } else {
+            1.0
+        }
+    }
+
+    fn run(mut self) -> AdmissionFigures {
+        let end = self.start + self.options.duration;
+        let mut now = self.start;
+        loop {
+            let step = self.timeline.next_time();
+            let tick = self.desk.next_tick(now);
+            let Some(next) = step
+                .into_iter()
+                .chain(tick)
+                .min()
+                .filter(|next| *next < end)
+            else {
+                break;
+            };
+            now = next;
+            if tick == Some(next) {
+                let actions = self.desk.handle(Event::Tick, now);
+                self.act(&actions, None, now);
+            } else if let Some((_, step)) = self.timeline.pop() {
+                self.step(&step, now);
+            }
+        }
+        self.figures()
+    }
+
+    fn step(&mut self, step: &Step, now: Instant) {
+        match *step {
+            Step::Arrive { tenant, service } => self.arrive(tenant, service, now),
+            Step::Finish(request) => {
+                self.running -= 1;
+                let result = FinishResult::Ran;
+                let actions = self.desk.handle(Event::Finish { request, result }, now);
+                self.act(&actions, None, now);
+            }
+        }
+    }
+
+    fn arrive(&mut self, tenant: usize, service: Duration, now: Instant) {
+        let request = RequestId::new(self.requests.len() as u64);
+        self.requests.push(Request {
+            tenant,
+            service,
+            arrived: now,
+            ends: None,
+        });
+        let submission = Submission {
+            request,
+            tenant: self.tenants[tenant].clone(),
+            class: Class::Order,
+            deadline: now + self.options.deadline,
+            reservation: None,
+        };
+        let actions = self.desk.handle(Event::Submit(submission), now);
+        self.act(&actions, Some(request), now);
+    }
+
+    fn act(&mut self, actions: &[Action], arriving: Option<RequestId>, now: Instant) {
+        for action in actions {
+            match *action {
+                Action::Start(request) => self.start_request(request, now),
+                Action::Refuse(request, _) => {
+                    self.refused += 1;
+                    self.refused_early += u32::from(arriving == Some(request));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn start_request(&mut self, id: RequestId, now: Instant) {
+        self.running += 1;
+        let stretch = self.stretch(now);
+        let index = usize::try_from(id.get()).unwrap_or(usize::MAX);
+        let request = &mut self.requests[index];
+        let ends = now + request.service.mul_f64(stretch);
+        request.ends = Some(ends);
+        let wait = now - request.arrived;
+        self.waits.push(wait);
+        self.timeline.push(ends, Step::Finish(id));
+        if wait > self.options.deadline {
+            self.late += 1;
+            return;
+        }
+        self.served[request.tenant] += 1;
+        let end = self.start + self.options.duration;
+        self.good_time += (ends.min(end) - now).div_f64(stretch);
+    }
+
+    /// Returns the factor on the service time of a request that starts now.
+    ///
+    /// A cold backend server that runs more requests than it is warm for slows down by the square
+    /// of the excess. This is an assumption of the scenario, not a measured property.
+    fn stretch(&self, now: Instant) -> f64 {
+        let excess = f64::from(self.running) / self.warm_slots(now - self.start);
+        excess.max(1.0).powi(2)
+    }
+
+    fn warm_slots(&self, elapsed: Duration) -> f64 {
+        let slots = f64::from(self.options.slots);
+        if self.scenario != Scenario::ColdStart {
+            return slots;
+        }
+        let warmth = elapsed.as_secs_f64() / RAMP.as_secs_f64();
+        (1.0 + (slots - 1.0) * warmth).floor().min(slots)
+    }
+
+    /// Returns the slot time that the backend server offers in the whole run, in seconds.
+    fn capacity_s(&self) -> f64 {
+        let step = Duration::from_millis(10);
+        let steps = u32::try_from(self.options.duration.as_millis() / 10).unwrap_or(u32::MAX);
+        let warm = (0..steps).map(|index| self.warm_slots(step * index));
+        warm.sum::<f64>() * step.as_secs_f64()
+    }
+
+    fn figures(mut self) -> AdmissionFigures {
+        let capacity_s = self.capacity_s();
+        let usual: Vec<usize> = (0..self.tenants.len())
+            .filter(|tenant| !self.is_heavy(*tenant))
+            .collect();
+        let usual_served: Vec<u32> = usual.iter().map(|tenant| self.served[*tenant]).collect();
+        AdmissionFigures {
+            scenario: match self.scenario {
+                Scenario::Overload => "overload",
+                Scenario::HeavyTenant => "heavy_tenant",
+                Scenario::ColdStart => "cold_start",
+            },
+            policy: match self.policy {
+                Policy::TenantQueues => "tenant_queues",
+                Policy::Fifo => "fifo",
+                Policy::FifoWithDeadline => "fifo_with_deadline",
+            },
+            arrived: u32::try_from(self.requests.len()).unwrap_or(u32::MAX),
+            started_in_time: self.served.iter().sum(),
+            started_late: self.late,
+            refused: self.refused,
+            goodput: ratio(self.good_time.as_secs_f64(), capacity_s),
+            jain: jain_index(&usual_served),
+            usual_tenants_served: self.served_fraction(|tenant| usual.contains(&tenant)),
+            heavy_tenant_served: self.served_fraction(|tenant| !usual.contains(&tenant)),
+            early_refusals: ratio(f64::from(self.refused_early), f64::from(self.refused)),
+            wait_p50_s: percentile_s(&mut self.waits, 0.5),
+            wait_p90_s: percentile_s(&mut self.waits, 0.9),
+            wait_p99_s: percentile_s(&mut self.waits, 0.99),
+        }
+    }
+
+    fn served_fraction(&self, includes: impl Fn(usize) -> bool) -> f64 {
+        let arrived = self
+            .requests
+            .iter()
+            .filter(|request| includes(request.tenant));
+        let served = (0..self.served.len()).filter(|tenant| includes(*tenant));
+        let served: u32 = served.map(|tenant| self.served[tenant]).sum();
+        ratio(f64::from(served), count(arrived.count()))
+    }
+}
+
+fn desk(
+    options: &AdmissionMeasureOptions,
+    scenario: Scenario,
+    policy: Policy,
+    start: Instant,
+) -> Result<Desk> {
+    let slots = Slots::new(options.slots);
+    let is_cold = scenario == Scenario::ColdStart;
+    let cold_start = ColdStart {
+        first_slots: if is_cold { Slots::new(1) } else { slots },
+        ramp: RAMP,
+    };
+    Ok(match policy {
+        Policy::TenantQueues => {
+            let admission_options = AdmissionOptions::builder(slots, CONNECTION_LIMIT)
+                .tenant_queue_len(TENANT_QUEUE_LEN)
+                .queue_len(QUEUE_LEN)
+                .cold_start(cold_start)
+                .build()?;
+            Desk::TenantQueues(Box::new(Admission::new(admission_options, start)))
+        }
+        Policy::Fifo => Desk::Fifo(Fifo::new(options.slots, QUEUE_LEN, false)),
+        Policy::FifoWithDeadline => Desk::Fifo(Fifo::new(options.slots, QUEUE_LEN, true)),
+    })
+}
--- /dev/null
+++ b/crates/cranberrypitch-measure/src/timeline.rs
@@ -0,0 +1,72 @@
+//! The parts that the simulations share: a queue of events in time, and statistics.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use rand::{Rng, RngExt};
+
+/// Events in the order of their times; events of one time keep the order of their entry.
+#[derive(Debug)]
+pub(crate) struct Timeline<E> {
+    events: BTreeMap<(Instant, u64), E>,
+    entered: u64,
+}
+
+impl<E> Timeline<E> {
+    pub(crate) const fn new() -> Self {
+        Self {
+            events: BTreeMap::new(),
+            entered: 0,
+        }
+    }
+
+    pub(crate) fn push(&mut self, at: Instant, event: E) {
+        self.events.insert((at, self.entered), event);
+        self.entered += 1;
+    }
+
+    pub(crate) fn next_time(&self) -> Option<Instant> {
+        self.events.first_key_value().map(|((at, _), _)| *at)
+    }
+
+    pub(crate) fn pop(&mut self) -> Option<(Instant, E)> {
+        self.events.pop_first().map(|((at, _), event)| (at, event))
+    }
+}
+
+/// Returns a time drawn from an exponential distribution.
+pub(crate) fn exponential<R: Rng>(mean: Duration, rng: &mut R) -> Duration {
+    mean.mul_f64(-(1.0 - rng.random::<f64>()).ln())
+}
+
+/// Returns Jain's index: 1 if all shares are equal, 1/n if one has everything.
+pub(crate) fn jain_index(shares: &[u32]) -> f64 {
+    let sum: f64 = shares.iter().map(|share| f64::from(*share)).sum();
+    let squares: f64 = shares.iter().map(|share| f64::from(*share).powi(2)).sum();
+    ratio(sum * sum, count(shares.len()) * squares)
+}
+
+/// Returns a value that `fraction` of the times don't exceed, in seconds.
+pub(crate) fn percentile_s(times: &mut [Duration], fraction: f64) -> f64 {
+    times.sort_unstable();
+    let last = times.len().saturating_sub(1);
+    let rank = (count(last) * fraction).round();
+    let index = (0..=last).find(|index| count(*index) >= rank);
+    let time = index.and_then(|index| times.get(index));
+    rounded(time.map_or(0.0, Duration::as_secs_f64))
+}
+
+/// Returns `part / whole`, or 0 if there is no whole.
+pub(crate) fn ratio(part: f64, whole: f64) -> f64 {
+    rounded(if whole > 0.0 { part / whole } else { 0.0 })
+}
+
+/// Returns a count as a floating-point number.
+pub(crate) fn count(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+/// Rounds to four decimals, more than a run of a minute resolves.
+fn rounded(value: f64) -> f64 {
+    (value * 1e4).round() / 1e4
+}
