--- a/crates/cranberrypitch-core/src/retry.rs
+++ b/crates/cranberrypitch-core/src/retry.rs
@@ -177,10 +177,14 @@
             return RetryDecision::Finish;
         }
         let at = now + self.backoff(rng);
-        if at >= self.deadline || !budget.try_spend() {
+        if at >= self.deadline {
             return RetryDecision::Finish;
         }
-        RetryDecision::RetryAt(at)
+        if is_free(outcome) || budget.try_spend() {
+            RetryDecision::RetryAt(at)
+        } else {
+            RetryDecision::Finish
+        }
     }
 
     fn note_target(&mut self, target: SocketAddrV4) {
@@ -223,6 +227,14 @@
     }
 }
 
+/// Returns whether a retry costs no budget.
+///
+/// A draining target says nothing about load, and each request meets it once at most. With cost,
+/// a drain that balancers don't know of used up the budget of callers.
+const fn is_free(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::NotRun(NotRunReason::Draining))
+}
+
 /// Returns whether another target may run what this one refused.
 const fn helps_elsewhere(reason: NotRunReason) -> bool {
     !matches!(reason, NotRunReason::Cancelled | NotRunReason::Invalid)
--- a/crates/cranberrypitch-core/tests/retry.rs
+++ b/crates/cranberrypitch-core/tests/retry.rs
@@ -98,6 +98,7 @@
     }
     let made = (0..100).filter(|_| poor.retries(&REFUSED, 1)).count();
     assert_eq!(made, 1);
+    assert!(poor.retries(&Outcome::NotRun(NotRunReason::Draining), 1));
 }
 
 /// Guards against redirects that use up the budget, and against callers that are sent in circles.
--- a/crates/cranberrypitch-measure/src/bin/measure.rs
+++ b/crates/cranberrypitch-measure/src/bin/measure.rs
@@ -3,6 +3,8 @@
 use std::process::ExitCode;
 
 use cranberrypitch_measure::admission::{self, AdmissionMeasureOptions};
+use cranberrypitch_measure::drain::{self, DrainMeasureOptions};
+use cranberrypitch_measure::retry::{self, RetryMeasureOptions};
 use pico_args::Arguments;
 use serde::Serialize;
 
@@ -31,6 +33,14 @@
             let report = admission::run(&admission_options(&mut arguments)?, seed);
             print(&report.map_err(|e| describe(&e))?, is_json)
         }
+        Some("retry") => {
+            let report = retry::run(&retry_options(&mut arguments)?, seed);
+            print(&report.map_err(|e| describe(&e))?, is_json)
+        }
+        Some("drain") => {
+            let report = drain::run(&drain_options(&mut arguments)?, seed);
+            print(&report.map_err(|e| describe(&e))?, is_json)
+        }
         _ => Err("the verb is one of: admission, retry, drain".into()),
     }
 }
@@ -43,6 +53,23 @@
     Ok(options)
 }
 
+fn retry_options(arguments: &mut Arguments) -> Result<RetryMeasureOptions, Box<str>> {
+    let mut options = RetryMeasureOptions::default();
+    take(arguments, "--targets", &mut options.targets)?;
+    take(arguments, "--slots", &mut options.slots)?;
+    take(arguments, "--tenants", &mut options.callers)?;
+    take(arguments, "--load", &mut options.overload)?;
+    Ok(options)
+}
+
+fn drain_options(arguments: &mut Arguments) -> Result<DrainMeasureOptions, Box<str>> {
+    let mut options = DrainMeasureOptions::default();
+    take(arguments, "--targets", &mut options.targets)?;
+    take(arguments, "--slots", &mut options.slots)?;
+    take(arguments, "--load", &mut options.load)?;
+    Ok(options)
+}
+
 fn take<T>(arguments: &mut Arguments, key: &'static str, value: &mut T) -> Result<(), Box<str>>
 where
     T: std::str::FromStr<Err: std::fmt::Display>,
--- a/crates/cranberrypitch-measure/src/timeline.rs
+++ b/crates/cranberrypitch-measure/src/timeline.rs
@@ -67,6 +67,6 @@
 }
 
 /// Rounds to four decimals, more than a run of a minute resolves.
-fn rounded(value: f64) -> f64 {
+pub(crate) fn rounded(value: f64) -> f64 {
     (value * 1e4).round() / 1e4
 }
