--- a/crates/cranberrypitch-measure/src/errors.rs
+++ b/crates/cranberrypitch-measure/src/errors.rs
@@ -17,6 +17,9 @@
     /// The result can't be written as JSON.
     #[display("{_0}")]
     Json(serde_json::Error),
+    /// A decision of the core refuses its options.
+    #[display("{_0}")]
+    Core(cranberrypitch_core::Error),
     /// The verb is not known.
     #[display("'{name}' is no verb; known are: {known}")]
     #[from(skip)]
--- a/crates/cranberrypitch-measure/src/lib.rs
+++ b/crates/cranberrypitch-measure/src/lib.rs
@@ -2,8 +2,13 @@
 //!
 //! Each verb of the `measure` command is one module with a `run` function in [`VERBS`].
 
+pub mod admission;
+pub mod drain;
 pub mod errors;
 pub mod placement;
+pub mod retry;
+pub(crate) mod timeline;
+mod verbs;
 
 use pico_args::Arguments;
 
@@ -21,11 +26,28 @@
 }
 
 /// All verbs.
-pub const VERBS: [Verb; 1] = [Verb {
-    name: "placement",
-    summary: "waits and imbalance of each placement policy",
-    run: placement::run,
-}];
+pub const VERBS: [Verb; 4] = [
+    Verb {
+        name: "placement",
+        summary: "waits and imbalance of each placement policy",
+        run: placement::run,
+    },
+    Verb {
+        name: "admission",
+        summary: "goodput and fairness under overload, and cold starts",
+        run: verbs::admission,
+    },
+    Verb {
+        name: "retry",
+        summary: "load added by retries, with and without a budget",
+        run: verbs::retry,
+    },
+    Verb {
+        name: "drain",
+        summary: "work that a leaving target still gets, and what is cut",
+        run: verbs::drain,
+    },
+];
 
 /// Runs the verb that the arguments name.
 pub fn run(mut arguments: Arguments) -> Result<String> {
--- /dev/null
+++ b/crates/cranberrypitch-measure/src/verbs.rs
@@ -0,0 +1,67 @@
+//! The options of the verbs whose measurements take plain structs.
+
+use std::fmt::Display;
+use std::str::FromStr;
+
+use pico_args::Arguments;
+use serde::Serialize;
+
+use crate::admission::{self, AdmissionMeasureOptions};
+use crate::drain::{self, DrainMeasureOptions};
+use crate::errors::Result;
+use crate::retry::{self, RetryMeasureOptions};
+
+const DEFAULT_SEED: u64 = 1;
+
+pub(crate) fn admission(arguments: &mut Arguments) -> Result<String> {
+    let mut options = AdmissionMeasureOptions::default();
+    take(arguments, "--slots", &mut options.slots)?;
+    take(arguments, "--tenants", &mut options.tenants)?;
+    take(arguments, "--load", &mut options.load)?;
+    let seed = seed(arguments)?;
+    print(arguments, &admission::run(&options, seed)?)
+}
+
+pub(crate) fn retry(arguments: &mut Arguments) -> Result<String> {
+    let mut options = RetryMeasureOptions::default();
+    take(arguments, "--targets", &mut options.targets)?;
+    take(arguments, "--slots", &mut options.slots)?;
+    take(arguments, "--tenants", &mut options.callers)?;
+    take(arguments, "--load", &mut options.overload)?;
+    let seed = seed(arguments)?;
+    print(arguments, &retry::run(&options, seed)?)
+}
+
+pub(crate) fn drain(arguments: &mut Arguments) -> Result<String> {
+    let mut options = DrainMeasureOptions::default();
+    take(arguments, "--targets", &mut options.targets)?;
+    take(arguments, "--slots", &mut options.slots)?;
+    take(arguments, "--load", &mut options.load)?;
+    let seed = seed(arguments)?;
+    print(arguments, &drain::run(&options, seed)?)
+}
+
+fn seed(arguments: &mut Arguments) -> Result<u64> {
+    Ok(arguments
+        .opt_value_from_str("--seed")?
+        .unwrap_or(DEFAULT_SEED))
+}
+
+fn take<T>(arguments: &mut Arguments, key: &'static str, value: &mut T) -> Result<()>
+where
+    T: FromStr<Err: Display>,
+{
+    if let Some(given) = arguments.opt_value_from_str(key)? {
+        *value = given;
+    }
+    Ok(())
+}
+
+fn print(arguments: &mut Arguments, report: &impl Serialize) -> Result<String> {
+    let text = if arguments.contains("--json") {
+        serde_json::to_string(report)?
+    } else {
+        serde_json::to_string_pretty(report)?
+    };
+    Ok(text)
+}
