Run balancers and agents as processes of their own

Each daemon takes its configuration from a keeper, finds balancers in the store or through a seed balancer, serves the control channel (balancer), drains on SIGTERM and ends with 0.

--- a/crates/cranberrypitch-agent/src/daemon.rs
+++ b/crates/cranberrypitch-agent/src/daemon.rs
@@ -1,13 +1,15 @@
 //! The agent as a whole: its threads, its start and its graceful stop.
 
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::SyncSender;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use cranberrypitch_core::{Clock, Revision, ServiceTag, TargetState};
+use cranberrypitch_core::config::ClassLimits;
+use cranberrypitch_core::{Class, Clock, Revision, ServiceTag, TargetState};
 use cranberrypitch_net::tls;
 use kameo::actor::{ActorRef, Spawn};
 use quinn::{Endpoint, TokioRuntime};
@@ -20,8 +22,10 @@
 use crate::ids::TokenIssuer;
 use crate::options::AgentOptions;
 use crate::returns::{ReturnBalancer, ReturnPath};
-use crate::server::Server;
-use crate::socket::{SocketCounters, SocketIdentity, TunnelSocket, TunnelSocketParts};
+use crate::server::{Classes, Server};
+use crate::socket::{
+    ControlDatagram, SocketCounters, SocketIdentity, TunnelSocket, TunnelSocketParts,
+};
 use crate::supervisor::{StartAnnounce, StartTarget, StopFlag, Supervisor, drive_control};
 use crate::target::{Drain, HealthAnswer, Status, TargetActor, TargetArgs, TargetStatus};
 
@@ -31,6 +35,9 @@
 /// The time between questions about the health of the backend server.
 const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The time between checks whether a thread has ended.
+const FAILURE_POLL: Duration = Duration::from_millis(500);
+
 /// The time between checks whether a drain has finished.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -48,7 +55,8 @@
     drain_deadline: Duration,
     clock: Arc<dyn Clock>,
     stop: StopFlag,
-    threads: Vec<JoinHandle<()>>,
+    classes: Arc<Classes>,
+    threads: Mutex<Vec<JoinHandle<()>>>,
 }
 
 /// The streams on which an answer is still on its way.
@@ -71,93 +79,45 @@
 impl AgentHandle {
     /// Starts an agent beside a backend server.
     pub fn spawn<B: BackendServer + 'static>(options: AgentOptions, backend: B) -> Result<Self> {
-        let address = options.identity.tunnel_address;
-        let io = UdpSocket::bind(address).map_err(|e| Error::bind(address, e))?;
-        io.set_nonblocking(true)?;
         let traffic = Builder::new_current_thread().enable_all().build()?;
-        let control = Builder::new_current_thread().enable_all().build()?;
-        let identity = options.identity.clone();
-        let service = ServiceTag::of(&identity.service);
-        let issuer = TokenIssuer::new(
-            address,
-            service,
-            identity.incarnation,
-            Arc::clone(&options.keys),
-            options.token_lifetime,
-        );
-        let returns = Arc::new(ReturnPath::new(identity.failure_domain.clone()));
-        let (control_sender, control_datagrams) = mpsc::channel(CONTROL_QUEUE_LEN);
-        let socket = {
-            let _entered = traffic.enter();
-            Arc::new(TunnelSocket::new(TunnelSocketParts {
-                io: tokio::net::UdpSocket::from_std(io)?,
-                identity: SocketIdentity {
-                    service,
-                    incarnation: identity.incarnation,
-                },
-                keys: Arc::clone(&options.keys),
-                clock: Arc::clone(&options.clock),
-                returns: Arc::clone(&returns),
-                control: control_sender,
-            }))
-        };
         let state = watch::Sender::new(TargetState::Starting);
         let state_receiver = state.subscribe();
         let revision = watch::Sender::new(Revision::default());
         let newest_revision = watch::Sender::new(Revision::default());
         let stop = StopFlag::new();
-        let target_args = TargetArgs {
-            identity: identity.clone(),
-            admission: options.admission,
-            tickets: options.tickets,
-            health: options.health,
-            drain: options.drain,
-            issuer: issuer.clone(),
-            socket: Arc::clone(&socket),
-            clock: Arc::clone(&options.clock),
-            state,
-        };
-        let (parts_sender, parts) = std::sync::mpsc::sync_channel(1);
-        let announce_args = AnnounceSeed {
-            options: &options,
-            returns,
-            socket: Arc::clone(&socket),
-            revision: revision.subscribe(),
-            newest_revision: newest_revision.clone(),
+        let tunnel = Tunnel::open(&options, &traffic)?;
+        let seed = ControlSeed {
+            target: target_args(&options, &tunnel, state),
+            announce: AnnounceSeed {
+                options: &options,
+                returns: tunnel.returns,
+                socket: Arc::clone(&tunnel.socket),
+                revision: revision.subscribe(),
+                newest_revision: newest_revision.clone(),
+            }
+            .into_args(),
+            datagrams: tunnel.datagrams,
+            stop: stop.subscribe(),
         };
-        let announce_args = announce_args.into_args();
-        let stop_control = stop.subscribe();
-        let control_thread = std::thread::Builder::new()
-            .name("agent-control".into())
-            .spawn({
-                move || {
-                    control.block_on(run_control(
-                        target_args,
-                        announce_args,
-                        control_datagrams,
-                        parts_sender,
-                        stop_control,
-                    ));
-                }
-            })?;
-        let parts = parts
-            .recv()
-            .map_err(|_closed| Error::ended("control thread"))?;
+        let (control_thread, parts) = start_control(seed)?;
+
+        let classes = Arc::<Classes>::default();
         let server = Arc::new(Server {
+            classes: Arc::clone(&classes),
             backend: Arc::new(backend),
             target: parts.target.clone(),
             state: state_receiver.clone(),
-            issuer: issuer.clone(),
-            incarnation: identity.incarnation,
+            issuer: tunnel.issuer.clone(),
+            incarnation: options.identity.incarnation,
             answer_timeout: options.answer_timeout,
             next_request: AtomicU64::new(0),
             open_streams: AtomicUsize::new(0),
         });
-        let counters = socket.counters();
-        let endpoint = open_endpoint(&options, issuer, socket, &traffic)?;
+        let counters = tunnel.socket.counters();
+        let endpoint = open_endpoint(&options, tunnel.issuer, tunnel.socket, &traffic)?;
         let traffic_thread = {
-            let (server, endpoint, stop) =
-                (Arc::clone(&server), endpoint.clone(), stop.subscribe());
+            let server = Arc::clone(&server);
+            let (endpoint, stop) = (endpoint.clone(), stop.subscribe());
             std::thread::Builder::new()
                 .name("agent-traffic".into())
                 .spawn(move || traffic.block_on(run_traffic(server, endpoint, stop)))?
@@ -174,7 +134,8 @@
             drain_deadline: options.drain_deadline,
             clock: options.clock,
             stop,
-            threads: vec![control_thread, traffic_thread],
+            classes,
+            threads: Mutex::new(vec![control_thread, traffic_thread]),
         })
     }
 
@@ -224,7 +185,7 @@
 
     /// Drains, waits until nothing runs any more or the drain deadline has passed, and stops.
     /// Returns what was cut, which is nothing unless the deadline has passed.
-    pub async fn stop(self) -> Result<TargetStatus> {
+    pub async fn stop(&self) -> Result<TargetStatus> {
         self.drain().await?;
         let give_up = self.clock.now() + self.drain_deadline;
         let last = loop {
@@ -245,12 +206,92 @@
     }
 
     /// Ends the agent at once, as a crash would.
-    pub fn kill(self) {
+    pub fn kill(&self) {
         self.stop.set();
-        for thread in self.threads {
+        for thread in self.threads().drain(..) {
             let _ended = thread.join();
         }
     }
+
+    /// Returns when a thread of the agent has ended although nobody asked for it.
+    pub async fn failed(&self) {
+        while !self.threads().iter().any(JoinHandle::is_finished) {
+            tokio::time::sleep(FAILURE_POLL).await;
+        }
+    }
+
+    fn threads(&self) -> MutexGuard<'_, Vec<JoinHandle<()>>> {
+        self.threads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the limits of the classes that are served. Until the first call, every class is
+    /// served without limits of its own.
+    pub fn set_classes(&self, classes: BTreeMap<Class, ClassLimits>) {
+        self.classes.store(Some(Arc::new(classes)));
+    }
+}
+
+/// The tunnel socket and what belongs to it.
+struct Tunnel {
+    issuer: TokenIssuer,
+    returns: Arc<ReturnPath>,
+    socket: Arc<TunnelSocket>,
+    datagrams: mpsc::Receiver<ControlDatagram>,
+}
+
+impl Tunnel {
+    fn open(options: &AgentOptions, traffic: &Runtime) -> Result<Self> {
+        let identity = &options.identity;
+        let address = identity.tunnel_address;
+        let io = UdpSocket::bind(address).map_err(|e| Error::bind(address, e))?;
+        io.set_nonblocking(true)?;
+        let service = ServiceTag::of(&identity.service);
+        let returns = Arc::new(ReturnPath::new(identity.failure_domain.clone()));
+        let (control, datagrams) = mpsc::channel(CONTROL_QUEUE_LEN);
+        let _entered = traffic.enter();
+        let socket = Arc::new(TunnelSocket::new(TunnelSocketParts {
+            io: tokio::net::UdpSocket::from_std(io)?,
+            identity: SocketIdentity {
+                service,
+                incarnation: identity.incarnation,
+            },
+            keys: Arc::clone(&options.keys),
+            clock: Arc::clone(&options.clock),
+            returns: Arc::clone(&returns),
+            control,
+        }));
+        let issuer = TokenIssuer::new(
+            address,
+            service,
+            identity.incarnation,
+            Arc::clone(&options.keys),
+            options.token_lifetime,
+        );
+        Ok(Self {
+            issuer,
+            returns,
+            socket,
+            datagrams,
+        })
+    }
+}
+
+fn target_args(
+    options: &AgentOptions,
+    tunnel: &Tunnel,
+    state: watch::Sender<TargetState>,
+) -> TargetArgs {
+    TargetArgs {
+        identity: options.identity.clone(),
+        admission: options.admission,
+        tickets: options.tickets,
+        health: options.health,
+        drain: options.drain,
+        issuer: tunnel.issuer.clone(),
+        socket: Arc::clone(&tunnel.socket),
+        clock: Arc::clone(&options.clock),
+        state,
+    }
 }
 
 /// What the announce actor needs besides the target actor, which does not run yet.
@@ -285,30 +326,54 @@
     }
 }
 
-async fn run_control(
-    target_args: TargetArgs,
-    announce_args: impl FnOnce(ActorRef<TargetActor>) -> AnnounceArgs,
-    datagrams: mpsc::Receiver<crate::socket::ControlDatagram>,
-    parts: SyncSender<ControlParts>,
-    mut stop: watch::Receiver<bool>,
-) {
+/// What the control thread is started with.
+struct ControlSeed<F> {
+    target: TargetArgs,
+    announce: F,
+    datagrams: mpsc::Receiver<ControlDatagram>,
+    stop: watch::Receiver<bool>,
+}
+
+fn start_control<F>(seed: ControlSeed<F>) -> Result<(JoinHandle<()>, ControlParts)>
+where
+    F: FnOnce(ActorRef<TargetActor>) -> AnnounceArgs + Send + 'static,
+{
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let (sender, parts) = std::sync::mpsc::sync_channel(1);
+    let thread = std::thread::Builder::new()
+        .name("agent-control".into())
+        .spawn(move || runtime.block_on(run_control(seed, sender)))?;
+    let parts = parts
+        .recv()
+        .map_err(|_closed| Error::ended("control thread"))?;
+    Ok((thread, parts))
+}
+
+async fn run_control<F>(mut seed: ControlSeed<F>, parts: SyncSender<ControlParts>)
+where
+    F: FnOnce(ActorRef<TargetActor>) -> AnnounceArgs,
+{
     let supervisor = Supervisor::spawn(());
-    let Ok(target) = supervisor.ask(StartTarget(target_args)).await else {
+    let Ok(target) = supervisor.ask(StartTarget(seed.target)).await else {
         return;
     };
-    let announce_args = announce_args(target.clone());
+    let announce_args = (seed.announce)(target.clone());
     let Ok(announce) = supervisor.ask(StartAnnounce(announce_args)).await else {
         return;
     };
     let driver = tokio::spawn(drive_control(
         target.clone(),
         announce.clone(),
-        datagrams,
-        stop.clone(),
+        seed.datagrams,
+        seed.stop.clone(),
     ));
-    let handed_out = parts.send(ControlParts { target, announce }).is_ok();
-    if handed_out {
-        let _stopped = stop.changed().await;
+    let has_failed = target.clone();
+    if parts.send(ControlParts { target, announce }).is_ok() {
+        tokio::select! {
+            _stopped = seed.stop.changed() => {}
+            // Without its target actor the agent can't go on.
+            () = has_failed.wait_for_shutdown() => {}
+        }
     }
     driver.abort();
 }
--- a/crates/cranberrypitch-agent/src/lib.rs
+++ b/crates/cranberrypitch-agent/src/lib.rs
@@ -12,6 +12,7 @@
 mod flows;
 mod ids;
 mod options;
+pub mod process;
 mod returns;
 mod run;
 mod server;
--- /dev/null
+++ b/crates/cranberrypitch-agent/src/process.rs
@@ -0,0 +1,314 @@
+//! The agent as a process of its own: configuration, store and signals around the agent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranberrypitch_core::acceptance::Snapshot;
+use cranberrypitch_core::admission::AdmissionOptions;
+use cranberrypitch_core::config::Service;
+use cranberrypitch_core::{Clock, Revision, SystemClock};
+use cranberrypitch_net::control::ControlOptions;
+use cranberrypitch_net::daemon::{DaemonError, ExitStatus, Startup, until_stop};
+use cranberrypitch_net::keeper::{ConfigSource, Keeper, KeeperOptions};
+use cranberrypitch_net::peers::ControlPeers;
+use cranberrypitch_net::registry::list_balancers;
+use cranberrypitch_net::store::{HttpStore, HttpStoreOptions};
+use cranberrypitch_net::tls::{Certificate, TransportOptions};
+use cranberrypitch_net::{AgentSettings, Event};
+use cranberrypitch_proto::control::BalancerEntry;
+use tokio::sync::watch;
+
+use crate::backend::{HttpBackend, HttpBackendOptions};
+use crate::daemon::AgentHandle;
+use crate::errors::{Error, Result};
+use crate::options::{AgentIdentity, AgentOptions};
+use crate::returns::ReturnBalancer;
+
+/// The time between attempts to find balancers, and between looks at their list afterwards.
+const FIND_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Balancers are heard of with the answers to reports. The list is read now and then for the case
+/// that all known ones have been replaced at once.
+const LIST_INTERVAL: Duration = Duration::from_mins(1);
+
+/// Agents leave the watcher slots to balancers.
+const NO_WATCHER_SLOTS: u32 = 0;
+
+/// Agents look for a watcher slot this rarely, as there is none for them.
+const NO_CONTEST: Duration = Duration::from_hours(24);
+
+/// Agents hear of newer configurations with the answers to reports, so they ask rarely by themselves.
+const POLL_INTERVAL: Duration = Duration::from_secs(3);
+
+/// The time between two lines about a drain that goes on.
+const DRAIN_LOG_INTERVAL: Duration = Duration::from_secs(5);
+
+impl DaemonError for Error {
+    fn exit_status(&self) -> ExitStatus {
+        match self {
+            Self::Bind { .. } => ExitStatus::Refused,
+            Self::Net(error) => error.exit_status(),
+            _ => ExitStatus::Failed,
+        }
+    }
+}
+
+/// Runs an agent until a signal asks for a graceful stop, and drains it then.
+pub async fn run(startup: Startup<AgentSettings>) -> Result<()> {
+    let mut signals = startup.signals;
+    let keys = Arc::clone(&startup.keys);
+    let parts = Parts::new(&startup.settings, &keys, startup.incarnation.get());
+    let keeper = tokio::spawn(parts.keeper.run());
+    let settings = &startup.settings;
+    let certificate =
+        Certificate::from_pem_files(&settings.certificate_file, &settings.certificate_key_file)
+            .inspect_err(|error| {
+                let error = error.to_string().into();
+                Event::CertificateRefused { error }.log();
+            })?;
+
+    let find = Find {
+        store: parts.store,
+        peers: parts.peers.clone(),
+    };
+    let prepare = async {
+        let balancers = find.balancers().await;
+        let service = wait_for_service(settings, parts.source.published()).await;
+        (balancers, service)
+    };
+    let (balancers, service) = tokio::select! {
+        found = prepare => found,
+        _signal = until_stop(&mut signals, &keys) => return Ok(()),
+    };
+
+    let identity = AgentIdentity {
+        vm: settings.vm.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        service: settings.service.clone(),
+        tunnel_address: settings.tunnel_address,
+        incarnation: startup.incarnation,
+    };
+    let admission = admission_options(&service)?;
+    let options = AgentOptions::builder(identity, Arc::clone(&keys), certificate, admission)
+        .transport(TransportOptions {
+            idle_timeout_ms: settings.idle_timeout_ms,
+            keep_alive_ms: settings.keep_alive_ms,
+        })
+        .drain_deadline(settings.drain_deadline_ms)
+        .balancers(balancers)
+        .build();
+    let backend_address = SocketAddr::V4(settings.backend_address);
+    let backend = HttpBackend::new(backend_address, HttpBackendOptions::default());
+    let agent = AgentHandle::spawn(options, backend)?;
+
+    tokio::select! {
+        _signal = until_stop(&mut signals, &keys) => {}
+        () = follow_configuration(settings, &agent, parts.source.published()) => {}
+        () = hear_revisions(agent.newest_revision(), parts.source.clone()) => {}
+        () = find.follow(&agent) => {}
+        () = agent.failed() => return Err(Error::ended("agent thread")),
+    }
+    keeper.abort();
+    drain(agent, settings.drain_deadline_ms).await
+}
+
+/// What an agent learns its configuration and balancers with.
+struct Parts {
+    store: HttpStore,
+    peers: ControlPeers,
+    keeper: Keeper<HttpStore, ControlPeers>,
+    source: ConfigSource,
+}
+
+impl Parts {
+    fn new(settings: &AgentSettings, keys: &Arc<cranberrypitch_net::KeyRing>, seed: u64) -> Self {
+        let store = || HttpStore::new(HttpStoreOptions::new(settings.store_address));
+        let seeds = settings.seed_balancers.clone();
+        let peers = ControlPeers::new(Arc::clone(keys), ControlOptions::default(), seeds);
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let options = KeeperOptions {
+            watchers_per_domain: NO_WATCHER_SLOTS,
+            contend_interval: NO_CONTEST,
+            poll_interval: POLL_INTERVAL,
+            ..KeeperOptions::new(settings.failure_domain.clone())
+        };
+        let (keeper, source) = Keeper::new(store(), peers.clone(), options, clock, seed);
+        Self {
+            store: store(),
+            peers,
+            keeper,
+            source,
+        }
+    }
+}
+
+/// Finds the live balancers: in the store, or through a balancer while the store is down.
+struct Find {
+    store: HttpStore,
+    peers: ControlPeers,
+}
+
+impl Find {
+    async fn balancers(&self) -> Vec<ReturnBalancer> {
+        loop {
+            let found = self.list().await;
+            if !found.is_empty() {
+                return found;
+            }
+            tokio::time::sleep(FIND_INTERVAL).await;
+        }
+    }
+
+    async fn list(&self) -> Vec<ReturnBalancer> {
+        let listed = match list_balancers(&self.store).await {
+            Ok(listed) => listed,
+            Err(error) => {
+                log::debug!("balancers not listed: {error}");
+                self.peers.balancers().await.unwrap_or_default()
+            }
+        };
+        self.peers
+            .set_addresses(listed.iter().map(|b| b.control).collect());
+        listed.into_iter().map(return_balancer).collect()
+    }
+
+    async fn follow(&self, agent: &AgentHandle) {
+        loop {
+            tokio::time::sleep(LIST_INTERVAL).await;
+            let found = self.list().await;
+            if !found.is_empty() && agent.set_balancers(found).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn return_balancer(entry: BalancerEntry) -> ReturnBalancer {
+    ReturnBalancer {
+        tunnel_address: entry.tunnel,
+        control_address: Some(entry.control),
+        failure_domain: entry.failure_domain,
+    }
+}
+
+/// Waits until a configuration is in force that lists the agent's service.
+async fn wait_for_service(
+    settings: &AgentSettings,
+    mut published: watch::Receiver<Option<Arc<Snapshot>>>,
+) -> Service {
+    loop {
+        let snapshot = published.borrow_and_update().clone();
+        if let Some(snapshot) = snapshot {
+            if let Some(service) = snapshot.service(&settings.service) {
+                return service.clone();
+            }
+            Event::ServiceNotConfigured {
+                service: settings.service.clone(),
+                revision: snapshot.head().revision,
+            }
+            .log();
+        }
+        // The keeper publishes as long as the process lives.
+        if published.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+async fn follow_configuration(
+    settings: &AgentSettings,
+    agent: &AgentHandle,
+    mut published: watch::Receiver<Option<Arc<Snapshot>>>,
+) {
+    loop {
+        let snapshot = published.borrow_and_update().clone();
+        if let Some(snapshot) = snapshot {
+            apply(settings, agent, &snapshot);
+        }
+        if published.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn apply(settings: &AgentSettings, agent: &AgentHandle, snapshot: &Snapshot) {
+    let head = snapshot.head();
+    match snapshot.service(&settings.service) {
+        Some(service) => agent.set_classes(service.classes.clone()),
+        // What was in force for the service stays, for the flows that are open.
+        None => Event::ServiceNotConfigured {
+            service: settings.service.clone(),
+            revision: head.revision,
+        }
+        .log(),
+    }
+    agent.set_revision(head.revision);
+    Event::ConfigurationInForce {
+        revision: head.revision,
+        edit_id: head.edit_id,
+        services: snapshot.services().count(),
+    }
+    .log();
+}
+
+async fn hear_revisions(mut heard: watch::Receiver<Revision>, source: ConfigSource) {
+    while heard.changed().await.is_ok() {
+        source.heard_of(*heard.borrow_and_update());
+    }
+}
+
+fn admission_options(service: &Service) -> Result<AdmissionOptions> {
+    let per_tenant = service.classes.values().map(|c| c.queue_per_tenant.get());
+    let builder = AdmissionOptions::builder(service.slots, service.connections);
+    Ok(match per_tenant.max() {
+        Some(len) => builder
+            .tenant_queue_len(len)
+            .queue_len(len.saturating_mul(16))
+            .build()?,
+        None => builder.build()?,
+    })
+}
+
+/// Drains the agent, and logs what the drain waits for.
+async fn drain(agent: AgentHandle, deadline: Duration) -> Result<()> {
+    Event::DrainStarted {
+        reason: "signal",
+        deadline_ms: deadline,
+    }
+    .log();
+    let started = std::time::Instant::now();
+    agent.drain().await?;
+    let log_waits = async {
+        loop {
+            tokio::time::sleep(DRAIN_LOG_INTERVAL).await;
+            let Ok(status) = agent.status().await else {
+                return;
+            };
+            Event::DrainWaits {
+                running: status.load.running as usize,
+                waiting: status.load.waiting as usize,
+                feeds: status.feeds as usize,
+                connections: status.load.connections as usize,
+            }
+            .log();
+        }
+    };
+    let cut = tokio::select! {
+        cut = agent.stop() => cut?,
+        () = log_waits => return Err(Error::ended("target actor")),
+    };
+    if cut.is_idle() {
+        Event::DrainFinished {
+            elapsed_ms: started.elapsed(),
+        }
+        .log();
+    } else {
+        Event::DrainDeadline {
+            running: cut.load.running as usize,
+            feeds: cut.feeds as usize,
+        }
+        .log();
+    }
+    Ok(())
+}
--- a/crates/cranberrypitch-agent/src/server.rs
+++ b/crates/cranberrypitch-agent/src/server.rs
@@ -1,10 +1,13 @@
 //! The QUIC server: callers' connections, their streams, and the requests on them.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use arc_swap::ArcSwapOption;
 use cranberrypitch_core::RoutingToken;
+use cranberrypitch_core::config::ClassLimits;
 use cranberrypitch_core::ids::RequestId;
 use cranberrypitch_core::{ByteSize, Class, Incarnation, NotRunReason, Outcome, TargetState};
 use cranberrypitch_proto::request::{
@@ -32,6 +35,9 @@
 /// How long the first frame of a stream may take.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The limits of the classes that are served, once a configuration is in force.
+pub(crate) type Classes = ArcSwapOption<BTreeMap<Class, ClassLimits>>;
+
 /// What all connections share.
 #[derive(Debug)]
 pub(crate) struct Server<B> {
@@ -41,6 +47,7 @@
     pub(crate) issuer: TokenIssuer,
     pub(crate) incarnation: Incarnation,
     pub(crate) answer_timeout: Duration,
+    pub(crate) classes: Arc<Classes>,
     pub(crate) next_request: AtomicU64,
     pub(crate) open_streams: AtomicUsize,
 }
@@ -112,7 +119,16 @@
         }
     }
 
-    async fn serve_request(&self, head: RequestHead, mut send: SendStream, mut recv: RecvStream) {
+    async fn serve_request(
+        &self,
+        mut head: RequestHead,
+        mut send: SendStream,
+        mut recv: RecvStream,
+    ) {
+        if let Err(reason) = self.limit(&mut head) {
+            send_response(&mut send, &Ended::not_run(reason)).await;
+            return;
+        }
         let id = RequestId::new(self.next_request.fetch_add(1, Ordering::Relaxed));
         let started = |info| Started {
             id,
@@ -198,6 +214,19 @@
         }
     }
 
+    /// Holds a request to the limits of its class.
+    fn limit(&self, head: &mut RequestHead) -> Result<(), NotRunReason> {
+        let Some(classes) = self.classes.load_full() else {
+            return Ok(());
+        };
+        let limits = classes.get(&head.class).ok_or(NotRunReason::Invalid)?;
+        if head.body_len > limits.body_limit {
+            return Err(NotRunReason::Invalid);
+        }
+        head.deadline = head.deadline.min(limits.deadline);
+        Ok(())
+    }
+
     fn info(&self, id: RequestId, head: &RequestHead) -> RequestInfo {
         let number = (u128::from(self.incarnation.get()) << 64) | u128::from(id.get());
         RequestInfo {
--- a/crates/cranberrypitch-balancer/src/daemon.rs
+++ b/crates/cranberrypitch-balancer/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::net::{SocketAddrV4, UdpSocket};
 use std::sync::mpsc::SyncSender;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -34,6 +34,9 @@
 /// Service sockets that the traffic thread has not taken over yet.
 const SOCKET_QUEUE_LEN: usize = 64;
 
+/// The time between checks whether a thread has ended.
+const FAILURE_POLL: Duration = Duration::from_millis(500);
+
 /// Goodbyes are repeated, as the tunnel may lose them.
 const GOODBYES: u32 = 3;
 
@@ -62,10 +65,11 @@
     sockets: mpsc::Sender<ServiceSocket>,
     counters: Arc<Counters>,
     revision: watch::Sender<Revision>,
+    heard: watch::Sender<Revision>,
     service_ip: Option<std::net::Ipv4Addr>,
     linger: Duration,
     stop: watch::Sender<bool>,
-    threads: Vec<JoinHandle<()>>,
+    threads: Mutex<Vec<JoinHandle<()>>>,
 }
 
 impl BalancerHandle {
@@ -82,6 +86,7 @@
         let addresses: Arc<ArcSwap<Addresses>> = Arc::default();
         let counters = Arc::<Counters>::default();
         let revision = watch::Sender::new(Revision::default());
+        let heard = watch::Sender::new(Revision::default());
         let stop = watch::Sender::new(false);
         let (control_sender, control_datagrams) = mpsc::channel(CONTROL_QUEUE_LEN);
         let (sighting_sender, sightings) = mpsc::channel(CONTROL_QUEUE_LEN);
@@ -94,6 +99,7 @@
             views: Arc::clone(&views),
             tunnel: control_tunnel,
             revision: revision.subscribe(),
+            heard: heard.clone(),
             clock: Arc::clone(&options.clock),
         };
         let inputs = ControlInputs {
@@ -138,10 +144,11 @@
             sockets,
             counters,
             revision,
+            heard,
             service_ip: options.service_ip,
             linger: options.linger,
             stop,
-            threads: vec![control_thread, traffic_thread],
+            threads: Mutex::new(vec![control_thread, traffic_thread]),
         })
     }
 
@@ -153,21 +160,15 @@
         revision: Revision,
     ) -> Result<()> {
         for service in services {
-            self.open_socket(service.address).await?;
+            self.open(service.address).await?;
         }
-        let addresses = services.iter().map(|s| (s.address, s.service)).collect();
-        self.addresses.store(Arc::new(addresses));
-        self.revision.send_replace(revision);
+        self.replace_services(services, revision);
         Ok(())
     }
 
-    async fn open_socket(&self, address: SocketAddrV4) -> Result<()> {
-        let is_new = self
-            .open
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert(address);
-        if !is_new {
+    /// Opens the socket of a service address, unless it is open.
+    pub(crate) async fn open(&self, address: SocketAddrV4) -> Result<()> {
+        if self.opened().contains(&address) {
             return Ok(());
         }
         let ip = self.service_ip.unwrap_or(*address.ip());
@@ -175,7 +176,25 @@
         let socket = UdpSocket::bind(local).map_err(|e| Error::bind(local, e))?;
         socket.set_nonblocking(true)?;
         let sent = self.sockets.send(ServiceSocket { address, socket }).await;
-        sent.map_err(|_closed| Error::ended("traffic thread"))
+        sent.map_err(|_closed| Error::ended("traffic thread"))?;
+        self.opened().insert(address);
+        Ok(())
+    }
+
+    fn opened(&self) -> MutexGuard<'_, FastSet<SocketAddrV4>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the services of addresses whose sockets are open.
+    pub(crate) fn replace_services(&self, services: &[ServiceAddress], revision: Revision) {
+        let addresses = services.iter().map(|s| (s.address, s.service)).collect();
+        self.addresses.store(Arc::new(addresses));
+        self.revision.send_replace(revision);
+    }
+
+    /// Returns the newest configuration that any agent has in force.
+    pub fn heard_revision(&self) -> watch::Receiver<Revision> {
+        self.heard.subscribe()
     }
 
     /// Replaces the live balancers, this one among them, of which agents are told.
@@ -198,7 +217,7 @@
     }
 
     /// Leaves: tells the agents, goes on forwarding for a while, and stops.
-    pub async fn leave(self) -> Result<()> {
+    pub async fn leave(&self) -> Result<()> {
         for _ in 0..GOODBYES {
             let sent = self.members.tell(SayGoodbye).await;
             sent.map_err(|_closed| Error::ended("members actor"))?;
@@ -209,10 +228,22 @@
         Ok(())
     }
 
+    /// Returns when a thread of the balancer has ended although nobody asked for it.
+    pub async fn failed(&self) {
+        let has_ended = || {
+            let threads = self.threads.lock().unwrap_or_else(PoisonError::into_inner);
+            threads.iter().any(JoinHandle::is_finished)
+        };
+        while !has_ended() {
+            tokio::time::sleep(FAILURE_POLL).await;
+        }
+    }
+
     /// Ends the balancer at once, as a crash would.
-    pub fn kill(self) {
+    pub fn kill(&self) {
         self.stop.send_replace(true);
-        for thread in self.threads {
+        let mut threads = self.threads.lock().unwrap_or_else(PoisonError::into_inner);
+        for thread in threads.drain(..) {
             let _ended = thread.join();
         }
     }
--- a/crates/cranberrypitch-balancer/src/lib.rs
+++ b/crates/cranberrypitch-balancer/src/lib.rs
@@ -8,6 +8,7 @@
 mod errors;
 mod members;
 mod options;
+pub mod process;
 pub mod route;
 mod routing;
 mod traffic;
--- a/crates/cranberrypitch-balancer/src/members.rs
+++ b/crates/cranberrypitch-balancer/src/members.rs
@@ -42,6 +42,7 @@
     pub(crate) views: Arc<ArcSwap<ServiceViews>>,
     pub(crate) tunnel: Arc<UdpSocket>,
     pub(crate) revision: watch::Receiver<Revision>,
+    pub(crate) heard: watch::Sender<Revision>,
     pub(crate) clock: Arc<dyn Clock>,
 }
 
@@ -97,6 +98,11 @@
             return;
         };
         let (incarnation, sequence) = (report.incarnation, report.sequence);
+        self.args.heard.send_if_modified(|heard| {
+            let is_newer = *heard < report.revision;
+            *heard = (*heard).max(report.revision);
+            is_newer
+        });
         self.agents.insert(datagram.from, incarnation.low_u16());
         let is_gone = report.state == TargetState::Gone;
         let result = self.membership.on_report(
--- /dev/null
+++ b/crates/cranberrypitch-balancer/src/process.rs
@@ -0,0 +1,243 @@
+//! The balancer as a process of its own: store, control channel, and signals around the traffic
+//! path.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+
+use cranberrypitch_core::acceptance::Snapshot;
+use cranberrypitch_core::membership::MembershipOptions;
+use cranberrypitch_core::{Clock, Revision, ServiceName, ServiceTag, SystemClock, VmId};
+use cranberrypitch_net::control::{ControlHandler, ControlOptions, ControlServer};
+use cranberrypitch_net::daemon::{DaemonError, ExitStatus, Startup, until_stop};
+use cranberrypitch_net::keeper::{ConfigSource, Keeper, KeeperOptions};
+use cranberrypitch_net::peers::{self, ControlPeers, ProcessStatus};
+use cranberrypitch_net::registry::Registry;
+use cranberrypitch_net::store::{HttpStore, HttpStoreOptions};
+use cranberrypitch_net::{BalancerSettings, Event};
+use cranberrypitch_proto::control::{BalancerEntry, ConfigHead, ConfigShard, Digest, Notice};
+use cranberrypitch_proto::report::BalancerHint;
+use tokio::sync::watch;
+
+use crate::daemon::{BalancerHandle, ServiceAddress};
+use crate::errors::{Error, Result};
+use crate::options::{BalancerIdentity, BalancerOptions};
+
+impl DaemonError for Error {
+    fn exit_status(&self) -> ExitStatus {
+        match self {
+            Self::Bind { .. } => ExitStatus::Refused,
+            Self::Net(error) => error.exit_status(),
+            _ => ExitStatus::Failed,
+        }
+    }
+}
+
+/// Runs a balancer until a signal asks for a graceful stop.
+pub async fn run(startup: Startup<BalancerSettings>) -> Result<()> {
+    let Startup {
+        settings,
+        keys,
+        mut signals,
+        ..
+    } = startup;
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let balancer = Arc::new(BalancerHandle::spawn(options(&settings, &keys))?);
+
+    let store = || HttpStore::new(HttpStoreOptions::new(settings.store_address));
+    let seeds = settings.seed_balancers.clone();
+    let control_peers = ControlPeers::new(Arc::clone(&keys), ControlOptions::default(), seeds);
+    let keeper_options = KeeperOptions::new(settings.failure_domain.clone());
+    let seed = startup.incarnation.get();
+    let (keeper, source) = Keeper::new(store(), control_peers.clone(), keeper_options, clock, seed);
+    let (mut registry, listed) = Registry::new(
+        store(),
+        own_entry(&settings),
+        settings.lease_ms,
+        settings.lease_renewal_ms,
+    );
+    let handler = Handler {
+        source: source.clone(),
+        listed: listed.clone(),
+        balancer: Arc::clone(&balancer),
+    };
+    let control = ControlServer::bind(settings.control_address, Arc::clone(&keys), handler).await?;
+
+    let keeper = tokio::spawn(keeper.run());
+    let follow = Follow {
+        balancer: Arc::clone(&balancer),
+        peers: control_peers,
+        own: settings.control_address,
+    };
+    let heard = tokio::spawn(hear_revisions(balancer.heard_revision(), source.clone()));
+    tokio::select! {
+        _signal = until_stop(&mut signals, &keys) => {}
+        () = registry.run() => {}
+        () = follow.configuration(source.published()) => {}
+        () = follow.balancers(listed) => {}
+        () = balancer.failed() => return Err(Error::ended("balancer thread")),
+    }
+    registry.leave().await;
+    keeper.abort();
+    heard.abort();
+    let leaving = Notice::Goodbye {
+        vm: settings.vm.clone(),
+    };
+    drop(control.notify(leaving));
+    control.stop().await;
+    balancer.leave().await
+}
+
+fn options(
+    settings: &BalancerSettings,
+    keys: &Arc<cranberrypitch_net::KeyRing>,
+) -> BalancerOptions {
+    let identity = BalancerIdentity {
+        vm: settings.vm.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        tunnel_address: settings.tunnel_address,
+    };
+    let membership = MembershipOptions {
+        report_interval: settings.report_interval_ms,
+        ..MembershipOptions::default()
+    };
+    let builder = BalancerOptions::builder(identity, Arc::clone(keys))
+        .linger(settings.linger_ms)
+        .membership(membership);
+    match settings.service_ip {
+        Some(ip) => builder.service_ip(ip).build(),
+        None => builder.build(),
+    }
+}
+
+fn own_entry(settings: &BalancerSettings) -> BalancerEntry {
+    BalancerEntry {
+        vm: settings.vm.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        control: settings.control_address,
+        tunnel: settings.tunnel_address,
+        leaving: false,
+    }
+}
+
+/// Tells the keeper of newer configurations that agents have in force.
+async fn hear_revisions(mut heard: watch::Receiver<Revision>, source: ConfigSource) {
+    while heard.changed().await.is_ok() {
+        source.heard_of(*heard.borrow_and_update());
+    }
+}
+
+/// Brings the traffic path up to date.
+struct Follow {
+    balancer: Arc<BalancerHandle>,
+    peers: ControlPeers,
+    own: SocketAddrV4,
+}
+
+impl Follow {
+    async fn configuration(&self, mut published: watch::Receiver<Option<Arc<Snapshot>>>) {
+        loop {
+            let snapshot = published.borrow_and_update().clone();
+            if let Some(snapshot) = snapshot {
+                self.apply(&snapshot).await;
+            }
+            if published.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn apply(&self, snapshot: &Snapshot) {
+        let mut services = Vec::new();
+        for service in snapshot.services() {
+            let tag = service.tag();
+            for address in &service.addresses {
+                let address = ServiceAddress {
+                    address: *address,
+                    service: tag,
+                };
+                match self.balancer.open(address.address).await {
+                    Ok(()) => services.push(address),
+                    Err(error) => Event::ServiceAddressRefused {
+                        service: service.name.clone(),
+                        address: address.address,
+                        error: error.to_string().into(),
+                    }
+                    .log(),
+                }
+            }
+        }
+        let head = snapshot.head();
+        self.balancer.replace_services(&services, head.revision);
+        Event::ConfigurationInForce {
+            revision: head.revision,
+            edit_id: head.edit_id,
+            services: snapshot.services().count(),
+        }
+        .log();
+    }
+
+    async fn balancers(&self, mut listed: watch::Receiver<Vec<BalancerEntry>>) {
+        loop {
+            let entries = listed.borrow_and_update().clone();
+            let others = entries.iter().map(|e| e.control);
+            let others = others.filter(|address| *address != self.own);
+            self.peers.set_addresses(others.collect());
+            let hints = entries.into_iter().filter(|e| !e.leaving).map(hint);
+            if self.balancer.set_balancers(hints.collect()).await.is_err()
+                || listed.changed().await.is_err()
+            {
+                return;
+            }
+        }
+    }
+}
+
+fn hint(entry: BalancerEntry) -> BalancerHint {
+    BalancerHint {
+        tunnel: entry.tunnel,
+        control: Some(entry.control),
+        failure_domain: entry.failure_domain,
+    }
+}
+
+/// Answers other processes.
+struct Handler {
+    source: ConfigSource,
+    listed: watch::Receiver<Vec<BalancerEntry>>,
+    balancer: Arc<BalancerHandle>,
+}
+
+impl ControlHandler for Handler {
+    async fn config_head(&self, since: Revision) -> Option<ConfigHead> {
+        peers::encode_update(&self.source.update_since(since)?)
+    }
+
+    async fn config_shard(&self, digest: Digest) -> Option<ConfigShard> {
+        peers::encode_shard(&self.source, digest)
+    }
+
+    async fn balancers(&self) -> Vec<BalancerEntry> {
+        self.listed.borrow().clone()
+    }
+
+    async fn peer_targets(&self, service: ServiceName) -> Vec<SocketAddrV4> {
+        let tag = ServiceTag::of(&service);
+        let targets = self.balancer.targets().await.unwrap_or_default();
+        let of_service = targets.into_iter().filter(|t| t.service == tag);
+        of_service.map(|t| t.address).collect()
+    }
+
+    async fn status(&self) -> Box<str> {
+        let published = self.source.published();
+        let services = published.borrow().as_ref().map(|s| s.services().count());
+        let status = ProcessStatus {
+            revision: self.source.revision(),
+            services: services.unwrap_or_default(),
+            targets: self.balancer.targets().await.map_or(0, |t| t.len()),
+            balancers: self.listed.borrow().len(),
+        };
+        serde_json::to_string(&status).unwrap_or_default().into()
+    }
+
+    async fn goodbye(&self, _peer: SocketAddr, _vm: VmId) {}
+}
--- a/crates/cranberrypitch-net/src/lib.rs
+++ b/crates/cranberrypitch-net/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod keys;
 pub mod metrics;
 pub mod operator;
+pub mod peers;
+pub mod registry;
 pub mod settings;
 pub mod store;
 pub mod tls;
--- /dev/null
+++ b/crates/cranberrypitch-net/src/peers.rs
@@ -0,0 +1,210 @@
+//! Other processes as sources of the configuration, over control sessions.
+
+use std::net::SocketAddrV4;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use cranberrypitch_core::acceptance::Update;
+use cranberrypitch_core::config::Digest;
+use cranberrypitch_core::{FastMap, Revision};
+use cranberrypitch_proto::control::{
+    self as wire, BalancerEntry, ConfigHead, ConfigShard, DIGEST_LEN_BYTES,
+};
+use futures_util::future::join_all;
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+
+use crate::control::{ControlClient, ControlOptions};
+use crate::errors::Result;
+use crate::keeper::{ConfigPeer, ConfigPeers, ConfigSource, PeerError, PeerResult};
+use crate::keys::KeyRing;
+
+/// What a process tells of itself over the control channel.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProcessStatus {
+    /// The configuration in force.
+    pub revision: Revision,
+    /// Services that are configured.
+    pub services: usize,
+    /// Targets that are known.
+    pub targets: usize,
+    /// Balancers that are known to be live, this one among them.
+    pub balancers: usize,
+}
+
+/// Encodes what leads a peer to the configuration in force.
+pub fn encode_update(update: &Update) -> Option<ConfigHead> {
+    let mut body = Vec::new();
+    ciborium::into_writer(update, &mut body).ok()?;
+    Some(ConfigHead {
+        revision: update.revision(),
+        digest: to_wire(Digest::of(&body)),
+        body: body.into(),
+    })
+}
+
+/// Returns a shard of the configuration in force.
+pub fn encode_shard(source: &ConfigSource, digest: wire::Digest) -> Option<ConfigShard> {
+    let shard = source.shards(&[from_wire(digest)]).pop()?;
+    Some(ConfigShard {
+        revision: source.revision(),
+        digest,
+        body: shard.into_string().into_bytes().into(),
+    })
+}
+
+fn decode_update(head: &ConfigHead) -> PeerResult<Update> {
+    if to_wire(Digest::of(&head.body)) != head.digest {
+        return Err(failed(&"digest of an update does not match"));
+    }
+    ciborium::from_reader(head.body.as_ref()).map_err(|e| failed(&e))
+}
+
+/// The control channel has room for 32 bytes; digests of the configuration have 16.
+fn to_wire(digest: Digest) -> wire::Digest {
+    let mut bytes = [0; DIGEST_LEN_BYTES];
+    bytes[..Digest::LEN_BYTES].copy_from_slice(digest.as_bytes());
+    wire::Digest::new(bytes)
+}
+
+fn from_wire(digest: wire::Digest) -> Digest {
+    let mut bytes = [0; Digest::LEN_BYTES];
+    bytes.copy_from_slice(&digest.get()[..Digest::LEN_BYTES]);
+    Digest::from_bytes(bytes)
+}
+
+fn failed(error: &impl ToString) -> PeerError {
+    PeerError {
+        detail: error.to_string().into(),
+    }
+}
+
+/// The balancers that a process can ask, with one open session to each that was asked.
+#[derive(Clone, Debug)]
+pub struct ControlPeers {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    keys: Arc<KeyRing>,
+    options: ControlOptions,
+    addresses: Mutex<Vec<SocketAddrV4>>,
+    sessions: Mutex<FastMap<SocketAddrV4, ControlClient>>,
+}
+
+impl ControlPeers {
+    /// Returns peers at the given control addresses.
+    pub fn new(keys: Arc<KeyRing>, options: ControlOptions, addresses: Vec<SocketAddrV4>) -> Self {
+        let shared = Shared {
+            keys,
+            options,
+            addresses: Mutex::new(addresses),
+            sessions: Mutex::default(),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Replaces the addresses. An empty list is ignored: a wrong address costs less than none.
+    pub fn set_addresses(&self, addresses: Vec<SocketAddrV4>) {
+        if addresses.is_empty() {
+            return;
+        }
+        let mut sessions = lock(&self.shared.sessions);
+        sessions.retain(|address, client| addresses.contains(address) && !client.is_closed());
+        drop(sessions);
+        *lock(&self.shared.addresses) = addresses;
+    }
+
+    /// Asks any peer for the live balancers.
+    pub async fn balancers(&self) -> Result<Vec<BalancerEntry>> {
+        let mut outcome = Ok(Vec::new());
+        for peer in self.pick(usize::MAX, Revision::default()) {
+            outcome = peer.balancers().await;
+            if outcome.is_ok() {
+                break;
+            }
+        }
+        outcome
+    }
+}
+
+impl ConfigPeers for ControlPeers {
+    type Peer = ControlPeer;
+
+    fn pick(&self, count: usize, _revision: Revision) -> Vec<ControlPeer> {
+        let addresses = lock(&self.shared.addresses);
+        let picked = addresses.sample(&mut rand::rng(), count);
+        let shared = &self.shared;
+        let peer = |address: &SocketAddrV4| ControlPeer {
+            address: *address,
+            shared: Arc::clone(shared),
+        };
+        picked.map(peer).collect()
+    }
+}
+
+/// One balancer as a source of the configuration.
+#[derive(Debug)]
+pub struct ControlPeer {
+    address: SocketAddrV4,
+    shared: Arc<Shared>,
+}
+
+impl ControlPeer {
+    async fn session(&self) -> Result<ControlClient> {
+        let open = lock(&self.shared.sessions).get(&self.address).cloned();
+        if let Some(client) = open.filter(|client| !client.is_closed()) {
+            return Ok(client);
+        }
+        let connect =
+            ControlClient::connect_with(self.address, &self.shared.keys, self.shared.options);
+        let (client, mut notices) = connect.await?;
+        // Revisions are heard of with the answers to reports, so notices are only read away: a
+        // session whose notices pile up is dropped.
+        tokio::spawn(async move { while notices.next().await.is_ok() {} });
+        lock(&self.shared.sessions).insert(self.address, client.clone());
+        Ok(client)
+    }
+
+    async fn balancers(&self) -> Result<Vec<BalancerEntry>> {
+        self.session().await?.balancers().await
+    }
+}
+
+impl ConfigPeer for ControlPeer {
+    async fn revision(&self) -> PeerResult<Revision> {
+        let session = self.session().await.map_err(|e| failed(&e))?;
+        let status = session.status().await.map_err(|e| failed(&e))?;
+        let status: ProcessStatus = serde_json::from_str(&status).map_err(|e| failed(&e))?;
+        Ok(status.revision)
+    }
+
+    async fn fetch_since(&self, revision: Revision) -> PeerResult<Option<Update>> {
+        let session = self.session().await.map_err(|e| failed(&e))?;
+        let head = session
+            .config_head(revision)
+            .await
+            .map_err(|e| failed(&e))?;
+        head.as_ref().map(decode_update).transpose()
+    }
+
+    async fn fetch_shards(&self, digests: &[Digest]) -> PeerResult<Vec<Box<str>>> {
+        let session = self.session().await.map_err(|e| failed(&e))?;
+        let asked = digests.iter().map(|d| session.config_shard(to_wire(*d)));
+        let mut shards = Vec::new();
+        for answer in join_all(asked).await {
+            let Some(shard) = answer.map_err(|e| failed(&e))? else {
+                continue;
+            };
+            let text = String::from_utf8(shard.body.to_vec()).map_err(|e| failed(&e))?;
+            shards.push(text.into());
+        }
+        Ok(shards)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/cranberrypitch/src/lib.rs
+++ b/crates/cranberrypitch/src/lib.rs
@@ -1,1 +1,3 @@
-//! To be filled.
+//! A layer-4 load balancer that is driven by one text of services.
+
+pub mod daemon;
