Test real processes under stop, kill, freeze, store outage and key rotation

Balancers and agents run as processes of their own, with signals; store, fabric and backend servers are stand-ins inside the test. Each deployment claims its loopback subnet with a socket, so test processes can run side by side.

--- a/crates/cranberrypitch-agent/src/announce.rs
+++ b/crates/cranberrypitch-agent/src/announce.rs
@@ -21,15 +21,13 @@
 /// that a balancer has died.
 pub(crate) const BUSY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// The time between reports while the target is idle and unchanged.
-const IDLE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// What the actor is started with.
 #[derive(Clone, Debug)]
 pub(crate) struct AnnounceArgs {
     pub(crate) identity: AgentIdentity,
     pub(crate) connections_max: ConnectionLimit,
     pub(crate) balancers: Vec<ReturnBalancer>,
+    pub(crate) idle_interval: Duration,
     pub(crate) revision: watch::Receiver<Revision>,
     pub(crate) newest_revision: watch::Sender<Revision>,
     pub(crate) returns: Arc<ReturnPath>,
@@ -122,7 +120,7 @@
         let interval = if is_busy {
             BUSY_INTERVAL
         } else {
-            IDLE_INTERVAL
+            self.args.idle_interval
         };
         let elapsed = self.reported_at.map(|at| now.saturating_duration_since(at));
         // A tick comes a little early or late; half of it is left as a margin.
--- a/crates/cranberrypitch-agent/src/daemon.rs
+++ b/crates/cranberrypitch-agent/src/daemon.rs
@@ -309,12 +309,14 @@
         let connections_max = self.options.admission.connection_limit();
         let balancers = self.options.balancers.clone();
         let clock = Arc::clone(&self.options.clock);
+        let idle_interval = self.options.report_interval;
         let (returns, socket, revision) = (self.returns, self.socket, self.revision);
         let newest_revision = self.newest_revision;
         move |target| AnnounceArgs {
             identity,
             connections_max,
             balancers,
+            idle_interval,
             revision,
             newest_revision,
             returns,
--- a/crates/cranberrypitch-agent/src/options.rs
+++ b/crates/cranberrypitch-agent/src/options.rs
@@ -43,6 +43,7 @@
     pub(crate) drain: DrainOptions,
     pub(crate) health: HealthOptions,
     pub(crate) answer_timeout: Duration,
+    pub(crate) report_interval: Duration,
     pub(crate) balancers: Vec<ReturnBalancer>,
     pub(crate) clock: Arc<dyn Clock>,
 }
@@ -68,6 +69,7 @@
                 drain: DrainOptions::default(),
                 health: HealthOptions::default(),
                 answer_timeout: Duration::from_mins(2),
+                report_interval: Duration::from_secs(1),
                 balancers: Vec::new(),
                 clock: Arc::new(SystemClock),
             },
@@ -126,6 +128,12 @@
         self
     }
 
+    /// Sets the time between reports while the target is idle and unchanged.
+    pub const fn report_interval(mut self, interval: Duration) -> Self {
+        self.options.report_interval = interval;
+        self
+    }
+
     /// Sets the balancers known at the start.
     pub fn balancers(mut self, balancers: Vec<ReturnBalancer>) -> Self {
         self.options.balancers = balancers;
--- a/crates/cranberrypitch-agent/src/process.rs
+++ b/crates/cranberrypitch-agent/src/process.rs
@@ -96,6 +96,7 @@
             keep_alive_ms: settings.keep_alive_ms,
         })
         .drain_deadline(settings.drain_deadline_ms)
+        .report_interval(settings.report_interval_ms)
         .balancers(balancers)
         .build();
     let backend_address = SocketAddr::V4(settings.backend_address);
--- a/crates/cranberrypitch-standins/src/deployment/ip.rs
+++ b/crates/cranberrypitch-standins/src/deployment/ip.rs
@@ -1,36 +1,45 @@
 //! Loopback addresses for the VMs of one deployment.
 
-use std::net::Ipv4Addr;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::net::{Ipv4Addr, UdpSocket};
 
-/// The next subnet of this process.
-static NEXT_SUBNET: AtomicU8 = AtomicU8::new(1);
+use rand::RngExt;
 
-/// A /24 subnet of loopback. The process id and a counter keep deployments apart.
+/// A port that nothing else binds. A socket on it marks a subnet as taken.
+const CLAIM_PORT: u16 = 19_999;
+
+/// The host number of the claim; VMs have lower ones.
+const CLAIM_HOST: u8 = 254;
+
+/// A /24 subnet of loopback that no other deployment on this machine uses at the same time.
 #[derive(Debug)]
 pub struct Subnet {
-    process: u8,
-    number: u8,
+    middle: [u8; 2],
     next_host: u8,
+    // Kept for its drop, which frees the subnet.
+    _claim: UdpSocket,
 }
 
 impl Subnet {
-    /// Claims the next subnet of this process.
+    /// Claims a free subnet.
     pub fn claim() -> Self {
-        const FIRST: u32 = 16;
-        const COUNT: u32 = 200;
-        let process = u8::try_from(FIRST + std::process::id() % COUNT).unwrap_or(u8::MAX);
-        let number = NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
-        Self {
-            process,
-            number,
-            next_host: 1,
+        loop {
+            // 127.0.0.0/16 is left to services of the machine.
+            let middle = [rand::rng().random_range(1..255), rand::rng().random()];
+            let address = Ipv4Addr::new(127, middle[0], middle[1], CLAIM_HOST);
+            if let Ok(claim) = UdpSocket::bind((address, CLAIM_PORT)) {
+                return Self {
+                    middle,
+                    next_host: 1,
+                    _claim: claim,
+                };
+            }
         }
     }
 
     /// Returns an IP that has not been handed out.
     pub fn next_ip(&mut self) -> Ipv4Addr {
-        let ip = Ipv4Addr::new(127, self.process, self.number, self.next_host);
+        let [second, third] = self.middle;
+        let ip = Ipv4Addr::new(127, second, third, self.next_host);
         self.next_host = self.next_host.wrapping_add(1);
         ip
     }
--- a/crates/cranberrypitch-standins/src/settings.rs
+++ b/crates/cranberrypitch-standins/src/settings.rs
@@ -2,9 +2,11 @@
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
-use cranberrypitch_core::{ConnectionLimit, Slots};
+use cranberrypitch_core::{ConnectionLimit, Slots, SystemClock};
+use cranberrypitch_net::store::MemoryStore;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -178,3 +180,35 @@
     let text = std::fs::read_to_string(file).map_err(|e| Error::settings(file, &e))?;
     serde_json::from_str(&text).map_err(|e| Error::settings(file, &e))
 }
+
+/// Settings of `standin store`.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    address: SocketAddrV4,
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "call_timeout_ms", default = "default_call_timeout")]
+    call_timeout: Duration,
+}
+
+const fn default_call_timeout() -> Duration {
+    Duration::from_secs(1)
+}
+
+impl StoreSettings {
+    /// Reads the settings from a file.
+    pub fn read(file: &Path) -> Result<Self> {
+        read(file)
+    }
+
+    /// Returns the address to listen on.
+    pub const fn address(&self) -> SocketAddrV4 {
+        self.address
+    }
+
+    /// Returns an empty store.
+    pub fn store(&self) -> MemoryStore {
+        MemoryStore::new(Arc::new(SystemClock), self.call_timeout)
+    }
+}
--- a/crates/cranberrypitch/src/bin/standin.rs
+++ b/crates/cranberrypitch/src/bin/standin.rs
@@ -7,7 +7,8 @@
 
 use cranberrypitch_standins::backend::{BackendHandle, BackendStandin, JournalEntry, RunOutcome};
 use cranberrypitch_standins::fabric::Fabric;
-use cranberrypitch_standins::settings::{BackendSettings, FabricSettings};
+use cranberrypitch_standins::settings::{BackendSettings, FabricSettings, StoreSettings};
+use cranberrypitch_standins::store::StoreServer;
 use cranberrypitch_standins::{Error, Result};
 use derive_more::{Display, From};
 use pico_args::Arguments;
@@ -22,6 +23,7 @@
 Verbs:
   fabric   sprays UDP packets of callers over the balancers
   backend  runs orders and uploads and serves feeds over HTTP/1.1
+  store    serves the platform's key-value service over HTTP/1.1, in memory
 
 Options:
   --settings FILE  reads the settings (JSON, see docs/standins.md)
@@ -43,10 +45,10 @@
 enum Failure {
     #[display("{_0}; see --help")]
     Arguments(pico_args::Error),
-    #[display("unknown verb '{verb}', must be fabric or backend; see --help")]
+    #[display("unknown verb '{verb}', must be fabric, backend or store; see --help")]
     #[from(ignore)]
     UnknownVerb { verb: Box<str> },
-    #[display("no verb, must be fabric or backend; see --help")]
+    #[display("no verb, must be fabric, backend or store; see --help")]
     NoVerb,
     #[display("unknown argument {argument:?}; see --help")]
     #[from(ignore)]
@@ -62,6 +64,7 @@
 enum Verb {
     Fabric(FabricSettings),
     Backend(BackendSettings),
+    Store(StoreSettings),
 }
 
 /// A verb with its settings, and the file that they are from.
@@ -95,6 +98,7 @@
     let read: fn(&Path) -> Result<Verb> = match verb.as_str() {
         "fabric" => |file| FabricSettings::read(file).map(Verb::Fabric),
         "backend" => |file| BackendSettings::read(file).map(Verb::Backend),
+        "store" => |file| StoreSettings::read(file).map(Verb::Store),
         _ => return Err(Failure::UnknownVerb { verb: verb.into() }),
     };
     let file: PathBuf = arguments.value_from_str("--settings")?;
@@ -114,6 +118,7 @@
         let ended = match &task.verb {
             Verb::Fabric(settings) => run_fabric(settings, stop).await,
             Verb::Backend(settings) => run_backend(settings, stop).await,
+            Verb::Store(settings) => run_store(settings, stop).await,
         };
         ended.map_err(|e| Failure::Standin(Error::settings(&task.file, &e)))
     })
@@ -128,6 +133,14 @@
     Ok(())
 }
 
+async fn run_store(settings: &StoreSettings, mut stop: StopSignals) -> Result<()> {
+    let server = StoreServer::bind(settings.address(), settings.store()).await;
+    let server = server.map_err(|e| Error::listen(settings.address(), e))?;
+    println!("store listens on {}", server.address());
+    stop.received().await;
+    Ok(())
+}
+
 async fn run_backend(settings: &BackendSettings, mut stop: StopSignals) -> Result<()> {
     let backend = BackendStandin::spawn(settings.options()).await?;
     println!("backend server listens on {}", backend.address());
--- a/crates/cranberrypitch/tests/common/mod.rs
+++ b/crates/cranberrypitch/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod processes;
+
 use std::time::Duration;
 
 use cranberrypitch_caller::{FeedOptions, OrderOptions, UploadOptions};
--- /dev/null
+++ b/crates/cranberrypitch/tests/processes.rs
@@ -0,0 +1,194 @@
+//! Promises that are kept by real processes, with real signals.
+
+mod common;
+
+use std::time::Duration;
+
+use common::processes::Processes;
+use common::{order_body, tenant};
+use cranberrypitch_caller::{Feed, FeedOptions, FeedStats, OrderOptions, place_order};
+use cranberrypitch_core::{Outcome, Revision};
+use cranberrypitch_net::operator::ApplyOutcome;
+use cranberrypitch_net::peers::ProcessStatus;
+use cranberrypitch_net::{ControlClient, KeyRing};
+use tokio::time::{sleep, timeout};
+
+fn feed_options(processes: &Processes) -> FeedOptions {
+    FeedOptions {
+        target: processes.endpoint(),
+        tenant: tenant("workshop-7"),
+        resume_from: None,
+        max_attempts: 30,
+        attempt_interval: Duration::from_millis(200),
+    }
+}
+
+fn order_options(processes: &Processes) -> OrderOptions {
+    OrderOptions {
+        target: processes.endpoint(),
+        tenant: tenant("santa-maria"),
+        deadline: Duration::from_secs(5),
+        answer_timeout: Duration::from_secs(5),
+    }
+}
+
+async fn read(feed: &mut Feed, count: usize) {
+    for _ in 0..count {
+        let reading = timeout(Duration::from_secs(10), feed.next()).await;
+        reading.expect("the feed has to go on").unwrap().unwrap();
+    }
+}
+
+async fn order(processes: &Processes, key: &str) -> Outcome {
+    let caller = processes.caller();
+    let report = place_order(&caller, &order_options(processes), &order_body(key)).await;
+    report.unwrap().outcome
+}
+
+async fn status(processes: &Processes, index: usize) -> ProcessStatus {
+    let keys = KeyRing::from_secret(cranberrypitch_core::KeyGeneration::new(1), &[1; 32]);
+    let address = processes.balancers[index].control_address();
+    let (client, _notices) = ControlClient::connect(address, &keys).await.unwrap();
+    serde_json::from_str(&client.status().await.unwrap()).unwrap()
+}
+
+/// G1, G7: guards against a stop by SIGTERM, a kill or a freeze of a balancer that breaks a flow.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn feed_survives_stop_kill_and_freeze_of_balancers() {
+    let mut processes = Processes::start(3, 2).await;
+    let mut feed = Feed::open(processes.caller(), feed_options(&processes))
+        .await
+        .unwrap();
+    read(&mut feed, 5).await;
+
+    processes.balancers[0].signal("TERM");
+    assert!(processes.balancers[0].wait().await.success());
+    read(&mut feed, 20).await;
+
+    processes.add_balancer(&[]);
+    processes.balancers[1].signal("STOP");
+    read(&mut feed, 40).await;
+    processes.balancers[1].signal("CONT");
+    read(&mut feed, 10).await;
+
+    processes.balancers[2].signal("KILL");
+    processes.balancers[2].wait().await;
+    read(&mut feed, 40).await;
+    assert_eq!(order(&processes, "after").await, Outcome::Done);
+    assert_eq!(feed.stats(), FeedStats::default());
+}
+
+/// G1, G6, G7: guards against an agent that cuts its feed, or exits with an error, on SIGTERM.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn agent_drains_on_sigterm_and_its_feed_moves_without_a_gap() {
+    let mut processes = Processes::start(2, 2).await;
+    let mut feed = Feed::open(processes.caller(), feed_options(&processes))
+        .await
+        .unwrap();
+    read(&mut feed, 5).await;
+    for agent in &processes.agents {
+        agent.signal("TERM");
+    }
+    // Two new agents take over from the two that drain.
+    processes.add_agent(&[]).await;
+    processes.add_agent(&[]).await;
+    let reading = async {
+        loop {
+            read(&mut feed, 1).await;
+        }
+    };
+    let (first, rest) = processes.agents.split_at_mut(1);
+    let both = async { (first[0].wait().await, rest[0].wait().await) };
+    tokio::select! {
+        () = reading => {}
+        (one, two) = both => assert!(one.success() && two.success()),
+    }
+    read(&mut feed, 5).await;
+    assert_eq!(feed.stats().broken, 0);
+    assert!(feed.stats().moved >= 1);
+}
+
+/// G8: guards against an outage of the store that stops traffic, new processes or the spread of
+/// what was accepted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn store_outage_stops_neither_traffic_nor_new_processes() {
+    let mut processes = Processes::start(2, 1).await;
+    processes.store.faults().set_down(true);
+
+    let refused = processes.apply(&processes.text(3), Revision::new(1)).await;
+    assert!(matches!(refused, ApplyOutcome::NotAccepted(_)), "{refused}");
+
+    let seeds = [processes.balancers[0].control_address()];
+    processes.add_balancer(&seeds);
+    processes.add_agent(&seeds).await;
+    processes.wait_until_serving().await;
+    assert_eq!(order(&processes, "during").await, Outcome::Done);
+    assert_eq!(status(&processes, 2).await.revision, Revision::new(1));
+
+    processes.store.faults().set_down(false);
+    let accepted = processes.apply(&processes.text(3), Revision::new(1)).await;
+    assert!(
+        matches!(accepted, ApplyOutcome::Accepted { .. }),
+        "{accepted}"
+    );
+    let in_force = async {
+        for index in 0..3 {
+            while status(&processes, index).await.revision != Revision::new(2) {
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    };
+    timeout(Duration::from_secs(17), in_force)
+        .await
+        .expect("in force everywhere within 17 s");
+}
+
+/// Guards against a wrong key that passes silently, and against a rotation that breaks flows.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_rotate_under_an_open_feed_and_a_wrong_key_is_refused() {
+    let processes = Processes::start(2, 1).await;
+    let mut feed = Feed::open(processes.caller(), feed_options(&processes))
+        .await
+        .unwrap();
+    read(&mut feed, 3).await;
+
+    let wrong = KeyRing::from_secret(cranberrypitch_core::KeyGeneration::new(1), &[9; 32]);
+    let address = processes.balancers[0].control_address();
+    ControlClient::connect(address, &wrong).await.unwrap_err();
+
+    // Everyone learns the new key first; then it signs.
+    for current in [1, 2] {
+        processes.write_keys(&[(1, 1), (2, 2)], current);
+        for daemon in processes.balancers.iter().chain(&processes.agents) {
+            daemon.signal("HUP");
+        }
+        read(&mut feed, 10).await;
+    }
+    assert_eq!(order(&processes, "rotated").await, Outcome::Done);
+    assert_eq!(feed.stats(), FeedStats::default());
+}
+
+/// G5: guards against a second run of an order after its agent was frozen while it ran.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_at_a_frozen_agent_runs_once() {
+    let processes = Processes::start(2, 1).await;
+    let caller = processes.caller();
+    let options = order_options(&processes);
+    processes.backends[0].set_faults(|faults| faults.answer_delay = Duration::from_millis(800));
+    let placed = tokio::spawn(async move {
+        place_order(&caller, &options, &order_body("frozen"))
+            .await
+            .unwrap()
+    });
+    sleep(Duration::from_millis(400)).await;
+    processes.agents[0].signal("STOP");
+    sleep(Duration::from_secs(3)).await;
+    processes.agents[0].signal("CONT");
+    let report = placed.await.unwrap();
+    assert_eq!(report.outcome, Outcome::Done);
+    let runs = processes.backends[0].journal();
+    let of_key = runs
+        .iter()
+        .filter(|e| e.order_key.as_deref() == Some("frozen"));
+    assert_eq!(of_key.count(), 1);
+}
