Bound the wait for closed connections at the end of a drain

Cause: a caller that gives up before its first packet arrived sends only the end of its connection. That packet is placed as a new flow, the agent's QUIC endpoint creates a connection from it and keeps it until the idle timeout of 30 s, and the stop waited for the endpoint to become idle. Ruled out: open streams, feeds and requests (all were at zero), lost CLOSE packets (no loss on the path), the socket's write waker. Change: the stop waits at most 1 s for the endpoint. Agents also hear of new balancers with the three answers after a change, and no longer only with every eighth, which took 8 s for idle agents.

--- a/crates/cranberrypitch-agent/src/daemon.rs
+++ b/crates/cranberrypitch-agent/src/daemon.rs
@@ -38,6 +38,10 @@
 /// The time between checks whether a thread has ended.
 const FAILURE_POLL: Duration = Duration::from_millis(500);
 
+/// How long the ends of connections may take to reach callers; three probe timeouts of a caller
+/// far away fit in.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The time between checks whether a drain has finished.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -198,7 +202,9 @@
         };
         let _sent = self.announce.ask(ReportGone).await;
         self.endpoint.close(0_u32.into(), b"drained");
-        self.endpoint.wait_idle().await;
+        // A connection that its caller gave up during the handshake stays open until its idle
+        // timeout; nothing is sent on it that the stop would have to wait for.
+        let _closed = tokio::time::timeout(CLOSE_TIMEOUT, self.endpoint.wait_idle()).await;
         let _stopped = self.target.stop_gracefully().await;
         self.target.wait_for_shutdown().await;
         self.kill();
--- a/crates/cranberrypitch-balancer/src/members.rs
+++ b/crates/cranberrypitch-balancer/src/members.rs
@@ -27,9 +27,12 @@
 /// The time between judgements of silence.
 pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Every so many reports are answered with hints.
+/// Every so many reports are answered with hints, so that an agent hears of new peers.
 const HINT_INTERVAL: u64 = 8;
 
+/// So many answers after a change carry hints, as the tunnel may lose some of them.
+const HINT_REPEATS: u8 = 3;
+
 /// The most addresses of each kind in one answer, which keeps it far below one datagram.
 const MAX_HINTS: usize = 8;
 
@@ -52,12 +55,19 @@
     args: MembersArgs,
     membership: Membership,
     services: FastSet<ServiceTag>,
-    agents: FastMap<SocketAddrV4, u16>,
+    agents: FastMap<SocketAddrV4, Agent>,
     balancers: Vec<BalancerHint>,
     is_leaving: bool,
     rng: StdRng,
 }
 
+/// An agent that reports to this balancer.
+#[derive(Debug)]
+struct Agent {
+    incarnation_low: u16,
+    hints_due: u8,
+}
+
 /// Replaces the live balancers, this one among them.
 #[derive(Debug)]
 pub(crate) struct SetBalancers(pub(crate) Vec<BalancerHint>);
@@ -103,7 +113,6 @@
             *heard = (*heard).max(report.revision);
             is_newer
         });
-        self.agents.insert(datagram.from, incarnation.low_u16());
         let is_gone = report.state == TargetState::Gone;
         let result = self.membership.on_report(
             TargetReport {
@@ -120,11 +129,9 @@
         let ReportResult::Accepted { announced } = result else {
             return;
         };
-        if is_gone {
-            self.agents.remove(&datagram.from);
-        }
         self.publish(datagram.header.service);
-        let is_due = !announced || sequence.is_multiple_of(HINT_INTERVAL);
+        let is_due = self.take_hint_due(datagram.from, incarnation.low_u16());
+        let is_due = is_due || !announced || sequence.is_multiple_of(HINT_INTERVAL);
         let hints = is_due.then(|| self.hints_for(datagram));
         let revision = *self.args.revision.borrow();
         self.acknowledge(
@@ -137,6 +144,9 @@
                 hints,
             },
         );
+        if is_gone {
+            self.agents.remove(&datagram.from);
+        }
     }
 
     fn acknowledge(&self, datagram: &ControlDatagram, ack: &ReportAck) {
@@ -153,6 +163,21 @@
         }
     }
 
+    /// Returns whether an agent has not been told often enough of the last change.
+    fn take_hint_due(&mut self, from: SocketAddrV4, incarnation_low: u16) -> bool {
+        let agent = self.agents.entry(from).or_insert(Agent {
+            incarnation_low,
+            hints_due: HINT_REPEATS,
+        });
+        if agent.incarnation_low != incarnation_low {
+            agent.incarnation_low = incarnation_low;
+            agent.hints_due = HINT_REPEATS;
+        }
+        let is_due = agent.hints_due > 0;
+        agent.hints_due = agent.hints_due.saturating_sub(1);
+        is_due
+    }
+
     /// Returns a random sample of what an agent needs to know. It is random so that an agent of a
     /// large service hears of other peers with each answer.
     fn hints_for(&mut self, datagram: &ControlDatagram) -> AckHints {
@@ -224,6 +249,8 @@
 
     async fn handle(&mut self, _: MembersTick, _: &mut Context<Self, ()>) {
         self.membership.on_tick(self.args.clock.now());
+        self.agents
+            .retain(|address, _| self.membership.target(*address).is_some());
         for service in self.services.clone() {
             self.publish(service);
         }
@@ -234,7 +261,13 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: SetBalancers, _: &mut Context<Self, ()>) {
+        if self.balancers == msg.0 {
+            return;
+        }
         self.balancers = msg.0;
+        for agent in self.agents.values_mut() {
+            agent.hints_due = HINT_REPEATS;
+        }
     }
 }
 
@@ -243,12 +276,12 @@
 
     async fn handle(&mut self, _: SayGoodbye, _: &mut Context<Self, ()>) {
         self.is_leaving = true;
-        for (address, incarnation_low) in &self.agents {
+        for (address, agent) in &self.agents {
             self.send(
                 *address,
                 Kind::Goodbye,
                 ServiceTag::default(),
-                *incarnation_low,
+                agent.incarnation_low,
                 &[],
             );
         }
--- a/crates/cranberrypitch/tests/common/processes.rs
+++ b/crates/cranberrypitch/tests/common/processes.rs
@@ -205,7 +205,7 @@
             "linger_ms": 300,
             "lease_ms": 2000,
             "lease_renewal_ms": 300,
-            "log": "warn",
+            "log": "info",
         });
         let file = self.write_settings(ip, &settings);
         let daemon = Daemon::spawn(env!("CARGO_BIN_EXE_balancer"), ip, &file);
@@ -236,7 +236,7 @@
             "key_file": self.directory.join("keys.json"),
             "certificate_file": self.directory.join("matcher.pem"),
             "certificate_key_file": self.directory.join("matcher.key"),
-            "log": "warn",
+            "log": "info",
         });
         let file = self.write_settings(ip, &settings);
         let daemon = Daemon::spawn(env!("CARGO_BIN_EXE_agent"), ip, &file);
--- a/crates/cranberrypitch/tests/failures.rs
+++ b/crates/cranberrypitch/tests/failures.rs
@@ -244,3 +244,34 @@
     let report = sent.await.unwrap().unwrap();
     assert_eq!(report.outcome, Outcome::Done);
 }
+
+/// G7: guards against a stop that waits for connections of which the agent saw nothing but their
+/// end: QUIC keeps such a connection until its idle timeout of 30 s.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_does_not_wait_for_connections_that_callers_gave_up() {
+    let mut deployment = Deployment::start(small(1, 0, 13)).await.unwrap();
+    let target = deployment.endpoint(&service("matcher")).unwrap();
+    let caller = deployment.caller().unwrap();
+    let cut = |is_cut| {
+        for balancer in deployment.balancers() {
+            deployment.fabric().set_cut(balancer.ip, is_cut);
+        }
+    };
+    for _ in 0..3 {
+        cut(true);
+        let attempt = caller.connect(&target, None);
+        let attempt = tokio::time::timeout(Duration::from_millis(200), attempt);
+        let restore = async {
+            sleep(Duration::from_millis(100)).await;
+            cut(false);
+        };
+        let (given_up, ()) = tokio::join!(attempt, restore);
+        given_up.expect_err("the first packet has to be lost");
+        sleep(Duration::from_millis(50)).await;
+    }
+    let stopped = deployment.targets_mut()[0].stop();
+    let stopped = tokio::time::timeout(Duration::from_secs(10), stopped).await;
+    stopped
+        .expect("the stop has to end long before the idle timeout")
+        .unwrap();
+}
