Improve the placement policy in use and the handoff notices

The policy in use is now smooth weighted round robin. Its weights follow predicted free slots, and the balancer fits from the reports how long a difference of load lasts. Agents withdraw notices when their queue empties; offers on notices that no longer held kept slots idle.

--- a/crates/cranberrypitch-core/src/handoff.rs
+++ b/crates/cranberrypitch-core/src/handoff.rs
@@ -11,7 +11,6 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
 use self::limiter::Limiter;
@@ -27,7 +26,7 @@
     pub notice_interval: Duration,
     /// The time between two notices when earlier ones brought no offer.
     pub notice_interval_max: Duration,
-    /// How long a peer acts on a notice.
+    /// How long a peer acts on a notice that is neither renewed nor withdrawn.
     pub notice_valid: Duration,
     /// How long an offered slot stays reserved.
     pub reserve_for: Duration,
@@ -41,12 +40,12 @@
     fn default() -> Self {
         Self {
             fanout: 3,
-            notice_interval: Duration::from_millis(50),
+            notice_interval: Duration::from_millis(10),
             notice_interval_max: Duration::from_millis(200),
-            notice_valid: Duration::from_millis(500),
+            notice_valid: Duration::from_secs(2),
             // An offer and a redirect take about 30 ms; the rest covers one lost packet.
             reserve_for: Duration::from_millis(150),
-            messages_per_second: 80,
+            messages_per_second: 120,
             notices_max: 64,
         }
     }
@@ -76,7 +75,7 @@
     Waiting {
         /// The peer.
         from: SocketAddrV4,
-        /// How many requests it would move.
+        /// How many requests it would move; zero withdraws its last notice.
         count: u32,
         /// How long the oldest of them has waited.
         oldest: Duration,
@@ -106,7 +105,7 @@
     SendWaiting {
         /// The peer.
         to: SocketAddrV4,
-        /// How many requests may move.
+        /// How many requests may move; zero withdraws the last notice.
         count: u32,
         /// How long the oldest of them has waited.
         oldest: Duration,
@@ -138,6 +137,14 @@
     heard_at: Instant,
 }
 
+/// A notice that a peer still acts on.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    peer: SocketAddrV4,
+    at: Instant,
+    count: u32,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Held {
     serial: u64,
@@ -157,6 +164,7 @@
     notices: FastMap<SocketAddrV4, Notice>,
     held: Vec<Held>,
     seen_offers: VecDeque<(SocketAddrV4, u64)>,
+    told: Vec<Told>,
     limiter: Limiter,
     next_notice: Instant,
     interval: Duration,
@@ -172,6 +180,7 @@
             notices: FastMap::default(),
             held: Vec::new(),
             seen_offers: VecDeque::new(),
+            told: Vec::new(),
             limiter: Limiter::new(options.messages_per_second, now),
             next_notice: now,
             interval: options.notice_interval,
@@ -278,6 +287,7 @@
             self.queue.movable -= 1;
             self.queue.waiting = self.queue.waiting.saturating_sub(1);
             self.interval = self.options.notice_interval;
+            self.count_offer(from);
             actions.push(Action::Redirect(reservation));
         } else if self.limiter.try_take(now) {
             actions.push(Action::SendDecline {
@@ -333,23 +343,80 @@
         }
     }
 
+    /// Notes that a peer used up one request of the last notice.
+    fn count_offer(&mut self, from: SocketAddrV4) {
+        if let Some(told) = self.told.iter_mut().find(|told| told.peer == from) {
+            told.count -= 1;
+        }
+        self.told.retain(|told| told.count > 0);
+    }
+
     fn tell_peers(&mut self, now: Instant, rng: &mut impl Rng, actions: &mut Vec<Action>) {
-        if self.queue.movable == 0 || now < self.next_notice {
+        let valid = self.options.notice_valid;
+        self.told
+            .retain(|told| now.saturating_duration_since(told.at) < valid);
+        if self.queue.movable == 0 {
+            self.withdraw(now, actions);
+            return;
+        }
+        if now < self.next_notice {
             return;
         }
+        let count = self.queue.movable;
         let oldest_since = self.queue.oldest_since.unwrap_or(now);
-        let told = self.peers.sample(rng, self.options.fanout);
-        for &to in told {
+        let oldest = now.saturating_duration_since(oldest_since);
+        for peer in self.peers_to_tell(now, rng) {
             if !self.limiter.try_take_spare(now) {
                 break;
             }
+            self.told.retain(|told| told.peer != peer);
+            self.told.push(Told {
+                peer,
+                at: now,
+                count,
+            });
             actions.push(Action::SendWaiting {
-                to,
-                count: self.queue.movable,
-                oldest: now.saturating_duration_since(oldest_since),
+                to: peer,
+                count,
+                oldest,
             });
         }
         self.next_notice = now + self.interval;
         self.interval = (self.interval * 2).min(self.options.notice_interval_max);
     }
+
+    /// Returns peers that don't know of all waiting requests: first those that know of none, and
+    /// among them first those that have no waiting requests themselves.
+    fn peers_to_tell(&self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddrV4> {
+        let mut ranked = Vec::with_capacity(self.peers.len());
+        for peer in &self.peers {
+            let told = self.told.iter().find(|told| told.peer == *peer);
+            let is_fresh = |told: &Told| {
+                let age = now.saturating_duration_since(told.at);
+                told.count >= self.queue.movable && age < self.options.notice_valid / 2
+            };
+            if !told.is_some_and(is_fresh) {
+                let is_busy = self.notices.contains_key(peer);
+                ranked.push((told.is_some(), is_busy, rng.random::<u32>(), *peer));
+            }
+        }
+        ranked.sort_unstable();
+        ranked.truncate(self.options.fanout);
+        ranked.into_iter().map(|(.., peer)| peer).collect()
+    }
+
+    /// Takes back notices, as an offer on a notice that no longer holds keeps a slot idle for the
+    /// time of two messages.
+    fn withdraw(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for told in std::mem::take(&mut self.told) {
+            if !self.limiter.try_take_spare(now) {
+                return;
+            }
+            actions.push(Action::SendWaiting {
+                to: told.peer,
+                count: 0,
+                oldest: Duration::ZERO,
+            });
+        }
+    }
 }
--- a/crates/cranberrypitch-core/src/placement.rs
+++ b/crates/cranberrypitch-core/src/placement.rs
@@ -4,8 +4,11 @@
 //! load of its last report and the balancer's own picks that the report can't include yet.
 
 pub mod candidate;
+mod persistence;
 pub mod policy;
+mod rate;
 pub mod recent;
+mod weights;
 
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -14,10 +17,13 @@
 
 pub use self::candidate::Candidate;
 use self::candidate::Tracked;
+use self::persistence::Persistence;
 use self::policy::Choice;
 pub use self::policy::Policy;
+use self::rate::PickRate;
 pub use self::recent::InitialId;
 use self::recent::{Recent, RecentInitials};
+use self::weights::Prediction;
 use crate::ids::Incarnation;
 
 /// Settings of a [`Placer`].
@@ -71,6 +77,8 @@
     options: PlacementOptions,
     targets: Vec<Tracked>,
     recent: RecentInitials,
+    persistence: Persistence,
+    pick_rate: PickRate,
     turn: usize,
 }
 
@@ -81,6 +89,8 @@
             options,
             targets: Vec::new(),
             recent: RecentInitials::new(options.recent_max, options.recent_for),
+            persistence: Persistence::new(),
+            pick_rate: PickRate::default(),
             turn: 0,
         }
     }
@@ -91,36 +101,64 @@
         let mut candidates = candidates.to_vec();
         candidates.sort_unstable_by_key(|candidate| candidate.address);
         candidates.dedup_by_key(|candidate| candidate.address);
+        let mean_load = self.mean_load();
         let mut known = std::mem::take(&mut self.targets).into_iter().peekable();
         for candidate in candidates {
             while known
                 .next_if(|tracked| tracked.candidate.address < candidate.address)
                 .is_some()
             {}
-            let before = known.next_if(|tracked| tracked.is_same_run(&candidate));
-            let mut tracked = before.unwrap_or_else(|| Tracked::new(candidate));
-            tracked.update(candidate, self.options.report_lag, now);
+            let before = known.next_if(|tracked| tracked.candidate.address == candidate.address);
+            let tracked = self.tracked(before, candidate, mean_load, now);
             self.targets.push(tracked);
         }
     }
 
     /// Replaces or adds one candidate, as after a report.
     pub fn update(&mut self, candidate: Candidate, now: Instant) {
-        let position = self
-            .targets
-            .binary_search_by_key(&candidate.address, |tracked| tracked.candidate.address);
-        let index = match position {
-            Ok(index) => index,
+        let mean_load = self.mean_load();
+        match self.position(candidate.address) {
+            Ok(index) => {
+                let before = self.targets[index].clone();
+                self.targets[index] = self.tracked(Some(before), candidate, mean_load, now);
+            }
             Err(index) => {
-                self.targets.insert(index, Tracked::new(candidate));
-                index
+                let tracked = self.tracked(None, candidate, mean_load, now);
+                self.targets.insert(index, tracked);
             }
-        };
-        let tracked = &mut self.targets[index];
-        if !tracked.is_same_run(&candidate) {
-            *tracked = Tracked::new(candidate);
         }
+    }
+
+    /// Returns what is tracked of a candidate after a newer view of it.
+    fn tracked(
+        &mut self,
+        before: Option<Tracked>,
+        candidate: Candidate,
+        mean_load: f64,
+        now: Instant,
+    ) -> Tracked {
+        let Some(mut tracked) = before.filter(|before| before.is_same_run(&candidate)) else {
+            return Tracked::new(candidate);
+        };
+        let load_before = tracked.reported_load();
+        let reported_before = tracked.candidate.reported_at;
         tracked.update(candidate, self.options.report_lag, now);
+        let step = candidate
+            .reported_at
+            .saturating_duration_since(reported_before);
+        let after = tracked.reported_load() - mean_load;
+        self.persistence.note(load_before - mean_load, after, step);
+        tracked
+    }
+
+    fn mean_load(&self) -> f64 {
+        let sum = self.targets.iter().fold((0.0, 0.0), |sum, tracked| {
+            (
+                sum.0 + f64::from(tracked.reported_requests()),
+                sum.1 + f64::from(tracked.slots()),
+            )
+        });
+        if sum.1 > 0.0 { sum.0 / sum.1 } else { 0.0 }
     }
 
     /// Removes a candidate.
@@ -177,10 +215,13 @@
     }
 
     fn find(&mut self, address: SocketAddrV4) -> Option<&mut Tracked> {
-        let position = self
-            .targets
-            .binary_search_by_key(&address, |tracked| tracked.candidate.address);
-        position.ok().map(|index| &mut self.targets[index])
+        let index = self.position(address).ok()?;
+        Some(&mut self.targets[index])
+    }
+
+    fn position(&self, address: SocketAddrV4) -> Result<usize, usize> {
+        self.targets
+            .binary_search_by_key(&address, |tracked| tracked.candidate.address)
     }
 
     fn may_stay(&mut self, recent: &Recent, now: Instant) -> bool {
@@ -204,6 +245,15 @@
         rng: &mut impl Rng,
     ) -> Option<Placed> {
         let eligible = self.eligible(unanswered, now);
+        if self.options.policy == Policy::SmoothWeighted {
+            let prediction = Prediction {
+                now,
+                report_lag: self.options.report_lag,
+                picks_per_second: self.pick_rate.per_second(now),
+                decay_per_second: self.persistence.decay_per_second(),
+            };
+            weights::add_credit(&mut self.targets, &eligible, &prediction);
+        }
         let choice = Choice {
             targets: &self.targets,
             eligible: &eligible,
@@ -212,6 +262,8 @@
         let index = choice.pick(self.options.policy, &mut self.turn, rng)?;
         let tracked = &mut self.targets[index];
         tracked.note_pick(now);
+        tracked.credit -= 1.0;
+        self.pick_rate.note(now);
         let candidate = tracked.candidate;
         self.recent.insert(initial, &candidate, now);
         Some(Placed {
--- a/crates/cranberrypitch-core/src/placement/candidate.rs
+++ b/crates/cranberrypitch-core/src/placement/candidate.rs
@@ -51,6 +51,8 @@
     pub(crate) candidate: Candidate,
     pub(crate) answered_at: Option<Instant>,
     pub(crate) suspected_until: Option<Instant>,
+    /// The flows that smooth weighted round robin owes the target.
+    pub(crate) credit: f64,
     picks: VecDeque<Instant>,
 }
 
@@ -60,6 +62,7 @@
             candidate,
             answered_at: None,
             suspected_until: None,
+            credit: 0.0,
             picks: VecDeque::new(),
         }
     }
@@ -102,6 +105,11 @@
         load.running.saturating_add(load.waiting)
     }
 
+    /// Returns the reported requests per slot.
+    pub(crate) fn reported_load(&self) -> f64 {
+        f64::from(self.reported_requests()) / f64::from(self.slots())
+    }
+
     /// Returns the requests at the target, with the own picks counted as one request each.
     pub(crate) fn requests(&self) -> u32 {
         self.reported_requests().saturating_add(self.own_picks())
@@ -121,7 +129,7 @@
         self.candidate.load.slots.get().max(1)
     }
 
-    fn own_picks(&self) -> u32 {
+    pub(crate) fn own_picks(&self) -> u32 {
         u32::try_from(self.picks.len()).unwrap_or(u32::MAX)
     }
 }
--- a/crates/cranberrypitch-core/src/placement/policy.rs
+++ b/crates/cranberrypitch-core/src/placement/policy.rs
@@ -33,10 +33,10 @@
     /// The target with the fewest requests per slot, own picks since the last report included.
     #[display("own-picks")]
     OwnPicks,
-    /// A draw among targets with free slots, weighted by free slots and by open connections.
+    /// Smooth weighted round robin; the weights are predicted free slots and open connections.
     #[default]
-    #[display("free-slots")]
-    FreeSlots,
+    #[display("smooth-weighted")]
+    SmoothWeighted,
 }
 
 impl Policy {
@@ -48,7 +48,7 @@
         Self::LeastReported,
         Self::TwoChoices,
         Self::OwnPicks,
-        Self::FreeSlots,
+        Self::SmoothWeighted,
     ];
 }
 
@@ -57,16 +57,12 @@
 
     fn from_str(text: &str) -> Result<Self> {
         let rule =
-            "random, hash, round-robin, least-reported, two-choices, own-picks or free-slots";
+            "random, hash, round-robin, least-reported, two-choices, own-picks or smooth-weighted";
         let named = Self::ALL.into_iter().find(|p| p.to_string() == text);
         named.ok_or_else(|| Error::parse("placement policy", text, rule))
     }
 }
 
-/// The most by which the share of connections raises or lowers a target's weight. It keeps a
-/// target with few connections, such as a cold one, from drawing most new flows.
-const MAX_CONNECTION_FACTOR: f64 = 2.0;
-
 pub(crate) struct Choice<'a> {
     pub(crate) targets: &'a [Tracked],
     pub(crate) eligible: &'a [usize],
@@ -90,10 +86,7 @@
             Policy::LeastReported => self.least(Tracked::reported_requests, rng),
             Policy::TwoChoices => self.better_of_two(rng),
             Policy::OwnPicks => self.least(Tracked::requests, rng),
-            Policy::FreeSlots => match self.draw_free(rng) {
-                Some(index) => index,
-                None => self.least(Tracked::requests, rng),
-            },
+            Policy::SmoothWeighted => self.most_credit(rng),
         })
     }
 
@@ -127,6 +120,18 @@
         }
     }
 
+    /// Returns the target with the most credit, and any among equals, so that balancers that start
+    /// together don't all start with the same target.
+    fn most_credit(&self, rng: &mut impl Rng) -> usize {
+        let (before, after) = self
+            .eligible
+            .split_at(rng.random_range(0..self.eligible.len()));
+        let credit = |index: &usize| self.targets[*index].credit;
+        let by_credit = |a: &usize, b: &usize| credit(a).total_cmp(&credit(b));
+        let most = after.iter().chain(before).copied().max_by(by_credit);
+        most.unwrap_or(self.eligible[0])
+    }
+
     /// Returns the least loaded target; among equals a local one, and among those any.
     fn least(&self, requests: fn(&Tracked) -> u32, rng: &mut impl Rng) -> usize {
         let mut best = self.eligible[0];
@@ -153,62 +158,4 @@
         let load = per_slots(a, b).cmp(&per_slots(b, a));
         load.then_with(|| b.candidate.is_local.cmp(&a.candidate.is_local))
     }
-
-    /// Draws among targets with free slots; a local one takes the place of one that is no better.
-    fn draw_free(&self, rng: &mut impl Rng) -> Option<usize> {
-        let mean = self.mean_connections_per_slot();
-        let weights: Vec<f64> = self
-            .eligible
-            .iter()
-            .map(|&index| free_weight(&self.targets[index], mean))
-            .collect();
-        let total: f64 = weights.iter().sum();
-        if total <= 0.0 {
-            return None;
-        }
-        let mut rest = rng.random_range(0.0..total);
-        let drawn = weights.iter().position(|weight| {
-            let is_hit = rest < *weight;
-            rest -= weight;
-            is_hit
-        })?;
-        Some(self.local_equal(self.eligible[drawn], mean))
-    }
-
-    /// Returns a local target whose load is no higher than that of `drawn`, or `drawn`.
-    fn local_equal(&self, drawn: usize, mean: f64) -> usize {
-        if self.targets[drawn].candidate.is_local {
-            return drawn;
-        }
-        let is_equal = |index: &usize| {
-            let target = &self.targets[*index];
-            let order = self.compare(*index, drawn, Tracked::requests);
-            target.candidate.is_local
-                && order == Ordering::Less
-                && connections_per_slot(target) <= mean
-        };
-        let mut local = self.eligible.iter().copied().filter(is_equal);
-        local.next().unwrap_or(drawn)
-    }
-
-    fn mean_connections_per_slot(&self) -> f64 {
-        let targets = self.eligible.iter().map(|&index| &self.targets[index]);
-        let (connections, slots) = targets.fold((0.0, 0.0), |(connections, slots), target| {
-            (
-                connections + f64::from(target.connections() + 1),
-                slots + f64::from(target.slots()),
-            )
-        });
-        connections / slots
-    }
-}
-
-fn connections_per_slot(target: &Tracked) -> f64 {
-    f64::from(target.connections() + 1) / f64::from(target.slots())
-}
-
-fn free_weight(target: &Tracked, mean_connections: f64) -> f64 {
-    let free = target.slots().saturating_sub(target.requests());
-    let factor = mean_connections / connections_per_slot(target);
-    f64::from(free) * factor.clamp(MAX_CONNECTION_FACTOR.recip(), MAX_CONNECTION_FACTOR)
 }
--- a/crates/cranberrypitch-measure/src/placement/report.rs
+++ b/crates/cranberrypitch-measure/src/placement/report.rs
@@ -25,6 +25,8 @@
     pub jain_served: f64,
     /// Jain's index of the mean wait, over tenants.
     pub jain_wait: f64,
+    /// The share of flows that a balancer placed in its own failure domain.
+    pub local_share: f64,
     /// Flows that were open at a killed target or reached none.
     pub broken_flows: u32,
     /// Requests that were refused as not run.
