--- a/crates/cranberrypitch-core/src/membership.rs
+++ b/crates/cranberrypitch-core/src/membership.rs
@@ -147,21 +147,26 @@
             self.hearing = Hearing::Rejoining { since: now };
         }
         self.gone = report.state == TargetState::Gone;
-        let known = self.target.take().map(|target| target.announcement);
-        self.target = match report.announcement.or(known) {
-            Some(announcement) if !self.gone => Some(Target {
-                address: report.address,
-                incarnation: report.incarnation,
-                sequence: report.sequence,
-                state: report.state,
-                revision: report.revision,
-                load: report.load,
-                reported_at: now,
-                service: ServiceTag::of(&announcement.service),
-                announcement,
-            }),
-            _ => None,
+        let known = self.target.take();
+        let (service, announcement) = match (report.announcement, known) {
+            (Some(announcement), _) => (ServiceTag::of(&announcement.service), announcement),
+            (None, Some(known)) => (known.service, known.announcement),
+            (None, None) => return,
         };
+        if self.gone {
+            return;
+        }
+        self.target = Some(Target {
+            address: report.address,
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            state: report.state,
+            revision: report.revision,
+            load: report.load,
+            reported_at: now,
+            service,
+            announcement,
+        });
     }
 
     fn judge(&mut self, options: &MembershipOptions, now: Instant) {
--- a/crates/cranberrypitch-measure/src/placement/simulation.rs
+++ b/crates/cranberrypitch-measure/src/placement/simulation.rs
@@ -402,8 +402,12 @@
     fn deliver(&mut self, balancer: usize, report: TargetReport) {
         let balancer = &mut self.balancers[balancer];
         let address = report.address;
-        if balancer.membership.on_report(report, self.now) == ReportResult::Stale {
-            return;
+        match balancer.membership.on_report(report, self.now) {
+            ReportResult::Accepted { announced: true } => {}
+            ReportResult::Accepted { announced: false } => {
+                self.targets[target::index(address)].must_announce = true;
+            }
+            ReportResult::Stale => return,
         }
         if let Some(target) = balancer.membership.target(address) {
             let candidate = Candidate::new(target, &balancer.failure_domain);
--- a/crates/cranberrypitch-measure/src/placement/target.rs
+++ b/crates/cranberrypitch-measure/src/placement/target.rs
@@ -44,6 +44,8 @@
     pub(crate) connections: u32,
     pub(crate) requests: Gauge,
     pub(crate) tick_at: Option<Instant>,
+    /// Whether a balancer asked for the announcement, or the agent has just started.
+    pub(crate) must_announce: bool,
     number: usize,
     slots: u32,
     running: u32,
@@ -61,6 +63,7 @@
             connections: 0,
             requests: Gauge::new(now),
             tick_at: None,
+            must_announce: true,
             number,
             slots: options.slots,
             running: 0,
@@ -96,11 +99,13 @@
     pub(crate) fn revive(&mut self) {
         self.is_alive = true;
         self.incarnation += 1;
+        self.must_announce = true;
         self.sequence = 0;
     }
 
     pub(crate) fn report(&mut self) -> TargetReport {
         self.sequence += 1;
+        let must_announce = std::mem::take(&mut self.must_announce);
         TargetReport {
             address: address(self.number),
             incarnation: Incarnation::new(self.incarnation),
@@ -113,7 +118,7 @@
                 waiting: self.queues.len(),
                 connections: self.connections,
             },
-            announcement: Some(self.announcement.clone()),
+            announcement: must_announce.then(|| self.announcement.clone()),
         }
     }
 
