--- a/crates/cranberrypitch-core/src/placement.rs
+++ b/crates/cranberrypitch-core/src/placement.rs
@@ -119,7 +119,8 @@
         let mean_load = self.mean_load();
         match self.position(candidate.address) {
             Ok(index) => {
-                let before = self.targets[index].clone();
+                let tracked = Tracked::new(candidate);
+                let before = std::mem::replace(&mut self.targets[index], tracked);
                 self.targets[index] = self.tracked(Some(before), candidate, mean_load, now);
             }
             Err(index) => {
--- a/crates/cranberrypitch-measure/src/placement/shared.rs
+++ b/crates/cranberrypitch-measure/src/placement/shared.rs
@@ -48,7 +48,7 @@
         workload,
         start,
         now: start,
-        calendar: Calendar::new(),
+        calendar: Calendar::new(start),
         queue: TenantQueues::new(options.tenants),
         servers: (0..options.targets).map(|_| server()).collect(),
         statistics: Statistics::new(options.tenants),
--- a/crates/cranberrypitch-measure/src/placement/simulation.rs
+++ b/crates/cranberrypitch-measure/src/placement/simulation.rs
@@ -113,7 +113,7 @@
             uses_handoff,
             start,
             now: start,
-            calendar: Calendar::new(),
+            calendar: Calendar::new(start),
             targets: targets.collect(),
             balancers: (0..options.balancers as usize).map(balancer).collect(),
             rng: Pcg64Mcg::seed_from_u64(options.seed.wrapping_add(1)),
