--- a/crates/cranberrypitch-measure/src/placement/simulation.rs
+++ b/crates/cranberrypitch-measure/src/placement/simulation.rs
@@ -18,7 +18,7 @@
 use super::workload::{FlowKind, WARM_UP, Workload};
 
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
-const ROUND_TRIP_TO_CALLER: Duration = Duration::from_millis(12);
+const ROUND_TRIP_TO_CALLER: Duration = Duration::from_millis(10);
 const ONE_WAY_BETWEEN_AGENTS: Duration = Duration::from_millis(4);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 const ATTEMPTS_MAX: u32 = 5;
@@ -113,7 +113,7 @@
             uses_handoff,
             start,
             now: start,
-            calendar: Calendar::new(),
+            calendar: Calendar::new(start),
             targets: targets.collect(),
             balancers: (0..options.balancers as usize).map(balancer).collect(),
             rng: Pcg64Mcg::seed_from_u64(options.seed.wrapping_add(1)),
@@ -212,6 +212,9 @@
             Some(target) if self.targets[target].is_alive => {
                 balancer.placer.on_answer(target::address(target), self.now);
                 balancer.membership.on_answer(target::address(target));
+                let is_local = balancer.failure_domain == target::failure_domain(target);
+                self.statistics.placed += 1;
+                self.statistics.placed_local += u32::from(is_local);
                 self.open(target, flow);
             }
             _ if attempt < ATTEMPTS_MAX => {
@@ -399,8 +402,12 @@
     fn deliver(&mut self, balancer: usize, report: TargetReport) {
         let balancer = &mut self.balancers[balancer];
         let address = report.address;
-        if balancer.membership.on_report(report, self.now) == ReportResult::Stale {
-            return;
+        match balancer.membership.on_report(report, self.now) {
+            ReportResult::Accepted { announced: true } => {}
+            ReportResult::Accepted { announced: false } => {
+                self.targets[target::index(address)].must_announce = true;
+            }
+            ReportResult::Stale => return,
         }
         if let Some(target) = balancer.membership.target(address) {
             let candidate = Candidate::new(target, &balancer.failure_domain);
