Give a backend server that sheds requests fewer of them

A shed request frees its slot at once, so the next one was started and shed as well, until the queue was empty. Each shed request now lowers the limit by one, and a time without one raises it again.

A ticket that loses its place to make room is answered as not run instead of unknown, as it was unused until then. Ten successes earn one retry: the sum of ten times 0.1 was below one before.

--- a/crates/cranberrypitch-core/src/admission/ramp.rs
+++ b/crates/cranberrypitch-core/src/admission/ramp.rs
@@ -11,6 +11,8 @@
     Closed,
     /// At most this many requests at once, to find out whether it works.
     Probe(u32),
+    /// At most this many requests at once, because it shed one beyond them; feeds may open.
+    Limited(u32),
     /// A ramp of slots that begins now.
     Ramp,
     /// All slots.
@@ -43,7 +45,7 @@
 
     /// Returns whether feeds may open: one that opens during a probe would be cut if it fails.
     pub(super) fn takes_feeds(&self) -> bool {
-        matches!(self.allowance, Allowance::Ramp | Allowance::Full)
+        !matches!(self.allowance, Allowance::Closed | Allowance::Probe(_))
     }
 
     fn is_ramping(&self, now: Instant) -> bool {
@@ -54,7 +56,7 @@
     pub(super) fn slots(&self, now: Instant) -> u32 {
         match self.allowance {
             Allowance::Closed => 0,
-            Allowance::Probe(requests) => requests.min(self.limit),
+            Allowance::Probe(requests) | Allowance::Limited(requests) => requests.min(self.limit),
             Allowance::Ramp => self.first().saturating_add(self.steps(now)).min(self.limit),
             Allowance::Full => self.limit,
         }
--- a/crates/cranberrypitch-core/src/orders/book.rs
+++ b/crates/cranberrypitch-core/src/orders/book.rs
@@ -249,6 +249,7 @@
         ticket.agent != self.agent || ticket.incarnation != self.incarnation
     }
 
+    /// Enters an unused ticket. Without room the ticket becomes void, and it has not run.
     fn begin(&mut self, serial: u64) -> Decision {
         while self.entries.len() >= self.options.max_entries {
             if !self.forget_oldest_ended() {
@@ -257,7 +258,7 @@
             }
         }
         if serial < self.floor {
-            return Decision::Unknown;
+            return Decision::NotRun(NotRunReason::QueueFull);
         }
         self.bytes += ENTRY_BYTES;
         self.entries.insert(serial, Entry::InUse);
--- a/crates/cranberrypitch-core/src/retry.rs
+++ b/crates/cranberrypitch-core/src/retry.rs
@@ -11,6 +11,9 @@
 use crate::errors::{Error, Result};
 use crate::request::{NotRunReason, Outcome, Reservation};
 
+/// Ten successes at a ratio of 0.1 add up to slightly less than one.
+const ROUNDING: f64 = 1e-9;
+
 /// The settings of retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryOptions {
@@ -85,9 +88,9 @@
     }
 
     fn try_spend(&mut self) -> bool {
-        let has_one = self.balance >= 1.0;
+        let has_one = self.balance >= 1.0 - ROUNDING;
         if has_one {
-            self.balance -= 1.0;
+            self.balance = (self.balance - 1.0).max(0.0);
         }
         has_one
     }
--- a/crates/cranberrypitch-core/tests/health.rs
+++ b/crates/cranberrypitch-core/tests/health.rs
@@ -122,3 +122,29 @@
     observe_times(&mut health, ANSWERED, 3, due);
     assert_eq!(health.state(), HealthState::Ready);
 }
+
+/// Guards against a backend server that sheds request after request, and against a limit that is
+/// never lifted.
+#[test]
+fn shed_requests_lower_the_limit_for_a_while() {
+    let now = Instant::now();
+    let mut health = ready(now);
+    let (running, slots) = (4, 4);
+    health.observe(Observation::Slots { running, slots }, now);
+    let limited = |requests| Change::Allow(Allowance::Limited(requests));
+    assert_eq!(health.observe(Observation::Shed, now), [limited(3)]);
+    assert_eq!(health.state(), HealthState::Ready);
+    let (running, slots) = (3, 3);
+    health.observe(Observation::Slots { running, slots }, now);
+    assert_eq!(health.observe(Observation::Shed, now), [limited(2)]);
+    let mut seen = Vec::new();
+    for second in [2, 4, 6, 8] {
+        let due = now + SECOND * second;
+        assert_eq!(health.next_tick(), Some(due));
+        seen.extend(health.observe(Observation::Tick, due));
+        let slots = (2 + second / 2).min(4);
+        health.observe(Observation::Slots { running: 1, slots }, due);
+    }
+    let full = Change::Allow(Allowance::Full);
+    assert_eq!(seen, [limited(3), limited(4), limited(5), full]);
+}
