--- a/crates/cranberrypitch-core/src/admission.rs
+++ b/crates/cranberrypitch-core/src/admission.rs
@@ -2,8 +2,8 @@
 //!
 //! Orders and uploads take a slot while they run and wait for one in the queue of their tenant.
 //! The tenant with the fewest recent starts is next, so a tenant with many requests delays only
-//! itself. Feeds take a connection and never wait. A request ends here in one of two ways: it was started and has
-//! finished, or it was refused, redirected or withdrawn and was never started.
+//! itself. Feeds take a connection and never wait. A request ends here in one of two ways: it was
+//! started and has finished, or it was refused or redirected and was never started.
 
 mod estimate;
 mod options;
@@ -326,19 +326,40 @@
         self.deadlines.insert((deadline, submission.request));
         let phase = Phase::Waiting { queue, deadline };
         self.requests.insert(submission.request, phase);
+        if ahead + 1 < self.queue.len() {
+            self.refuse_overtaken(now, actions);
+        }
         Ok(())
     }
 
+    /// Refuses requests that can't start in time any more because a newcomer comes before them.
+    /// Their callers have time left to go elsewhere, which they would not have at the deadline.
+    fn refuse_overtaken(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let mut ahead = 0;
+        for request in self.queue.in_order(now) {
+            let Some(&Phase::Waiting { deadline, .. }) = self.requests.get(&request) else {
+                continue;
+            };
+            if self.is_hopeless(ahead, deadline, now) {
+                self.take_waiting(request, now);
+                actions.push(Action::Refuse(request, NotRunReason::Deadline));
+            } else {
+                ahead += 1;
+            }
+        }
+    }
+
     /// Returns whether the service times seen say that the deadline can't be met.
     fn is_hopeless(&self, ahead: u32, deadline: Instant, now: Instant) -> bool {
         let slots = self.ramp.slots(now);
         if self.used().saturating_add(ahead) < slots {
             return false;
         }
-        match self.service_time.expected_wait(ahead, slots, now) {
-            Some(wait) => wait > deadline.saturating_duration_since(now),
-            None => false,
-        }
+        // Slots that a ramp adds meanwhile count from the middle of the wait on.
+        let remaining = deadline.saturating_duration_since(now);
+        let slots = self.ramp.slots(now + remaining / 2).max(1);
+        let wait = self.service_time.expected_wait(ahead, slots, now);
+        wait.is_some_and(|wait| wait > remaining)
     }
 
     fn start(&mut self, request: RequestId, now: Instant, actions: &mut Vec<Action>) {
--- a/crates/cranberrypitch-core/src/admission/queue.rs
+++ b/crates/cranberrypitch-core/src/admission/queue.rs
@@ -94,6 +94,21 @@
         own_len + ahead.sum::<u32>()
     }
 
+    /// Returns all waiting requests in the order in which they would start.
+    pub(super) fn in_order(&self, now: Instant) -> Vec<RequestId> {
+        let weight = self.weight(now);
+        let mut all = Vec::new();
+        for queue in self.waiting() {
+            let mut score = queue.score;
+            for (arrival, request) in &queue.requests {
+                all.push((score, *arrival, *request));
+                score += weight;
+            }
+        }
+        all.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        all.into_iter().map(|(_, _, request)| request).collect()
+    }
+
     /// Adds a request to the end of its tenant's queue.
     pub(super) fn push(
         &mut self,
--- a/crates/cranberrypitch-core/tests/admission.rs
+++ b/crates/cranberrypitch-core/tests/admission.rs
@@ -121,6 +121,22 @@
     assert_eq!(expired, [refuse(4, NotRunReason::Deadline)]);
 }
 
+/// Guards against requests that others overtake and that wait in vain until their deadline.
+#[test]
+fn overtaken_requests_are_refused_at_once() {
+    let now = Instant::now();
+    let mut admission = Admission::new(options(1, Duration::ZERO), now);
+    admission.handle(order(0, "a", now + 9 * SECOND), now);
+    let now = now + SECOND;
+    admission.handle(finish(0), now);
+    admission.handle(order(1, "a", now + 9 * SECOND), now);
+    let tight = now + SECOND * 5 / 2;
+    assert_eq!(admission.handle(order(2, "a", tight), now), []);
+    assert_eq!(admission.handle(order(3, "b", tight), now), []);
+    let overtaken = refuse(2, NotRunReason::Deadline);
+    assert_eq!(admission.handle(order(4, "c", tight), now), [overtaken]);
+}
+
 /// Guards against a cold backend server that gets all its slots at once.
 #[test]
 fn cold_start_adds_slots_evenly() {
