Refuse sizes and arguments that a measurement can't run with

A demand of zero or a single target made the simulations panic, and an unknown argument was ignored. Both now end with a message and code 2.

--- a/crates/cranberrypitch-measure/src/admission.rs
+++ b/crates/cranberrypitch-measure/src/admission.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 
 use self::fifo::Fifo;
-use crate::timeline::{Timeline, count, exponential, jain_index, percentile_s, ratio};
+use crate::timeline::{Timeline, check_sizes, count, exponential, jain_index, percentile_s, ratio};
 
 const HEAVY_TENANT_FACTOR: f64 = 10.0;
 const RAMP: Duration = Duration::from_secs(10);
@@ -111,6 +111,7 @@
 
 /// Runs every scenario under every policy with the same arrivals.
 pub fn run(options: &AdmissionMeasureOptions, seed: u64) -> Result<AdmissionReport> {
+    check_sizes(options.load, &[("tenants", options.tenants >= 2)])?;
     let mut figures = Vec::new();
     for scenario in [
         Scenario::Overload,
--- a/crates/cranberrypitch-measure/src/bin/measure.rs
+++ b/crates/cranberrypitch-measure/src/bin/measure.rs
@@ -1,97 +1,120 @@
 //! Measures policies in simulated time and prints the figures as JSON.
 
+use std::fmt::Display;
 use std::process::ExitCode;
+use std::str::FromStr;
 
 use cranberrypitch_measure::admission::{self, AdmissionMeasureOptions};
 use cranberrypitch_measure::drain::{self, DrainMeasureOptions};
 use cranberrypitch_measure::retry::{self, RetryMeasureOptions};
+use derive_more::{Display, Error, From};
 use pico_args::Arguments;
 use serde::Serialize;
 
+type Result<T> = std::result::Result<T, Failure>;
+
+/// Why nothing was measured.
+#[derive(Debug, Display, Error, From)]
+enum Failure {
+    #[display("the verb is one of: admission, retry, drain")]
+    Verb,
+    #[display("argument '{argument}' is not known")]
+    #[from(skip)]
+    Unknown { argument: Box<str> },
+    #[display("{_0}")]
+    Arguments(pico_args::Error),
+    #[display("{_0}")]
+    Sizes(cranberrypitch_core::Error),
+    #[display("{_0}")]
+    Json(serde_json::Error),
+}
+
 fn main() -> ExitCode {
     match measure(Arguments::from_env()) {
         Ok(text) => {
             println!("{text}");
             ExitCode::SUCCESS
         }
-        Err(message) => {
-            eprintln!("measure: {message}");
+        Err(failure) => {
+            eprintln!("measure: {failure}");
             ExitCode::from(2)
         }
     }
 }
 
-fn measure(mut arguments: Arguments) -> Result<String, Box<str>> {
-    let verb = arguments.subcommand().map_err(|e| describe(&e))?;
-    let seed = arguments
-        .opt_value_from_str("--seed")
-        .map_err(|e| describe(&e))?;
+fn measure(mut arguments: Arguments) -> Result<String> {
+    let verb = arguments.subcommand()?;
+    let seed = arguments.opt_value_from_str("--seed")?.unwrap_or(1);
     let is_json = arguments.contains("--json");
-    let seed = seed.unwrap_or(1);
     match verb.as_deref() {
         Some("admission") => {
-            let report = admission::run(&admission_options(&mut arguments)?, seed);
-            print(&report.map_err(|e| describe(&e))?, is_json)
+            let options = admission_options(arguments)?;
+            print(&admission::run(&options, seed)?, is_json)
         }
         Some("retry") => {
-            let report = retry::run(&retry_options(&mut arguments)?, seed);
-            print(&report.map_err(|e| describe(&e))?, is_json)
+            let options = retry_options(arguments)?;
+            print(&retry::run(&options, seed)?, is_json)
         }
         Some("drain") => {
-            let report = drain::run(&drain_options(&mut arguments)?, seed);
-            print(&report.map_err(|e| describe(&e))?, is_json)
+            let options = drain_options(arguments)?;
+            print(&drain::run(&options, seed)?, is_json)
         }
-        _ => Err("the verb is one of: admission, retry, drain".into()),
+        _ => Err(Failure::Verb),
     }
 }
 
-fn admission_options(arguments: &mut Arguments) -> Result<AdmissionMeasureOptions, Box<str>> {
+fn admission_options(mut arguments: Arguments) -> Result<AdmissionMeasureOptions> {
     let mut options = AdmissionMeasureOptions::default();
-    take(arguments, "--slots", &mut options.slots)?;
-    take(arguments, "--tenants", &mut options.tenants)?;
-    take(arguments, "--load", &mut options.load)?;
+    take(&mut arguments, "--slots", &mut options.slots)?;
+    take(&mut arguments, "--tenants", &mut options.tenants)?;
+    take(&mut arguments, "--load", &mut options.load)?;
+    finish(arguments)?;
     Ok(options)
 }
 
-fn retry_options(arguments: &mut Arguments) -> Result<RetryMeasureOptions, Box<str>> {
+fn retry_options(mut arguments: Arguments) -> Result<RetryMeasureOptions> {
     let mut options = RetryMeasureOptions::default();
-    take(arguments, "--targets", &mut options.targets)?;
-    take(arguments, "--slots", &mut options.slots)?;
-    take(arguments, "--tenants", &mut options.callers)?;
-    take(arguments, "--load", &mut options.overload)?;
+    take(&mut arguments, "--targets", &mut options.targets)?;
+    take(&mut arguments, "--slots", &mut options.slots)?;
+    take(&mut arguments, "--tenants", &mut options.callers)?;
+    take(&mut arguments, "--load", &mut options.overload)?;
+    finish(arguments)?;
     Ok(options)
 }
 
-fn drain_options(arguments: &mut Arguments) -> Result<DrainMeasureOptions, Box<str>> {
+fn drain_options(mut arguments: Arguments) -> Result<DrainMeasureOptions> {
     let mut options = DrainMeasureOptions::default();
-    take(arguments, "--targets", &mut options.targets)?;
-    take(arguments, "--slots", &mut options.slots)?;
-    take(arguments, "--load", &mut options.load)?;
+    take(&mut arguments, "--targets", &mut options.targets)?;
+    take(&mut arguments, "--slots", &mut options.slots)?;
+    take(&mut arguments, "--load", &mut options.load)?;
+    finish(arguments)?;
     Ok(options)
 }
 
-fn take<T>(arguments: &mut Arguments, key: &'static str, value: &mut T) -> Result<(), Box<str>>
+fn take<T>(arguments: &mut Arguments, key: &'static str, value: &mut T) -> Result<()>
 where
-    T: std::str::FromStr<Err: std::fmt::Display>,
+    T: FromStr<Err: Display>,
 {
-    if let Some(given) = arguments
-        .opt_value_from_str(key)
-        .map_err(|e| describe(&e))?
-    {
+    if let Some(given) = arguments.opt_value_from_str(key)? {
         *value = given;
     }
     Ok(())
 }
 
-fn print<T: Serialize>(report: &T, is_json: bool) -> Result<String, Box<str>> {
-    let text = if is_json {
-        serde_json::to_string(report)
-    } else {
-        serde_json::to_string_pretty(report)
-    };
-    text.map_err(|e| describe(&e))
+/// Refuses arguments that no option took.
+fn finish(arguments: Arguments) -> Result<()> {
+    match arguments.finish().first() {
+        None => Ok(()),
+        Some(argument) => Err(Failure::Unknown {
+            argument: argument.to_string_lossy().into(),
+        }),
+    }
 }
 
-fn describe(error: &impl ToString) -> Box<str> {
-    error.to_string().into()
+fn print<T: Serialize>(report: &T, is_json: bool) -> Result<String> {
+    Ok(if is_json {
+        serde_json::to_string(report)?
+    } else {
+        serde_json::to_string_pretty(report)?
+    })
 }
--- a/crates/cranberrypitch-measure/src/drain/simulation.rs
+++ b/crates/cranberrypitch-measure/src/drain/simulation.rs
@@ -238,10 +238,14 @@
         let balancer = self.rng.random_range(0..self.scenario.learn_after.len());
         let learn_after = self.scenario.learn_after[balancer];
         let knows = learn_after.is_some_and(|after| now >= self.drain_at + after);
-        let candidates: Vec<usize> = (0..self.targets.len())
+        let live: Vec<usize> = (0..self.targets.len())
             .filter(|target| !(knows && *target == LEAVING))
+            .collect();
+        let untried = live.iter().copied();
+        let untried: Vec<usize> = untried
             .filter(|target| !avoided.contains(&address(*target)))
             .collect();
+        let candidates = if untried.is_empty() { live } else { untried };
         candidates[self.rng.random_range(0..candidates.len())]
     }
 
--- a/crates/cranberrypitch-measure/src/retry.rs
+++ b/crates/cranberrypitch-measure/src/retry.rs
@@ -15,7 +15,7 @@
 use rand_pcg::Pcg64;
 use serde::Serialize;
 
-use crate::timeline::{Timeline, count, exponential, ratio};
+use crate::timeline::{Timeline, check_sizes, count, exponential, ratio};
 
 const CONNECTION_LIMIT: ConnectionLimit = ConnectionLimit::new(2000);
 const UNBOUNDED_BUDGET: f64 = 1e6;
@@ -121,6 +121,11 @@
 
 /// Runs every scenario under every policy with the same arrivals.
 pub fn run(options: &RetryMeasureOptions, seed: u64) -> Result<RetryReport> {
+    let sizes = [
+        ("targets", options.targets >= 2),
+        ("tenants", options.callers >= 1),
+    ];
+    check_sizes(options.overload, &sizes)?;
     let mut figures = Vec::new();
     for scenario in [Scenario::Overload, Scenario::FailingBackendServer] {
         for policy in [Policy::None, Policy::Unbounded, Policy::Budget] {
--- a/crates/cranberrypitch-measure/src/timeline.rs
+++ b/crates/cranberrypitch-measure/src/timeline.rs
@@ -3,8 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use cranberrypitch_core::{Error, Result};
 use rand::{Rng, RngExt};
 
+/// More than this demand takes long and shows nothing new.
+const MAX_LOAD: f64 = 100.0;
+
 /// Events in the order of their times; events of one time keep the order of their entry.
 #[derive(Debug)]
 pub(crate) struct Timeline<E> {
@@ -34,6 +38,17 @@
     }
 }
 
+/// Checks a demand, and sizes that must be at least one.
+pub(crate) fn check_sizes(load: f64, sizes: &[(&'static str, bool)]) -> Result<()> {
+    if !(load > 0.0 && load <= MAX_LOAD) {
+        return Err(Error::setting("load", "more than 0, at most 100"));
+    }
+    match sizes.iter().find(|(_, is_valid)| !is_valid) {
+        Some((setting, _)) => Err(Error::setting(setting, "too small")),
+        None => Ok(()),
+    }
+}
+
 /// Returns a time drawn from an exponential distribution.
 pub(crate) fn exponential<R: Rng>(mean: Duration, rng: &mut R) -> Duration {
     mean.mul_f64(-(1.0 - rng.random::<f64>()).ln())
