Close gaps in the tests of admission and health

Trials that removed one line each showed four that no test missed: the reservations that a drain drops, a request id used twice, the start that a redeemed reservation counts, and the limit that a failing backend server lifts. Each has a test that fails without the line now. Expiry takes a deadline out before it looks for the request, so it can't loop for ever.

--- a/crates/cranberrypitch-core/src/admission.rs
+++ b/crates/cranberrypitch-core/src/admission.rs
@@ -249,8 +249,10 @@
             if deadline > now {
                 break;
             }
-            self.take_waiting(request, now);
-            actions.push(Action::Refuse(request, NotRunReason::Deadline));
+            self.deadlines.pop_first();
+            if self.take_waiting(request, now) {
+                actions.push(Action::Refuse(request, NotRunReason::Deadline));
+            }
         }
         self.reservations.retain(|_, until| *until > now);
         if self.start_until.is_some_and(|until| until <= now) {
--- a/crates/cranberrypitch-core/tests/admission.rs
+++ b/crates/cranberrypitch-core/tests/admission.rs
@@ -194,8 +194,13 @@
         ..redeemed
     });
     assert_eq!(admission.handle(redeemed, now), [start(2)]);
+    // A redeemed reservation is a start of its tenant, so the other one is next.
+    admission.handle(order(4, "b", late), now);
+    admission.handle(order(5, "c", late), now);
     assert_eq!(admission.handle(finish(2), now), [start(1)]);
-    admission.handle(finish(1), now);
+    assert_eq!(admission.handle(finish(1), now), [start(5)]);
+    assert_eq!(admission.handle(finish(5), now), [start(4)]);
+    admission.handle(finish(4), now);
     assert_eq!(admission.handle(reserve(9), now), [Action::Reserved(9)]);
     admission.handle(order(3, "a", late), now);
     assert_eq!(admission.handle(Event::Tick, until), [start(3)]);
@@ -211,6 +216,7 @@
         admission.handle(order(id, "a", late), now);
     }
     let start_until = now + SECOND;
+    assert_eq!(admission.handle(order(0, "a", late), now), []);
     assert_eq!(admission.handle(Event::Drain { start_until }, now), []);
     let refused = refuse(3, NotRunReason::Draining);
     assert_eq!(admission.handle(order(3, "b", late), now), [refused]);
@@ -220,6 +226,18 @@
     assert_eq!(admission.load(start_until).running, 1);
 }
 
+/// Guards against a drain that waits for a peer's reservation.
+#[test]
+fn drain_drops_reservations() {
+    let now = Instant::now();
+    let mut admission = Admission::new(options(1, Duration::ZERO), now);
+    let until = now + SECOND;
+    admission.handle(Event::Reserve { serial: 7, until }, now);
+    assert_eq!(admission.load(now).running, 1);
+    admission.handle(Event::Drain { start_until: until }, now);
+    assert_eq!(admission.load(now).running, 0);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Submit(u8, u8, u16),
--- a/crates/cranberrypitch-core/tests/health.rs
+++ b/crates/cranberrypitch-core/tests/health.rs
@@ -147,4 +147,12 @@
     }
     let full = Change::Allow(Allowance::Full);
     assert_eq!(seen, [limited(3), limited(4), limited(5), full]);
+    let mut failed = ready(now);
+    failed.observe(Observation::Shed, now);
+    observe_times(&mut failed, Observation::Failed, 4, now);
+    let later = now + 2 * SECOND;
+    let probe = Change::Allow(Allowance::Probe(1));
+    assert_eq!(failed.observe(Observation::Tick, later), [probe]);
+    observe_times(&mut failed, ANSWERED, 3, later);
+    assert_eq!(failed.next_tick(), None);
 }
