--- /dev/null
+++ b/crates/cranberrypitch/src/bin/cranberrypitch.rs
@@ -0,0 +1,7 @@
+//! The command for operators and callers.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cranberrypitch::command::run(pico_args::Arguments::from_env()).into()
+}
--- /dev/null
+++ b/crates/cranberrypitch/src/command/errors.rs
@@ -0,0 +1,69 @@
+//! Why the command ends without a result.
+
+use std::ffi::OsString;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use cranberrypitch_core::config::Problems;
+use derive_more::{Display, From};
+
+use super::Exit;
+
+pub(super) type Result<T> = std::result::Result<T, Error>;
+
+/// Why the command ends without a result.
+#[derive(Debug, Display, From)]
+pub(super) enum Error {
+    #[display("{_0}; see --help")]
+    Arguments(pico_args::Error),
+    #[display("no verb; see --help")]
+    NoVerb,
+    #[display("unknown verb '{verb}'; see --help")]
+    #[from(ignore)]
+    UnknownVerb { verb: Box<str> },
+    #[display("unknown argument {argument:?}; see --help")]
+    #[from(ignore)]
+    UnknownArgument { argument: OsString },
+    #[display("{}", show_problems(file, problems))]
+    #[from(ignore)]
+    Text { file: PathBuf, problems: Problems },
+    #[display("{_0}")]
+    Input(cranberrypitch_net::Error),
+    #[display("{_0}")]
+    Store(cranberrypitch_net::config_store::Error),
+    #[display("{_0}")]
+    Caller(cranberrypitch_caller::Error),
+    #[display("{_0}")]
+    Standin(cranberrypitch_standins::Error),
+    #[display("the demo took longer than {} s", limit.as_secs())]
+    #[from(ignore)]
+    DemoTimeout { limit: Duration },
+    #[display("{_0}")]
+    System(std::io::Error),
+}
+
+impl Error {
+    /// Returns the exit code that stands for the error.
+    pub(super) const fn exit(&self) -> Exit {
+        match self {
+            Self::Arguments(_)
+            | Self::NoVerb
+            | Self::UnknownVerb { .. }
+            | Self::UnknownArgument { .. }
+            | Self::Text { .. }
+            | Self::Input(_) => Exit::WrongInput,
+            Self::Store(_)
+            | Self::Caller(_)
+            | Self::Standin(_)
+            | Self::DemoTimeout { .. }
+            | Self::System(_) => Exit::Failed,
+        }
+    }
+}
+
+/// Returns one line per problem, each with the file and the place in it.
+fn show_problems(file: &Path, problems: &Problems) -> String {
+    let lines = problems.0.iter();
+    let lines = lines.map(|problem| format!("{}: {problem}", file.display()));
+    lines.collect::<Vec<_>>().join("\n")
+}
