Measure the forwarding path and the capacity of roles

measure forward compares a balancer on its real sockets with a bare relay in alternating rounds, times the routing decision, and shows memory and allocations against the number of established flows. measure capacity gives bytes, processor time and memory at three sizes or more with their slopes. The measure binary counts allocations by the stats_alloc crate, which needs no unsafe code here.

--- a/crates/cranberrypitch-measure/src/bin/measure.rs
+++ b/crates/cranberrypitch-measure/src/bin/measure.rs
@@ -1,9 +1,15 @@
 //! The `measure` command.
 
+use std::alloc::System;
 use std::process::ExitCode;
 
 use cranberrypitch_measure::run;
 use pico_args::Arguments;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+
+/// Counts allocations for the verbs that report memory.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 const USAGE_ERROR: u8 = 2;
 
--- /dev/null
+++ b/crates/cranberrypitch-measure/src/capacity/reports.rs
@@ -0,0 +1,169 @@
+//! Processor time and memory of reports at a balancer, on its real sockets.
+
+use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::{
+    Announcement, ConnectionLimit, FailureDomain, Incarnation, Load, Revision, ServiceName,
+    ServiceTag, Slots, TargetState, VmId,
+};
+use cranberrypitch_proto::report::Report;
+use cranberrypitch_proto::tunnel::{Header, Kind};
+use tokio::runtime::Builder;
+
+use super::{Row, as_f64};
+use crate::errors::Result;
+use crate::forward::Balancer;
+use crate::process::{Memory, thread_time};
+
+const CONTROL_THREAD: &str = "balancer-control";
+const TRAFFIC_THREAD: &str = "balancer-traffic";
+
+/// Two targets for each service, as 110,000 targets behind 57,000 addresses.
+const FLEETS: [(u32, u32); 3] = [(1000, 500), (4000, 2000), (16_000, 8000)];
+
+/// The same targets in fewer services.
+const SERVICE_SIZES: [(u32, u32); 3] = [(2000, 1000), (2000, 100), (2000, 10)];
+
+/// Reports that are sent before their answers are awaited.
+const WINDOW: u32 = 32;
+
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A round that takes longer is cut short; its figures count the answered reports.
+const ROUND_TIMEOUT: Duration = Duration::from_secs(10);
+
+const IDLE_TIME: Duration = Duration::from_secs(2);
+
+const AGENT_PORT: u16 = 20_917;
+
+/// The figures of one fleet.
+struct Figures {
+    report_us: f64,
+    receive_us: f64,
+    idle_ms: f64,
+    target_bytes: f64,
+    answered: f64,
+}
+
+pub(super) fn measure() -> Result<Vec<Row>> {
+    let mut rows = Vec::new();
+    for (targets, services) in FLEETS {
+        let figures = measure_fleet(targets, services)?;
+        let mut push = |figure, value, unit| {
+            rows.push(Row {
+                figure,
+                per: "target",
+                size: targets,
+                value,
+                unit,
+            });
+        };
+        push("control thread, one report", figures.report_us, "us");
+        push("traffic thread, one report", figures.receive_us, "us");
+        push("control thread, no reports", figures.idle_ms, "ms each s");
+        push("memory of one target", figures.target_bytes, "bytes");
+        push("reports answered", figures.answered, "of all");
+    }
+    for (targets, services) in SERVICE_SIZES {
+        let figures = measure_fleet(targets, services)?;
+        rows.push(Row {
+            figure: "control thread, one report of a service",
+            per: "target of the service",
+            size: targets / services,
+            value: figures.report_us,
+            unit: "us",
+        });
+    }
+    Ok(rows)
+}
+
+fn measure_fleet(targets: u32, services: u32) -> Result<Figures> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let balancer = runtime.block_on(Balancer::start())?;
+    let fleet = Fleet {
+        balancer: &balancer,
+        targets,
+        services,
+    };
+    let before = Memory::read()?;
+    let known = fleet.report_all(0)?;
+    let held = Memory::read()?.since(before).allocated_bytes;
+    let control = thread_time(CONTROL_THREAD)?;
+    let traffic = thread_time(TRAFFIC_THREAD)?;
+    let answered = fleet.report_all(1)?;
+    let control_used = thread_time(CONTROL_THREAD)?.saturating_sub(control);
+    let traffic_used = thread_time(TRAFFIC_THREAD)?.saturating_sub(traffic);
+    let idle = thread_time(CONTROL_THREAD)?;
+    std::thread::sleep(IDLE_TIME);
+    let idle_used = thread_time(CONTROL_THREAD)?.saturating_sub(idle);
+    balancer.handle.kill();
+    let each = |used: Duration| used.as_secs_f64() * 1e6 / f64::from(answered.max(1));
+    Ok(Figures {
+        report_us: each(control_used),
+        receive_us: each(traffic_used),
+        idle_ms: idle_used.as_secs_f64() * 1e3 / IDLE_TIME.as_secs_f64(),
+        target_bytes: as_f64(held) / f64::from(known.max(1)),
+        answered: f64::from(answered) / f64::from(targets),
+    })
+}
+
+struct Fleet<'a> {
+    balancer: &'a Balancer,
+    targets: u32,
+    services: u32,
+}
+
+impl Fleet<'_> {
+    /// Sends a report of each target; returns how many were answered.
+    fn report_all(&self, sequence: u64) -> Result<u32> {
+        let start = Instant::now();
+        let mut answered = 0;
+        for first in (0..self.targets).step_by(WINDOW as usize) {
+            if start.elapsed() > ROUND_TIMEOUT {
+                break;
+            }
+            let end = self.targets.min(first + WINDOW);
+            let sockets: Result<Vec<_>> = (first..end).map(|n| self.report(n, sequence)).collect();
+            let mut answer = [0; 1500];
+            for socket in sockets? {
+                answered += u32::from(socket.recv_from(&mut answer).is_ok());
+            }
+        }
+        Ok(answered)
+    }
+
+    fn report(&self, number: u32, sequence: u64) -> Result<UdpSocket> {
+        let ip = Ipv4Addr::from(u32::from(Ipv4Addr::new(127, 77, 0, 1)) + number);
+        let socket = UdpSocket::bind(SocketAddrV4::new(ip, AGENT_PORT))?;
+        socket.set_read_timeout(Some(ANSWER_TIMEOUT))?;
+        let service = ServiceName::try_new(&format!("service-{}", number % self.services))?;
+        let tag = ServiceTag::of(&service);
+        let incarnation = Incarnation::new(1);
+        let announcement = Announcement {
+            vm: VmId::try_new(&format!("target-{ip}"))?,
+            failure_domain: FailureDomain::try_new("domain-1")?,
+            service,
+            connections_max: ConnectionLimit::new(2000),
+        };
+        let report = Report {
+            incarnation,
+            sequence,
+            state: TargetState::Ready,
+            revision: Revision::new(1),
+            load: Load {
+                slots: Slots::new(4),
+                running: number % 5,
+                waiting: 0,
+                connections: number % 1000,
+            },
+            announcement: (sequence == 0).then_some(announcement),
+        };
+        let header = Header::without_caller(Kind::Report, tag, incarnation.low_u16());
+        let mut datagram = Vec::new();
+        let keys = self.balancer.keys.tunnel_keys();
+        header.encode(&report.encode()?, &keys, &mut datagram);
+        socket.send_to(&datagram, self.balancer.tunnel)?;
+        Ok(socket)
+    }
+}
--- a/crates/cranberrypitch-measure/src/errors.rs
+++ b/crates/cranberrypitch-measure/src/errors.rs
@@ -20,6 +20,21 @@
     /// A decision of the core refuses its options.
     #[display("{_0}")]
     Core(cranberrypitch_core::Error),
+    /// A balancer can't run.
+    #[display("{_0}")]
+    Balancer(cranberrypitch_balancer::Error),
+    /// A caller can't connect.
+    #[display("{_0}")]
+    Caller(cranberrypitch_caller::Error),
+    /// A stand-in can't run.
+    #[display("{_0}")]
+    Standin(cranberrypitch_standins::Error),
+    /// A message can't be encoded.
+    #[display("{_0}")]
+    Proto(cranberrypitch_proto::Error),
+    /// The system refuses a socket, a thread or a figure.
+    #[display("{_0}")]
+    System(std::io::Error),
     /// The verb is not known.
     #[display("'{name}' is no verb; known are: {known}")]
     #[from(skip)]
@@ -57,6 +72,10 @@
         }
     }
 
+    pub(crate) const fn out_of_range(option: &'static str, range: &'static str) -> Self {
+        Self::OutOfRange { option, range }
+    }
+
     pub(crate) fn unknown_argument(argument: &str) -> Self {
         Self::UnknownArgument {
             argument: argument.into(),
--- a/crates/cranberrypitch-measure/src/lib.rs
+++ b/crates/cranberrypitch-measure/src/lib.rs
@@ -3,9 +3,12 @@
 //! Each verb of the `measure` command is one module with a `run` function in [`VERBS`].
 
 pub mod admission;
+pub mod capacity;
 pub mod drain;
 pub mod errors;
+pub mod forward;
 pub mod placement;
+pub mod process;
 pub mod retry;
 pub(crate) mod timeline;
 mod verbs;
@@ -26,7 +29,7 @@
 }
 
 /// All verbs.
-pub const VERBS: [Verb; 4] = [
+pub const VERBS: [Verb; 6] = [
     Verb {
         name: "placement",
         summary: "waits and imbalance of each placement policy",
@@ -47,6 +50,16 @@
         summary: "work that a leaving target still gets, and what is cut",
         run: verbs::drain,
     },
+    Verb {
+        name: "forward",
+        summary: "packets per second of a balancer against a bare relay, and growth with flows",
+        run: forward::run,
+    },
+    Verb {
+        name: "capacity",
+        summary: "bytes, processor time and memory against the size of the fleet",
+        run: capacity::run,
+    },
 ];
 
 /// Runs the verb that the arguments name.
