--- a/crates/cranberrypitch-core/tests/handoff.rs
+++ b/crates/cranberrypitch-core/tests/handoff.rs
@@ -96,6 +96,17 @@
     assert_eq!(actions[0], Action::Released);
 }
 
+/// Guards against slots that are reserved for requests that have started in the meantime.
+#[test]
+fn notices_are_withdrawn_when_nothing_waits() {
+    let now = Instant::now();
+    let (mut handoff, mut rng) = agent(3, now);
+    handoff.on_event(waiting(1), now, &mut rng);
+    let actions = handoff.on_event(idle(1), now, &mut rng);
+    let is_withdrawal = |action: &Action| matches!(action, Action::SendWaiting { count: 0, .. });
+    assert_eq!(actions.iter().filter(|a| is_withdrawal(a)).count(), 3);
+}
+
 /// Guards against offers of slots that own requests wait for or that a drain closes.
 #[test]
 fn busy_or_draining_agent_offers_nothing() {
--- a/crates/cranberrypitch-measure/src/placement/queue.rs
+++ b/crates/cranberrypitch-measure/src/placement/queue.rs
@@ -64,6 +64,24 @@
         Some(waiting)
     }
 
+    /// Removes the requests whose deadline has passed, which must not take a tenant's turn.
+    pub(crate) fn expire(&mut self, now: Instant) -> Vec<usize> {
+        let mut expired = Vec::new();
+        for queue in &mut self.queues {
+            while let Some(waiting) = queue.front()
+                && now.saturating_duration_since(waiting.since) > DEADLINE
+            {
+                expired.extend(queue.pop_front().map(|waiting| waiting.flow));
+                self.len -= 1;
+            }
+        }
+        if !expired.is_empty() {
+            let queues = &self.queues;
+            self.turns.retain(|tenant| !queues[*tenant].is_empty());
+        }
+        expired
+    }
+
     pub(crate) fn clear(&mut self) -> u32 {
         self.queues.iter_mut().for_each(VecDeque::clear);
         self.turns.clear();
--- a/crates/cranberrypitch-measure/src/placement/shared.rs
+++ b/crates/cranberrypitch-measure/src/placement/shared.rs
@@ -117,6 +117,9 @@
     }
 
     fn start_waiting(&mut self) {
+        for flow in self.queue.expire(self.now) {
+            self.refuse(flow);
+        }
         loop {
             let load =
                 |server: &usize| (self.servers[*server].running, self.servers[*server].flows);
--- a/crates/cranberrypitch-measure/src/placement/simulation.rs
+++ b/crates/cranberrypitch-measure/src/placement/simulation.rs
@@ -301,6 +301,9 @@
 
     /// Starts what can start and tells the handoff.
     fn settle(&mut self, target: usize) {
+        for flow in self.targets[target].expire(self.now) {
+            self.refuse(target, flow);
+        }
         while let Some(next) = self.targets[target].start_next(self.now) {
             self.start_request(target, next);
         }
--- a/crates/cranberrypitch-measure/src/placement/target.rs
+++ b/crates/cranberrypitch-measure/src/placement/target.rs
@@ -144,6 +144,13 @@
         }
     }
 
+    /// Removes the waiting requests whose deadline has passed.
+    pub(crate) fn expire(&mut self, now: Instant) -> Vec<usize> {
+        let expired = self.queues.expire(now);
+        self.note_requests(now);
+        expired
+    }
+
     /// Returns the next request that can start, and gives it a slot.
     pub(crate) fn start_next(&mut self, now: Instant) -> Option<Waiting> {
         let reserved = self.handoff.as_ref().map_or(0, Handoff::reserved);
