--- a/crates/cranberrypitch-measure/src/config.rs
+++ b/crates/cranberrypitch-measure/src/config.rs
@@ -3,6 +3,7 @@
 //! The report depends on the options and the seed alone, except for the times in
 //! [`SizeRow::busy`], which are left out unless they are asked for.
 
+mod scenario;
 mod size;
 mod spread;
 mod texts;
@@ -12,8 +13,9 @@
 use rand_pcg::Pcg64;
 use serde::Serialize;
 
+pub use scenario::Scenario;
 pub use size::{Busy, SizeRow};
-pub use spread::{Scenario, SpreadRow};
+pub use spread::SpreadRow;
 
 /// What to measure.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/cranberrypitch-measure/src/config/spread.rs
+++ b/crates/cranberrypitch-measure/src/config/spread.rs
@@ -15,6 +15,7 @@
 use rand_pcg::Pcg64;
 use serde::Serialize;
 
+use crate::config::scenario::Scenario;
 use crate::config::{Result, texts};
 
 /// The services of the text that spreads. The decisions don't depend on the size, which the other part
@@ -32,97 +33,6 @@
 /// The run ends here even if the change did not reach everyone.
 const TIME_LIMIT: Duration = Duration::from_mins(2);
 
-/// A way in which a change spreads.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Scenario {
-    /// What the scenario is about.
-    pub name: &'static str,
-    /// The failure domains.
-    pub domains: usize,
-    /// The processes of each failure domain.
-    pub processes_per_domain: usize,
-    /// The watchers of each failure domain.
-    pub watchers_per_domain: usize,
-    /// The peers that each process chooses; links are used both ways.
-    pub peers: usize,
-    /// The share of messages that are lost.
-    pub loss: f64,
-    /// The one-way delay between failure domains in milliseconds.
-    pub link_delay_ms: u64,
-    /// The mean time between polls in milliseconds.
-    pub poll_ms: u64,
-    /// Whether a process announces a new revision to its peers at once.
-    pub announce: bool,
-    /// The time for which the store is down for all watchers but one, in milliseconds.
-    pub store_down_ms: u64,
-    /// The time for which the first failure domain is cut off from the others and the store, in
-    /// milliseconds.
-    pub cut_ms: u64,
-}
-
-impl Scenario {
-    /// Returns the sizes of today without faults.
-    pub const fn today() -> Self {
-        Self {
-            name: "today",
-            domains: 4,
-            processes_per_domain: 6,
-            watchers_per_domain: 2,
-            peers: 3,
-            loss: 0.0,
-            link_delay_ms: 4,
-            poll_ms: 1000,
-            announce: true,
-            store_down_ms: 0,
-            cut_ms: 0,
-        }
-    }
-
-    /// Returns the sizes in two years without faults.
-    pub const fn target() -> Self {
-        Self {
-            name: "target",
-            domains: 23,
-            processes_per_domain: 826,
-            ..Self::today()
-        }
-    }
-
-    /// Returns the scenarios that are measured by default.
-    pub fn usual() -> Vec<Self> {
-        let lossy = Self {
-            name: "target, 20% loss",
-            loss: 0.2,
-            ..Self::target()
-        };
-        vec![
-            Self::today(),
-            Self {
-                name: "today, 20% loss",
-                loss: 0.2,
-                ..Self::today()
-            },
-            Self::target(),
-            lossy.clone(),
-            Self {
-                name: "target, 20% loss, polls only",
-                announce: false,
-                ..lossy.clone()
-            },
-            Self {
-                name: "target, 20% loss, store down after one watcher read it",
-                store_down_ms: 60_000,
-                ..lossy.clone()
-            },
-            Self {
-                name: "target, 20% loss, one domain cut off for 10 s",
-                cut_ms: 10_000,
-                ..lossy
-            },
-        ]
-    }
-}
-
 /// How one change spread.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct SpreadRow {
@@ -286,11 +196,12 @@
             } else {
                 Event::Poll { process }
             };
-            // Watchers wait at the store already; the polls of the others are spread over time.
-            let at = match event {
-                Event::AskStore { .. } => 0,
-                _ => self.random.random_range(0..poll_us),
+            // A watcher waits at the store unless it pauses; polls are spread over time.
+            let latest_us = match event {
+                Event::AskStore { .. } => self.scenario.watch_pause_ms * 1000,
+                _ => poll_us,
             };
+            let at = self.random.random_range(0..=latest_us);
             self.schedule(at, event);
         }
     }
--- a/crates/cranberrypitch-net/src/store/wire.rs
+++ b/crates/cranberrypitch-net/src/store/wire.rs
@@ -1,7 +1,7 @@
 //! The JSON bodies between the HTTP adapter and the service.
 //!
 //! A call is a `POST` to [`PATH`] with a [`Call`]. The answer is status 200 with an [`Answer`], or
-//! another status with an [`Error`](crate::store::Error). No answer at all leaves the outcome of a
+//! another status with an [`Error`]. No answer at all leaves the outcome of a
 //! write unknown.
 
 use std::time::Duration;
