--- a/crates/cranberrypitch-net/src/keeper.rs
+++ b/crates/cranberrypitch-net/src/keeper.rs
@@ -57,6 +57,10 @@
     /// text is long, so a watcher that has read one pauses and learns from its peers meanwhile; the
     /// other watchers, which pause at other times, notice the next change.
     pub watch_bytes_per_s: u32,
+    /// The shards of one head that are read from the store. When more are lacking, peers are asked
+    /// first: 41,000 processes that start in a day and read thousands of shards each would exceed the
+    /// store's rate.
+    pub shards_from_store: usize,
 }
 
 impl KeeperOptions {
@@ -72,6 +76,7 @@
             poll_interval: Duration::from_secs(1),
             peer_timeout: Duration::from_secs(2),
             watch_bytes_per_s: 10_000,
+            shards_from_store: 16,
         }
     }
 }
@@ -262,6 +267,9 @@
     async fn take_in(&self, head: ConfigHead) -> Result<()> {
         let progress = self.lock().offer_head(head)?;
         self.publish(&progress);
+        if self.lock().lacking().len() > self.options.shards_from_store {
+            self.fetch_from_peers().await;
+        }
         let lacking = self.lock().lacking();
         for digest in lacking {
             let shard = read_shard(&self.store, digest).await?;
@@ -271,6 +279,14 @@
         Ok(())
     }
 
+    async fn fetch_from_peers(&self) {
+        for peer in self.peers.pick(PEERS_AT_START, Revision::default()) {
+            if let Err(error) = self.fetch_lacking(&peer).await {
+                log_failure(&error);
+            }
+        }
+    }
+
     async fn ask_and_wait(&mut self) -> Result<()> {
         self.ask_peer().await?;
         self.pause().await;
--- a/crates/cranberrypitch-net/tests/keeper.rs
+++ b/crates/cranberrypitch-net/tests/keeper.rs
@@ -326,3 +326,24 @@
     step_to(&mut paced, &source, 3).await;
     assert!(paced.holds_slot());
 }
+
+/// Guards against starting processes that read all shards from the store, and against one that has no
+/// configuration because its peers have none.
+#[tokio::test]
+async fn starting_processes_get_their_shards_from_peers() {
+    let bench = Bench::new();
+    bench.apply(5, 0).await;
+    let mut options = Bench::options();
+    options.shards_from_store = 0;
+    for (seed, reads) in [(0, 1), (1, 0), (2, 0)] {
+        let before = bench.store.counters().total(Operation::Get);
+        let (store, peers) = (bench.store.clone(), bench.fleet.clone());
+        let clock = Arc::new(bench.clock.clone());
+        let (mut keeper, source) = Keeper::new(store, peers, options.clone(), clock, seed);
+        keeper.start().await;
+        assert_eq!(source.revision(), Revision::new(1));
+        let read = bench.store.counters().total(Operation::Get) - before;
+        assert_eq!(read, reads);
+        bench.fleet.add(source);
+    }
+}
