--- a/crates/cranberrypitch-net/src/operator.rs
+++ b/crates/cranberrypitch-net/src/operator.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use cranberrypitch_core::config::{
-    Change, ConfigHead, Digest, Edit, Problems, ServiceText, Shard, ShardCount, assemble, diff,
+    Change, ConfigHead, Deployment, Digest, Edit, Problems, ServiceText, Shard, ShardCount,
+    assemble, diff, split,
 };
 use cranberrypitch_core::{EditId, Revision};
 use derive_more::Display;
@@ -83,7 +84,7 @@
 
 /// The state of the configuration in the store.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
-#[display("revision {revision} by edit {edit_id}, {services} services in {shards} shards")]
+#[display("revision {revision} by edit {edit_id}, {shards} shards, {} watchers", watchers.len())]
 pub struct Status {
     /// The revision in force.
     pub revision: Revision,
@@ -91,8 +92,8 @@
     pub edit_id: EditId,
     /// The edits before it, the latest first.
     pub previous_edits: Vec<EditId>,
-    /// The number of services.
-    pub services: usize,
+    /// What is said about the deployment as a whole.
+    pub deployment: Deployment,
     /// The number of shards.
     pub shards: ShardCount,
     /// The keys of the watchers that hold a slot.
@@ -112,6 +113,12 @@
 
     /// Returns the configuration in force, or `None` before the first edit.
     pub async fn current(&self) -> Result<Option<Current>> {
+        self.read_current(None).await
+    }
+
+    /// Reads the configuration in force. Of a text that is `like` it, only the shards that differ are
+    /// read, so a comparison costs few calls however large the text is.
+    async fn read_current(&self, like: Option<&ServiceText>) -> Result<Option<Current>> {
         // Each edit in between may drop a shard that the older head names.
         const MAX_ATTEMPTS: usize = 5;
         let mut outcome = Ok(None);
@@ -120,7 +127,7 @@
                 return Ok(None);
             };
             outcome = self
-                .read_text(&head)
+                .read_text(&head, like)
                 .await
                 .map(|text| Some(Current { head, text }));
             if !matches!(outcome, Err(Error::ShardGone { .. })) {
@@ -132,7 +139,7 @@
 
     /// Returns what an edit would change.
     pub async fn diff(&self, text: &ServiceText) -> Result<Vec<Change>> {
-        Ok(match self.current().await? {
+        Ok(match self.read_current(Some(text)).await? {
             Some(current) => diff(&current.text, text),
             None => diff(&empty_text(text), text),
         })
@@ -140,7 +147,7 @@
 
     /// Returns the state of the configuration, or `None` before the first edit.
     pub async fn status(&self) -> Result<Option<Status>> {
-        let Some(Current { head, text }) = self.current().await? else {
+        let Some((head, _)) = read_head(&self.store).await? else {
             return Ok(None);
         };
         let slots = StoreKey::try_new("watch/")?;
@@ -148,8 +155,8 @@
         Ok(Some(Status {
             revision: head.revision,
             edit_id: head.edit_id,
-            services: text.services.len(),
             shards: head.shard_count()?,
+            deployment: head.deployment,
             previous_edits: head.previous_edits,
             watchers: watchers.into_iter().map(|e| e.key).collect(),
         }))
@@ -320,7 +327,7 @@
         edited: Revision,
         known: Revision,
     ) -> ApplyOutcome {
-        let in_force = self.current().await.ok().flatten();
+        let in_force = self.read_current(Some(text)).await.ok().flatten();
         ApplyOutcome::Conflict {
             edited,
             current: in_force.as_ref().map_or(known, |c| c.head.revision),
@@ -328,10 +335,21 @@
         }
     }
 
-    async fn read_text(&self, head: &ConfigHead) -> Result<ServiceText> {
+    async fn read_text(
+        &self,
+        head: &ConfigHead,
+        like: Option<&ServiceText>,
+    ) -> Result<ServiceText> {
+        let count = head.shard_count()?;
+        let like = like.map(|text| split(text, count)).transpose()?;
+        let at_hand = like.unwrap_or_default();
         let mut shards = Vec::with_capacity(head.shards.len());
-        for digest in &head.shards {
-            shards.push(Arc::new(read_shard(&self.store, *digest).await?));
+        for (index, digest) in head.shards.iter().enumerate() {
+            let same = at_hand.get(index).filter(|s| s.digest() == *digest);
+            shards.push(match same {
+                Some(shard) => Arc::clone(shard),
+                None => Arc::new(read_shard(&self.store, *digest).await?),
+            });
         }
         Ok(assemble(head, &shards)?)
     }
--- a/crates/cranberrypitch-net/tests/operator.rs
+++ b/crates/cranberrypitch-net/tests/operator.rs
@@ -50,7 +50,8 @@
     current.text.services[0].slots.get()
 }
 
-/// Guards against a text that is applied differently from what was shown, and shards left behind.
+/// Guards against a text that is applied differently from what was shown, shards left behind, and a
+/// comparison that reads what did not change.
 #[tokio::test]
 async fn an_edit_goes_through() {
     let store = store().await;
@@ -60,8 +61,11 @@
     let outcome = operator.apply(&text(5), FIRST, MINE).await;
     assert_eq!(outcome.to_string(), "accepted as revision 2");
     assert_eq!(operator.current().await.unwrap().unwrap().text, text(5));
+    let before = store.counters().total(Operation::Get);
+    assert!(operator.diff(&text(5)).await.unwrap().is_empty());
+    assert_eq!(store.counters().total(Operation::Get), before + 1);
     let status = operator.status().await.unwrap().unwrap();
-    assert_eq!((status.edit_id, status.services), (MINE, 2));
+    assert_eq!((status.edit_id, status.revision), (MINE, FIRST.next()));
     let shards = store
         .list(&StoreKey::try_new("config/shard/").unwrap())
         .await;
