--- a/crates/cranberrypitch-net/src/keeper.rs
+++ b/crates/cranberrypitch-net/src/keeper.rs
@@ -1,7 +1,7 @@
 //! Keeps the configuration of a process up to date.
 //!
 //! A few processes in each failure domain hold a watcher slot and ask the store; all others ask their
-//! peers. [`Keeper::run`] is one loop without tasks of its own, so a daemon stops it by dropping it.
+//! peers. [`Keeper::run_until`] is one loop without tasks of its own, so a daemon may also drop it.
 
 mod peer;
 mod slot;
@@ -146,8 +146,17 @@
         (keeper, source)
     }
 
-    /// Runs until it is dropped.
-    pub async fn run(mut self) {
+    /// Runs until `stop` is ready, and gives the watcher slot up then.
+    pub async fn run_until(mut self, stop: impl Future<Output = ()> + Send) {
+        let mut stop = std::pin::pin!(stop);
+        tokio::select! {
+            () = &mut stop => {}
+            () = self.start_and_step() => {}
+        }
+        self.leave().await;
+    }
+
+    async fn start_and_step(&mut self) {
         self.start().await;
         loop {
             self.step().await;
--- a/crates/cranberrypitch-net/src/operator.rs
+++ b/crates/cranberrypitch-net/src/operator.rs
@@ -259,7 +259,7 @@
             match self.read_back(&prepared).await {
                 Ok(Fate::Accepted) => return self.accepted(prepared).await,
                 Ok(Fate::LostRace) => return self.lost_race(text, edited).await,
-                Ok(Fate::Untold) => break,
+                Ok(Fate::Unknown) => break,
                 Err(error) => failure = error,
             }
         }
@@ -281,13 +281,13 @@
             };
         }
         let Some((head, _)) = current else {
-            return Ok(Fate::Untold);
+            return Ok(Fate::Unknown);
         };
         let edit = &prepared.head;
         Ok(match head.made_by(edit.edit_id, edit.revision) {
             Some(true) => Fate::Accepted,
             Some(false) => Fate::LostRace,
-            None => Fate::Untold,
+            None => Fate::Unknown,
         })
     }
 
@@ -368,7 +368,7 @@
 enum Fate {
     Accepted,
     LostRace,
-    Untold,
+    Unknown,
 }
 
 /// Refuses a text that was meant for another store.
--- a/crates/cranberrypitch-net/tests/keeper.rs
+++ b/crates/cranberrypitch-net/tests/keeper.rs
@@ -251,6 +251,15 @@
     assert_eq!(bench.slots_taken().await, 1);
     keeper.leave().await;
     assert_eq!(bench.slots_taken().await, 0);
+    let (running, _) = bench.keeper(2);
+    running
+        .run_until(async {
+            while bench.slots_taken().await == 0 {
+                tokio::task::yield_now().await;
+            }
+        })
+        .await;
+    assert_eq!(bench.slots_taken().await, 0);
     let (mut unlucky, _) = bench.join(1).await;
     bench.store.faults().lose_answers(1, 1);
     unlucky.step().await;
