--- a/crates/cranberrypitch-agent/src/process.rs
+++ b/crates/cranberrypitch-agent/src/process.rs
@@ -7,11 +7,11 @@
 use cranberrypitch_core::acceptance::Snapshot;
 use cranberrypitch_core::admission::AdmissionOptions;
 use cranberrypitch_core::config::Service;
-use cranberrypitch_core::{Clock, Revision, SystemClock};
+use cranberrypitch_core::{Clock, SystemClock};
 use cranberrypitch_net::control::ControlOptions;
 use cranberrypitch_net::daemon::{DaemonError, ExitStatus, Startup, until_stop};
 use cranberrypitch_net::keeper::{ConfigSource, Keeper, KeeperOptions};
-use cranberrypitch_net::peers::ControlPeers;
+use cranberrypitch_net::peers::{ControlPeers, hear_revisions};
 use cranberrypitch_net::registry::list_balancers;
 use cranberrypitch_net::store::{HttpStore, HttpStoreOptions};
 use cranberrypitch_net::tls::{Certificate, TransportOptions};
@@ -59,7 +59,7 @@
     let mut signals = startup.signals;
     let keys = Arc::clone(&startup.keys);
     let parts = Parts::new(&startup.settings, &keys, startup.incarnation.get());
-    let keeper = tokio::spawn(parts.keeper.run());
+    let keeper = tokio::spawn(parts.keeper.run_until(std::future::pending()));
     let settings = &startup.settings;
     let certificate =
         Certificate::from_pem_files(&settings.certificate_file, &settings.certificate_key_file)
@@ -107,6 +107,7 @@
         _signal = until_stop(&mut signals, &keys) => {}
         () = follow_configuration(settings, &agent, parts.source.published()) => {}
         () = hear_revisions(agent.newest_revision(), parts.source.clone()) => {}
+        () = hear_revisions(parts.peers.heard_revision(), parts.source.clone()) => {}
         () = find.follow(&agent) => {}
         () = agent.failed() => return Err(Error::ended("agent thread")),
     }
@@ -253,12 +254,6 @@
     .log();
 }
 
-async fn hear_revisions(mut heard: watch::Receiver<Revision>, source: ConfigSource) {
-    while heard.changed().await.is_ok() {
-        source.heard_of(*heard.borrow_and_update());
-    }
-}
-
 fn admission_options(service: &Service) -> Result<AdmissionOptions> {
     let per_tenant = service.classes.values().map(|c| c.queue_per_tenant.get());
     let builder = AdmissionOptions::builder(service.slots, service.connections);
--- a/crates/cranberrypitch-balancer/src/process.rs
+++ b/crates/cranberrypitch-balancer/src/process.rs
@@ -3,6 +3,7 @@
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
+use std::time::Duration;
 
 use cranberrypitch_core::acceptance::Snapshot;
 use cranberrypitch_core::membership::MembershipOptions;
@@ -10,7 +11,7 @@
 use cranberrypitch_net::control::{ControlHandler, ControlOptions, ControlServer};
 use cranberrypitch_net::daemon::{DaemonError, ExitStatus, Startup, until_stop};
 use cranberrypitch_net::keeper::{ConfigSource, Keeper, KeeperOptions};
-use cranberrypitch_net::peers::{self, ControlPeers, ProcessStatus};
+use cranberrypitch_net::peers::{self, ControlPeers, ProcessStatus, announcement, hear_revisions};
 use cranberrypitch_net::registry::Registry;
 use cranberrypitch_net::store::{HttpStore, HttpStoreOptions};
 use cranberrypitch_net::{BalancerSettings, Event};
@@ -22,6 +23,10 @@
 use crate::errors::{Error, Result};
 use crate::options::{BalancerIdentity, BalancerOptions};
 
+/// How long a leaving balancer waits for the store to release its watcher slot, which otherwise
+/// lapses by itself.
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+
 impl DaemonError for Error {
     fn exit_status(&self) -> ExitStatus {
         match self {
@@ -62,13 +67,19 @@
     };
     let control = ControlServer::bind(settings.control_address, Arc::clone(&keys), handler).await?;
 
-    let keeper = tokio::spawn(keeper.run());
+    let (stop_keeper, stopped) = tokio::sync::oneshot::channel::<()>();
+    let keeper = tokio::spawn(keeper.run_until(async {
+        let _stopped = stopped.await;
+    }));
+    let heard_of_agents = hear_revisions(balancer.heard_revision(), source.clone());
+    let heard_of_balancers = hear_revisions(control_peers.heard_revision(), source.clone());
+    let heard = tokio::spawn(async { tokio::join!(heard_of_agents, heard_of_balancers) });
     let follow = Follow {
+        control: &control,
         balancer: Arc::clone(&balancer),
         peers: control_peers,
         own: settings.control_address,
     };
-    let heard = tokio::spawn(hear_revisions(balancer.heard_revision(), source.clone()));
     tokio::select! {
         _signal = until_stop(&mut signals, &keys) => {}
         () = registry.run() => {}
@@ -77,7 +88,8 @@
         () = balancer.failed() => return Err(Error::ended("balancer thread")),
     }
     registry.leave().await;
-    keeper.abort();
+    let _sent = stop_keeper.send(());
+    let _slot_released = tokio::time::timeout(STORE_TIMEOUT, keeper).await;
     heard.abort();
     let leaving = Notice::Goodbye {
         vm: settings.vm.clone(),
@@ -119,21 +131,15 @@
     }
 }
 
-/// Tells the keeper of newer configurations that agents have in force.
-async fn hear_revisions(mut heard: watch::Receiver<Revision>, source: ConfigSource) {
-    while heard.changed().await.is_ok() {
-        source.heard_of(*heard.borrow_and_update());
-    }
-}
-
 /// Brings the traffic path up to date.
-struct Follow {
+struct Follow<'a> {
+    control: &'a ControlServer,
     balancer: Arc<BalancerHandle>,
     peers: ControlPeers,
     own: SocketAddrV4,
 }
 
-impl Follow {
+impl Follow<'_> {
     async fn configuration(&self, mut published: watch::Receiver<Option<Arc<Snapshot>>>) {
         loop {
             let snapshot = published.borrow_and_update().clone();
@@ -168,6 +174,8 @@
         }
         let head = snapshot.head();
         self.balancer.replace_services(&services, head.revision);
+        // Peers that miss the announcement ask by themselves.
+        drop(self.control.notify(announcement(head.revision)));
         Event::ConfigurationInForce {
             revision: head.revision,
             edit_id: head.edit_id,
--- a/crates/cranberrypitch-measure/src/errors.rs
+++ b/crates/cranberrypitch-measure/src/errors.rs
@@ -35,6 +35,9 @@
     /// The system refuses a socket, a thread or a figure.
     #[display("{_0}")]
     System(std::io::Error),
+    /// The measurement of configurations failed.
+    #[display("{_0}")]
+    Config(crate::config::MeasureError),
     /// The verb is not known.
     #[display("'{name}' is no verb; known are: {known}")]
     #[from(skip)]
--- a/crates/cranberrypitch-measure/src/lib.rs
+++ b/crates/cranberrypitch-measure/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod capacity;
+pub mod config;
 pub mod drain;
 pub mod errors;
 pub mod forward;
@@ -29,7 +30,7 @@
 }
 
 /// All verbs.
-pub const VERBS: [Verb; 6] = [
+pub const VERBS: [Verb; 7] = [
     Verb {
         name: "placement",
         summary: "waits and imbalance of each placement policy",
@@ -50,6 +51,11 @@
         summary: "work that a leaving target still gets, and what is cut",
         run: verbs::drain,
     },
+    Verb {
+        name: "config",
+        summary: "bytes and time of a change, and its spread to all processes",
+        run: verbs::config,
+    },
     Verb {
         name: "forward",
         summary: "packets per second of a balancer against a bare relay, and growth with flows",
--- a/crates/cranberrypitch-measure/src/verbs.rs
+++ b/crates/cranberrypitch-measure/src/verbs.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::admission::{self, AdmissionMeasureOptions};
+use crate::config;
 use crate::drain::{self, DrainMeasureOptions};
 use crate::errors::Result;
 use crate::retry::{self, RetryMeasureOptions};
@@ -41,6 +42,15 @@
     print(arguments, &drain::run(&options, seed)?)
 }
 
+pub(crate) fn config(arguments: &mut Arguments) -> Result<String> {
+    let options = config::Options {
+        times: arguments.contains("--times"),
+        ..config::Options::default()
+    };
+    let seed = seed(arguments)?;
+    print(arguments, &config::run(&options, seed)?)
+}
+
 fn seed(arguments: &mut Arguments) -> Result<u64> {
     Ok(arguments
         .opt_value_from_str("--seed")?
--- a/crates/cranberrypitch-net/src/peers.rs
+++ b/crates/cranberrypitch-net/src/peers.rs
@@ -1,19 +1,21 @@
 //! Other processes as sources of the configuration, over control sessions.
 
 use std::net::SocketAddrV4;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 
+use bytes::Bytes;
 use cranberrypitch_core::acceptance::Update;
 use cranberrypitch_core::config::Digest;
 use cranberrypitch_core::{FastMap, Revision};
 use cranberrypitch_proto::control::{
-    self as wire, BalancerEntry, ConfigHead, ConfigShard, DIGEST_LEN_BYTES,
+    self as wire, BalancerEntry, ConfigHead, ConfigShard, DIGEST_LEN_BYTES, Notice,
 };
 use futures_util::future::join_all;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
-use crate::control::{ControlClient, ControlOptions};
+use crate::control::{ControlClient, ControlOptions, Notices};
 use crate::errors::Result;
 use crate::keeper::{ConfigPeer, ConfigPeers, ConfigSource, PeerError, PeerResult};
 use crate::keys::KeyRing;
@@ -31,6 +33,14 @@
     pub balancers: usize,
 }
 
+/// Passes revisions that are heard of on to the keeper, which asks its peers at once for a newer
+/// one. Ends with the sender.
+pub async fn hear_revisions(mut heard: watch::Receiver<Revision>, source: ConfigSource) {
+    while heard.changed().await.is_ok() {
+        source.heard_of(*heard.borrow_and_update());
+    }
+}
+
 /// Encodes what leads a peer to the configuration in force.
 pub fn encode_update(update: &Update) -> Option<ConfigHead> {
     let mut body = Vec::new();
@@ -52,6 +62,15 @@
     })
 }
 
+/// Announces a configuration in force; peers fetch it if they lack it.
+pub fn announcement(revision: Revision) -> Notice {
+    Notice::ConfigHead(ConfigHead {
+        revision,
+        digest: to_wire(Digest::of(&[])),
+        body: Bytes::new(),
+    })
+}
+
 fn decode_update(head: &ConfigHead) -> PeerResult<Update> {
     if to_wire(Digest::of(&head.body)) != head.digest {
         return Err(failed(&"digest of an update does not match"));
@@ -90,6 +109,7 @@
     options: ControlOptions,
     addresses: Mutex<Vec<SocketAddrV4>>,
     sessions: Mutex<FastMap<SocketAddrV4, ControlClient>>,
+    heard: watch::Sender<Revision>,
 }
 
 impl ControlPeers {
@@ -100,12 +120,18 @@
             options,
             addresses: Mutex::new(addresses),
             sessions: Mutex::default(),
+            heard: watch::Sender::default(),
         };
         Self {
             shared: Arc::new(shared),
         }
     }
 
+    /// Returns the newest configuration that any peer has announced.
+    pub fn heard_revision(&self) -> watch::Receiver<Revision> {
+        self.shared.heard.subscribe()
+    }
+
     /// Replaces the addresses. An empty list is ignored: a wrong address costs less than none.
     pub fn set_addresses(&self, addresses: Vec<SocketAddrV4>) {
         if addresses.is_empty() {
@@ -145,6 +171,22 @@
     }
 }
 
+/// Takes in the notices of a session until it ends.
+async fn follow_notices(mut notices: Notices, shared: Weak<Shared>) {
+    while let Ok(notice) = notices.next().await {
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        if let Notice::ConfigHead(head) = notice {
+            shared.heard.send_if_modified(|heard| {
+                let is_newer = *heard < head.revision;
+                *heard = (*heard).max(head.revision);
+                is_newer
+            });
+        }
+    }
+}
+
 /// One balancer as a source of the configuration.
 #[derive(Debug)]
 pub struct ControlPeer {
@@ -160,10 +202,8 @@
         }
         let connect =
             ControlClient::connect_with(self.address, &self.shared.keys, self.shared.options);
-        let (client, mut notices) = connect.await?;
-        // Revisions are heard of with the answers to reports, so notices are only read away: a
-        // session whose notices pile up is dropped.
-        tokio::spawn(async move { while notices.next().await.is_ok() {} });
+        let (client, notices) = connect.await?;
+        tokio::spawn(follow_notices(notices, Arc::downgrade(&self.shared)));
         lock(&self.shared.sessions).insert(self.address, client.clone());
         Ok(client)
     }
--- a/crates/cranberrypitch/tests/failures.rs
+++ b/crates/cranberrypitch/tests/failures.rs
@@ -48,7 +48,14 @@
     sleep(Duration::from_millis(500)).await;
     deployment.update_fabric();
     sleep(Duration::from_millis(1500)).await;
-    assert_clean(&workload.finish(&deployment).await);
+    // Agents have to stop returning through the dead balancer: retransmissions alone bring every
+    // answer too, but only after half a minute.
+    let finished = tokio::time::timeout(Duration::from_secs(15), workload.finish(&deployment));
+    assert_clean(
+        &finished
+            .await
+            .expect("answers have to come through live balancers"),
+    );
 }
 
 /// G1, G6, G7: guards against a drain that cuts requests, loses readings or lets new work in.
