Put changed slots and queue limits in force at running agents

An accepted text with other limits was in force at balancers, but an agent kept the limits of its start. Admission takes them in as an event now: more slots start what waits at once, fewer cut nothing that runs.

--- a/crates/cranberrypitch-agent/src/daemon.rs
+++ b/crates/cranberrypitch-agent/src/daemon.rs
@@ -8,6 +8,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use cranberrypitch_core::admission::AdmissionOptions;
 use cranberrypitch_core::config::ClassLimits;
 use cranberrypitch_core::{Class, Clock, Revision, ServiceTag, TargetState};
 use cranberrypitch_net::tls;
@@ -27,7 +28,9 @@
     ControlDatagram, SocketCounters, SocketIdentity, TunnelSocket, TunnelSocketParts,
 };
 use crate::supervisor::{StartAnnounce, StartTarget, StopFlag, Supervisor, drive_control};
-use crate::target::{Drain, HealthAnswer, Status, TargetActor, TargetArgs, TargetStatus};
+use crate::target::{
+    Configure, Drain, HealthAnswer, Status, TargetActor, TargetArgs, TargetStatus,
+};
 
 /// Tunnel datagrams for the control thread that may wait.
 const CONTROL_QUEUE_LEN: usize = 1024;
@@ -230,6 +233,12 @@
         self.threads.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Puts the limits of another configuration in force. What runs or waits stays.
+    pub async fn configure(&self, admission: AdmissionOptions) -> Result<()> {
+        let sent = self.target.tell(Configure(admission)).await;
+        sent.map_err(|_closed| Error::ended("target actor"))
+    }
+
     /// Replaces the limits of the classes that are served. Until the first call, every class is
     /// served without limits of its own.
     pub fn set_classes(&self, classes: BTreeMap<Class, ClassLimits>) {
--- a/crates/cranberrypitch-agent/src/process.rs
+++ b/crates/cranberrypitch-agent/src/process.rs
@@ -226,7 +226,7 @@
     loop {
         let snapshot = published.borrow_and_update().clone();
         if let Some(snapshot) = snapshot {
-            apply(settings, agent, &snapshot);
+            apply(settings, agent, &snapshot).await;
         }
         if published.changed().await.is_err() {
             return;
@@ -234,10 +234,16 @@
     }
 }
 
-fn apply(settings: &AgentSettings, agent: &AgentHandle, snapshot: &Snapshot) {
+async fn apply(settings: &AgentSettings, agent: &AgentHandle, snapshot: &Snapshot) {
     let head = snapshot.head();
     match snapshot.service(&settings.service) {
-        Some(service) => agent.set_classes(service.classes.clone()),
+        Some(service) => {
+            agent.set_classes(service.classes.clone());
+            if let Ok(options) = admission_options(service) {
+                // An agent whose target actor has ended is about to stop.
+                let _sent = agent.configure(options).await;
+            }
+        }
         // What was in force for the service stays, for the flows that are open.
         None => Event::ServiceNotConfigured {
             service: settings.service.clone(),
--- a/crates/cranberrypitch-agent/src/target.rs
+++ b/crates/cranberrypitch-agent/src/target.rs
@@ -10,6 +10,6 @@
 pub(crate) use self::actor::{TargetActor, TargetArgs};
 pub use self::messages::TargetStatus;
 pub(crate) use self::messages::{
-    Cancel, CloseConnection, Drain, Ended, Finish, HealthAnswer, IssueTicket, OpenConnection,
-    QueryOrder, SetPeers, Sight, Status, Submit, Verdict,
+    Cancel, CloseConnection, Configure, Drain, Ended, Finish, HealthAnswer, IssueTicket,
+    OpenConnection, QueryOrder, SetPeers, Sight, Status, Submit, Verdict,
 };
--- a/crates/cranberrypitch-agent/src/target/actor.rs
+++ b/crates/cranberrypitch-agent/src/target/actor.rs
@@ -11,9 +11,7 @@
 use cranberrypitch_core::health::{Change, Health, HealthOptions, Observation};
 use cranberrypitch_core::ids::RequestId;
 use cranberrypitch_core::orders::{Decision, Ticket, TicketBook, TicketBookOptions};
-use cranberrypitch_core::{
-    Class, Clock, FastMap, Load, NotRunReason, Outcome, Reservation, TargetState,
-};
+use cranberrypitch_core::{Class, Clock, FastMap, NotRunReason, Outcome, Reservation, TargetState};
 use cranberrypitch_proto::request::IssuedTicket;
 use kameo::actor::{Actor, ActorRef, WeakActorRef};
 use kameo::error::{ActorStopReason, Infallible};
@@ -21,8 +19,8 @@
 use tokio::sync::{oneshot, watch};
 
 use super::messages::{
-    Cancel, CloseConnection, Drain, Ended, Finish, HealthAnswer, IssueTicket, OpenConnection,
-    QueryOrder, SetPeers, Sight, Status, Submit, TargetStatus, Verdict,
+    Cancel, CloseConnection, Configure, Drain, Ended, Finish, HealthAnswer, IssueTicket,
+    OpenConnection, QueryOrder, SetPeers, Sight, Status, Submit, TargetStatus, Verdict,
 };
 use super::moves::{Moves, Step};
 use crate::ids::TokenIssuer;
@@ -422,6 +420,14 @@
     }
 }
 
+impl Message<Configure> for TargetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Configure, _: &mut Context<Self, ()>) {
+        self.handle_event(Event::Configure(msg.0));
+    }
+}
+
 impl Message<SetPeers> for TargetActor {
     type Reply = ();
 
@@ -446,15 +452,9 @@
 
     async fn handle(&mut self, _: Status, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
         let now = self.args.clock.now();
-        let load = self.admission.load(now);
         Some(TargetStatus {
             state: *self.args.state.borrow(),
-            load: Load {
-                slots: load.slots,
-                running: load.running,
-                waiting: load.waiting,
-                connections: load.connections,
-            },
+            load: self.admission.load(now),
             feeds: self.admission.feeds(),
             exit_in: self
                 .draining
--- a/crates/cranberrypitch-agent/src/target/messages.rs
+++ b/crates/cranberrypitch-agent/src/target/messages.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cranberrypitch_core::admission::AdmissionOptions;
 use cranberrypitch_core::ids::RequestId;
 use cranberrypitch_core::orders::Ticket;
 use cranberrypitch_core::{Class, Load, NotRunReason, Outcome, TargetState, TenantId};
@@ -99,6 +100,10 @@
     pub(crate) is_ok: bool,
 }
 
+/// Puts other limits in force.
+#[derive(Debug)]
+pub(crate) struct Configure(pub(crate) AdmissionOptions);
+
 /// Replaces the known peers, which are other agents of the service.
 #[derive(Debug)]
 pub(crate) struct SetPeers(pub(crate) Vec<SocketAddrV4>);
--- a/crates/cranberrypitch-core/src/admission.rs
+++ b/crates/cranberrypitch-core/src/admission.rs
@@ -22,21 +22,9 @@
 use crate::collections::FastMap;
 use crate::ids::{RequestId, TenantId};
 use crate::request::{Class, NotRunReason};
+use crate::target::Load;
 use crate::units::Slots;
 
-/// The load of a target, in the figures of a load report.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Slots that may be used now.
-    pub slots: Slots,
-    /// Requests that hold a slot, with slots reserved for requests of peers.
-    pub running: u32,
-    /// Requests that wait for a slot.
-    pub waiting: u32,
-    /// Open connections: of callers or of feeds, whichever are more.
-    pub connections: u32,
-}
-
 /// A request that asks to be run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Submission {
@@ -107,6 +95,8 @@
         /// Until when waiting requests may still start.
         start_until: Instant,
     },
+    /// A configuration with other limits is in force. What runs or waits stays.
+    Configure(AdmissionOptions),
     /// Time passed.
     Tick,
 }
@@ -194,6 +184,12 @@
             }
             Event::Allow(allowance) => self.allow(allowance, now, &mut actions),
             Event::Drain { start_until } => self.drain(start_until, now, &mut actions),
+            Event::Configure(options) => {
+                self.options = options;
+                self.ramp
+                    .set_limit(options.slots().get(), options.cold_start());
+                self.queue.set_tenant_limit(options.tenant_queue_len());
+            }
             Event::Tick => {}
         }
         self.start_waiting(now, &mut actions);
--- a/crates/cranberrypitch-core/src/admission/queue.rs
+++ b/crates/cranberrypitch-core/src/admission/queue.rs
@@ -67,6 +67,10 @@
         }
     }
 
+    pub(super) fn set_tenant_limit(&mut self, tenant_limit: u32) {
+        self.tenant_limit = tenant_limit as usize;
+    }
+
     pub(super) fn len(&self) -> u32 {
         self.len
     }
--- a/crates/cranberrypitch-core/src/admission/ramp.rs
+++ b/crates/cranberrypitch-core/src/admission/ramp.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    pub(super) fn set_limit(&mut self, limit: u32, cold_start: ColdStart) {
+        self.limit = limit;
+        self.cold_start = cold_start;
+    }
+
     pub(super) fn allow(&mut self, allowance: Allowance, now: Instant) {
         self.allowance = allowance;
         self.since = now;
--- a/crates/cranberrypitch-core/src/target.rs
+++ b/crates/cranberrypitch-core/src/target.rs
@@ -25,11 +25,11 @@
 pub struct Load {
     /// Slots that may be used now, which is fewer than the limit during a cold start.
     pub slots: Slots,
-    /// Requests that run.
+    /// Requests that hold a slot, with slots reserved for requests of peers.
     pub running: u32,
     /// Requests that wait for a slot.
     pub waiting: u32,
-    /// Open connections.
+    /// Open connections: of callers or of feeds, whichever are more.
     pub connections: u32,
 }
 
--- a/crates/cranberrypitch-core/tests/admission.rs
+++ b/crates/cranberrypitch-core/tests/admission.rs
@@ -383,3 +383,30 @@
         prop_assert!(!observer.seen.contains(&Some(Seen::Submitted)));
     }
 }
+
+/// Guards against a configuration that is accepted but not in force at the agent: more slots start
+/// what waits at once, fewer slots cut nothing that runs.
+#[test]
+fn other_limits_take_effect_at_once_and_cut_nothing() {
+    let now = Instant::now();
+    let options = |slots| options(slots, Duration::ZERO);
+    let mut admission = Admission::new(options(2), now);
+    admission.handle(Event::Allow(Allowance::Full), now);
+    let deadline = now + 60 * SECOND;
+    let submit = |id| submit(id, "a", Class::Upload, deadline);
+    let started = (0..4).map(|id| admission.handle(submit(id), now).len());
+    assert_eq!(started.sum::<usize>(), 2);
+
+    let actions = admission.handle(Event::Configure(options(3)), now);
+    assert_eq!(actions, [Action::Start(RequestId::new(2))]);
+
+    assert_eq!(admission.handle(Event::Configure(options(1)), now), []);
+    assert_eq!(admission.load(now).running, 3);
+    for id in 0..3 {
+        let request = RequestId::new(id);
+        let result = FinishResult::Ran;
+        let actions = admission.handle(Event::Finish { request, result }, now);
+        let expected = (id == 2).then(|| Action::Start(RequestId::new(3)));
+        assert_eq!(actions, expected.into_iter().collect::<Vec<_>>());
+    }
+}
