Add the verbs of operators and callers, and the proxy for plain TCP

Operators check, compare and apply texts and look at the state. Callers read feeds, place orders, upload files, or reach a service over a local TCP port. Tickets have a text, with which the outcome of an order is asked for later.

--- a/crates/cranberrypitch-caller/src/errors.rs
+++ b/crates/cranberrypitch-caller/src/errors.rs
@@ -82,6 +82,9 @@
         /// The reading received.
         received: u64,
     },
+    /// A text is no order ticket.
+    #[display("not a ticket; the form is cp1.AGENT.INCARNATION.SERIAL.CHECK.TOKEN")]
+    NotATicket,
     /// The request was not run.
     #[display("not run: {reason}")]
     #[from(ignore)]
--- a/crates/cranberrypitch-caller/src/lib.rs
+++ b/crates/cranberrypitch-caller/src/lib.rs
@@ -9,10 +9,14 @@
 mod errors;
 mod feed;
 mod order;
+mod proxy;
+mod ticket;
 mod upload;
 
 pub use crate::client::{Caller, Connection, MAX_ANSWER_BYTES, Response, ServiceEndpoint};
 pub use crate::errors::{Error, Result};
 pub use crate::feed::{Feed, FeedOptions, FeedStats, Reading};
 pub use crate::order::{OrderOptions, OrderReport, place_order, query_order};
+pub use crate::proxy::{Proxy, ProxyOptions};
+pub use crate::ticket::TicketText;
 pub use crate::upload::{UploadOptions, UploadReport, upload};
--- /dev/null
+++ b/crates/cranberrypitch-caller/src/proxy/protocol.rs
@@ -0,0 +1,181 @@
+//! The lines that plain TCP callers and the proxy exchange.
+
+use std::time::Duration;
+
+use cranberrypitch_core::{Class, Outcome, TenantId};
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::errors::Error;
+use crate::feed::Reading;
+
+/// The longest line of a request.
+pub(super) const MAX_LINE_BYTES: u64 = 4096;
+
+/// The longest deadline that a request may ask for: one day.
+const MAX_DEADLINE_MS: u64 = 86_400_000;
+
+const DEFAULT_DEADLINE_MS: u64 = 10_000;
+
+/// The first line of a request.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RequestLine {
+    pub(super) class: Class,
+    pub(super) tenant: Option<TenantId>,
+    deadline_ms: Option<u64>,
+    #[serde(default)]
+    pub(super) body_len_bytes: u64,
+    pub(super) resume_from: Option<u64>,
+}
+
+impl RequestLine {
+    /// Reads a line and checks what does not depend on the proxy's options.
+    pub(super) fn parse(line: &[u8]) -> Result<Self, Fault> {
+        let parsed = serde_json::from_slice(line);
+        let request: Self = parsed.map_err(|e| Fault::malformed(&e))?;
+        if request.class == Class::Feed && request.body_len_bytes > 0 {
+            return Err(Fault::malformed(&"a feed takes no body"));
+        }
+        if request.class != Class::Feed && request.resume_from.is_some() {
+            return Err(Fault::malformed(&"resume_from is for feeds alone"));
+        }
+        if !(1..=MAX_DEADLINE_MS).contains(&request.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS)) {
+            return Err(Fault::malformed(&"deadline_ms has to be 1 to 86400000"));
+        }
+        Ok(request)
+    }
+
+    pub(super) fn deadline(&self) -> Duration {
+        Duration::from_millis(self.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS))
+    }
+}
+
+/// The first line of an answer; a body of the stated length follows.
+#[derive(Debug, Default, Serialize)]
+pub(super) struct AnswerLine {
+    pub(super) outcome: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) reason: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) ticket: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) sha256: Option<Box<str>>,
+    pub(super) body_len_bytes: usize,
+}
+
+impl AnswerLine {
+    pub(super) fn of(outcome: &Outcome) -> Self {
+        let (outcome, reason) = match outcome {
+            Outcome::Done => ("done", None),
+            Outcome::NotRun(reason) => ("not_run", Some(reason.to_string())),
+            Outcome::Redirect(_) => ("not_run", Some("redirected too often".into())),
+            Outcome::Failed => ("failed", None),
+            _ => ("unknown", None),
+        };
+        Self {
+            outcome,
+            reason,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the answer to a request that ended without an outcome from an agent.
+    ///
+    /// The caller's library reports a request that may have run as an outcome. Its errors mean that
+    /// the request was not sent, but for those about an answer that has arrived.
+    pub(super) fn of_error(error: &Error) -> Self {
+        let has_run = matches!(
+            error,
+            Error::HashMismatch { .. } | Error::Unexpected { .. } | Error::AnswerTooLong { .. }
+        );
+        Self {
+            outcome: if has_run { "failed" } else { "not_run" },
+            reason: Some(error.to_string()),
+            ..Self::default()
+        }
+    }
+}
+
+/// A reading of a feed.
+#[derive(Debug, Serialize)]
+pub(super) struct ReadingLine<'a> {
+    sequence: u64,
+    payload: std::borrow::Cow<'a, str>,
+}
+
+impl<'a> ReadingLine<'a> {
+    /// Returns the line of a reading. Agents pass on readings that are JSON, and so are text.
+    pub(super) fn of(reading: &'a Reading) -> Self {
+        Self {
+            sequence: reading.sequence,
+            payload: String::from_utf8_lossy(&reading.payload),
+        }
+    }
+}
+
+/// The last line of a feed that has ended as a whole.
+#[derive(Debug, Serialize)]
+pub(super) struct EndLine {
+    pub(super) end: bool,
+}
+
+/// Why the proxy does not take a request, or breaks off a feed. The connection ends after it.
+#[derive(Debug, Display)]
+pub(super) enum Fault {
+    #[display("{detail}")]
+    Malformed { detail: Box<str> },
+    #[display("the line is over {MAX_LINE_BYTES} bytes")]
+    LineTooLong,
+    #[display("the body is over {limit_bytes} bytes")]
+    BodyTooLong { limit_bytes: u64 },
+    #[display("{what} took too long")]
+    Timeout { what: &'static str },
+    #[display("too many callers")]
+    Busy,
+    #[display("the proxy is stopping")]
+    Stopping,
+    #[display("{_0}")]
+    Feed(Error),
+}
+
+#[derive(Serialize)]
+struct FaultLine {
+    error: &'static str,
+    detail: String,
+}
+
+impl Fault {
+    pub(super) fn malformed(detail: &impl ToString) -> Self {
+        Self::Malformed {
+            detail: detail.to_string().into(),
+        }
+    }
+
+    const fn kind(&self) -> &'static str {
+        match self {
+            Self::Malformed { .. } => "malformed",
+            Self::LineTooLong => "line_too_long",
+            Self::BodyTooLong { .. } => "body_too_long",
+            Self::Timeout { .. } => "timeout",
+            Self::Busy => "busy",
+            Self::Stopping => "stopping",
+            Self::Feed(_) => "feed",
+        }
+    }
+
+    /// Returns the line that tells the caller.
+    pub(super) fn line(&self) -> Vec<u8> {
+        line_of(&FaultLine {
+            error: self.kind(),
+            detail: self.to_string(),
+        })
+    }
+}
+
+/// Returns a line of JSON.
+pub(super) fn line_of(content: &impl Serialize) -> Vec<u8> {
+    let mut line = serde_json::to_vec(content).unwrap_or_default();
+    line.push(b'\n');
+    line
+}
--- a/crates/cranberrypitch-standins/src/deployment.rs
+++ b/crates/cranberrypitch-standins/src/deployment.rs
@@ -316,6 +316,11 @@
         )?)
     }
 
+    /// Returns the certificate of the authority that callers trust, as PEM.
+    pub fn authority_pem(&self) -> String {
+        self.authority.pem()
+    }
+
     /// Returns where callers find a service.
     pub fn endpoint(&self, name: &ServiceName) -> Result<ServiceEndpoint> {
         let tag = self.service(name)?.tag();
--- a/crates/cranberrypitch/src/command.rs
+++ b/crates/cranberrypitch/src/command.rs
@@ -1,9 +1,17 @@
 //! The command `cranberrypitch`: one module per verb.
 
+mod apply;
 mod arguments;
+mod check;
 mod demo;
+mod diff;
 mod errors;
+mod feed;
+mod order;
 mod output;
+mod proxy;
+mod status;
+mod upload;
 
 use std::process::ExitCode;
 
@@ -18,6 +26,14 @@
 
 Verbs:
   demo    runs every role on loopback, replaces and drains parts under load
+  check   reports every error of a configuration text
+  diff    shows what a configuration text changes
+  apply   puts a configuration text in force
+  status  shows the configuration in force and the live balancers
+  feed    prints the readings of a feed
+  order   places an order, or asks for the outcome of an earlier one
+  upload  uploads a file and prints its confirmed SHA-256
+  proxy   serves callers that speak plain TCP on a local port
 
 Options:
   --help     prints this text, or that of a verb
@@ -63,11 +79,53 @@
     run: fn(Arguments) -> Result<Exit>,
 }
 
-const VERBS: [Verb; 1] = [Verb {
-    name: "demo",
-    help: demo::HELP,
-    run: demo::run,
-}];
+const VERBS: [Verb; 9] = [
+    Verb {
+        name: "demo",
+        help: demo::HELP,
+        run: demo::run,
+    },
+    Verb {
+        name: "check",
+        help: check::HELP,
+        run: check::run,
+    },
+    Verb {
+        name: "diff",
+        help: diff::HELP,
+        run: diff::run,
+    },
+    Verb {
+        name: "apply",
+        help: apply::HELP,
+        run: apply::run,
+    },
+    Verb {
+        name: "status",
+        help: status::HELP,
+        run: status::run,
+    },
+    Verb {
+        name: "feed",
+        help: feed::HELP,
+        run: feed::run,
+    },
+    Verb {
+        name: "order",
+        help: order::HELP,
+        run: order::run,
+    },
+    Verb {
+        name: "upload",
+        help: upload::HELP,
+        run: upload::run,
+    },
+    Verb {
+        name: "proxy",
+        help: proxy::HELP,
+        run: proxy::run,
+    },
+];
 
 /// Runs the command with these arguments.
 pub fn run(arguments: Arguments) -> Exit {
--- a/crates/cranberrypitch/src/command/errors.rs
+++ b/crates/cranberrypitch/src/command/errors.rs
@@ -24,12 +24,24 @@
     #[display("unknown argument {argument:?}; see --help")]
     #[from(ignore)]
     UnknownArgument { argument: OsString },
+    #[display("{rule}; see --help")]
+    #[from(ignore)]
+    Usage { rule: &'static str },
+    #[display("{}: {source}", file.display())]
+    #[from(ignore)]
+    File {
+        file: PathBuf,
+        source: std::io::Error,
+    },
     #[display("{}", show_problems(file, problems))]
     #[from(ignore)]
     Text { file: PathBuf, problems: Problems },
     #[display("{_0}")]
     Input(cranberrypitch_net::Error),
     #[display("{_0}")]
+    #[from(ignore)]
+    Control(cranberrypitch_net::Error),
+    #[display("{_0}")]
     Store(cranberrypitch_net::config_store::Error),
     #[display("{_0}")]
     Caller(cranberrypitch_caller::Error),
@@ -43,6 +55,17 @@
 }
 
 impl Error {
+    pub(super) const fn usage(rule: &'static str) -> Self {
+        Self::Usage { rule }
+    }
+
+    pub(super) fn file(file: &Path, source: std::io::Error) -> Self {
+        Self::File {
+            file: file.into(),
+            source,
+        }
+    }
+
     /// Returns the exit code that stands for the error.
     pub(super) const fn exit(&self) -> Exit {
         match self {
@@ -50,9 +73,12 @@
             | Self::NoVerb
             | Self::UnknownVerb { .. }
             | Self::UnknownArgument { .. }
+            | Self::Usage { .. }
+            | Self::File { .. }
             | Self::Text { .. }
             | Self::Input(_) => Exit::WrongInput,
-            Self::Store(_)
+            Self::Control(_)
+            | Self::Store(_)
             | Self::Caller(_)
             | Self::Standin(_)
             | Self::DemoTimeout { .. }
--- /dev/null
+++ b/crates/cranberrypitch/src/command/status.rs
@@ -0,0 +1,237 @@
+//! Shows the configuration in force and the live balancers.
+
+use std::fmt;
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+
+use cranberrypitch_net::operator::Status;
+use cranberrypitch_net::store::{HttpStore, HttpStoreOptions, Store, StoreKey};
+use cranberrypitch_net::{ControlClient, KeyRing, config_store};
+use pico_args::Arguments;
+use serde::Serialize;
+
+use super::errors::{Error, Result};
+use super::{Exit, arguments, output};
+
+pub(super) const HELP: &str = "\
+Shows the configuration in force, and the balancers that are registered in the store or known to
+one of them.
+
+Usage: cranberrypitch status [--store ADDRESS] [--control ADDRESS --key-file FILE] [--json]
+
+Options:
+  --store ADDRESS    reads the store at IP:PORT
+  --control ADDRESS  asks the balancer whose control channel listens on IP:PORT, which also works
+                     while the store is down
+  --key-file FILE    the keys of the deployment
+  --json             prints one JSON object
+  --help             prints this text
+
+Exit codes:
+  0  all that was asked for was printed
+  1  the store or the balancer could not be read
+  2  bad arguments or a bad key file
+";
+
+/// Where balancers register in the store.
+const BALANCERS_PREFIX: &str = "balancers/";
+
+/// All that was asked for.
+#[derive(Default, Serialize)]
+struct Report {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    store: Option<StoreReport>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    balancer: Option<BalancerReport>,
+}
+
+/// What the store holds.
+#[derive(Serialize)]
+struct StoreReport {
+    configuration: Option<Configuration>,
+    balancers: Vec<Box<str>>,
+}
+
+/// The configuration in force; none before the first edit.
+#[derive(Serialize)]
+struct Configuration {
+    revision: u64,
+    edit_id: Box<str>,
+    previous_edits: Vec<String>,
+    services: usize,
+    shards: usize,
+    watchers: Vec<Box<str>>,
+}
+
+/// What a balancer tells.
+#[derive(Serialize)]
+struct BalancerReport {
+    balancers: Vec<LiveBalancer>,
+    /// The balancer's own status, which is JSON.
+    status: serde_json::Value,
+}
+
+#[derive(Serialize)]
+struct LiveBalancer {
+    vm: Box<str>,
+    failure_domain: Box<str>,
+    control: SocketAddrV4,
+    tunnel: SocketAddrV4,
+    leaving: bool,
+}
+
+pub(super) fn run(mut arguments: Arguments) -> Result<Exit> {
+    let json = arguments.contains("--json");
+    let store: Option<SocketAddrV4> = arguments.opt_value_from_str("--store")?;
+    let control: Option<SocketAddrV4> = arguments.opt_value_from_str("--control")?;
+    let key_file: Option<PathBuf> =
+        arguments.opt_value_from_os_str("--key-file", arguments::to_path)?;
+    arguments::finish(arguments)?;
+    let control = match (control, key_file) {
+        (Some(address), Some(file)) => Some((address, KeyRing::load(&file)?)),
+        (None, None) => None,
+        _ => return Err(Error::usage("--control and --key-file belong together")),
+    };
+    if store.is_none() && control.is_none() {
+        return Err(Error::usage("give --store or --control or both"));
+    }
+    let (report, failures) = arguments::block_on(read(store, control))?;
+    if json {
+        output::print_json(&report)?;
+    } else {
+        output::print(&report)?;
+    }
+    failures.iter().for_each(output::error);
+    Ok(if failures.is_empty() {
+        Exit::Done
+    } else {
+        Exit::Failed
+    })
+}
+
+/// Reads store and balancer; one that fails does not keep the other one from being shown.
+async fn read(
+    store: Option<SocketAddrV4>,
+    control: Option<(SocketAddrV4, KeyRing)>,
+) -> Result<(Report, Vec<Error>)> {
+    let mut report = Report::default();
+    let mut failures = Vec::new();
+    if let Some(address) = store {
+        match read_store(address).await {
+            Ok(store) => report.store = Some(store),
+            Err(error) => failures.push(error),
+        }
+    }
+    if let Some((address, keys)) = control {
+        match read_balancer(address, &keys).await {
+            Ok(balancer) => report.balancer = Some(balancer),
+            Err(error) => failures.push(error),
+        }
+    }
+    Ok((report, failures))
+}
+
+async fn read_store(address: SocketAddrV4) -> Result<StoreReport> {
+    let status = arguments::operator(address).status().await?;
+    let store = HttpStore::new(HttpStoreOptions::new(address));
+    let prefix = StoreKey::try_new(BALANCERS_PREFIX).map_err(config_store::Error::from)?;
+    let listing = store.list(&prefix).await;
+    let entries = listing.map_err(config_store::Error::from)?.entries;
+    let names = entries.iter().map(|entry| {
+        let key = entry.key.as_str();
+        key.strip_prefix(BALANCERS_PREFIX).unwrap_or(key).into()
+    });
+    Ok(StoreReport {
+        configuration: status.map(Configuration::from),
+        balancers: names.collect(),
+    })
+}
+
+async fn read_balancer(address: SocketAddrV4, keys: &KeyRing) -> Result<BalancerReport> {
+    let (client, _notices) = ControlClient::connect(address, keys)
+        .await
+        .map_err(Error::Control)?;
+    let balancers = client.balancers().await.map_err(Error::Control)?;
+    let status = client.status().await.map_err(Error::Control)?;
+    let live = |entry: cranberrypitch_proto::control::BalancerEntry| LiveBalancer {
+        vm: entry.vm.as_str().into(),
+        failure_domain: entry.failure_domain.as_str().into(),
+        control: entry.control,
+        tunnel: entry.tunnel,
+        leaving: entry.leaving,
+    };
+    Ok(BalancerReport {
+        balancers: balancers.into_iter().map(live).collect(),
+        status: serde_json::from_str(&status)
+            .unwrap_or_else(|_no_json| serde_json::Value::String(status.into())),
+    })
+}
+
+impl From<Status> for Configuration {
+    fn from(status: Status) -> Self {
+        Self {
+            revision: status.revision.get(),
+            edit_id: status.edit_id.to_string().into(),
+            previous_edits: status
+                .previous_edits
+                .iter()
+                .map(ToString::to_string)
+                .collect(),
+            services: status.services,
+            shards: status.shards.get(),
+            watchers: status
+                .watchers
+                .iter()
+                .map(|key| key.as_str().into())
+                .collect(),
+        }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut lines = Vec::new();
+        if let Some(store) = &self.store {
+            store.show(&mut lines);
+        }
+        if let Some(balancer) = &self.balancer {
+            balancer.show(&mut lines);
+        }
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+impl StoreReport {
+    fn show(&self, lines: &mut Vec<String>) {
+        match &self.configuration {
+            None => lines
+                .push("no configuration is in force yet; its first edit is on revision 0".into()),
+            Some(c) => {
+                lines.push(format!(
+                    "revision {} by edit {}, {} services in {} shards",
+                    c.revision, c.edit_id, c.services, c.shards
+                ));
+                lines.extend(c.watchers.iter().map(|key| format!("watcher {key}")));
+            }
+        }
+        lines.push(format!("balancers in the store: {}", self.balancers.len()));
+        lines.extend(self.balancers.iter().map(|name| format!("  {name}")));
+    }
+}
+
+impl BalancerReport {
+    fn show(&self, lines: &mut Vec<String>) {
+        lines.push(format!(
+            "balancers known to this one: {}",
+            self.balancers.len()
+        ));
+        for b in &self.balancers {
+            let leaving = if b.leaving { ", leaving" } else { "" };
+            lines.push(format!(
+                "  {}/{}: control {}, tunnel {}{leaving}",
+                b.failure_domain, b.vm, b.control, b.tunnel
+            ));
+        }
+        lines.push(format!("status of this balancer: {}", self.status));
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch/src/command/upload.rs
@@ -0,0 +1,84 @@
+//! Uploads a file and prints its confirmed SHA-256.
+
+use cranberrypitch_caller::{UploadOptions, UploadReport, upload};
+use cranberrypitch_core::Outcome;
+use pico_args::Arguments;
+use serde::Serialize;
+
+use super::arguments::Endpoint;
+use super::errors::Result;
+use super::{Exit, arguments, output};
+
+pub(super) const HELP: &str = "\
+Uploads a file and prints the SHA-256 that the far end has confirmed.
+
+Usage: cranberrypitch upload FILE ENDPOINT --tenant NAME [OPTIONS]
+
+Endpoint:
+  --service NAME     the service, whose name the far end's certificate has to carry
+  --address IP:PORT  an address of the service
+  --ca FILE          the certificate authority that callers trust (PEM)
+
+Options:
+  --tenant NAME    the tenant that uploads
+  --deadline-ms N  the time within which the upload must start [default: 10000]
+  --repeatable     sends the file again when it can't be told whether it arrived
+  --json           prints one JSON object
+  --help           prints this text
+
+Exit codes:
+  0  done
+  1  failed, or not run, or the far end has another SHA-256
+  2  bad arguments or a bad file
+  3  outcome unknown
+";
+
+#[derive(Serialize)]
+struct Ended<'a> {
+    outcome: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    sha256: Option<&'a str>,
+    attempts: u32,
+}
+
+pub(super) fn run(mut arguments: Arguments) -> Result<Exit> {
+    let json = arguments.contains("--json");
+    let endpoint = Endpoint::parse(&mut arguments)?;
+    let options = UploadOptions {
+        target: endpoint.target.clone(),
+        tenant: arguments::tenant(&mut arguments)?,
+        deadline: arguments::deadline(&mut arguments)?,
+        is_repeatable: arguments.contains("--repeatable"),
+    };
+    let file = arguments::file(&mut arguments)?;
+    arguments::finish(arguments)?;
+    let content = arguments::read(&file)?;
+    let report = arguments::block_on(async {
+        let caller = endpoint.caller()?;
+        let report = upload(&caller, &options, &content).await;
+        caller.wait_idle().await;
+        Ok(report?)
+    })?;
+    print(&report, json)?;
+    Ok(output::exit_of(&report.outcome))
+}
+
+fn print(report: &UploadReport, json: bool) -> Result<()> {
+    let is_confirmed = report.outcome == Outcome::Done;
+    if json {
+        output::print_json(&Ended {
+            outcome: output::name_of(&report.outcome),
+            reason: output::reason_of(&report.outcome),
+            sha256: is_confirmed.then_some(&report.sha256),
+            attempts: report.attempts,
+        })?;
+        return Ok(());
+    }
+    if is_confirmed {
+        output::print(&report.sha256)?;
+    }
+    output::show_failure("upload", &report.outcome);
+    Ok(())
+}
--- a/crates/cranberrypitch/src/lib.rs
+++ b/crates/cranberrypitch/src/lib.rs
@@ -27,8 +27,8 @@
 pub use cranberrypitch_standins as standins;
 
 pub use cranberrypitch_caller::{
-    Caller, Feed, FeedOptions, OrderOptions, OrderReport, ServiceEndpoint, UploadOptions,
-    UploadReport, place_order, query_order, upload,
+    Caller, Feed, FeedOptions, OrderOptions, OrderReport, Proxy, ProxyOptions, ServiceEndpoint,
+    UploadOptions, UploadReport, place_order, query_order, upload,
 };
 pub use cranberrypitch_core::config::{Problems, ServiceText};
 pub use cranberrypitch_core::{Class, Outcome, Revision, ServiceName, TenantId};
--- /dev/null
+++ b/crates/cranberrypitch/tests/command/operators.rs
@@ -0,0 +1,187 @@
+//! The verbs of operators, on the stand-in of the store and a control server.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use cranberrypitch_core::{Revision, ServiceName, VmId};
+use cranberrypitch_net::control::ControlHandler;
+use cranberrypitch_net::store::MemoryStore;
+use cranberrypitch_net::{ControlServer, KeyRing};
+use cranberrypitch_proto::control::{BalancerEntry, ConfigHead, ConfigShard, Digest};
+use cranberrypitch_standins::store::StoreServer;
+
+use super::{Run, file, run, text_of};
+use crate::common::VALVES;
+
+const ANY: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+
+struct Fixture {
+    store: StoreServer,
+    address: String,
+    first: PathBuf,
+    second: PathBuf,
+}
+
+impl Fixture {
+    /// Starts an empty store; the second text has five slots at its first service.
+    async fn start(name: &str) -> Self {
+        let store = StoreServer::bind(ANY, MemoryStore::default())
+            .await
+            .unwrap();
+        let second = VALVES.replacen("\"slots\": 4", "\"slots\": 5", 1);
+        Self {
+            address: store.address().to_string(),
+            store,
+            first: file(&format!("{name}-1.json"), VALVES),
+            second: file(&format!("{name}-2.json"), second),
+        }
+    }
+
+    async fn apply(&self, text: &std::path::Path, revision: &str) -> Run {
+        let text = text_of(text);
+        run(&[
+            "apply",
+            text,
+            "--revision",
+            revision,
+            "--store",
+            &self.address,
+        ])
+        .await
+    }
+
+    async fn revision(&self) -> serde_json::Value {
+        let status = run(&["status", "--store", &self.address, "--json"]).await;
+        status.json()["store"]["configuration"]["revision"].clone()
+    }
+}
+
+/// Guards against an edit that is not in force although it was accepted, and a difference that does
+/// not show it.
+#[tokio::test]
+async fn texts_are_compared_and_applied() {
+    let fixture = Fixture::start("applied").await;
+    let (first, second) = (text_of(&fixture.first), text_of(&fixture.second));
+    let empty = run(&["status", "--store", &fixture.address]).await;
+    empty.assert_code(0);
+    assert!(empty.stdout.contains("no configuration"), "{empty:?}");
+    let applied = fixture.apply(&fixture.first, "0").await;
+    applied.assert_code(0);
+    assert_eq!(applied.stdout, "accepted as revision 1\n");
+    for older in [
+        vec!["--store", &*fixture.address, second],
+        vec![first, second],
+    ] {
+        let diff = run(&[vec!["diff"], older].concat()).await;
+        diff.assert_code(0);
+        assert_eq!(diff.stdout, "matcher: slots 4 -> 5\n");
+    }
+    let same = run(&["diff", first, first, "--json"]).await;
+    assert_eq!(same.stdout, "{\"changes\":[]}\n");
+    assert_eq!(fixture.revision().await, 1);
+}
+
+/// Guards against an edit that overwrites another one, and a loser that is not told the difference.
+#[tokio::test]
+async fn apply_under_conflict_changes_nothing() {
+    let fixture = Fixture::start("conflict").await;
+    fixture.apply(&fixture.first, "0").await.assert_code(0);
+    let loser = fixture.apply(&fixture.second, "0").await;
+    loser.assert_code(1);
+    assert!(loser.stderr.contains("revision 1 is in force"), "{loser:?}");
+    assert!(loser.stdout.contains("matcher: slots 4 -> 5"), "{loser:?}");
+    assert_eq!(fixture.revision().await, 1);
+}
+
+/// Guards against an edit that is called done, or not accepted when it may be, while the store fails.
+#[tokio::test]
+async fn apply_tells_what_became_of_an_edit_when_the_store_fails() {
+    let fixture = Fixture::start("down").await;
+    fixture.apply(&fixture.first, "0").await.assert_code(0);
+    let faults = fixture.store.faults();
+    faults.set_down(true);
+    let down = fixture.apply(&fixture.second, "1").await;
+    down.assert_code(1);
+    assert!(
+        down.stderr.contains("not accepted, and nothing changed"),
+        "{down:?}"
+    );
+    let status = run(&["status", "--store", &fixture.address]).await;
+    status.assert_code(1);
+    faults.set_down(false);
+    assert_eq!(fixture.revision().await, 1);
+    // The answer to the head's write is lost, and the store stays away afterwards.
+    faults.lose_answers(1, 1);
+    let lost = fixture.apply(&fixture.second, "1").await;
+    lost.assert_code(0);
+    assert_eq!(fixture.revision().await, 2);
+}
+
+struct Handler;
+
+impl ControlHandler for Handler {
+    async fn config_head(&self, _: Revision) -> Option<ConfigHead> {
+        None
+    }
+
+    async fn config_shard(&self, _: Digest) -> Option<ConfigShard> {
+        None
+    }
+
+    async fn balancers(&self) -> Vec<BalancerEntry> {
+        vec![BalancerEntry {
+            vm: VmId::try_new("entry-1").unwrap(),
+            failure_domain: "rs-sul".parse().unwrap(),
+            control: ANY,
+            tunnel: ANY,
+            leaving: true,
+        }]
+    }
+
+    async fn peer_targets(&self, _: ServiceName) -> Vec<SocketAddrV4> {
+        Vec::new()
+    }
+
+    async fn status(&self) -> Box<str> {
+        r#"{"revision":7}"#.into()
+    }
+
+    async fn goodbye(&self, _: SocketAddr, _: VmId) {}
+}
+
+/// Guards against a status that can't be had while the store is down, or is given to anyone.
+#[tokio::test]
+async fn status_over_the_control_channel_needs_the_keys_and_no_store() {
+    let keys = |digit: &str| {
+        let secret = digit.repeat(64);
+        format!(r#"{{"current":1,"keys":[{{"generation":1,"secret":"{secret}"}}]}}"#)
+    };
+    let (right, wrong) = (
+        file("right-keys.json", keys("a")),
+        file("wrong-keys.json", keys("b")),
+    );
+    let ring = Arc::new(KeyRing::load(&right).unwrap());
+    let server = ControlServer::bind(ANY, ring, Handler).await.unwrap();
+    let address = server.local_address().to_string();
+    let status = |file: PathBuf| {
+        let address = address.clone();
+        async move {
+            run(&[
+                "status",
+                "--control",
+                &address,
+                "--key-file",
+                text_of(&file),
+            ])
+            .await
+        }
+    };
+    let told = status(right).await;
+    told.assert_code(0);
+    assert!(told.stdout.contains("rs-sul/entry-1"), "{told:?}");
+    assert!(told.stdout.contains(r#"{"revision":7}"#), "{told:?}");
+    let refused = status(wrong).await;
+    refused.assert_code(1);
+    assert!(refused.stderr.contains("key"), "{refused:?}");
+}
