Carry out every action of admission in the agent

Each event may start or refuse waiting requests, but the actions that came with a reservation, a redirect or a new connection were dropped. A request started that way held its slot for ever, and its caller got no outcome.

--- a/crates/cranberrypitch-agent/src/target/actor.rs
+++ b/crates/cranberrypitch-agent/src/target/actor.rs
@@ -111,10 +111,14 @@
         self.settle(now);
     }
 
-    fn admit(&mut self, event: Event, now: Instant) {
-        for action in self.admission.handle(event, now) {
-            self.apply(action, now);
+    /// Carries out what follows from an event, and returns it. Any event may start or refuse other
+    /// requests than the one it is about, as time has passed since the last one.
+    fn admit(&mut self, event: Event, now: Instant) -> Vec<Action> {
+        let actions = self.admission.handle(event, now);
+        for action in &actions {
+            self.apply(*action, now);
         }
+        actions
     }
 
     fn apply(&mut self, action: Action, now: Instant) {
@@ -166,7 +170,7 @@
                 Step::Reserve { peer, serial } => {
                     let until = now + RESERVATION;
                     let reserve = Event::Reserve { serial, until };
-                    let actions = self.admission.handle(reserve, now);
+                    let actions = self.admit(reserve, now);
                     if actions.contains(&Action::Reserved(serial)) {
                         self.moves.offer(peer, serial);
                     }
@@ -181,7 +185,7 @@
         let Some(request) = self.admission.next_waiting() else {
             return;
         };
-        let actions = self.admission.handle(Event::Redirect { request }, now);
+        let actions = self.admit(Event::Redirect { request }, now);
         if actions.contains(&Action::Redirect(request)) {
             let ended = Ended::without_body(Outcome::Redirect(reservation));
             self.end(request, &ended, now);
@@ -383,7 +387,7 @@
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         let now = self.args.clock.now();
-        let actions = self.admission.handle(Event::ConnectionOpened, now);
+        let actions = self.admit(Event::ConnectionOpened, now);
         actions.into_iter().find_map(|action| match action {
             Action::RefuseConnection(reason) => Some(reason),
             _ => None,
--- a/crates/cranberrypitch/tests/failures.rs
+++ b/crates/cranberrypitch/tests/failures.rs
@@ -244,3 +244,21 @@
     let report = sent.await.unwrap().unwrap();
     assert_eq!(report.outcome, Outcome::Done);
 }
+
+/// G4: guards against an order that is let start, or refused, by the move of another request, and is
+/// not told so: it would hold its slot for ever and leave its caller without an outcome.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn orders_that_move_under_overload_all_end() {
+    let times = ServiceTime::Exponential(Duration::from_millis(60));
+    let options = small(0, 4, 8).service_time(times);
+    let deployment = Deployment::start(options).await.unwrap();
+    let mut load = WorkloadOptions::light(&[service("tracer")], 12);
+    load.services[0].order_callers = 24;
+    load.services[0].upload_callers = 0;
+    let workload = Workload::start(&deployment, &load).unwrap();
+    sleep(Duration::from_secs(6)).await;
+    let report = workload.finish(&deployment).await;
+    assert!(report.is_clean(), "{report}");
+    let orders = &report.services["tracer"][&cranberrypitch_core::Class::Order];
+    assert!(orders.flows > orders.requests, "no order moved: {report}");
+}
