--- a/crates/cranberrypitch/src/command/errors.rs
+++ b/crates/cranberrypitch/src/command/errors.rs
@@ -16,6 +16,12 @@
 pub(super) enum Error {
     #[display("{_0}; see --help")]
     Arguments(pico_args::Error),
+    #[display("{option}: {source}; see --help")]
+    #[from(ignore)]
+    Option {
+        option: &'static str,
+        source: pico_args::Error,
+    },
     #[display("no verb; see --help")]
     NoVerb,
     #[display("unknown verb '{verb}'; see --help")]
@@ -24,12 +30,24 @@
     #[display("unknown argument {argument:?}; see --help")]
     #[from(ignore)]
     UnknownArgument { argument: OsString },
+    #[display("{rule}; see --help")]
+    #[from(ignore)]
+    Usage { rule: &'static str },
+    #[display("{}: {source}", file.display())]
+    #[from(ignore)]
+    File {
+        file: PathBuf,
+        source: std::io::Error,
+    },
     #[display("{}", show_problems(file, problems))]
     #[from(ignore)]
     Text { file: PathBuf, problems: Problems },
     #[display("{_0}")]
     Input(cranberrypitch_net::Error),
     #[display("{_0}")]
+    #[from(ignore)]
+    Control(cranberrypitch_net::Error),
+    #[display("{_0}")]
     Store(cranberrypitch_net::config_store::Error),
     #[display("{_0}")]
     Caller(cranberrypitch_caller::Error),
@@ -43,16 +61,40 @@
 }
 
 impl Error {
+    /// Returns an error about an option; one that is missing is named by the library already.
+    pub(super) fn option(option: &'static str, source: pico_args::Error) -> Self {
+        match source {
+            pico_args::Error::Utf8ArgumentParsingFailed { .. }
+            | pico_args::Error::ArgumentParsingFailed { .. } => Self::Option { option, source },
+            source => Self::Arguments(source),
+        }
+    }
+
+    pub(super) const fn usage(rule: &'static str) -> Self {
+        Self::Usage { rule }
+    }
+
+    pub(super) fn file(file: &Path, source: std::io::Error) -> Self {
+        Self::File {
+            file: file.into(),
+            source,
+        }
+    }
+
     /// Returns the exit code that stands for the error.
     pub(super) const fn exit(&self) -> Exit {
         match self {
             Self::Arguments(_)
+            | Self::Option { .. }
             | Self::NoVerb
             | Self::UnknownVerb { .. }
             | Self::UnknownArgument { .. }
+            | Self::Usage { .. }
+            | Self::File { .. }
             | Self::Text { .. }
             | Self::Input(_) => Exit::WrongInput,
-            Self::Store(_)
+            Self::Control(_)
+            | Self::Store(_)
             | Self::Caller(_)
             | Self::Standin(_)
             | Self::DemoTimeout { .. }
