Let a report cost no scan of all targets and no copy of all services

Cause: for each report a balancer scanned all targets for those of its service, sorted them and copied the map of all services; twice a second it did so for every service. The cost of a report grew with targets plus services, that of the timer with their product.

Ruled out: decoding and membership themselves, as a report costs the same once scan and copy are gone.

Change: membership lists the targets of each service in order, a report replaces only the view of its service behind a pointer of its own, the timer publishes only views that have changed, and services without targets are dropped.

--- a/crates/cranberrypitch-balancer/src/members.rs
+++ b/crates/cranberrypitch-balancer/src/members.rs
@@ -9,7 +9,7 @@
     Membership, MembershipOptions, ReportResult, Target, TargetReport,
 };
 use cranberrypitch_core::placement::Candidate;
-use cranberrypitch_core::{Clock, FastMap, FastSet, Revision, ServiceTag, TargetState};
+use cranberrypitch_core::{Clock, FastMap, Revision, ServiceTag, TargetState};
 use cranberrypitch_net::KeyRing;
 use cranberrypitch_proto::report::{AckHints, BalancerHint, Report, ReportAck};
 use cranberrypitch_proto::tunnel::{Header, Kind};
@@ -50,7 +50,6 @@
 pub(crate) struct MembersActor {
     args: MembersArgs,
     membership: Membership,
-    services: FastSet<ServiceTag>,
     agents: FastMap<SocketAddrV4, u16>,
     balancers: Vec<BalancerHint>,
     is_leaving: bool,
@@ -82,7 +81,6 @@
         Ok(Self {
             args,
             membership,
-            services: FastSet::default(),
             agents: FastMap::default(),
             balancers: Vec::new(),
             is_leaving: false,
@@ -176,20 +174,45 @@
         let _sent = self.args.tunnel.send_to(&datagram, SocketAddr::V4(to));
     }
 
-    /// Publishes a service's targets to the traffic thread.
-    fn publish(&mut self, service: ServiceTag) {
-        self.services.insert(service);
+    /// Publishes a service's targets to the traffic thread, if they have changed.
+    fn publish(&self, service: ServiceTag) {
         let domain = &self.args.identity.failure_domain;
         let targets = self.membership.candidates(service);
         let candidates = targets.into_iter().map(|t| Candidate::new(t, domain));
-        let view = Arc::new(ServiceView {
+        let view = ServiceView {
             candidates: candidates.collect(),
             subset: Vec::new(),
-        });
+        };
+        let views = self.args.views.load();
+        let Some(published) = views.get(&service) else {
+            self.change_services(|views| {
+                views.insert(service, Arc::new(ArcSwap::from_pointee(view)));
+            });
+            return;
+        };
+        if **published.load() != view {
+            published.store(Arc::new(view));
+        }
+    }
+
+    /// Replaces the map of services, which is copied, as the traffic thread may be reading it.
+    fn change_services(&self, change: impl FnOnce(&mut ServiceViews)) {
         let mut views = ServiceViews::clone(&self.args.views.load());
-        views.insert(service, view);
+        change(&mut views);
         self.args.views.store(Arc::new(views));
     }
+
+    /// Publishes what silence has changed, and drops services without targets.
+    fn publish_all(&self) {
+        let views = self.args.views.load_full();
+        for service in views.keys() {
+            self.publish(*service);
+        }
+        let is_known = |service: &ServiceTag| self.membership.knows_service(*service);
+        if !views.keys().all(is_known) {
+            self.change_services(|views| views.retain(|service, _| is_known(service)));
+        }
+    }
 }
 
 impl Message<ControlDatagram> for MembersActor {
@@ -218,9 +241,7 @@
 
     async fn handle(&mut self, _: MembersTick, _: &mut Context<Self, ()>) {
         self.membership.on_tick(self.args.clock.now());
-        for service in self.services.clone() {
-            self.publish(service);
-        }
+        self.publish_all();
     }
 }
 
--- a/crates/cranberrypitch-balancer/src/routing.rs
+++ b/crates/cranberrypitch-balancer/src/routing.rs
@@ -15,7 +15,7 @@
 const LONG_HEADER_BIT: u8 = 0x80;
 
 /// A service as the control thread sees it.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, PartialEq)]
 pub(crate) struct ServiceView {
     /// The targets that new flows may go to.
     pub(crate) candidates: Vec<Candidate>,
@@ -23,8 +23,9 @@
     pub(crate) subset: Vec<SocketAddrV4>,
 }
 
-/// All services, replaced one by one.
-pub(crate) type ServiceViews = FastMap<ServiceTag, Arc<ServiceView>>;
+/// All services. A report replaces the view of its service and leaves the map as it is, so its cost
+/// does not grow with the number of services.
+pub(crate) type ServiceViews = FastMap<ServiceTag, Arc<ArcSwap<ServiceView>>>;
 
 /// Where a first packet goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -145,7 +146,8 @@
 
     fn view(&self, service: ServiceTag) -> Result<Arc<ServiceView>, DropReason> {
         let views = self.views.load();
-        views.get(&service).cloned().ok_or(DropReason::NoTarget)
+        let view = views.get(&service).ok_or(DropReason::NoTarget)?;
+        Ok(view.load_full())
     }
 }
 
--- a/crates/cranberrypitch-core/src/membership.rs
+++ b/crates/cranberrypitch-core/src/membership.rs
@@ -135,6 +135,10 @@
         report.incarnation < self.incarnation || self.gone || Some(report.sequence) <= self.sequence
     }
 
+    fn service(&self) -> Option<ServiceTag> {
+        self.target.as_ref().map(|target| target.service)
+    }
+
     fn is_offered(&self) -> bool {
         self.hearing == Hearing::Heard
     }
@@ -191,6 +195,9 @@
 pub struct Membership {
     options: MembershipOptions,
     entries: FastMap<SocketAddrV4, Entry>,
+    // The targets of each service in order of their address, so that a report costs no scan of
+    // all targets.
+    by_service: FastMap<ServiceTag, Vec<SocketAddrV4>>,
     holds: FastMap<ServiceTag, Hold>,
 }
 
@@ -212,15 +219,43 @@
             .entries
             .entry(report.address)
             .or_insert_with(|| Entry::new(report.incarnation, now));
+        let before = entry.service();
         if entry.incarnation < report.incarnation {
             *entry = Entry::new(report.incarnation, now);
         }
         if entry.is_stale(&report) {
             return ReportResult::Stale;
         }
+        let address = report.address;
         entry.accept(report, now);
-        ReportResult::Accepted {
-            announced: entry.target.is_some() || entry.gone,
+        let announced = entry.target.is_some() || entry.gone;
+        let service = entry.service();
+        if service != before {
+            self.move_target(address, before, service);
+        }
+        ReportResult::Accepted { announced }
+    }
+
+    /// Moves a target from the list of one service to that of another.
+    fn move_target(
+        &mut self,
+        address: SocketAddrV4,
+        from: Option<ServiceTag>,
+        to: Option<ServiceTag>,
+    ) {
+        if let Some(service) = from
+            && let Some(targets) = self.by_service.get_mut(&service)
+        {
+            targets.retain(|listed| *listed != address);
+            if targets.is_empty() {
+                self.by_service.remove(&service);
+            }
+        }
+        if let Some(service) = to {
+            let targets = self.by_service.entry(service).or_default();
+            if let Err(index) = targets.binary_search(&address) {
+                targets.insert(index, address);
+            }
         }
     }
 
@@ -251,15 +286,17 @@
     /// Returns the targets of a service that new flows may consider, in order of their address.
     pub fn candidates(&self, service: ServiceTag) -> Vec<&Target> {
         let held = self.is_held(service);
-        let mut targets: Vec<_> = self
-            .entries
-            .values()
+        let addresses = self.by_service.get(&service).into_iter().flatten();
+        addresses
+            .filter_map(|address| self.entries.get(address))
             .filter(|entry| held || entry.is_offered())
             .filter_map(|entry| entry.target.as_ref())
-            .filter(|target| target.service == service)
-            .collect();
-        targets.sort_unstable_by_key(|target| target.address);
-        targets
+            .collect()
+    }
+
+    /// Returns whether any target of a service is known, silent or not.
+    pub fn knows_service(&self, service: ServiceTag) -> bool {
+        self.by_service.contains_key(&service)
     }
 
     /// Returns the target at an address, silent or not.
@@ -292,12 +329,19 @@
     fn forget(&mut self, now: Instant) {
         let forget_after = self.options.forget_after;
         let holds = &self.holds;
-        self.entries.retain(|_, entry| {
-            let service = entry.target.as_ref().map(|target| target.service);
-            let hold = service.and_then(|service| holds.get(&service));
-            hold.is_some_and(|hold| hold.held)
-                || now.saturating_duration_since(entry.reported_at) < forget_after
+        let mut forgotten = Vec::new();
+        self.entries.retain(|address, entry| {
+            let hold = entry.service().and_then(|service| holds.get(&service));
+            let is_kept = hold.is_some_and(|hold| hold.held)
+                || now.saturating_duration_since(entry.reported_at) < forget_after;
+            if !is_kept {
+                forgotten.push((*address, entry.service()));
+            }
+            is_kept
         });
+        for (address, service) in forgotten {
+            self.move_target(address, service, None);
+        }
     }
 }
 
--- a/crates/cranberrypitch-core/tests/membership.rs
+++ b/crates/cranberrypitch-core/tests/membership.rs
@@ -205,6 +205,36 @@
     assert!(fleet.membership.target(address(1)).is_none());
 }
 
+/// Guards against lists of services that differ from the targets: one that was left out would get
+/// no flow, one that stayed would get flows of a service that it no longer serves.
+#[test]
+fn services_list_exactly_their_targets() {
+    let mut membership = Membership::new(MembershipOptions::default());
+    let mut now = Instant::now();
+    let names = ["matcher", "tracer", "verkstad"];
+    for step in 0..400_u64 {
+        let n = u8::try_from(step * 7 % 23).expect("below 23");
+        let name = names[usize::from(n + u8::try_from(step % 5).expect("below 5")) % 3];
+        let mut report = report(n, 1 + step / 100, step, Some(name));
+        if step % 11 == 0 {
+            report.state = TargetState::Gone;
+        }
+        membership.on_report(report, now);
+        now += Duration::from_secs(step % 3 * 2);
+        membership.on_tick(now);
+        for name in names {
+            let tag = ServiceTag::of(&service(name));
+            let all = (0..23).filter_map(|n| membership.target(address(n)));
+            let expected: Vec<_> = all
+                .filter(|t| t.service == tag)
+                .map(|t| t.address)
+                .collect();
+            assert_eq!(offered(&membership, name), expected, "step {step}");
+            assert_eq!(membership.knows_service(tag), !expected.is_empty());
+        }
+    }
+}
+
 /// Guards against subsets that are reshuffled by the death of an uninvolved balancer.
 #[test]
 fn subset_changes_only_where_its_balancer_died() {
--- a/crates/cranberrypitch-measure/src/forward.rs
+++ b/crates/cranberrypitch-measure/src/forward.rs
@@ -24,6 +24,9 @@
 /// The length of a datagram from a caller.
 pub(crate) const PACKET_BYTES: usize = 1200;
 
+/// The flow counts between which nothing may grow.
+const FLOW_COUNTS: [u32; 4] = [1000, 10_000, 50_000, 200_000];
+
 const DEFAULT_SECONDS: u32 = 5;
 
 /// The figures of the verb; a part that was not asked for is left out.
@@ -59,7 +62,7 @@
             .then(|| throughput::measure(seconds))
             .transpose()?,
         route: wants("route").then(routing::measure),
-        growth: wants("growth").then(growth::measure).transpose()?,
+        growth: wants("growth").then(|| growth(&FLOW_COUNTS)).transpose()?,
     };
     let text = if as_json {
         serde_json::to_string(&report)?
@@ -69,6 +72,11 @@
     Ok(text)
 }
 
+/// Measures the memory of a balancer against these numbers of established flows.
+pub fn growth(flow_counts: &[u32]) -> Result<Growth> {
+    growth::measure(flow_counts)
+}
+
 /// A balancer that serves one address on loopback.
 #[derive(Debug)]
 pub(crate) struct Balancer {
--- a/crates/cranberrypitch-measure/src/forward/growth.rs
+++ b/crates/cranberrypitch-measure/src/forward/growth.rs
@@ -11,7 +11,8 @@
 use crate::errors::Result;
 use crate::process::Memory;
 
-const FLOW_COUNTS: [u32; 4] = [1000, 10_000, 50_000, 200_000];
+/// The flows that are sent before the first row.
+const WARM_UP_FLOWS: u32 = 1000;
 
 /// The packets sent before the balancer has to have forwarded them, which its socket buffer holds.
 const WINDOW: u32 = 32;
@@ -45,7 +46,7 @@
     pub rows: Vec<GrowthRow>,
 }
 
-pub(super) fn measure() -> Result<Growth> {
+pub(super) fn measure(flow_counts: &[u32]) -> Result<Growth> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let balancer = runtime.block_on(Balancer::start())?;
     let (agent, sink) = start_sink()?;
@@ -55,13 +56,13 @@
         keys: balancer.keys.token_keys(),
     };
     // The first packets touch pages that stay in use, such as buffers.
-    send_flows(&balancer, &flows, FLOW_COUNTS[0])?;
+    send_flows(&balancer, &flows, WARM_UP_FLOWS)?;
     let before = Memory::read()?;
     std::thread::sleep(IDLE_TIME);
     let idle = Memory::read()?.since(before).allocations;
     let mut rows = Vec::new();
-    for count in FLOW_COUNTS {
-        rows.push(send_flows(&balancer, &flows, count)?);
+    for count in flow_counts {
+        rows.push(send_flows(&balancer, &flows, *count)?);
     }
     sink.stop();
     balancer.handle.kill();
--- /dev/null
+++ b/crates/cranberrypitch-measure/tests/capacity.rs
@@ -0,0 +1,37 @@
+//! Limits of the capacity figures that don't depend on the machine.
+
+use cranberrypitch_measure::capacity::{self, Row};
+use cranberrypitch_measure::forward;
+
+/// The payload of a tunnel datagram that stays within 1,200 bytes.
+const MAX_PAYLOAD_BYTES: f64 = 1168.0;
+
+fn rows(part: &str) -> Vec<Row> {
+    let mut parts = capacity::measure(Some(part)).expect("the part is known");
+    parts.pop().expect("one part was asked for").rows
+}
+
+/// Guards against control messages that outgrow a datagram or the budget for reports.
+#[test]
+fn reports_and_answers_stay_small() {
+    let rows = rows("messages");
+    let largest = |figure| {
+        let sizes = rows.iter().filter(|row| row.figure == figure);
+        sizes.map(|row| row.value).fold(0.0, f64::max)
+    };
+    assert!(largest("report") <= 64.0);
+    assert!(largest("answer to a report") <= 48.0);
+    assert!(largest("answer with hints") <= MAX_PAYLOAD_BYTES);
+    assert!(largest("report with announcement") <= MAX_PAYLOAD_BYTES);
+}
+
+/// Guards against entries for established flows: their packets are forwarded without a placement,
+/// however many flows there are.
+#[test]
+fn established_flows_are_forwarded_without_placement() {
+    let growth = forward::growth(&[1000, 5000]).expect("loopback sockets are free");
+    for row in growth.rows {
+        assert_eq!(row.placed, 0);
+        assert!(row.forwarded * 10 >= u64::from(row.flows) * 9, "{row:?}");
+    }
+}
