Give tunnel sockets a receive buffer for bursts of handshakes

Cause: the usual receive buffer of 208 KB holds about 90 packets of 1,200 bytes. An agent spends 0.5 to 0.8 ms on a handshake, so 32 handshakes at the same time overrun it, and a lost first packet comes again after a second.

Ruled out: loss at random and the placement of first packets; the drops were read from /proc/net/udp for the sockets of the process.

Change: balancers and agents open tunnel sockets by one function that asks for 4 MB, which the system may cut to its own limit.

--- a/crates/cranberrypitch-agent/src/daemon.rs
+++ b/crates/cranberrypitch-agent/src/daemon.rs
@@ -1,6 +1,6 @@
 //! The agent as a whole: its threads, its start and its graceful stop.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::SyncSender;
@@ -9,6 +9,7 @@
 
 use cranberrypitch_core::{Clock, Revision, ServiceTag, TargetState};
 use cranberrypitch_net::tls;
+use cranberrypitch_net::udp::bind_tunnel;
 use kameo::actor::{ActorRef, Spawn};
 use quinn::{Endpoint, TokioRuntime};
 use tokio::runtime::{Builder, Runtime};
@@ -72,8 +73,7 @@
     /// Starts an agent beside a backend server.
     pub fn spawn<B: BackendServer + 'static>(options: AgentOptions, backend: B) -> Result<Self> {
         let address = options.identity.tunnel_address;
-        let io = UdpSocket::bind(address).map_err(|e| Error::bind(address, e))?;
-        io.set_nonblocking(true)?;
+        let io = bind_tunnel(address).map_err(|e| Error::bind(address, e))?;
         let traffic = Builder::new_current_thread().enable_all().build()?;
         let control = Builder::new_current_thread().enable_all().build()?;
         let identity = options.identity.clone();
--- a/crates/cranberrypitch-balancer/src/daemon.rs
+++ b/crates/cranberrypitch-balancer/src/daemon.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 use cranberrypitch_core::membership::Target;
 use cranberrypitch_core::{FastSet, Revision, ServiceTag};
+use cranberrypitch_net::udp::bind_tunnel;
 use cranberrypitch_proto::report::BalancerHint;
 use kameo::actor::{Actor, ActorRef, Spawn};
 use kameo::error::Infallible;
@@ -72,8 +73,7 @@
     /// Starts a balancer that serves no address yet.
     pub fn spawn(options: BalancerOptions) -> Result<Self> {
         let address = options.identity.tunnel_address;
-        let tunnel = UdpSocket::bind(address).map_err(|e| Error::bind(address, e))?;
-        tunnel.set_nonblocking(true)?;
+        let tunnel = bind_tunnel(address).map_err(|e| Error::bind(address, e))?;
         let control_tunnel = Arc::new(tunnel.try_clone()?);
         let traffic_runtime = Builder::new_current_thread().enable_all().build()?;
         let control_runtime = Builder::new_current_thread().enable_all().build()?;
--- a/crates/cranberrypitch-net/src/lib.rs
+++ b/crates/cranberrypitch-net/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod settings;
 pub mod store;
 pub mod tls;
+pub mod udp;
 
 pub use crate::control::{ControlClient, ControlServer};
 pub use crate::errors::{Error, Result};
