--- a/crates/cranberrypitch-agent/src/daemon.rs
+++ b/crates/cranberrypitch-agent/src/daemon.rs
@@ -1,7 +1,7 @@
 //! The agent as a whole: its threads, its start and its graceful stop.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::SyncSender;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,6 +12,7 @@
 use cranberrypitch_core::config::ClassLimits;
 use cranberrypitch_core::{Class, Clock, Revision, ServiceTag, TargetState};
 use cranberrypitch_net::tls;
+use cranberrypitch_net::udp::bind_tunnel;
 use kameo::actor::{ActorRef, Spawn};
 use quinn::{Endpoint, TokioRuntime};
 use tokio::runtime::{Builder, Runtime};
@@ -258,8 +259,7 @@
     fn open(options: &AgentOptions, traffic: &Runtime) -> Result<Self> {
         let identity = &options.identity;
         let address = identity.tunnel_address;
-        let io = UdpSocket::bind(address).map_err(|e| Error::bind(address, e))?;
-        io.set_nonblocking(true)?;
+        let io = bind_tunnel(address).map_err(|e| Error::bind(address, e))?;
         let service = ServiceTag::of(&identity.service);
         let returns = Arc::new(ReturnPath::new(identity.failure_domain.clone()));
         let (control, datagrams) = mpsc::channel(CONTROL_QUEUE_LEN);
--- a/crates/cranberrypitch/src/command/status.rs
+++ b/crates/cranberrypitch/src/command/status.rs
@@ -58,7 +58,7 @@
     revision: u64,
     edit_id: Box<str>,
     previous_edits: Vec<String>,
-    services: usize,
+    deployment: Box<str>,
     shards: usize,
     watchers: Vec<Box<str>>,
 }
@@ -177,7 +177,7 @@
                 .iter()
                 .map(ToString::to_string)
                 .collect(),
-            services: status.services,
+            deployment: status.deployment.name.to_string().into(),
             shards: status.shards.get(),
             watchers: status
                 .watchers
@@ -208,8 +208,8 @@
                 .push("no configuration is in force yet; its first edit is on revision 0".into()),
             Some(c) => {
                 lines.push(format!(
-                    "revision {} by edit {}, {} services in {} shards",
-                    c.revision, c.edit_id, c.services, c.shards
+                    "revision {} of {} by edit {}, {} shards",
+                    c.revision, c.deployment, c.edit_id, c.shards
                 ));
                 lines.extend(c.watchers.iter().map(|key| format!("watcher {key}")));
             }
