--- a/crates/cranberrypitch-core/src/membership.rs
+++ b/crates/cranberrypitch-core/src/membership.rs
@@ -4,13 +4,15 @@
 //! a lossy control path alone takes no target out. When most targets of a service are silent at
 //! the same time the fault is more likely between here and them, so the last known set is kept.
 
+mod change;
 pub mod subset;
 
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
 use crate::collections::FastMap;
-use crate::ids::{Incarnation, Revision, ServiceTag};
+use crate::ids::{Incarnation, Revision, ServiceName, ServiceTag, VmId};
+pub use crate::membership::change::Change;
 use crate::target::{Announcement, Load, TargetState};
 
 /// Limits for the judgement of silence.
@@ -112,6 +114,7 @@
     incarnation: Incarnation,
     sequence: Option<u64>,
     gone: bool,
+    is_restart: bool,
     reported_at: Instant,
     unanswered: bool,
     hearing: Hearing,
@@ -124,6 +127,7 @@
             incarnation,
             sequence: None,
             gone: false,
+            is_restart: false,
             reported_at: now,
             unanswered: false,
             hearing: Hearing::Heard,
@@ -139,23 +143,31 @@
         self.hearing == Hearing::Heard
     }
 
-    fn accept(&mut self, report: TargetReport, now: Instant) {
+    fn accept(&mut self, report: TargetReport, now: Instant) -> Option<Change> {
         self.sequence = Some(report.sequence);
         self.reported_at = now;
         self.unanswered = false;
-        if self.hearing == Hearing::Silent {
+        let was_silent = self.hearing == Hearing::Silent;
+        if was_silent {
             self.hearing = Hearing::Rejoining { since: now };
         }
         self.gone = report.state == TargetState::Gone;
         let known = self.target.take();
+        let was_known = known.is_some();
         let (service, announcement) = match (report.announcement, known) {
             (Some(announcement), _) => (ServiceTag::of(&announcement.service), announcement),
             (None, Some(known)) => (known.service, known.announcement),
-            (None, None) => return,
+            (None, None) => return None,
         };
+        let (vm, name) = (announcement.vm.clone(), announcement.service.clone());
         if self.gone {
-            return;
+            return was_known.then_some(Change::Left { vm, service: name });
         }
+        let change = if !was_known {
+            Some(self.announced(vm, name, report.address))
+        } else {
+            was_silent.then_some(Change::Back { vm, service: name })
+        };
         self.target = Some(Target {
             address: report.address,
             incarnation: report.incarnation,
@@ -167,9 +179,29 @@
             service,
             announcement,
         });
+        change
     }
 
-    fn judge(&mut self, options: &MembershipOptions, now: Instant) {
+    fn announced(&self, vm: VmId, service: ServiceName, address: SocketAddrV4) -> Change {
+        let incarnation = self.incarnation;
+        if self.is_restart {
+            return Change::Restarted {
+                vm,
+                service,
+                incarnation,
+            };
+        }
+        Change::Joined {
+            vm,
+            service,
+            address,
+            incarnation,
+        }
+    }
+
+    /// Judges silence, and returns the change if the target has become silent.
+    fn judge(&mut self, options: &MembershipOptions, now: Instant) -> Option<Change> {
+        let was_silent = self.hearing == Hearing::Silent;
         let silence = now.saturating_duration_since(self.reported_at);
         let overdue = silence >= options.overdue_after();
         self.hearing = match self.hearing {
@@ -182,6 +214,15 @@
             }
             unchanged => unchanged,
         };
+        if was_silent || self.hearing != Hearing::Silent {
+            return None;
+        }
+        let announcement = &self.target.as_ref()?.announcement;
+        Some(Change::Silent {
+            vm: announcement.vm.clone(),
+            service: announcement.service.clone(),
+            silent_for: silence,
+        })
     }
 }
 
@@ -197,6 +238,7 @@
     options: MembershipOptions,
     entries: FastMap<SocketAddrV4, Entry>,
     holds: FastMap<ServiceTag, Hold>,
+    changes: Vec<Change>,
 }
 
 impl Membership {
@@ -219,11 +261,12 @@
             .or_insert_with(|| Entry::new(report.incarnation, now));
         if entry.incarnation < report.incarnation {
             *entry = Entry::new(report.incarnation, now);
+            entry.is_restart = true;
         }
         if entry.is_stale(&report) {
             return ReportResult::Stale;
         }
-        entry.accept(report, now);
+        self.changes.extend(entry.accept(report, now));
         ReportResult::Accepted {
             announced: entry.target.is_some() || entry.gone,
         }
@@ -244,13 +287,14 @@
     }
 
     /// Judges silence, and forgets targets that have been away for long. Called about once a
-    /// second.
-    pub fn on_tick(&mut self, now: Instant) {
+    /// second. Returns what has changed since the last call.
+    pub fn on_tick(&mut self, now: Instant) -> Vec<Change> {
         for entry in self.entries.values_mut() {
-            entry.judge(&self.options, now);
+            self.changes.extend(entry.judge(&self.options, now));
         }
         self.update_holds(now);
         self.forget(now);
+        std::mem::take(&mut self.changes)
     }
 
     /// Returns the targets of a service that new flows may consider, in order of their address.
@@ -278,19 +322,28 @@
     }
 
     fn update_holds(&mut self, now: Instant) {
-        let mut counts: FastMap<ServiceTag, (usize, usize)> = FastMap::default();
+        let mut counts: FastMap<ServiceTag, (&ServiceName, usize, usize)> = FastMap::default();
         for entry in self.entries.values() {
             let Some(target) = &entry.target else {
                 continue;
             };
-            let (silent, all) = counts.entry(target.service).or_default();
+            let name = &target.announcement.service;
+            let (_, silent, all) = counts.entry(target.service).or_insert((name, 0, 0));
             *all += 1;
             *silent += usize::from(entry.hearing == Hearing::Silent);
         }
         self.holds.retain(|service, _| counts.contains_key(service));
-        for (service, (silent, all)) in counts {
+        for (service, (name, silent, total)) in counts {
             let hold = self.holds.entry(service).or_default();
-            hold.update(silent * 2 > all, self.options.settle, now);
+            let was_held = hold.held;
+            hold.update(silent * 2 > total, self.options.settle, now);
+            if hold.held && !was_held {
+                self.changes.push(Change::Kept {
+                    service: name.clone(),
+                    silent,
+                    total,
+                });
+            }
         }
     }
 
