--- a/crates/cranberrypitch-agent/src/announce.rs
+++ b/crates/cranberrypitch-agent/src/announce.rs
@@ -1,13 +1,18 @@
 //! The actor that reports the target's load to balancers and judges which of them are alive.
 
+use std::net::SocketAddrV4;
+use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::{Announcement, Clock, ConnectionLimit, Revision, TargetState};
+use cranberrypitch_net::Event;
+use cranberrypitch_net::daemon::RestartLog;
+use cranberrypitch_net::metrics::{Counter, Gauge, Metrics};
 use cranberrypitch_proto::report::{Report, ReportAck};
 use cranberrypitch_proto::tunnel::Kind;
-use kameo::actor::{Actor, ActorRef};
-use kameo::error::Infallible;
+use kameo::actor::{Actor, ActorRef, WeakActorRef};
+use kameo::error::{ActorStopReason, Infallible, PanicError};
 use kameo::message::{Context, Message};
 use tokio::sync::watch;
 
@@ -15,12 +20,15 @@
 use crate::options::AgentIdentity;
 use crate::returns::{ReturnBalancer, ReturnPath};
 use crate::socket::{ControlDatagram, TunnelSocket};
-use crate::target::{SetPeers, Status, TargetActor, TargetStatus};
+use crate::target::{Sample, SetPeers, Status, TargetActor, TargetStatus};
 
 /// The time between reports while the target carries flows. Its answers show within a second
 /// that a balancer has died.
 pub(crate) const BUSY_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The most balancers that one log line names.
+const MAX_LISTED: usize = 8;
+
 /// What the actor is started with.
 #[derive(Clone, Debug)]
 pub(crate) struct AnnounceArgs {
@@ -34,6 +42,8 @@
     pub(crate) socket: Arc<TunnelSocket>,
     pub(crate) target: ActorRef<TargetActor>,
     pub(crate) sequence: Arc<std::sync::atomic::AtomicU64>,
+    pub(crate) metrics: Metrics,
+    pub(crate) restarts: RestartLog,
     pub(crate) clock: Arc<dyn Clock>,
 }
 
@@ -44,6 +54,7 @@
     table: BalancerTable,
     reported: Option<TargetStatus>,
     reported_at: Option<Instant>,
+    sent: u64,
 }
 
 /// Reports what is due.
@@ -67,6 +78,7 @@
     type Error = Infallible;
 
     async fn on_start(args: AnnounceArgs, _: ActorRef<Self>) -> Result<Self, Infallible> {
+        args.restarts.note_start();
         let now = args.clock.now();
         let mut table = BalancerTable::default();
         for balancer in &args.balancers {
@@ -77,15 +89,28 @@
             table,
             reported: None,
             reported_at: None,
+            sent: 0,
         };
         actor.publish();
         Ok(actor)
     }
+
+    async fn on_panic(
+        &mut self,
+        _: WeakActorRef<Self>,
+        err: PanicError,
+    ) -> Result<ControlFlow<ActorStopReason>, Infallible> {
+        self.args.restarts.note_failure(&err);
+        Ok(ControlFlow::Break(ActorStopReason::Panicked(err)))
+    }
 }
 
 impl AnnounceActor {
     fn publish(&self) {
-        self.args.returns.set_live(&self.table.live());
+        if let Some(balancers) = self.args.returns.set_live(&self.table.live()) {
+            let balancers = listed(&balancers);
+            Event::ReturnPathChanged { balancers }.log();
+        }
     }
 
     async fn report(&mut self, is_forced: bool) {
@@ -107,8 +132,12 @@
             if let Ok(bytes) = report.encode() {
                 // A report that is lost is followed by the next one.
                 let _sent = self.args.socket.send_control(due.to, Kind::Report, &bytes);
+                self.sent += 1;
             }
         }
+        for (tunnel, silent_ms) in self.table.newly_silent(now) {
+            Event::BalancerSilent { tunnel, silent_ms }.log();
+        }
         self.publish();
     }
 
@@ -148,6 +177,12 @@
         }
     }
 
+    fn take_goodbye(&mut self, tunnel: SocketAddrV4) {
+        if self.table.on_goodbye(tunnel, self.args.clock.now()) {
+            Event::BalancerGoodbye { tunnel }.log();
+        }
+    }
+
     async fn take_ack(&mut self, datagram: &ControlDatagram) {
         let Ok(ack) = ReportAck::decode(&datagram.payload) else {
             return;
@@ -170,6 +205,30 @@
     }
 }
 
+/// Returns the first few addresses and the number of the others.
+fn listed(balancers: &[SocketAddrV4]) -> Box<str> {
+    let shown = balancers.iter().take(MAX_LISTED).map(ToString::to_string);
+    let text = shown.collect::<Vec<_>>().join(", ");
+    match balancers.len() {
+        0 => "none".into(),
+        len if len > MAX_LISTED => format!("{text} and {} others", len - MAX_LISTED).into(),
+        _ => text.into(),
+    }
+}
+
+impl Message<Sample> for AnnounceActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Sample, _: &mut Context<Self, ()>) {
+        let metrics = &self.args.metrics;
+        metrics.count(Counter::Reports, std::mem::take(&mut self.sent));
+        let live = self.table.live().len() as u64;
+        metrics.gauge(Gauge::BalancersLive, live);
+        let revision = self.args.revision.borrow().get();
+        metrics.gauge(Gauge::ConfigurationRevision, revision);
+    }
+}
+
 impl Message<ReportTick> for AnnounceActor {
     type Reply = ();
 
@@ -204,7 +263,7 @@
     async fn handle(&mut self, msg: ControlDatagram, _: &mut Context<Self, ()>) {
         match msg.header.kind {
             Kind::ReportAck => self.take_ack(&msg).await,
-            Kind::Goodbye => self.table.on_goodbye(msg.from, self.args.clock.now()),
+            Kind::Goodbye => self.take_goodbye(msg.from),
             _ => return,
         }
         self.publish();
--- a/crates/cranberrypitch-agent/src/balancers.rs
+++ b/crates/cranberrypitch-agent/src/balancers.rs
@@ -72,11 +72,21 @@
         }
     }
 
-    /// Notes that a balancer is leaving. It stays out until it is listed again later.
-    pub(crate) fn on_goodbye(&mut self, from: SocketAddrV4, now: Instant) {
-        if let Some(entry) = self.entries.get_mut(&from) {
-            entry.left_at = Some(now);
-        }
+    /// Notes that a balancer is leaving. It stays out until it is listed again later. Returns
+    /// whether it was not known to be leaving.
+    pub(crate) fn on_goodbye(&mut self, from: SocketAddrV4, now: Instant) -> bool {
+        let entry = self.entries.get_mut(&from);
+        entry.is_some_and(|entry| entry.left_at.replace(now).is_none())
+    }
+
+    /// Returns the balancers that have become silent since the last reports, with the time since
+    /// their last answer.
+    pub(crate) fn newly_silent(&self, now: Instant) -> Vec<(SocketAddrV4, Duration)> {
+        let staying = self.entries.iter().filter(|(_, e)| e.left_at.is_none());
+        let silent = staying.filter(|(_, e)| e.has_answered && e.unanswered == MAX_UNANSWERED + 1);
+        silent
+            .map(|(address, e)| (*address, now.saturating_duration_since(e.heard_at)))
+            .collect()
     }
 
     /// Returns the reports to send now, and counts them as unanswered until their answer comes.
--- a/crates/cranberrypitch-agent/src/daemon.rs
+++ b/crates/cranberrypitch-agent/src/daemon.rs
@@ -10,6 +10,8 @@
 
 use cranberrypitch_core::config::ClassLimits;
 use cranberrypitch_core::{Class, Clock, Revision, ServiceTag, TargetState};
+use cranberrypitch_net::daemon::{RestartLog, log_ended};
+use cranberrypitch_net::metrics::Snapshot;
 use cranberrypitch_net::tls;
 use kameo::actor::{ActorRef, Spawn};
 use quinn::{Endpoint, TokioRuntime};
@@ -27,7 +29,9 @@
     ControlDatagram, SocketCounters, SocketIdentity, TunnelSocket, TunnelSocketParts,
 };
 use crate::supervisor::{StartAnnounce, StartTarget, StopFlag, Supervisor, drive_control};
-use crate::target::{Drain, HealthAnswer, Status, TargetActor, TargetArgs, TargetStatus};
+use crate::target::{
+    Drain, HealthAnswer, RequestTimes, Status, TargetActor, TargetArgs, TargetStatus,
+};
 
 /// Tunnel datagrams for the control thread that may wait.
 const CONTROL_QUEUE_LEN: usize = 1024;
@@ -159,6 +163,12 @@
         status.ok_or_else(|| Error::ended("target actor"))
     }
 
+    /// Returns waits and service times per tenant and class since the last log line about them.
+    pub async fn request_times(&self) -> Result<Snapshot> {
+        let times = self.target.ask(RequestTimes).await.ok().flatten();
+        times.ok_or_else(|| Error::ended("target actor"))
+    }
+
     /// Tells the agent which balancers are listed as live.
     pub async fn set_balancers(&self, balancers: Vec<ReturnBalancer>) -> Result<()> {
         let sent = self.announce.tell(SetBalancers(balancers)).await;
@@ -219,13 +229,22 @@
         }
     }
 
-    /// Returns when a thread of the agent has ended although nobody asked for it.
-    pub async fn failed(&self) {
-        while !self.threads().iter().any(JoinHandle::is_finished) {
+    /// Returns when a thread of the agent has ended although nobody asked for it, and logs it.
+    pub async fn failed(&self) -> Error {
+        loop {
+            if let Some(thread) = self.take_ended() {
+                return log_ended(thread).into();
+            }
             tokio::time::sleep(FAILURE_POLL).await;
         }
     }
 
+    fn take_ended(&self) -> Option<JoinHandle<()>> {
+        let mut threads = self.threads();
+        let ended = threads.iter().position(JoinHandle::is_finished)?;
+        Some(threads.swap_remove(ended))
+    }
+
     fn threads(&self) -> MutexGuard<'_, Vec<JoinHandle<()>>> {
         self.threads.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -295,6 +314,7 @@
         drain: options.drain,
         issuer: tunnel.issuer.clone(),
         socket: Arc::clone(&tunnel.socket),
+        metrics: options.metrics.clone(),
         clock: Arc::clone(&options.clock),
         state,
     }
@@ -315,6 +335,7 @@
         let connections_max = self.options.admission.connection_limit();
         let balancers = self.options.balancers.clone();
         let clock = Arc::clone(&self.options.clock);
+        let metrics = self.options.metrics.clone();
         let idle_interval = self.options.report_interval;
         let (returns, socket, revision) = (self.returns, self.socket, self.revision);
         let newest_revision = self.newest_revision;
@@ -329,6 +350,8 @@
             socket,
             target,
             sequence: Arc::default(),
+            metrics,
+            restarts: RestartLog::new("announce"),
             clock,
         }
     }
--- a/crates/cranberrypitch-agent/src/options.rs
+++ b/crates/cranberrypitch-agent/src/options.rs
@@ -9,8 +9,8 @@
 use cranberrypitch_core::health::HealthOptions;
 use cranberrypitch_core::orders::TicketBookOptions;
 use cranberrypitch_core::{Clock, FailureDomain, Incarnation, ServiceName, SystemClock, VmId};
-use cranberrypitch_net::KeyRing;
 use cranberrypitch_net::tls::{Certificate, TransportOptions};
+use cranberrypitch_net::{KeyRing, Metrics};
 
 use crate::returns::ReturnBalancer;
 
@@ -45,6 +45,7 @@
     pub(crate) answer_timeout: Duration,
     pub(crate) report_interval: Duration,
     pub(crate) balancers: Vec<ReturnBalancer>,
+    pub(crate) metrics: Metrics,
     pub(crate) clock: Arc<dyn Clock>,
 }
 
@@ -71,6 +72,7 @@
                 answer_timeout: Duration::from_mins(2),
                 report_interval: Duration::from_secs(1),
                 balancers: Vec::new(),
+                metrics: Metrics::none(),
                 clock: Arc::new(SystemClock),
             },
         }
@@ -140,6 +142,12 @@
         self
     }
 
+    /// Sets where metrics are sent; without it, nowhere.
+    pub fn metrics(mut self, metrics: Metrics) -> Self {
+        self.options.metrics = metrics;
+        self
+    }
+
     /// Sets the clock.
     pub fn clock(mut self, clock: Arc<dyn Clock>) -> Self {
         self.options.clock = clock;
--- a/crates/cranberrypitch-agent/src/process.rs
+++ b/crates/cranberrypitch-agent/src/process.rs
@@ -11,9 +11,10 @@
 use cranberrypitch_net::control::ControlOptions;
 use cranberrypitch_net::daemon::{DaemonError, ExitStatus, Startup, until_stop};
 use cranberrypitch_net::keeper::{ConfigSource, Keeper, KeeperOptions};
+use cranberrypitch_net::metrics::Timer;
 use cranberrypitch_net::peers::ControlPeers;
 use cranberrypitch_net::registry::list_balancers;
-use cranberrypitch_net::store::{HttpStore, HttpStoreOptions};
+use cranberrypitch_net::store::{HttpStore, HttpStoreOptions, ObservedStore, StoreMonitor};
 use cranberrypitch_net::tls::{Certificate, TransportOptions};
 use cranberrypitch_net::{AgentSettings, Event};
 use cranberrypitch_proto::control::BalancerEntry;
@@ -56,9 +57,9 @@
 
 /// Runs an agent until a signal asks for a graceful stop, and drains it then.
 pub async fn run(startup: Startup<AgentSettings>) -> Result<()> {
-    let mut signals = startup.signals;
     let keys = Arc::clone(&startup.keys);
-    let parts = Parts::new(&startup.settings, &keys, startup.incarnation.get());
+    let parts = Parts::new(&startup);
+    let mut signals = startup.signals;
     let keeper = tokio::spawn(parts.keeper.run());
     let settings = &startup.settings;
     let certificate =
@@ -98,6 +99,7 @@
         .drain_deadline(settings.drain_deadline_ms)
         .report_interval(settings.report_interval_ms)
         .balancers(balancers)
+        .metrics(startup.metrics.clone())
         .build();
     let backend_address = SocketAddr::V4(settings.backend_address);
     let backend = HttpBackend::new(backend_address, HttpBackendOptions::default());
@@ -108,23 +110,29 @@
         () = follow_configuration(settings, &agent, parts.source.published()) => {}
         () = hear_revisions(agent.newest_revision(), parts.source.clone()) => {}
         () = find.follow(&agent) => {}
-        () = agent.failed() => return Err(Error::ended("agent thread")),
+        error = agent.failed() => return Err(error),
     }
     keeper.abort();
-    drain(agent, settings.drain_deadline_ms).await
+    let started = std::time::Instant::now();
+    let drained = drain(agent, settings.drain_deadline_ms).await;
+    startup.metrics.time(Timer::Drain, started.elapsed());
+    drained
 }
 
 /// What an agent learns its configuration and balancers with.
 struct Parts {
-    store: HttpStore,
+    store: ObservedStore<HttpStore>,
     peers: ControlPeers,
-    keeper: Keeper<HttpStore, ControlPeers>,
+    keeper: Keeper<ObservedStore<HttpStore>, ControlPeers>,
     source: ConfigSource,
 }
 
 impl Parts {
-    fn new(settings: &AgentSettings, keys: &Arc<cranberrypitch_net::KeyRing>, seed: u64) -> Self {
-        let store = || HttpStore::new(HttpStoreOptions::new(settings.store_address));
+    fn new(startup: &Startup<AgentSettings>) -> Self {
+        let (settings, keys) = (&startup.settings, &startup.keys);
+        let monitor = StoreMonitor::new(settings.store_address, startup.metrics.clone());
+        let store_options = HttpStoreOptions::new(settings.store_address);
+        let store = || monitor.observe(HttpStore::new(store_options));
         let seeds = settings.seed_balancers.clone();
         let peers = ControlPeers::new(Arc::clone(keys), ControlOptions::default(), seeds);
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
@@ -134,7 +142,13 @@
             poll_interval: POLL_INTERVAL,
             ..KeeperOptions::new(settings.failure_domain.clone())
         };
-        let (keeper, source) = Keeper::new(store(), peers.clone(), options, clock, seed);
+        let (keeper, source) = Keeper::new(
+            store(),
+            peers.clone(),
+            options,
+            clock,
+            startup.incarnation.get(),
+        );
         Self {
             store: store(),
             peers,
@@ -146,7 +160,7 @@
 
 /// Finds the live balancers: in the store, or through a balancer while the store is down.
 struct Find {
-    store: HttpStore,
+    store: ObservedStore<HttpStore>,
     peers: ControlPeers,
 }
 
--- a/crates/cranberrypitch-agent/src/returns.rs
+++ b/crates/cranberrypitch-agent/src/returns.rs
@@ -1,6 +1,7 @@
 //! The way back: which balancer takes datagrams to callers.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use arc_swap::ArcSwap;
@@ -47,13 +48,21 @@
 
     /// Replaces the live balancers. Those in the agent's own failure domain take all returns, as
     /// links between failure domains cost more; without any, all live ones do.
-    pub(crate) fn set_live(&self, live: &[ReturnBalancer]) {
+    ///
+    /// Returns the balancers that take returns from now on if they are others than before.
+    pub(crate) fn set_live(&self, live: &[ReturnBalancer]) -> Option<Arc<Vec<SocketAddrV4>>> {
         let near = live.iter().filter(|b| b.failure_domain == self.own_domain);
         let mut usable: Vec<_> = near.map(|b| b.tunnel_address).collect();
         if usable.is_empty() {
             usable = live.iter().map(|b| b.tunnel_address).collect();
         }
-        self.usable.store(usable.into());
+        usable.sort_unstable();
+        if **self.usable.load() == usable {
+            return None;
+        }
+        let usable = Arc::new(usable);
+        self.usable.store(Arc::clone(&usable));
+        Some(usable)
     }
 
     /// Returns the balancer for the next datagram.
--- a/crates/cranberrypitch-agent/src/server.rs
+++ b/crates/cranberrypitch-agent/src/server.rs
@@ -22,8 +22,8 @@
 use crate::ids::TokenIssuer;
 use crate::run::{Started, run_feed, run_order, run_upload};
 use crate::target::{
-    Cancel, CloseConnection, Ended, IssueTicket, OpenConnection, QueryOrder, Submit, TargetActor,
-    Verdict,
+    Cancel, CloseConnection, Ended, IssueTicket, OpenConnection, QueryOrder, Refused, Submit,
+    TargetActor, Verdict,
 };
 
 /// The longest body of an order.
@@ -126,6 +126,7 @@
         mut recv: RecvStream,
     ) {
         if let Err(reason) = self.limit(&mut head) {
+            self.note_refused(&head, reason).await;
             send_response(&mut send, &Ended::not_run(reason)).await;
             return;
         }
@@ -154,6 +155,7 @@
             }
             Class::Order => {
                 let Some(body) = read_order(&mut recv, head.body_len).await else {
+                    self.note_refused(&head, NotRunReason::Invalid).await;
                     send_response(&mut send, &Ended::not_run(NotRunReason::Invalid)).await;
                     return;
                 };
@@ -214,6 +216,16 @@
         }
     }
 
+    async fn note_refused(&self, head: &RequestHead, reason: NotRunReason) {
+        let refused = Refused {
+            tenant: head.tenant.clone(),
+            class: head.class,
+            reason,
+        };
+        // Without its target actor the agent ends anyway.
+        let _sent = self.target.tell(refused).await;
+    }
+
     /// Holds a request to the limits of its class.
     fn limit(&self, head: &mut RequestHead) -> Result<(), NotRunReason> {
         let Some(classes) = self.classes.load_full() else {
--- a/crates/cranberrypitch-agent/src/socket.rs
+++ b/crates/cranberrypitch-agent/src/socket.rs
@@ -39,6 +39,7 @@
     invalid: AtomicU64,
     misdirected: AtomicU64,
     unsent: AtomicU64,
+    overflowed: AtomicU64,
 }
 
 impl SocketCounters {
@@ -56,6 +57,12 @@
     pub fn unsent(&self) -> u64 {
         self.unsent.load(Ordering::Relaxed)
     }
+
+    /// Returns the datagrams that found the queue of the control thread or the table of callers
+    /// full.
+    pub fn overflowed(&self) -> u64 {
+        self.overflowed.load(Ordering::Relaxed)
+    }
 }
 
 /// The identity that datagrams are checked against.
@@ -125,11 +132,14 @@
             Kind::ReportAck | Kind::Peer | Kind::Goodbye => {
                 let payload = payload.to_vec();
                 // A full queue drops the datagram as a full socket buffer would.
-                let _sent = self.control.try_send(ControlDatagram {
+                let sent = self.control.try_send(ControlDatagram {
                     from,
                     header,
                     payload,
                 });
+                if sent.is_err() {
+                    self.counters.overflowed.fetch_add(1, Ordering::Relaxed);
+                }
                 None
             }
             Kind::Return | Kind::Report | Kind::Place => {
@@ -157,7 +167,7 @@
             .callers
             .note(header.caller, header.service_address, self.clock.now())
         {
-            self.counters.unsent.fetch_add(1, Ordering::Relaxed);
+            self.counters.overflowed.fetch_add(1, Ordering::Relaxed);
             return None;
         }
         let meta = RecvMeta {
@@ -230,8 +240,12 @@
     }
 
     fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
-        let route = self.return_header(transmit).zip(self.returns.next());
-        let Some((header, balancer)) = route else {
+        let Some(header) = self.return_header(transmit) else {
+            // The caller has been dropped from the table; it is noted again with its next packet.
+            self.counters.overflowed.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        };
+        let Some(balancer) = self.returns.next() else {
             // QUIC retransmits once a balancer is known again.
             self.counters.unsent.fetch_add(1, Ordering::Relaxed);
             return Ok(());
--- a/crates/cranberrypitch-agent/src/supervisor.rs
+++ b/crates/cranberrypitch-agent/src/supervisor.rs
@@ -13,13 +13,16 @@
 
 use crate::announce::{AnnounceActor, AnnounceArgs, BUSY_INTERVAL, ReportTick};
 use crate::socket::ControlDatagram;
-use crate::target::{TargetActor, TargetArgs};
+use crate::target::{Sample, TargetActor, TargetArgs};
 
 /// An actor that fails more often than this within [`RESTART_WINDOW`] takes the agent down.
 const MAX_RESTARTS: u32 = 5;
 
 const RESTART_WINDOW: Duration = Duration::from_secs(10);
 
+/// The time between two samples, which is that between two flushes of the metrics.
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The supervisor. Its target actor is not restarted, as its state can't be rebuilt.
 #[derive(Debug)]
 pub(crate) struct Supervisor;
@@ -80,9 +83,14 @@
 ) {
     let mut ticks = tokio::time::interval(BUSY_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut samples = tokio::time::interval(SAMPLE_INTERVAL);
+    samples.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         let sent = tokio::select! {
             _ = ticks.tick() => announce.tell(ReportTick).await.is_ok(),
+            _ = samples.tick() => {
+                target.tell(Sample).await.is_ok() && announce.tell(Sample).await.is_ok()
+            }
             datagram = datagrams.recv() => match datagram {
                 Some(datagram) if datagram.header.kind == Kind::Peer => {
                     target.tell(datagram).await.is_ok()
--- a/crates/cranberrypitch-agent/src/target.rs
+++ b/crates/cranberrypitch-agent/src/target.rs
@@ -6,10 +6,11 @@
 mod actor;
 mod messages;
 mod moves;
+mod record;
 
 pub(crate) use self::actor::{TargetActor, TargetArgs};
 pub use self::messages::TargetStatus;
 pub(crate) use self::messages::{
     Cancel, CloseConnection, Drain, Ended, Finish, HealthAnswer, IssueTicket, OpenConnection,
-    QueryOrder, SetPeers, Sight, Status, Submit, Verdict,
+    QueryOrder, Refused, RequestTimes, Sample, SetPeers, Sight, Status, Submit, Verdict,
 };
--- a/crates/cranberrypitch-agent/src/target/actor.rs
+++ b/crates/cranberrypitch-agent/src/target/actor.rs
@@ -1,33 +1,28 @@
 //! The actor.
 
+mod handlers;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use cranberrypitch_core::admission::{
-    Action, Admission, AdmissionOptions, Event, FinishResult, Submission,
-};
+use cranberrypitch_core::admission::{Action, Admission, AdmissionOptions, Event};
 use cranberrypitch_core::drain::{DrainOptions, Draining, Lifecycle, Remaining};
 use cranberrypitch_core::handoff::QueueState;
-use cranberrypitch_core::health::{Change, Health, HealthOptions, Observation};
+use cranberrypitch_core::health::{Change, Health, HealthOptions, HealthState, Observation};
 use cranberrypitch_core::ids::RequestId;
 use cranberrypitch_core::orders::{Decision, Ticket, TicketBook, TicketBookOptions};
-use cranberrypitch_core::{
-    Class, Clock, FastMap, Load, NotRunReason, Outcome, Reservation, TargetState,
-};
-use cranberrypitch_proto::request::IssuedTicket;
+use cranberrypitch_core::{Class, Clock, FastMap, NotRunReason, Outcome, Reservation, TargetState};
+use cranberrypitch_net::{Event as LogEvent, Metrics};
 use kameo::actor::{Actor, ActorRef, WeakActorRef};
 use kameo::error::{ActorStopReason, Infallible};
-use kameo::message::{Context, Message};
 use tokio::sync::{oneshot, watch};
 
-use super::messages::{
-    Cancel, CloseConnection, Drain, Ended, Finish, HealthAnswer, IssueTicket, OpenConnection,
-    QueryOrder, SetPeers, Sight, Status, Submit, TargetStatus, Verdict,
-};
+use super::messages::{Ended, Submit, Verdict};
 use super::moves::{Moves, Step};
+use super::record::{Record, RequestKind};
 use crate::ids::TokenIssuer;
 use crate::options::AgentIdentity;
-use crate::socket::{ControlDatagram, TunnelSocket};
+use crate::socket::TunnelSocket;
 
 /// How long admission holds a slot for a peer's request; the offer itself lapses earlier.
 const RESERVATION: Duration = Duration::from_millis(150);
@@ -45,15 +40,18 @@
     pub(crate) drain: DrainOptions,
     pub(crate) issuer: TokenIssuer,
     pub(crate) socket: Arc<TunnelSocket>,
+    pub(crate) metrics: Metrics,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) state: watch::Sender<TargetState>,
 }
 
 #[derive(Debug)]
 struct Pending {
+    kind: RequestKind,
     ticket: Option<Ticket>,
     reply: Option<oneshot::Sender<Verdict>>,
     arrived: Instant,
+    started: Option<Instant>,
 }
 
 /// The actor.
@@ -65,6 +63,7 @@
     moves: Moves,
     draining: Option<Lifecycle<Draining>>,
     pending: FastMap<RequestId, Pending>,
+    record: Record,
     args: TargetArgs,
     tick_at: Option<Instant>,
     this: WeakActorRef<Self>,
@@ -88,6 +87,7 @@
             moves: Moves::new(args.issuer.clone(), Arc::clone(&args.socket), now),
             draining: None,
             pending: FastMap::default(),
+            record: Record::new(args.metrics.clone(), now),
             args,
             tick_at: None,
             this: actor_ref.downgrade(),
@@ -119,7 +119,7 @@
 
     fn apply(&mut self, action: Action, now: Instant) {
         match action {
-            Action::Start(request) => self.reply(request, Verdict::Start),
+            Action::Start(request) => self.start(request, now),
             Action::Refuse(request, reason) => {
                 self.end(request, &Ended::not_run(reason), now);
             }
@@ -190,10 +190,12 @@
 
     fn observe(&mut self, observation: Observation, now: Instant) {
         for change in self.health.observe(observation, now) {
-            if let Change::Allow(allowance) = change {
-                self.admit(Event::Allow(allowance), now);
+            match change {
+                Change::Allow(allowance) => self.admit(Event::Allow(allowance), now),
+                Change::State(state) => self.log_health(state, observation, now),
             }
         }
+        self.record.overruled(self.health.disagreements(), now);
         let may_place = self.health.may_place();
         self.args.state.send_if_modified(|state| {
             let next = match state {
@@ -205,11 +207,30 @@
         });
     }
 
-    fn reply(&mut self, request: RequestId, verdict: Verdict) {
-        let pending = self.pending.get_mut(&request);
-        if let Some(reply) = pending.and_then(|p| p.reply.take()) {
+    fn start(&mut self, request: RequestId, now: Instant) {
+        let Some(pending) = self.pending.get_mut(&request) else {
+            return;
+        };
+        pending.started = Some(now);
+        let wait = now.saturating_duration_since(pending.arrived);
+        self.record.start(&pending.kind, wait);
+        if let Some(reply) = pending.reply.take() {
             // A caller that has gone does not read its verdict; its task reports the end.
-            let _sent = reply.send(verdict);
+            let _sent = reply.send(Verdict::Start);
+        }
+    }
+
+    fn log_health(&self, state: HealthState, cause: Observation, now: Instant) {
+        match state {
+            HealthState::Starting => {}
+            HealthState::Ready => LogEvent::BackendReady {
+                slots: self.admission.load(now).slots,
+            }
+            .log(),
+            HealthState::Failing => LogEvent::BackendDown {
+                error: cause_text(cause).into(),
+            }
+            .log(),
         }
     }
 
@@ -218,7 +239,12 @@
         let Some(pending) = self.pending.remove(&request) else {
             return;
         };
+        let service = pending.started.map(|at| now.saturating_duration_since(at));
+        self.record.end(&pending.kind, &ended.outcome, service, now);
         if let Some(ticket) = pending.ticket {
+            if ended.outcome == Outcome::Unknown {
+                self.record.unknown(ticket.incarnation, ticket.serial, now);
+            }
             self.book
                 .end(&ticket, ended.outcome.clone(), Arc::clone(&ended.body), now);
         }
@@ -272,10 +298,29 @@
             return Err(Ended::not_run(NotRunReason::InvalidTicket));
         };
         self.refresh_keys();
-        match self.book.use_ticket(ticket, now) {
-            Decision::Run => Ok(()),
-            decision => Err(ended_by(&decision)),
+        let decision = self.book.use_ticket(ticket, now);
+        match &decision {
+            Decision::Run => return Ok(()),
+            Decision::Answer(_) => {
+                self.record.repeated(ticket.incarnation, ticket.serial, now);
+            }
+            Decision::Unknown => {
+                self.record.unknown(ticket.incarnation, ticket.serial, now);
+            }
+            _ => {}
         }
+        Err(ended_by(&decision))
+    }
+}
+
+/// Returns why a backend server is taken for failing.
+const fn cause_text(cause: Observation) -> &'static str {
+    match cause {
+        Observation::Answered { .. } => "answers take too long",
+        Observation::Failed => "requests fail",
+        Observation::Shed => "requests are shed",
+        Observation::HealthEndpoint { .. } => "the health endpoint does not say that it works",
+        _ => "all slots are busy and nothing is answered",
     }
 }
 
@@ -289,188 +334,3 @@
         _ => Ended::without_body(outcome),
     }
 }
-
-impl Message<Submit> for TargetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: Submit, _: &mut Context<Self, ()>) {
-        let now = self.args.clock.now();
-        if let Err(ended) = self.check_ticket(&msg, now) {
-            let _sent = msg.reply.send(Verdict::Answer(ended));
-            return;
-        }
-        if let Some(serial) = msg.reservation {
-            self.moves.claim(serial, now);
-        }
-        let pending = Pending {
-            ticket: msg.ticket,
-            reply: Some(msg.reply),
-            arrived: now,
-        };
-        self.pending.insert(msg.request, pending);
-        self.handle_event(Event::Submit(Submission {
-            request: msg.request,
-            tenant: msg.tenant,
-            class: msg.class,
-            deadline: now + msg.deadline,
-            reservation: msg.reservation,
-        }));
-    }
-}
-
-impl Message<Finish> for TargetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: Finish, _: &mut Context<Self, ()>) {
-        let now = self.args.clock.now();
-        self.end(msg.request, &msg.ended, now);
-        match msg.sight {
-            Some(Sight::Answered(latency)) => self.observe(Observation::Answered { latency }, now),
-            Some(Sight::Failed) => self.observe(Observation::Failed, now),
-            Some(Sight::Shed) => self.observe(Observation::Shed, now),
-            None => {}
-        }
-        let result = match msg.ended.outcome {
-            Outcome::NotRun(_) => FinishResult::NotRun,
-            _ => FinishResult::Ran,
-        };
-        self.handle_event(Event::Finish {
-            request: msg.request,
-            result,
-        });
-    }
-}
-
-impl Message<Cancel> for TargetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: Cancel, _: &mut Context<Self, ()>) {
-        self.handle_event(Event::Cancel { request: msg.0 });
-    }
-}
-
-impl Message<IssueTicket> for TargetActor {
-    type Reply = Option<IssuedTicket>;
-
-    async fn handle(&mut self, _: IssueTicket, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        if self.draining.is_some() {
-            return None;
-        }
-        self.refresh_keys();
-        let ticket = self.book.issue(self.args.clock.now());
-        Some(IssuedTicket {
-            ticket,
-            token: self.args.issuer.issue(),
-        })
-    }
-}
-
-impl Message<QueryOrder> for TargetActor {
-    type Reply = Option<Ended>;
-
-    async fn handle(&mut self, msg: QueryOrder, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        self.refresh_keys();
-        Some(ended_by(&self.book.query(&msg.0, self.args.clock.now())))
-    }
-}
-
-impl Message<OpenConnection> for TargetActor {
-    type Reply = Option<NotRunReason>;
-
-    async fn handle(
-        &mut self,
-        _: OpenConnection,
-        _: &mut Context<Self, Self::Reply>,
-    ) -> Self::Reply {
-        let now = self.args.clock.now();
-        let actions = self.admission.handle(Event::ConnectionOpened, now);
-        actions.into_iter().find_map(|action| match action {
-            Action::RefuseConnection(reason) => Some(reason),
-            _ => None,
-        })
-    }
-}
-
-impl Message<CloseConnection> for TargetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, _: CloseConnection, _: &mut Context<Self, ()>) {
-        self.handle_event(Event::ConnectionClosed);
-    }
-}
-
-impl Message<Drain> for TargetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, _: Drain, _: &mut Context<Self, ()>) {
-        let now = self.args.clock.now();
-        let options = self.args.drain;
-        let begin = || Lifecycle::new().drain(options, now);
-        let start_until = self.draining.get_or_insert_with(begin).start_until();
-        self.args.state.send_replace(TargetState::Draining);
-        self.handle_event(Event::Drain { start_until });
-    }
-}
-
-impl Message<HealthAnswer> for TargetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: HealthAnswer, _: &mut Context<Self, ()>) {
-        let now = self.args.clock.now();
-        self.observe(Observation::HealthEndpoint { is_ok: msg.is_ok }, now);
-        self.settle(now);
-    }
-}
-
-impl Message<SetPeers> for TargetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: SetPeers, _: &mut Context<Self, ()>) {
-        self.moves.set_peers(msg.0);
-    }
-}
-
-impl Message<ControlDatagram> for TargetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: ControlDatagram, _: &mut Context<Self, ()>) {
-        let now = self.args.clock.now();
-        let steps = self.moves.receive(&msg, now);
-        self.take_steps(steps, now);
-        self.settle(now);
-    }
-}
-
-impl Message<Status> for TargetActor {
-    type Reply = Option<TargetStatus>;
-
-    async fn handle(&mut self, _: Status, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        let now = self.args.clock.now();
-        let load = self.admission.load(now);
-        Some(TargetStatus {
-            state: *self.args.state.borrow(),
-            load: Load {
-                slots: load.slots,
-                running: load.running,
-                waiting: load.waiting,
-                connections: load.connections,
-            },
-            feeds: self.admission.feeds(),
-            exit_in: self
-                .draining
-                .as_ref()
-                .and_then(Lifecycle::exit_at)
-                .map(|at| at.saturating_duration_since(now)),
-        })
-    }
-}
-
-impl Message<Tick> for TargetActor {
-    type Reply = ();
-
-    async fn handle(&mut self, _: Tick, _: &mut Context<Self, ()>) {
-        self.tick_at = None;
-        self.observe(Observation::Tick, self.args.clock.now());
-        self.handle_event(Event::Tick);
-    }
-}
--- a/crates/cranberrypitch-agent/src/target/messages.rs
+++ b/crates/cranberrypitch-agent/src/target/messages.rs
@@ -103,6 +103,22 @@
 #[derive(Debug)]
 pub(crate) struct SetPeers(pub(crate) Vec<SocketAddrV4>);
 
+/// Notes a request that was refused before it was submitted.
+#[derive(Debug)]
+pub(crate) struct Refused {
+    pub(crate) tenant: TenantId,
+    pub(crate) class: Class,
+    pub(crate) reason: NotRunReason,
+}
+
+/// Sends the metrics, and logs what is due.
+#[derive(Debug)]
+pub(crate) struct Sample;
+
+/// Asks for the times of requests since the last log line about them.
+#[derive(Debug)]
+pub(crate) struct RequestTimes;
+
 /// Asks for state and load.
 #[derive(Debug)]
 pub(crate) struct Status;
--- /dev/null
+++ b/crates/cranberrypitch-agent/src/target/record.rs
@@ -0,0 +1,297 @@
+//! What the target actor logs and measures.
+
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::admission::Load;
+use cranberrypitch_core::health::Disagreements;
+use cranberrypitch_core::{
+    Class, FastMap, Incarnation, NotRunReason, Outcome, Reservation, TenantId,
+};
+use cranberrypitch_net::events::{DropReason, RateLimit};
+use cranberrypitch_net::metrics::{Counter, Gauge, Metrics, Sampler, Snapshot, Timer};
+use cranberrypitch_net::{Event, Histograms};
+
+use crate::socket::SocketCounters;
+
+/// The time between two log lines about what callers can cause.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
+
+/// The time between two log lines about an endpoint that is wrong.
+const OVERRULED_INTERVAL: Duration = Duration::from_mins(1);
+
+/// The time between two log lines with the times of requests.
+const TIMES_INTERVAL: Duration = Duration::from_mins(1);
+
+/// Tenants with a row of their own, which bounds the memory and the length of the log line.
+const MAX_TENANTS: usize = 128;
+
+/// The request that a record is about.
+#[derive(Clone, Debug)]
+pub(super) struct RequestKind {
+    pub(super) tenant: TenantId,
+    pub(super) class: Class,
+}
+
+#[derive(Debug)]
+struct Refused {
+    limit: RateLimit,
+    order_limit: RateLimit,
+    last_tenant: Option<TenantId>,
+}
+
+/// A limited line about an order, with the ticket of the last one.
+#[derive(Debug)]
+struct OrderLog {
+    limit: RateLimit,
+    last: (Incarnation, u64),
+}
+
+impl OrderLog {
+    const fn new() -> Self {
+        Self {
+            limit: RateLimit::new(LOG_INTERVAL),
+            last: (Incarnation::new(0), 0),
+        }
+    }
+}
+
+/// Requests by how they ended.
+#[derive(Debug, Default)]
+struct Totals {
+    done: u64,
+    not_run: u64,
+    redirected: u64,
+    failed: u64,
+    unknown: u64,
+}
+
+/// The events and metrics of one target.
+#[derive(Debug)]
+pub(super) struct Record {
+    sampler: Sampler,
+    histograms: Histograms,
+    times_since: Instant,
+    totals: Totals,
+    refused: FastMap<NotRunReason, Refused>,
+    unknown: OrderLog,
+    repeated: OrderLog,
+    seen: Disagreements,
+    too_good: RateLimit,
+    too_bad: RateLimit,
+}
+
+impl Record {
+    pub(super) fn new(metrics: Metrics, now: Instant) -> Self {
+        Self {
+            sampler: Sampler::new(metrics),
+            histograms: Histograms::new(MAX_TENANTS),
+            times_since: now,
+            totals: Totals::default(),
+            refused: FastMap::default(),
+            unknown: OrderLog::new(),
+            repeated: OrderLog::new(),
+            seen: Disagreements::default(),
+            too_good: RateLimit::new(OVERRULED_INTERVAL),
+            too_bad: RateLimit::new(OVERRULED_INTERVAL),
+        }
+    }
+
+    /// Records the start of a request.
+    pub(super) fn start(&mut self, kind: &RequestKind, wait: Duration) {
+        self.histograms.record_wait(&kind.tenant, kind.class, wait);
+        let metrics = self.sampler.metrics();
+        metrics.time_request(Timer::RequestWait, kind.class, wait);
+    }
+
+    /// Records the end of a request, with its service time if it was started.
+    pub(super) fn end(
+        &mut self,
+        kind: &RequestKind,
+        outcome: &Outcome,
+        service: Option<Duration>,
+        now: Instant,
+    ) {
+        if let Some(service) = service {
+            self.histograms
+                .record_service(&kind.tenant, kind.class, service);
+            let metrics = self.sampler.metrics();
+            metrics.time_request(Timer::RequestService, kind.class, service);
+        }
+        match outcome {
+            Outcome::Done => self.totals.done += 1,
+            Outcome::Failed => self.totals.failed += 1,
+            Outcome::Redirect(reservation) => self.redirect(reservation),
+            Outcome::NotRun(reason) => self.refuse(*reason, Some(kind), now),
+            // Orders with an unknown outcome are recorded with their tickets.
+            _ => {}
+        }
+    }
+
+    fn redirect(&mut self, reservation: &Reservation) {
+        self.totals.redirected += 1;
+        Event::RequestRedirected {
+            peer: reservation.agent,
+            serial: reservation.serial,
+        }
+        .log();
+    }
+
+    /// Records a request or connection that was refused.
+    pub(super) fn refuse(
+        &mut self,
+        reason: NotRunReason,
+        kind: Option<&RequestKind>,
+        now: Instant,
+    ) {
+        self.totals.not_run += 1;
+        let refused = self.refused.entry(reason).or_insert_with(|| Refused {
+            limit: RateLimit::new(LOG_INTERVAL),
+            order_limit: RateLimit::new(LOG_INTERVAL),
+            last_tenant: None,
+        });
+        match kind.filter(|kind| kind.class == Class::Order) {
+            Some(kind) => {
+                refused.last_tenant = Some(kind.tenant.clone());
+                let count = refused.order_limit.count(now);
+                log_orders_refused(count, reason, &kind.tenant);
+            }
+            None => log_refused(refused.limit.count(now), reason),
+        }
+    }
+
+    /// Records an order whose outcome can't be told.
+    pub(super) fn unknown(&mut self, incarnation: Incarnation, serial: u64, now: Instant) {
+        self.totals.unknown += 1;
+        self.unknown.last = (incarnation, serial);
+        let count = self.unknown.limit.count(now);
+        log_unknown(count, self.unknown.last);
+    }
+
+    /// Records a ticket that came again and got the stored answer.
+    pub(super) fn repeated(&mut self, incarnation: Incarnation, serial: u64, now: Instant) {
+        self.repeated.last = (incarnation, serial);
+        let count = self.repeated.limit.count(now);
+        log_repeated(count, self.repeated.last);
+    }
+
+    /// Logs that the health endpoint was overruled, from counts since the start.
+    pub(super) fn overruled(&mut self, total: Disagreements, now: Instant) {
+        let seen = std::mem::replace(&mut self.seen, total);
+        let too_good = total.health_too_good - seen.health_too_good;
+        let too_bad = total.health_too_bad - seen.health_too_bad;
+        let details = [
+            (
+                self.too_good.add(too_good, now),
+                "it says that the backend server works, but requests fail",
+            ),
+            (
+                self.too_bad.add(too_bad, now),
+                "it says that the backend server fails, but requests are answered",
+            ),
+        ];
+        for (count, detail) in details {
+            if let Some(count) = count {
+                Event::EndpointOverruled { count, detail }.log();
+            }
+        }
+    }
+
+    /// Sends the metrics, and logs what is due. Called once per second.
+    pub(super) fn sample(&mut self, load: &Load, socket: &SocketCounters, now: Instant) {
+        let totals = [
+            (Counter::RequestsDone, self.totals.done),
+            (Counter::RequestsNotRun, self.totals.not_run),
+            (Counter::RequestsRedirected, self.totals.redirected),
+            (Counter::RequestsFailed, self.totals.failed),
+            (Counter::OrdersUnknown, self.totals.unknown),
+        ];
+        for (counter, total) in totals {
+            self.sampler.count(counter, total);
+        }
+        let gauges = [
+            (Gauge::RequestsRunning, load.running),
+            (Gauge::RequestsWaiting, load.waiting),
+            (Gauge::Connections, load.connections),
+        ];
+        for (gauge, value) in gauges {
+            self.sampler.metrics().gauge(gauge, u64::from(value));
+        }
+        let dropped = [
+            (DropReason::InvalidTunnel, socket.invalid()),
+            (DropReason::Misdirected, socket.misdirected()),
+            (DropReason::NoBalancer, socket.unsent()),
+            (DropReason::QueueFull, socket.overflowed()),
+        ];
+        for event in self.sampler.dropped(dropped, now) {
+            event.log();
+        }
+        self.log_due(now);
+        self.log_times(now);
+    }
+
+    /// Returns the times of requests since the last log line about them.
+    pub(super) fn times(&self) -> Snapshot {
+        self.histograms.snapshot()
+    }
+
+    /// Logs what was held back by a limit.
+    fn log_due(&mut self, now: Instant) {
+        for (reason, refused) in &mut self.refused {
+            log_refused(refused.limit.take(now), *reason);
+            if let Some(tenant) = &refused.last_tenant {
+                log_orders_refused(refused.order_limit.take(now), *reason, tenant);
+            }
+        }
+        log_unknown(self.unknown.limit.take(now), self.unknown.last);
+        log_repeated(self.repeated.limit.take(now), self.repeated.last);
+    }
+
+    fn log_times(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.times_since) < TIMES_INTERVAL {
+            return;
+        }
+        self.times_since = now;
+        let snapshot = std::mem::replace(&mut self.histograms, Histograms::new(MAX_TENANTS));
+        let snapshot = snapshot.snapshot();
+        if !snapshot.rows.is_empty()
+            && let Ok(json) = serde_json::to_string(&snapshot)
+        {
+            Event::RequestTimes { json: json.into() }.log();
+        }
+    }
+}
+
+fn log_refused(count: Option<u64>, reason: NotRunReason) {
+    if let Some(count) = count {
+        Event::RequestsRefused { count, reason }.log();
+    }
+}
+
+fn log_orders_refused(count: Option<u64>, reason: NotRunReason, tenant: &TenantId) {
+    if let Some(count) = count {
+        let tenant = tenant.clone();
+        Event::OrderRefused {
+            count,
+            reason,
+            tenant,
+        }
+        .log();
+    }
+}
+
+fn log_unknown(count: Option<u64>, (incarnation, serial): (Incarnation, u64)) {
+    if let Some(count) = count {
+        Event::OrderUnknown {
+            count,
+            incarnation,
+            serial,
+        }
+        .log();
+    }
+}
+
+fn log_repeated(count: Option<u64>, (_, serial): (Incarnation, u64)) {
+    if let Some(count) = count {
+        Event::OrderRepeated { count, serial }.log();
+    }
+}
--- a/crates/cranberrypitch-balancer/src/counters.rs
+++ b/crates/cranberrypitch-balancer/src/counters.rs
@@ -2,19 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use crate::errors::DropReason;
-
-const DROP_REASONS: [DropReason; 9] = [
-    DropReason::Malformed,
-    DropReason::UnknownVersion,
-    DropReason::InvalidToken,
-    DropReason::ShortInitial,
-    DropReason::NoService,
-    DropReason::NoTarget,
-    DropReason::InvalidTunnel,
-    DropReason::UnknownServiceAddress,
-    DropReason::SendFailed,
-];
+use cranberrypitch_net::events::DropReason;
 
 /// What the traffic path has done since its start.
 #[derive(Debug, Default)]
@@ -23,7 +11,8 @@
     placed: AtomicU64,
     passed_on: AtomicU64,
     returned: AtomicU64,
-    dropped: [AtomicU64; DROP_REASONS.len()],
+    reports: AtomicU64,
+    dropped: [AtomicU64; DropReason::ALL.len()],
 }
 
 impl Counters {
@@ -43,11 +32,12 @@
         self.returned.fetch_add(1, Ordering::Relaxed);
     }
 
+    pub(crate) fn count_report(&self) {
+        self.reports.fetch_add(1, Ordering::Relaxed);
+    }
+
     pub(crate) fn count_dropped(&self, reason: DropReason) {
-        let index = DROP_REASONS.iter().position(|r| *r == reason);
-        if let Some(counter) = index.and_then(|i| self.dropped.get(i)) {
-            counter.fetch_add(1, Ordering::Relaxed);
-        }
+        self.dropped[reason as usize].fetch_add(1, Ordering::Relaxed);
     }
 
     /// Returns the datagrams of established flows that were forwarded.
@@ -70,10 +60,15 @@
         self.returned.load(Ordering::Relaxed)
     }
 
+    /// Returns the load reports that agents sent here.
+    pub fn reports(&self) -> u64 {
+        self.reports.load(Ordering::Relaxed)
+    }
+
     /// Returns the dropped datagrams by reason, without the reasons that never occurred.
     pub fn dropped(&self) -> Vec<(DropReason, u64)> {
         let counts = self.dropped.iter().map(|c| c.load(Ordering::Relaxed));
-        DROP_REASONS
+        DropReason::ALL
             .into_iter()
             .zip(counts)
             .filter(|(_, count)| *count > 0)
--- a/crates/cranberrypitch-balancer/src/daemon.rs
+++ b/crates/cranberrypitch-balancer/src/daemon.rs
@@ -8,7 +8,8 @@
 
 use arc_swap::ArcSwap;
 use cranberrypitch_core::membership::Target;
-use cranberrypitch_core::{FastSet, Revision, ServiceTag};
+use cranberrypitch_core::{FastSet, Revision, ServiceTag, TargetState};
+use cranberrypitch_net::daemon::{RestartLog, log_ended};
 use cranberrypitch_proto::report::BalancerHint;
 use kameo::actor::{Actor, ActorRef, Spawn};
 use kameo::error::Infallible;
@@ -25,7 +26,7 @@
     ListTargets, MembersActor, MembersArgs, MembersTick, SayGoodbye, SetBalancers, TICK_INTERVAL,
 };
 use crate::options::BalancerOptions;
-use crate::routing::{Router, Sighting};
+use crate::routing::{Router, ServiceViews, Sighting};
 use crate::traffic::{self, Addresses, ControlDatagram, ServiceSocket, TrafficParts};
 
 /// Messages for the control thread that may wait.
@@ -60,6 +61,7 @@
 #[derive(Debug)]
 pub struct BalancerHandle {
     members: ActorRef<MembersActor>,
+    views: Arc<ArcSwap<ServiceViews>>,
     addresses: Arc<ArcSwap<Addresses>>,
     open: Mutex<FastSet<SocketAddrV4>>,
     sockets: mpsc::Sender<ServiceSocket>,
@@ -82,7 +84,7 @@
         let traffic_runtime = Builder::new_current_thread().enable_all().build()?;
         let control_runtime = Builder::new_current_thread().enable_all().build()?;
 
-        let views = Arc::default();
+        let views: Arc<ArcSwap<ServiceViews>> = Arc::default();
         let addresses: Arc<ArcSwap<Addresses>> = Arc::default();
         let counters = Arc::<Counters>::default();
         let revision = watch::Sender::new(Revision::default());
@@ -101,6 +103,7 @@
             revision: revision.subscribe(),
             heard: heard.clone(),
             clock: Arc::clone(&options.clock),
+            restarts: RestartLog::new("members"),
         };
         let inputs = ControlInputs {
             datagrams: control_datagrams,
@@ -115,7 +118,7 @@
         let rng = options
             .seed
             .map_or_else(rand::make_rng, StdRng::seed_from_u64);
-        let router = Router::new(options.placement, views, sighting_sender, rng);
+        let router = Router::new(options.placement, Arc::clone(&views), sighting_sender, rng);
         let parts = {
             let _entered = traffic_runtime.enter();
             TrafficParts {
@@ -139,6 +142,7 @@
             .map_err(|_closed| Error::ended("control thread"))?;
         Ok(Self {
             members,
+            views,
             addresses,
             open: Mutex::default(),
             sockets,
@@ -208,6 +212,13 @@
         &self.counters
     }
 
+    /// Returns the number of targets, over all services, that new flows may go to.
+    pub fn ready_targets(&self) -> usize {
+        let views = self.views.load();
+        let candidates = views.values().flat_map(|view| &view.candidates);
+        candidates.filter(|c| c.state == TargetState::Ready).count()
+    }
+
     /// Returns the known targets, silent ones included.
     pub async fn targets(&self) -> Result<Vec<Target>> {
         self.members
@@ -228,17 +239,22 @@
         Ok(())
     }
 
-    /// Returns when a thread of the balancer has ended although nobody asked for it.
-    pub async fn failed(&self) {
-        let has_ended = || {
-            let threads = self.threads.lock().unwrap_or_else(PoisonError::into_inner);
-            threads.iter().any(JoinHandle::is_finished)
-        };
-        while !has_ended() {
+    /// Returns when a thread of the balancer has ended although nobody asked for it, and logs it.
+    pub async fn failed(&self) -> Error {
+        loop {
+            if let Some(thread) = self.take_ended() {
+                return log_ended(thread).into();
+            }
             tokio::time::sleep(FAILURE_POLL).await;
         }
     }
 
+    fn take_ended(&self) -> Option<JoinHandle<()>> {
+        let mut threads = self.threads.lock().unwrap_or_else(PoisonError::into_inner);
+        let ended = threads.iter().position(JoinHandle::is_finished)?;
+        Some(threads.swap_remove(ended))
+    }
+
     /// Ends the balancer at once, as a crash would.
     pub fn kill(&self) {
         self.stop.send_replace(true);
--- a/crates/cranberrypitch-balancer/src/errors.rs
+++ b/crates/cranberrypitch-balancer/src/errors.rs
@@ -1,4 +1,4 @@
-//! The error type of the crate and the reasons for which datagrams are dropped.
+//! The error type of the crate.
 
 use derive_more::{Display, Error, From};
 
@@ -44,36 +44,3 @@
         Self::Ended { part }
     }
 }
-
-/// Why a datagram was dropped.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
-#[non_exhaustive]
-pub enum DropReason {
-    /// It is no QUIC packet.
-    #[display("malformed packet")]
-    Malformed,
-    /// Its QUIC version is not 1.
-    #[display("unknown QUIC version")]
-    UnknownVersion,
-    /// Its connection id is no routing token of ours.
-    #[display("invalid routing token")]
-    InvalidToken,
-    /// It opens a flow and is shorter than QUIC asks for.
-    #[display("first packet too short")]
-    ShortInitial,
-    /// The address has no service in the configuration in force.
-    #[display("address without service")]
-    NoService,
-    /// The service has no target that may take a flow.
-    #[display("no target")]
-    NoTarget,
-    /// A tunnel datagram does not verify or is of an unexpected kind.
-    #[display("invalid tunnel datagram")]
-    InvalidTunnel,
-    /// A return names a service address that this balancer does not serve.
-    #[display("return from an unknown service address")]
-    UnknownServiceAddress,
-    /// The socket would not take it.
-    #[display("socket buffer full")]
-    SendFailed,
-}
--- a/crates/cranberrypitch-balancer/src/lib.rs
+++ b/crates/cranberrypitch-balancer/src/lib.rs
@@ -7,6 +7,7 @@
 mod daemon;
 mod errors;
 mod members;
+mod observe;
 mod options;
 pub mod process;
 pub mod route;
@@ -15,5 +16,6 @@
 
 pub use crate::counters::Counters;
 pub use crate::daemon::{BalancerHandle, ServiceAddress};
-pub use crate::errors::{DropReason, Error, Result};
+pub use crate::errors::{Error, Result};
 pub use crate::options::{BalancerIdentity, BalancerOptions, BalancerOptionsBuilder};
+pub use cranberrypitch_net::events::DropReason;
--- a/crates/cranberrypitch-balancer/src/members.rs
+++ b/crates/cranberrypitch-balancer/src/members.rs
@@ -1,6 +1,7 @@
 //! The actor that owns the balancer's view of targets and of other balancers.
 
 use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
+use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,16 +11,19 @@
 };
 use cranberrypitch_core::placement::Candidate;
 use cranberrypitch_core::{Clock, FastMap, FastSet, Revision, ServiceTag, TargetState};
-use cranberrypitch_net::KeyRing;
+use cranberrypitch_net::daemon::RestartLog;
+use cranberrypitch_net::events::RateLimit;
+use cranberrypitch_net::{Event, KeyRing};
 use cranberrypitch_proto::report::{AckHints, BalancerHint, Report, ReportAck};
 use cranberrypitch_proto::tunnel::{Header, Kind};
-use kameo::actor::{Actor, ActorRef};
-use kameo::error::Infallible;
+use kameo::actor::{Actor, ActorRef, WeakActorRef};
+use kameo::error::{ActorStopReason, Infallible, PanicError};
 use kameo::message::{Context, Message};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use tokio::sync::watch;
 
+use crate::observe::event_of;
 use crate::options::BalancerIdentity;
 use crate::routing::{ServiceView, ServiceViews, Sighting};
 use crate::traffic::ControlDatagram;
@@ -36,6 +40,9 @@
 /// The most addresses of each kind in one answer, which keeps it far below one datagram.
 const MAX_HINTS: usize = 8;
 
+/// The time between two log lines about a target that leaves first packets unanswered.
+const SUSPECTED_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// What the actor is started with.
 #[derive(Clone, Debug)]
 pub(crate) struct MembersArgs {
@@ -47,6 +54,7 @@
     pub(crate) revision: watch::Receiver<Revision>,
     pub(crate) heard: watch::Sender<Revision>,
     pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) restarts: RestartLog,
 }
 
 /// The actor. After a failure it starts empty and learns all targets from their next reports.
@@ -66,6 +74,7 @@
 struct Agent {
     incarnation_low: u16,
     hints_due: u8,
+    suspected: RateLimit,
 }
 
 /// Replaces the live balancers, this one among them.
@@ -89,6 +98,7 @@
     type Error = Infallible;
 
     async fn on_start(args: MembersArgs, _: ActorRef<Self>) -> Result<Self, Infallible> {
+        args.restarts.note_start();
         let membership = Membership::new(args.options);
         Ok(Self {
             args,
@@ -100,6 +110,15 @@
             rng: rand::make_rng(),
         })
     }
+
+    async fn on_panic(
+        &mut self,
+        _: WeakActorRef<Self>,
+        err: PanicError,
+    ) -> Result<ControlFlow<ActorStopReason>, Infallible> {
+        self.args.restarts.note_failure(&err);
+        Ok(ControlFlow::Break(ActorStopReason::Panicked(err)))
+    }
 }
 
 impl MembersActor {
@@ -168,6 +187,7 @@
         let agent = self.agents.entry(from).or_insert(Agent {
             incarnation_low,
             hints_due: HINT_REPEATS,
+            suspected: RateLimit::new(SUSPECTED_LOG_INTERVAL),
         });
         if agent.incarnation_low != incarnation_low {
             agent.incarnation_low = incarnation_low;
@@ -192,6 +212,21 @@
         }
     }
 
+    /// Notes that a target left a first packet unanswered.
+    fn suspect(&mut self, address: SocketAddrV4) {
+        self.membership.on_unanswered(address);
+        let now = self.args.clock.now();
+        let due = self.agents.get_mut(&address);
+        let is_due = due.is_some_and(|agent| agent.suspected.count(now).is_some());
+        if let Some(target) = self.membership.target(address).filter(|_| is_due) {
+            Event::TargetSuspected {
+                vm: target.announcement.vm.clone(),
+                service: target.announcement.service.clone(),
+            }
+            .log();
+        }
+    }
+
     fn send(
         &self,
         to: SocketAddrV4,
@@ -238,7 +273,7 @@
 
     async fn handle(&mut self, msg: Sighting, _: &mut Context<Self, ()>) {
         match msg {
-            Sighting::Unanswered(address) => self.membership.on_unanswered(address),
+            Sighting::Unanswered(address) => self.suspect(address),
             Sighting::Answered(address) => self.membership.on_answer(address),
         }
     }
@@ -248,7 +283,10 @@
     type Reply = ();
 
     async fn handle(&mut self, _: MembersTick, _: &mut Context<Self, ()>) {
-        self.membership.on_tick(self.args.clock.now());
+        let changes = self.membership.on_tick(self.args.clock.now());
+        for event in changes.into_iter().filter_map(event_of) {
+            event.log();
+        }
         self.agents
             .retain(|address, _| self.membership.target(*address).is_some());
         for service in self.services.clone() {
--- a/crates/cranberrypitch-balancer/src/process.rs
+++ b/crates/cranberrypitch-balancer/src/process.rs
@@ -12,7 +12,7 @@
 use cranberrypitch_net::keeper::{ConfigSource, Keeper, KeeperOptions};
 use cranberrypitch_net::peers::{self, ControlPeers, ProcessStatus};
 use cranberrypitch_net::registry::Registry;
-use cranberrypitch_net::store::{HttpStore, HttpStoreOptions};
+use cranberrypitch_net::store::{HttpStore, HttpStoreOptions, StoreMonitor};
 use cranberrypitch_net::{BalancerSettings, Event};
 use cranberrypitch_proto::control::{BalancerEntry, ConfigHead, ConfigShard, Digest, Notice};
 use cranberrypitch_proto::report::BalancerHint;
@@ -20,6 +20,7 @@
 
 use crate::daemon::{BalancerHandle, ServiceAddress};
 use crate::errors::{Error, Result};
+use crate::observe::Observer;
 use crate::options::{BalancerIdentity, BalancerOptions};
 
 impl DaemonError for Error {
@@ -38,12 +39,15 @@
         settings,
         keys,
         mut signals,
+        metrics,
         ..
     } = startup;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
     let balancer = Arc::new(BalancerHandle::spawn(options(&settings, &keys))?);
 
-    let store = || HttpStore::new(HttpStoreOptions::new(settings.store_address));
+    let monitor = StoreMonitor::new(settings.store_address, metrics.clone());
+    let store_options = HttpStoreOptions::new(settings.store_address);
+    let store = || monitor.observe(HttpStore::new(store_options));
     let seeds = settings.seed_balancers.clone();
     let control_peers = ControlPeers::new(Arc::clone(&keys), ControlOptions::default(), seeds);
     let keeper_options = KeeperOptions::new(settings.failure_domain.clone());
@@ -68,13 +72,20 @@
         peers: control_peers,
         own: settings.control_address,
     };
+    let observer = Observer::new(
+        Arc::clone(&balancer),
+        source.clone(),
+        listed.clone(),
+        metrics,
+    );
     let heard = tokio::spawn(hear_revisions(balancer.heard_revision(), source.clone()));
     tokio::select! {
         _signal = until_stop(&mut signals, &keys) => {}
         () = registry.run() => {}
         () = follow.configuration(source.published()) => {}
         () = follow.balancers(listed) => {}
-        () = balancer.failed() => return Err(Error::ended("balancer thread")),
+        () = observer.run(&control) => {}
+        error = balancer.failed() => return Err(error),
     }
     registry.leave().await;
     keeper.abort();
--- a/crates/cranberrypitch-balancer/src/route.rs
+++ b/crates/cranberrypitch-balancer/src/route.rs
@@ -4,8 +4,7 @@
 
 use cranberrypitch_core::token::{TOKEN_LEN_BYTES, TokenKeys};
 use cranberrypitch_core::{RoutingToken, ServiceTag};
-
-use crate::errors::DropReason;
+use cranberrypitch_net::events::DropReason;
 
 const LONG_HEADER_BIT: u8 = 0x80;
 const PACKET_TYPE_MASK: u8 = 0x30;
--- a/crates/cranberrypitch-balancer/src/routing.rs
+++ b/crates/cranberrypitch-balancer/src/routing.rs
@@ -7,11 +7,10 @@
 use arc_swap::ArcSwap;
 use cranberrypitch_core::placement::{Candidate, InitialId, PlacementOptions, Placer};
 use cranberrypitch_core::{FastMap, Incarnation, ServiceTag};
+use cranberrypitch_net::events::DropReason;
 use rand::rngs::StdRng;
 use tokio::sync::mpsc;
 
-use crate::errors::DropReason;
-
 const LONG_HEADER_BIT: u8 = 0x80;
 
 /// A service as the control thread sees it.
--- a/crates/cranberrypitch-balancer/src/traffic.rs
+++ b/crates/cranberrypitch-balancer/src/traffic.rs
@@ -10,12 +10,12 @@
 use arc_swap::ArcSwap;
 use cranberrypitch_core::{Clock, FastMap, ServiceTag};
 use cranberrypitch_net::KeyRing;
+use cranberrypitch_net::events::DropReason;
 use cranberrypitch_proto::tunnel::{HEADER_LEN_BYTES, Header, Kind};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use crate::counters::Counters;
-use crate::errors::DropReason;
 use crate::route::{Route, route};
 use crate::routing::{Destination, Router};
 
@@ -245,6 +245,9 @@
             Kind::Return => self.return_to_caller(from, &header, payload),
             Kind::Place => self.place_for_peer(header, datagram),
             Kind::Report | Kind::Goodbye => {
+                if header.kind == Kind::Report {
+                    self.counters.count_report();
+                }
                 let payload = payload.to_vec();
                 let message = ControlDatagram {
                     from,
@@ -253,7 +256,7 @@
                 };
                 control
                     .try_send(message)
-                    .map_err(|_full| DropReason::SendFailed)
+                    .map_err(|_full| DropReason::QueueFull)
             }
             Kind::Forward | Kind::ReportAck | Kind::Peer => Err(DropReason::InvalidTunnel),
         }
--- a/crates/cranberrypitch-core/src/membership.rs
+++ b/crates/cranberrypitch-core/src/membership.rs
@@ -163,10 +163,10 @@
         if self.gone {
             return was_known.then_some(Change::Left { vm, service: name });
         }
-        let change = if !was_known {
-            Some(self.announced(vm, name, report.address))
-        } else {
+        let change = if was_known {
             was_silent.then_some(Change::Back { vm, service: name })
+        } else {
+            Some(self.announced(vm, name, report.address))
         };
         self.target = Some(Target {
             address: report.address,
--- a/crates/cranberrypitch-core/tests/membership_changes.rs
+++ b/crates/cranberrypitch-core/tests/membership_changes.rs
@@ -88,7 +88,10 @@
         service: service(),
         silent_for: Duration::from_secs(4),
     };
-    assert!(changes.contains(&silent(1)) && changes.contains(&silent(2)), "{changes:?}");
+    assert!(
+        changes.contains(&silent(1)) && changes.contains(&silent(2)),
+        "{changes:?}"
+    );
     let kept = Change::Kept {
         service: service(),
         silent: 2,
--- a/crates/cranberrypitch-net/src/daemon.rs
+++ b/crates/cranberrypitch-net/src/daemon.rs
@@ -2,6 +2,7 @@
 //!
 //! A daemon has one control thread, which runs a current-thread runtime, and traffic threads.
 
+mod restarts;
 mod signals;
 mod threads;
 
@@ -18,8 +19,9 @@
 use tokio::runtime::{Builder, Runtime};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
+pub use crate::daemon::restarts::RestartLog;
 pub use crate::daemon::signals::{Signal, Signals, until_stop};
-pub use crate::daemon::threads::{StopFlag, TrafficThreads};
+pub use crate::daemon::threads::{StopFlag, TrafficThreads, log_ended};
 use crate::errors::{Error, Result};
 use crate::events::{Event, LOG_TARGET, Program};
 use crate::keys::KeyRing;
--- a/crates/cranberrypitch-net/src/daemon/threads.rs
+++ b/crates/cranberrypitch-net/src/daemon/threads.rs
@@ -112,6 +112,16 @@
     }
 }
 
+/// Logs the unexpected end of a thread that has ended, and returns it as an error.
+pub fn log_ended(thread: JoinHandle<()>) -> Error {
+    let name = thread.thread().name().unwrap_or("unnamed").into();
+    let detail = match thread.join() {
+        Ok(()) => "ended by itself".into(),
+        Err(panic) => panic_text(panic.as_ref()),
+    };
+    failed(name, detail)
+}
+
 fn panic_text(panic: &(dyn Any + Send)) -> Box<str> {
     let text = panic.downcast_ref::<&str>().copied();
     let text = text.or_else(|| panic.downcast_ref::<String>().map(String::as_str));
--- a/crates/cranberrypitch-net/src/events/catalogue.rs
+++ b/crates/cranberrypitch-net/src/events/catalogue.rs
@@ -29,41 +29,57 @@
 /// Why a datagram was dropped.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 pub enum DropReason {
-    /// It is neither QUIC nor a tunnel datagram.
-    #[display("malformed")]
+    /// It is no QUIC packet.
+    #[display("malformed packet")]
     Malformed,
-    /// Its check value does not verify.
-    #[display("check value")]
-    CheckValue,
-    /// It names a key generation that is not held.
-    #[display("unknown key generation")]
-    UnknownKey,
-    /// It is meant for another service, agent or incarnation.
-    #[display("misdirected")]
-    Misdirected,
-    /// It is no first packet of a flow and its connection id does not validate.
-    #[display("no valid connection id")]
-    NoConnection,
-    /// It starts a flow of a service without a candidate target.
+    /// Its QUIC version is not 1.
+    #[display("unknown QUIC version")]
+    UnknownVersion,
+    /// Its connection id is no routing token of ours.
+    #[display("invalid routing token")]
+    InvalidToken,
+    /// It opens a flow and is shorter than QUIC asks for.
+    #[display("first packet too short")]
+    ShortInitial,
+    /// The address has no service in the configuration in force.
+    #[display("address without service")]
+    NoService,
+    /// The service has no target that may take a flow.
     #[display("no target")]
     NoTarget,
-    /// A queue was full.
+    /// A tunnel datagram does not verify or is of an unexpected kind.
+    #[display("invalid tunnel datagram")]
+    InvalidTunnel,
+    /// A return names a service address that this balancer does not serve.
+    #[display("return from an unknown service address")]
+    UnknownServiceAddress,
+    /// It is meant for another service or incarnation.
+    #[display("misdirected")]
+    Misdirected,
+    /// It is returned by an agent that knows no live balancer.
+    #[display("no balancer")]
+    NoBalancer,
+    /// The queue of the control thread or the table of callers is full.
     #[display("queue full")]
     QueueFull,
-    /// It could not be sent.
-    #[display("send failed")]
+    /// The socket would not take it.
+    #[display("socket buffer full")]
     SendFailed,
 }
 
 impl DropReason {
     /// All reasons, in the order of their discriminants.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 12] = [
         Self::Malformed,
-        Self::CheckValue,
-        Self::UnknownKey,
-        Self::Misdirected,
-        Self::NoConnection,
+        Self::UnknownVersion,
+        Self::InvalidToken,
+        Self::ShortInitial,
+        Self::NoService,
         Self::NoTarget,
+        Self::InvalidTunnel,
+        Self::UnknownServiceAddress,
+        Self::Misdirected,
+        Self::NoBalancer,
         Self::QueueFull,
         Self::SendFailed,
     ];
@@ -193,8 +209,8 @@
     311 Info BalancerLeft { vm: VmId }
         = "balancer {vm} left";
     /// A balancer says that it is leaving.
-    312 Info BalancerGoodbye { vm: VmId }
-        = "balancer {vm} said goodbye";
+    312 Info BalancerGoodbye { tunnel: SocketAddrV4 }
+        = "balancer at {tunnel} said goodbye";
     /// A balancer's heartbeats are missing and nothing is returned through it.
     313 Warn BalancerSilent { tunnel: SocketAddrV4, silent_ms: Duration }
         = "balancer at {tunnel} silent for {milliseconds} ms", milliseconds = silent_ms.as_millis();
@@ -208,10 +224,10 @@
     /// Datagrams for another service, agent or incarnation were dropped; limited in rate.
     402 Warn MisdirectedDropped { count: u64 }
         = "{count} misdirected datagrams dropped";
-    /// An agent returns datagrams through another balancer than before.
-    403 Info ReturnPathChanged { from: SocketAddrV4, to: SocketAddrV4 }
-        = "return path changed from balancer {from} to {to}";
-    /// An agent knows no live balancer to return datagrams through.
+    /// An agent returns datagrams through other balancers than before.
+    403 Info ReturnPathChanged { balancers: Box<str> }
+        = "return path changed to balancers {balancers}";
+    /// An agent knows no live balancer to return datagrams through; limited in rate.
     404 Error NoReturnPath { count: u64 }
         = "no live balancer for {count} returned datagrams";
 
@@ -228,30 +244,33 @@
     504 Error DrainDeadline { running: usize, feeds: usize }
         = "drain deadline passed with {running} requests and {feeds} feeds running";
     /// The backend server can't be reached or fails.
-    505 Warn BackendDown { address: SocketAddrV4, error: Box<str> }
-        = "backend server {address} down: {error}";
+    505 Warn BackendDown { error: Box<str> }
+        = "backend server down: {error}";
     /// The backend server can be used.
-    506 Info BackendReady { address: SocketAddrV4, slots: Slots }
-        = "backend server {address} ready with {slots} slots";
-    /// Outcomes contradict the backend server's health or load endpoint and overrule it.
-    507 Warn EndpointOverruled { endpoint: &'static str, detail: Box<str> }
-        = "{endpoint} endpoint overruled: {detail}";
+    506 Info BackendReady { slots: Slots }
+        = "backend server ready with {slots} slots";
+    /// Outcomes contradict the backend server's health endpoint and overrule it; limited in rate.
+    507 Warn EndpointOverruled { count: u64, detail: &'static str }
+        = "health endpoint overruled {count} times: {detail}";
     /// Requests were refused as not run; limited in rate.
     508 Warn RequestsRefused { count: u64, reason: NotRunReason }
         = "{count} requests refused as not run: {reason}";
     /// A waiting request is handed to a peer with a free slot.
     509 Debug RequestRedirected { peer: SocketAddrV4, serial: u64 }
         = "request redirected to {peer}, reservation {serial}";
+    /// Waits and service times per tenant and class of the last minute; not without requests.
+    510 Info RequestTimes { json: Box<str> }
+        = "request times {json}";
 
-    /// An order was refused as not run.
-    601 Warn OrderRefused { tenant: TenantId, reason: NotRunReason }
-        = "order of tenant {tenant} refused as not run: {reason}";
-    /// It can't be told whether an order ran, and it is not run again.
-    602 Error OrderUnknown { tenant: TenantId, incarnation: Incarnation, serial: u64 }
-        = "outcome of order {serial} of tenant {tenant} unknown, ticket of incarnation {incarnation}";
-    /// A ticket came again and the stored answer was given.
-    603 Info OrderRepeated { tenant: TenantId, serial: u64 }
-        = "order {serial} of tenant {tenant} repeated, stored answer given";
+    /// Orders were refused as not run; limited in rate, with the tenant of the last one.
+    601 Warn OrderRefused { count: u64, reason: NotRunReason, tenant: TenantId }
+        = "{count} orders refused as not run: {reason}, last of tenant {tenant}";
+    /// It can't be told whether orders ran, and they are not run again; limited in rate.
+    602 Error OrderUnknown { count: u64, incarnation: Incarnation, serial: u64 }
+        = "outcome of {count} orders unknown, last {serial} with a ticket of incarnation {incarnation}";
+    /// Tickets came again and the stored answers were given; limited in rate.
+    603 Info OrderRepeated { count: u64, serial: u64 }
+        = "{count} orders repeated, stored answer given, last {serial}";
 
     /// The key file was read again.
     701 Info KeysReloaded { generation: KeyGeneration }
@@ -278,10 +297,7 @@
     /// Calls to the store succeed again.
     802 Info StoreBack { address: SocketAddrV4, down_ms: Duration }
         = "store {address} back after {milliseconds} ms", milliseconds = down_ms.as_millis();
-    /// A write got no answer and is resolved by reading back.
-    803 Warn StoreAnswerLost { key: Box<str> }
-        = "answer of the store to a write of {key} lost, reading back";
-    /// A compare-and-swap lost against another writer.
+    /// The registration of a balancer lost against another writer of its key.
     804 Info StoreConflict { key: Box<str> }
         = "write of {key} lost against another writer";
 }
--- a/crates/cranberrypitch-net/src/events/limit.rs
+++ b/crates/cranberrypitch-net/src/events/limit.rs
@@ -24,7 +24,12 @@
 
     /// Counts an occurrence. Returns the count since the last line if a line is due now.
     pub fn count(&mut self, now: Instant) -> Option<u64> {
-        self.count += 1;
+        self.add(1, now)
+    }
+
+    /// Counts several occurrences. Returns the count since the last line if a line is due now.
+    pub fn add(&mut self, count: u64, now: Instant) -> Option<u64> {
+        self.count += count;
         self.take(now)
     }
 
@@ -55,7 +60,12 @@
 
     /// Counts a dropped datagram. Returns the event if one is due now.
     pub fn count(&mut self, reason: DropReason, now: Instant) -> Option<Event> {
-        let count = self.limits[reason as usize].count(now)?;
+        self.add(reason, 1, now)
+    }
+
+    /// Counts several dropped datagrams. Returns the event if one is due now.
+    pub fn add(&mut self, reason: DropReason, count: u64, now: Instant) -> Option<Event> {
+        let count = self.limits[reason as usize].add(count, now)?;
         Some(Self::event(reason, count))
     }
 
@@ -68,6 +78,7 @@
     const fn event(reason: DropReason, count: u64) -> Event {
         match reason {
             DropReason::Misdirected => Event::MisdirectedDropped { count },
+            DropReason::NoBalancer => Event::NoReturnPath { count },
             _ => Event::DatagramsDropped { count, reason },
         }
     }
--- a/crates/cranberrypitch-net/src/metrics.rs
+++ b/crates/cranberrypitch-net/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics: counters, gauges and timers sent over UDP, and histograms kept in memory.
 
+mod catalogue;
 mod histograms;
+mod sampler;
 
 use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
 use std::sync::Arc;
@@ -9,108 +11,16 @@
 use cadence::prelude::*;
 use cadence::{BufferedUdpMetricSink, NopMetricSink, StatsdClient};
 use cranberrypitch_core::{Class, VmId};
-use derive_more::Display;
 
 use crate::errors::{Error, Result};
 use crate::events::{DropReason, Program};
+pub use crate::metrics::catalogue::{CATALOGUE, Counter, Entry, Gauge, Timer, metrics_page};
 pub use crate::metrics::histograms::{Histograms, Percentiles, Snapshot, TenantTimes};
+pub use crate::metrics::sampler::Sampler;
 
 /// The prefix of all metric names, followed by the program.
 const PREFIX: &str = "cranberrypitch";
 
-/// What is counted.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
-#[non_exhaustive]
-pub enum Counter {
-    /// Datagrams from callers passed to agents.
-    #[display("datagrams.forwarded")]
-    DatagramsForwarded,
-    /// Datagrams from agents passed to callers.
-    #[display("datagrams.returned")]
-    DatagramsReturned,
-    /// New flows placed on a target.
-    #[display("flows.placed")]
-    FlowsPlaced,
-    /// Requests that ran to their end.
-    #[display("requests.done")]
-    RequestsDone,
-    /// Requests refused as not run.
-    #[display("requests.not_run")]
-    RequestsNotRun,
-    /// Requests handed to a peer.
-    #[display("requests.redirected")]
-    RequestsRedirected,
-    /// Requests that failed at the backend server.
-    #[display("requests.failed")]
-    RequestsFailed,
-    /// Orders whose outcome can't be told.
-    #[display("orders.unknown")]
-    OrdersUnknown,
-    /// Reports sent or received.
-    #[display("reports")]
-    Reports,
-    /// Calls to the store.
-    #[display("store.calls")]
-    StoreCalls,
-    /// Calls to the store that failed.
-    #[display("store.errors")]
-    StoreErrors,
-    /// Control peers that were refused.
-    #[display("control.refused")]
-    ControlRefused,
-    /// Bytes sent and received on control sessions.
-    #[display("control.bytes")]
-    ControlBytes,
-}
-
-/// What is measured as a level.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
-#[non_exhaustive]
-pub enum Gauge {
-    /// Targets that new flows may go to.
-    #[display("targets.ready")]
-    TargetsReady,
-    /// Live balancers.
-    #[display("balancers.live")]
-    BalancersLive,
-    /// Requests that run.
-    #[display("requests.running")]
-    RequestsRunning,
-    /// Requests that wait for a slot.
-    #[display("requests.waiting")]
-    RequestsWaiting,
-    /// Open connections.
-    #[display("connections")]
-    Connections,
-    /// The revision of the configuration in force.
-    #[display("configuration.revision")]
-    ConfigurationRevision,
-    /// Control sessions.
-    #[display("control.sessions")]
-    ControlSessions,
-}
-
-/// What is measured as a time.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
-#[non_exhaustive]
-pub enum Timer {
-    /// From the arrival of a request to its start.
-    #[display("requests.wait")]
-    RequestWait,
-    /// From the start of a request to its end.
-    #[display("requests.service")]
-    RequestService,
-    /// One call to the store.
-    #[display("store.call")]
-    StoreCall,
-    /// From the write of a configuration to its effect here.
-    #[display("configuration.delay")]
-    ConfigurationDelay,
-    /// One drain.
-    #[display("drain")]
-    Drain,
-}
-
 /// Sends metrics in the `StatsD` format, or nowhere.
 ///
 /// Each value costs a lock and some formatting, so traffic threads add up their counts and send
@@ -145,8 +55,9 @@
 
     /// Adds to the counter of dropped datagrams of a reason.
     pub fn count_dropped(&self, reason: DropReason, count: u64) {
-        let reason = reason.to_string().replace(' ', "_");
-        let metric = self.0.count_with_tags("datagrams.dropped", count);
+        let reason = reason_tag(reason);
+        let key = Counter::DatagramsDropped.to_string();
+        let metric = self.0.count_with_tags(&key, count);
         metric.with_tag("reason", &reason).send();
     }
 
@@ -174,6 +85,11 @@
     }
 }
 
+/// Returns a reason as the value of a tag, which may not contain spaces.
+fn reason_tag(reason: DropReason) -> String {
+    reason.to_string().replace(' ', "_")
+}
+
 fn sink(address: SocketAddrV4) -> std::result::Result<BufferedUdpMetricSink, cadence::MetricError> {
     let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
     socket.set_nonblocking(true)?;
--- a/crates/cranberrypitch-net/src/registry.rs
+++ b/crates/cranberrypitch-net/src/registry.rs
@@ -107,7 +107,7 @@
         let value = serde_json::to_vec(&self.own).unwrap_or_default();
         let lease = self.store.grant(self.ttl).await?;
         let put = Put {
-            key,
+            key: key.clone(),
             value: value.into(),
             expected,
             lease: Some(lease),
@@ -120,6 +120,10 @@
             Err(error) => {
                 // Without the lease, a write that took effect all the same is removed again.
                 drop(self.store.release(lease).await);
+                if matches!(error, Error::Conflict { .. }) {
+                    let key = key.to_string().into();
+                    Event::StoreConflict { key }.log();
+                }
                 Err(error)
             }
         }
--- a/crates/cranberrypitch-net/src/store/mod.rs
+++ b/crates/cranberrypitch-net/src/store/mod.rs
@@ -10,6 +10,7 @@
 mod http;
 mod key;
 mod memory;
+mod observed;
 mod state;
 pub mod wire;
 
@@ -27,6 +28,7 @@
 pub use http::{HttpStore, HttpStoreOptions};
 pub use key::StoreKey;
 pub use memory::MemoryStore;
+pub use observed::{ObservedStore, StoreMonitor};
 
 /// The longest value.
 pub const MAX_VALUE_BYTES: usize = 1_000_000;
--- a/crates/cranberrypitch-net/tests/common/mod.rs
+++ b/crates/cranberrypitch-net/tests/common/mod.rs
@@ -54,3 +54,9 @@
         .iter()
         .any(|line| line.starts_with(start) && line.contains(part))
 }
+
+/// Returns the number of log lines that start with a text.
+pub fn count_lines(start: &str) -> usize {
+    let lines = LINES.lock().expect("no panic");
+    lines.iter().filter(|line| line.starts_with(start)).count()
+}
--- a/crates/cranberrypitch-net/tests/events.rs
+++ b/crates/cranberrypitch-net/tests/events.rs
@@ -48,12 +48,12 @@
         );
     }
     for _ in 0..1000 {
-        assert_eq!(log.count(DropReason::CheckValue, start), None);
+        assert_eq!(log.count(DropReason::InvalidTunnel, start), None);
     }
     let later = start + Duration::from_millis(1001);
     assert_eq!(
-        log.count(DropReason::CheckValue, later),
-        event(DropReason::CheckValue, 1001)
+        log.count(DropReason::InvalidTunnel, later),
+        event(DropReason::InvalidTunnel, 1001)
     );
     assert_eq!(log.count(DropReason::Misdirected, start), None);
     let due: Vec<_> = log.due(later).collect();
--- a/crates/cranberrypitch-net/tests/metrics.rs
+++ b/crates/cranberrypitch-net/tests/metrics.rs
@@ -1,13 +1,13 @@
 //! Metrics over UDP and histograms in memory.
 
 use std::net::{SocketAddr, UdpSocket};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cranberrypitch_core::{Class, TenantId, VmId};
 use cranberrypitch_net::events::{DropReason, Program};
-use cranberrypitch_net::metrics::{Counter, Gauge, Timer};
-use cranberrypitch_net::{Histograms, Metrics};
-use expect_test::expect;
+use cranberrypitch_net::metrics::{self, Counter, Gauge, Sampler, Timer};
+use cranberrypitch_net::{Event, Histograms, Metrics};
+use expect_test::{expect, expect_file};
 
 fn tenant(name: &str) -> TenantId {
     TenantId::try_new(name).expect("a valid name")
@@ -42,6 +42,47 @@
     .assert_eq(text);
 }
 
+/// Guards against a metric that the page does not list, and the reverse.
+#[test]
+fn metrics_page_is_complete() {
+    expect_file!["../../../docs/metrics.md"].assert_eq(&metrics::metrics_page());
+}
+
+/// Guards against totals that are sent again with each sample, or lost between two log lines.
+#[test]
+fn a_sampler_tells_what_totals_have_grown_by() {
+    let receiver = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    receiver
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .expect("a timeout");
+    let Ok(SocketAddr::V4(address)) = receiver.local_addr() else {
+        panic!("bound to IPv4");
+    };
+    let vm = VmId::try_new("vm-1").expect("a valid name");
+    let metrics = Metrics::try_new(Some(address), Program::Balancer, &vm).expect("a socket");
+    let mut sampler = Sampler::new(metrics.clone());
+    let start = Instant::now();
+    let mut events = Vec::new();
+    for (total, seconds) in [(5, 0), (5, 1), (9, 2), (9, 60)] {
+        let now = start + Duration::from_secs(seconds);
+        sampler.count(Counter::FlowsPlaced, total);
+        events.extend(sampler.dropped([(DropReason::NoBalancer, total)], now));
+    }
+    let expected = [5, 4].map(|count| Event::NoReturnPath { count });
+    assert_eq!(events, expected);
+    metrics.flush();
+    let mut buffer = [0; 2048];
+    let len_bytes = receiver.recv(&mut buffer).expect("metrics arrive");
+    let text = std::str::from_utf8(&buffer[..len_bytes]).expect("text");
+    expect![[r"
+        cranberrypitch.balancer.flows.placed:5|c|#vm:vm-1
+        cranberrypitch.balancer.datagrams.dropped:5|c|#vm:vm-1,reason:no_balancer
+        cranberrypitch.balancer.flows.placed:4|c|#vm:vm-1
+        cranberrypitch.balancer.datagrams.dropped:4|c|#vm:vm-1,reason:no_balancer
+    "]]
+    .assert_eq(text);
+}
+
 /// Guards against tenant names that take memory without bound, or values that get lost.
 #[test]
 fn tenants_beyond_the_bound_share_a_row() {
--- /dev/null
+++ b/crates/cranberrypitch-net/tests/outages.rs
@@ -0,0 +1,62 @@
+//! Log lines about the store and about restarted actors.
+
+mod common;
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranberrypitch_core::SystemClock;
+use cranberrypitch_net::Metrics;
+use cranberrypitch_net::daemon::{RestartLog, log_ended};
+use cranberrypitch_net::store::{MemoryStore, Store, StoreKey, StoreMonitor};
+
+/// Guards against an outage of the store that leaves no line, or one line per call.
+#[tokio::test]
+async fn an_outage_is_logged_once_with_its_end() {
+    common::record_log();
+    let store = MemoryStore::new(Arc::new(SystemClock), Duration::from_millis(500));
+    let faults = store.faults().clone();
+    let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7);
+    let monitor = StoreMonitor::new(address, Metrics::none());
+    let (first, second) = (monitor.observe(store.clone()), monitor.observe(store));
+    let key = StoreKey::try_new("config/head").expect("a valid key");
+    faults.set_down(true);
+    for _ in 0..3 {
+        first.get(&key).await.expect_err("the store is down");
+        second.get(&key).await.expect_err("the store is down");
+    }
+    faults.set_down(false);
+    first.get(&key).await.expect("the store answers");
+    second.get(&key).await.expect("the store answers");
+    assert_eq!(common::count_lines("CP0801 store 127.0.0.1:7 down: "), 1);
+    assert_eq!(
+        common::count_lines("CP0802 store 127.0.0.1:7 back after "),
+        1
+    );
+}
+
+/// Guards against a restart that leaves no line, and a first start that leaves one.
+#[test]
+fn a_restart_is_logged_with_its_cause() {
+    common::record_log();
+    let restarts = RestartLog::new("observed");
+    restarts.note_start();
+    assert_eq!(common::count_lines("CP0105 actor observed"), 0);
+    restarts.note_failure(&"out of range");
+    restarts.clone().note_start();
+    restarts.note_start();
+    let line = "CP0105 actor observed restarted after: out of range";
+    assert_eq!(common::count_lines(line), 1);
+}
+
+/// Guards against a thread that ends a process without a line that names it.
+#[test]
+fn an_ended_thread_is_logged_with_its_name() {
+    common::record_log();
+    let thread = std::thread::Builder::new().name("observed-thread".into());
+    let thread = thread.spawn(|| panic!("no route")).expect("a thread");
+    let error = log_ended(thread).to_string();
+    assert!(error.contains("observed-thread"), "{error}");
+    common::assert_logged("CP0106 thread observed-thread failed: panic: no route");
+}
--- a/crates/cranberrypitch/tests/common/processes.rs
+++ b/crates/cranberrypitch/tests/common/processes.rs
@@ -1,5 +1,6 @@
 //! Balancers and agents as real processes, around stand-ins inside the test.
 
+use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -33,18 +34,44 @@
 /// A daemon. It is killed when this is dropped.
 pub struct Daemon {
     pub ip: Ipv4Addr,
+    pub tunnel_address: SocketAddrV4,
     child: Child,
+    log: PathBuf,
 }
 
 impl Daemon {
-    fn spawn(program: &str, ip: Ipv4Addr, settings: &Path) -> Self {
+    fn spawn(program: &str, tunnel_address: SocketAddrV4, settings: &Path) -> Self {
+        let log = settings.with_extension("log");
+        let lines = File::options().create(true).append(true).open(&log);
         let child = Command::new(program)
             .arg("--settings")
             .arg(settings)
             .stdin(Stdio::null())
+            .stderr(lines.unwrap())
             .spawn()
             .unwrap();
-        Self { ip, child }
+        Self {
+            ip: *tunnel_address.ip(),
+            tunnel_address,
+            child,
+            log,
+        }
+    }
+
+    /// Returns the log up to now.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap()
+    }
+
+    /// Waits for a log line with this text.
+    pub async fn logged(&self, part: &str) {
+        const POLL: Duration = Duration::from_millis(20);
+        let found = timeout(READY_TIMEOUT, async {
+            while !self.log().contains(part) {
+                sleep(POLL).await;
+            }
+        });
+        assert!(found.await.is_ok(), "no line with {part} in {}", self.log());
     }
 
     pub fn control_address(&self) -> SocketAddrV4 {
@@ -83,6 +110,11 @@
 
 impl Drop for Daemon {
     fn drop(&mut self) {
+        if std::thread::panicking()
+            && let Ok(log) = std::fs::read_to_string(&self.log)
+        {
+            eprintln!("log of {}:\n{log}", self.ip);
+        }
         let _ended = self.child.kill();
         let _reaped = self.child.wait();
     }
@@ -99,6 +131,8 @@
     pub agents: Vec<Daemon>,
     pub backends: Vec<BackendHandle>,
     public: SocketAddrV4,
+    /// Where daemons that start from now on send their metrics.
+    pub metrics: Option<SocketAddrV4>,
 }
 
 impl Processes {
@@ -150,6 +184,7 @@
             agents: Vec::new(),
             backends: Vec::new(),
             public,
+            metrics: None,
         };
         processes.write_keys(&[(1, 1)], 1);
         processes
@@ -192,12 +227,13 @@
     }
 
     pub fn start_balancer(&mut self, ip: Ipv4Addr, seeds: &[SocketAddrV4]) {
+        let tunnel = SocketAddrV4::new(ip, TUNNEL_PORT);
         let settings = json!({
             "vm": format!("balancer-{ip}"),
             "failure_domain": "rs-norte",
             "region": "riogrande",
             "control_address": SocketAddrV4::new(ip, CONTROL_PORT),
-            "tunnel_address": SocketAddrV4::new(ip, TUNNEL_PORT),
+            "tunnel_address": tunnel,
             "service_ip": ip,
             "store_address": self.store.address(),
             "seed_balancers": seeds,
@@ -207,8 +243,8 @@
             "lease_renewal_ms": 300,
             "log": "info",
         });
-        let file = self.write_settings(ip, &settings);
-        let daemon = Daemon::spawn(env!("CARGO_BIN_EXE_balancer"), ip, &file);
+        let file = self.write_settings(ip, settings);
+        let daemon = Daemon::spawn(env!("CARGO_BIN_EXE_balancer"), tunnel, &file);
         self.balancers.push(daemon);
     }
 
@@ -224,12 +260,13 @@
     }
 
     fn start_agent(&mut self, ip: Ipv4Addr, backend: &BackendHandle, seeds: &[SocketAddrV4]) {
+        let tunnel = SocketAddrV4::new(ip, AGENT_PORT);
         let settings = json!({
             "vm": format!("target-{ip}"),
             "failure_domain": "rs-sul",
             "region": "riogrande",
             "service": "matcher",
-            "tunnel_address": SocketAddrV4::new(ip, AGENT_PORT),
+            "tunnel_address": tunnel,
             "store_address": self.store.address(),
             "seed_balancers": seeds,
             "backend_address": backend.address(),
@@ -238,12 +275,15 @@
             "certificate_key_file": self.directory.join("matcher.key"),
             "log": "info",
         });
-        let file = self.write_settings(ip, &settings);
-        let daemon = Daemon::spawn(env!("CARGO_BIN_EXE_agent"), ip, &file);
+        let file = self.write_settings(ip, settings);
+        let daemon = Daemon::spawn(env!("CARGO_BIN_EXE_agent"), tunnel, &file);
         self.agents.push(daemon);
     }
 
-    fn write_settings(&self, ip: Ipv4Addr, settings: &serde_json::Value) -> PathBuf {
+    fn write_settings(&self, ip: Ipv4Addr, mut settings: serde_json::Value) -> PathBuf {
+        if let Some(address) = self.metrics {
+            settings["metrics_address"] = json!(address);
+        }
         let file = self.directory.join(format!("{ip}.json"));
         std::fs::write(&file, settings.to_string()).unwrap();
         file
