--- a/crates/cranberrypitch-net/src/events/catalogue.rs
+++ b/crates/cranberrypitch-net/src/events/catalogue.rs
@@ -162,12 +162,12 @@
     /// A configuration takes effect in this process.
     202 Info ConfigurationInForce { revision: Revision, edit_id: EditId, services: usize }
         = "configuration {revision} in force, edit {edit_id}, {services} services";
-    /// A configuration is malformed or incomplete and the last one stays in force.
-    203 Error ConfigurationRefused { revision: Revision, error: Box<str> }
-        = "configuration {revision} refused: {error}";
-    /// A store or peer offers an older configuration than the one in force.
-    204 Warn ConfigurationStale { revision: Revision, in_force: Revision, source: Box<str> }
-        = "configuration {revision} from {source} ignored, {in_force} is in force";
+    /// A configuration is malformed and the last one stays in force; limited in rate.
+    203 Error ConfigurationRefused { error: Box<str> }
+        = "configuration refused: {error}";
+    /// The store offers an older configuration than the one in force; limited in rate.
+    204 Warn ConfigurationStale { revision: Revision, in_force: Revision }
+        = "configuration {revision} of the store ignored, {in_force} is in force";
     /// The configuration does not list the service of this agent.
     205 Warn ServiceNotConfigured { service: ServiceName, revision: Revision }
         = "service {service} is not in configuration {revision}";
@@ -175,8 +175,8 @@
     206 Error ServiceAddressRefused { service: ServiceName, address: SocketAddrV4, error: Box<str> }
         = "address {address} of service {service} can't be bound: {error}";
     /// A configuration was learned from a peer and not from the store.
-    207 Info ConfigurationFromPeer { revision: Revision, peer: SocketAddr }
-        = "configuration {revision} learned from peer {peer}";
+    207 Debug ConfigurationFromPeer { revision: Revision }
+        = "configuration {revision} learned from a peer";
     /// The command line of a program is refused.
     208 Error ArgumentsRefused { problem: Box<str> }
         = "arguments refused: {problem}";
--- a/crates/cranberrypitch-net/src/keeper.rs
+++ b/crates/cranberrypitch-net/src/keeper.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::config_store::{self, decode_head, head_key, read_shard};
+use crate::events::{Event, RateLimit};
 use crate::keeper::slot::Slot;
 use crate::store::{Store, Version, Watched};
 
@@ -33,6 +34,9 @@
 /// The shortest time between two questions to peers.
 const MIN_PAUSE: Duration = Duration::from_millis(20);
 
+/// The time between two log lines about configurations that are not taken in.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// The options of a [`Keeper`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeeperOptions {
@@ -103,6 +107,8 @@
     slot: Option<Slot>,
     contend_at: Instant,
     watched: Version,
+    refusals: Mutex<RateLimit>,
+    stale: Mutex<RateLimit>,
 }
 
 impl<S: Store, P: ConfigPeers> Keeper<S, P> {
@@ -122,6 +128,8 @@
             contend_at: clock.now(),
             random: StdRng::seed_from_u64(seed),
             watched: Version::default(),
+            refusals: Mutex::new(RateLimit::new(LOG_INTERVAL)),
+            stale: Mutex::new(RateLimit::new(LOG_INTERVAL)),
             slot: None,
             store,
             peers,
@@ -146,6 +154,7 @@
     pub async fn start(&mut self) {
         if let Err(error) = self.learn_from_store().await {
             log::debug!("no configuration from the store: {error}");
+            self.log_refusal(&error);
             if let Err(error) = self.learn_from_newest_peer().await {
                 log::debug!("no configuration from peers: {error}");
             }
@@ -161,6 +170,7 @@
         };
         if let Err(error) = outcome {
             log::debug!("configuration not learned: {error}");
+            self.log_refusal(&error);
             // A watcher that is cut off from the store may still reach its peers.
             if self.slot.is_some()
                 && let Err(error) = self.ask_peer().await
@@ -245,6 +255,7 @@
     /// Brings a head from the store in force with the shards that it needs. When a shard is gone, an
     /// even newer head has dropped it.
     async fn take_in(&self, head: ConfigHead) -> Result<()> {
+        self.log_stale(head.revision);
         let progress = self.lock().offer_head(head)?;
         self.publish(&progress);
         let Progress::Lacking(digests) = progress else {
@@ -293,7 +304,16 @@
     }
 
     async fn learn_from(&self, peer: &P::Peer) -> Result<()> {
+        let before = self.lock().revision();
+        let learned = self.learn_newer(peer, before).await;
         let revision = self.lock().revision();
+        if revision > before {
+            Event::ConfigurationFromPeer { revision }.log();
+        }
+        learned
+    }
+
+    async fn learn_newer(&self, peer: &P::Peer, revision: Revision) -> Result<()> {
         let Some(update) = self.in_time(peer.fetch_since(revision)).await? else {
             return Ok(());
         };
@@ -341,6 +361,31 @@
         }
     }
 
+    /// Logs that the store offers an older configuration than the one in force.
+    fn log_stale(&self, revision: Revision) {
+        let in_force = self.lock().revision();
+        if revision < in_force && self.is_due(&self.stale) {
+            Event::ConfigurationStale { revision, in_force }.log();
+        }
+    }
+
+    /// Logs that a configuration can't be taken in because of its content.
+    fn log_refusal(&self, error: &KeeperError) {
+        let is_content = matches!(
+            error,
+            KeeperError::Content(_) | KeeperError::Store(config_store::Error::Content(_))
+        );
+        if is_content && self.is_due(&self.refusals) {
+            let error = error.to_string().into();
+            Event::ConfigurationRefused { error }.log();
+        }
+    }
+
+    fn is_due(&self, limit: &Mutex<RateLimit>) -> bool {
+        let mut limit = limit.lock().unwrap_or_else(PoisonError::into_inner);
+        limit.count(self.clock.now()).is_some()
+    }
+
     async fn in_time<T>(&self, answer: impl Future<Output = PeerResult<T>>) -> Result<T> {
         match tokio::time::timeout(self.options.peer_timeout, answer).await {
             Ok(answer) => Ok(answer?),
--- a/crates/cranberrypitch-net/tests/outages.rs
+++ b/crates/cranberrypitch-net/tests/outages.rs
@@ -6,10 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cranberrypitch_core::SystemClock;
+use cranberrypitch_core::{Revision, SystemClock};
 use cranberrypitch_net::Metrics;
 use cranberrypitch_net::daemon::{RestartLog, log_ended};
-use cranberrypitch_net::store::{MemoryStore, Store, StoreKey, StoreMonitor};
+use cranberrypitch_net::keeper::{ConfigPeers, Keeper, KeeperOptions};
+use cranberrypitch_net::peers::ControlPeer;
+use cranberrypitch_net::store::{Expected, MemoryStore, Put, Store, StoreKey, StoreMonitor};
 
 /// Guards against an outage of the store that leaves no line, or one line per call.
 #[tokio::test]
@@ -36,6 +38,35 @@
     );
 }
 
+struct NoPeers;
+
+impl ConfigPeers for NoPeers {
+    type Peer = ControlPeer;
+
+    fn pick(&self, _: usize, _: Revision) -> Vec<ControlPeer> {
+        Vec::new()
+    }
+}
+
+/// Guards against a store that holds no usable configuration, without a line that says so.
+#[tokio::test]
+async fn a_malformed_configuration_is_logged() {
+    common::record_log();
+    let clock = Arc::new(SystemClock);
+    let store = MemoryStore::new(Arc::new(SystemClock), Duration::from_millis(500));
+    let put = Put {
+        key: StoreKey::try_new("config/head").expect("a valid key"),
+        value: b"{}".as_slice().into(),
+        expected: Expected::Absent,
+        lease: None,
+    };
+    store.put(put).await.expect("the store answers");
+    let options = KeeperOptions::new("rs-sul".parse().expect("a valid name"));
+    let (mut keeper, _source) = Keeper::new(store, NoPeers, options, clock, 1);
+    keeper.start().await;
+    common::assert_logged("CP0203 configuration refused: ");
+}
+
 /// Guards against a restart that leaves no line, and a first start that leaves one.
 #[test]
 fn a_restart_is_logged_with_its_cause() {
