--- a/crates/cranberrypitch-standins/src/deployment.rs
+++ b/crates/cranberrypitch-standins/src/deployment.rs
@@ -273,6 +273,16 @@
         target.start_agent(balancers)
     }
 
+    /// Kills the agent at `index` and starts a backend server and an agent of another service on the
+    /// same address.
+    pub async fn reuse_vm(&mut self, index: usize, name: &ServiceName) -> Result<()> {
+        let service = self.service(name)?.clone();
+        let certificate = Arc::new(self.authority.issue(name)?);
+        let balancers = self.return_balancers();
+        let target = self.targets.get_mut(index).ok_or(Error::NotRunning)?;
+        target.reuse(service, certificate, balancers).await
+    }
+
     /// Waits until every balancer knows every target that takes work as ready.
     pub async fn wait_until_ready(&self) -> Result<()> {
         const POLL: Duration = Duration::from_millis(20);
--- a/crates/cranberrypitch-standins/src/deployment/target.rs
+++ b/crates/cranberrypitch-standins/src/deployment/target.rs
@@ -125,6 +125,21 @@
         }
     }
 
+    /// Kills the agent and starts a backend server and an agent of another service in its place.
+    pub(crate) async fn reuse(
+        &mut self,
+        service: Service,
+        certificate: Arc<ServiceCertificate>,
+        balancers: Vec<ReturnBalancer>,
+    ) -> Result<()> {
+        self.kill_agent();
+        self.seed.service = service;
+        self.seed.certificate = certificate;
+        self.past_journal.clear();
+        self.backend = start_backend(&self.seed).await?;
+        self.start_agent(balancers)
+    }
+
     /// Starts the agent again, as a new incarnation on the same address.
     pub fn start_agent(&mut self, balancers: Vec<ReturnBalancer>) -> Result<()> {
         self.seed.balancers = balancers;
--- a/crates/cranberrypitch/tests/failures.rs
+++ b/crates/cranberrypitch/tests/failures.rs
@@ -206,6 +206,43 @@
     assert_eq!(tracers.map(|t| t.journal().len()).sum::<usize>(), 0);
 }
 
+/// G2: guards against packets of old flows that are delivered to the next service on a VM's
+/// address, and against callers that wait for a timeout there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn address_of_a_vm_that_comes_back_with_another_service_gets_no_old_flow() {
+    let mut deployment = Deployment::start(small(1, 1, 14)).await.unwrap();
+    let caller = deployment.caller().unwrap();
+    let mut feed = Feed::open(caller.clone(), feed_options(&deployment, "matcher"))
+        .await
+        .unwrap();
+    feed.next().await.unwrap().unwrap();
+    deployment.reuse_vm(0, &service("tracer")).await.unwrap();
+    deployment.add_target(&service("matcher")).await.unwrap();
+    deployment.wait_until_ready().await.unwrap();
+
+    let next = tokio::time::timeout(Duration::from_secs(10), async {
+        while feed.stats().broken == 0 {
+            feed.next().await.unwrap().unwrap();
+        }
+    });
+    next.await
+        .expect("a reset has to come before the idle timeout of 30 s");
+    let order = place_order(
+        &caller,
+        &order_options(&deployment, "matcher"),
+        &order_body("after"),
+    )
+    .await
+    .unwrap();
+    assert_eq!(order.outcome, Outcome::Done);
+    let reused = &deployment.targets()[0];
+    assert!(reused.agent().unwrap().counters().misdirected() > 0);
+    assert!(
+        reused.journal().is_empty(),
+        "the other service ran a request of an old flow"
+    );
+}
+
 /// G1: guards against a caller that waits for a timeout when its agent was restarted.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn restarted_agent_resets_old_connections_so_that_feeds_move_at_once() {
