--- a/crates/cranberrypitch/tests/failures.rs
+++ b/crates/cranberrypitch/tests/failures.rs
@@ -8,7 +8,7 @@
 use cranberrypitch_caller::{Feed, place_order, query_order, upload};
 use cranberrypitch_core::Outcome;
 use cranberrypitch_standins::Deployment;
-use cranberrypitch_standins::backend::ServiceTime;
+use cranberrypitch_standins::backend::{Faults, ResetPoint, ServiceTime};
 use cranberrypitch_standins::fabric::LinkOptions;
 use cranberrypitch_standins::workload::{Workload, WorkloadOptions, WorkloadReport};
 use tokio::time::sleep;
@@ -337,3 +337,56 @@
     let orders = &report.services["tracer"][&cranberrypitch_core::Class::Order];
     assert!(orders.flows > orders.requests, "no order moved: {report}");
 }
+
+/// G3, G4, G5: guards against an outcome that is not true, wherever the way to the backend server
+/// or back breaks: "not run" that ran, "done" that did not run, or a second run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn outcome_of_an_order_is_true_wherever_the_backend_server_breaks() {
+    type Case = (&'static str, fn(&mut Faults));
+    let cases: [Case; 7] = [
+        ("reset-before", |f| f.reset = Some(ResetPoint::Before)),
+        ("reset-during", |f| f.reset = Some(ResetPoint::During)),
+        ("reset-after", |f| f.reset = Some(ResetPoint::After)),
+        ("cut-answer", |f| f.cut_answers = true),
+        ("failed", |f| f.fail_rate = 1.0),
+        ("shed", |f| f.shed_rate = 1.0),
+        ("shed-silently", |f| f.silent_shed_rate = 1.0),
+    ];
+    for (key, fault) in cases {
+        let deployment = Deployment::start(small(2, 0, 15)).await.unwrap();
+        for target in deployment.targets() {
+            target.backend().set_faults(fault);
+        }
+        let caller = deployment.caller().unwrap();
+        let mut options = order_options(&deployment, "matcher");
+        options.deadline = Duration::from_secs(2);
+        let report = place_order(&caller, &options, &order_body(key))
+            .await
+            .unwrap();
+        let runs = runs_of(&deployment, key);
+        match &report.outcome {
+            Outcome::NotRun(_) => assert_eq!(runs, 0, "{key}: {report:?}"),
+            // "Failed" tells that the backend server was reached, which may have shed the order.
+            Outcome::Failed | Outcome::Unknown => assert!(runs <= 1, "{key}: {report:?}"),
+            _ => panic!("{key}: {report:?}"),
+        }
+    }
+}
+
+/// G1, G5: guards against a fabric that reaches only one balancer for a while, and then only
+/// another.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn balancers_cut_off_in_turn_break_nothing() {
+    let deployment = Deployment::start(small(3, 2, 16)).await.unwrap();
+    let workload = workload(&deployment);
+    for turn in 0..3 {
+        for (index, balancer) in deployment.balancers().iter().enumerate() {
+            deployment.fabric().set_cut(balancer.ip, index != turn);
+        }
+        sleep(Duration::from_millis(700)).await;
+    }
+    for balancer in deployment.balancers() {
+        deployment.fabric().set_cut(balancer.ip, false);
+    }
+    assert_clean(&workload.finish(&deployment).await);
+}
