Answer first packets by a QUIC retry at the agent

Cause: copies of a first packet (a duplicate, or a retransmission after a loss) may be placed on two agents. Both derive their Initial keys from the caller's connection id, so the caller decrypts packets of both and acknowledges packets of one to the other, which closes the connection: PROTOCOL_VIOLATION, 'unsent packet acked'. Ruled out: the backend server's adapter (no error at the agent), stateless resets, the ticket book, closed connections of earlier requests. Change: an agent answers an unvalidated first packet by a retry without state, so that each agent has an id and keys of its own and the caller follows one. Callers that come back by a routing token need none. It costs one round trip per new connection, validates the caller's address, and leaves no half-open connection at the other agent.

--- a/crates/cranberrypitch-agent/src/server.rs
+++ b/crates/cranberrypitch-agent/src/server.rs
@@ -61,8 +61,16 @@
     }
 
     async fn serve_connection(self: Arc<Self>, incoming: Incoming) {
-        let refusal = self.target.ask(OpenConnection).await;
         let is_query = self.comes_back(&incoming);
+        if !is_query && incoming.may_retry() && *self.state.borrow() != TargetState::Draining {
+            // Copies of a first packet may reach several agents, and all would answer with keys that
+            // are derived from the caller's connection id: the caller would acknowledge packets of
+            // one agent to the other, which ends the connection. A retry gives each agent an id,
+            // and so keys, of its own, and the caller follows one of them.
+            let _sent = incoming.retry();
+            return;
+        }
+        let refusal = self.target.ask(OpenConnection).await;
         match refusal {
             Ok(None) => {}
             // A caller that asks for the outcome of its order is heard during a drain as well.
--- a/crates/cranberrypitch/tests/failures.rs
+++ b/crates/cranberrypitch/tests/failures.rs
@@ -390,3 +390,38 @@
     }
     assert_clean(&workload.finish(&deployment).await);
 }
+
+/// G1: guards against a flow that breaks because copies of its first packet reached two agents.
+/// Both answer with keys that are derived from the caller's connection id, so the caller would
+/// acknowledge packets of one agent to the other, which closes the connection as a violation.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn copies_of_a_first_packet_at_two_agents_break_no_flow() {
+    let link = LinkOptions::new()
+        .delay(Duration::from_millis(1))
+        .jitter(Duration::from_millis(4))
+        .loss(0.2)
+        .duplication(1.0);
+    let deployment = Deployment::start(small(4, 0, 17).links(link, link))
+        .await
+        .unwrap();
+    let target = deployment.endpoint(&service("matcher")).unwrap();
+    let mut callers = tokio::task::JoinSet::new();
+    for _ in 0..96 {
+        let (caller, target) = (deployment.caller().unwrap(), target.clone());
+        callers.spawn(async move {
+            for _ in 0..3 {
+                // A connection that the losses keep from being set up in time is no broken flow.
+                let Ok(connection) = caller.connect(&target, None).await else {
+                    continue;
+                };
+                for _ in 0..3 {
+                    connection.issue_ticket().await.unwrap();
+                }
+                connection.close();
+            }
+        });
+    }
+    while let Some(ended) = callers.join_next().await {
+        ended.unwrap();
+    }
+}
