Keep times of requests in one log, and test what an agent records

The minute's line with the times could only be tested by waiting for it. A request with an unknown outcome is counted once, whoever asks for it again.

--- a/crates/cranberrypitch-agent/src/target/record.rs
+++ b/crates/cranberrypitch-agent/src/target/record.rs
@@ -7,9 +7,9 @@
 use cranberrypitch_core::{
     Class, FastMap, Incarnation, NotRunReason, Outcome, Reservation, TenantId,
 };
+use cranberrypitch_net::Event;
 use cranberrypitch_net::events::{DropReason, RateLimit};
-use cranberrypitch_net::metrics::{Counter, Gauge, Metrics, Sampler, Snapshot, Timer};
-use cranberrypitch_net::{Event, Histograms};
+use cranberrypitch_net::metrics::{Counter, Gauge, Metrics, Sampler, Snapshot, TimesLog};
 
 use crate::socket::SocketCounters;
 
@@ -69,8 +69,7 @@
 #[derive(Debug)]
 pub(super) struct Record {
     sampler: Sampler,
-    histograms: Histograms,
-    times_since: Instant,
+    times: TimesLog,
     totals: Totals,
     refused: FastMap<NotRunReason, Refused>,
     unknown: OrderLog,
@@ -83,9 +82,8 @@
 impl Record {
     pub(super) fn new(metrics: Metrics, now: Instant) -> Self {
         Self {
+            times: TimesLog::new(metrics.clone(), MAX_TENANTS, TIMES_INTERVAL, now),
             sampler: Sampler::new(metrics),
-            histograms: Histograms::new(MAX_TENANTS),
-            times_since: now,
             totals: Totals::default(),
             refused: FastMap::default(),
             unknown: OrderLog::new(),
@@ -98,9 +96,7 @@
 
     /// Records the start of a request.
     pub(super) fn start(&mut self, kind: &RequestKind, wait: Duration) {
-        self.histograms.record_wait(&kind.tenant, kind.class, wait);
-        let metrics = self.sampler.metrics();
-        metrics.time_request(Timer::RequestWait, kind.class, wait);
+        self.times.record_wait(&kind.tenant, kind.class, wait);
     }
 
     /// Records the end of a request, with its service time if it was started.
@@ -112,17 +108,14 @@
         now: Instant,
     ) {
         if let Some(service) = service {
-            self.histograms
-                .record_service(&kind.tenant, kind.class, service);
-            let metrics = self.sampler.metrics();
-            metrics.time_request(Timer::RequestService, kind.class, service);
+            self.times.record_service(&kind.tenant, kind.class, service);
         }
         match outcome {
             Outcome::Done => self.totals.done += 1,
             Outcome::Failed => self.totals.failed += 1,
             Outcome::Redirect(reservation) => self.redirect(reservation),
             Outcome::NotRun(reason) => self.refuse(*reason, Some(kind), now),
-            // Orders with an unknown outcome are recorded with their tickets.
+            Outcome::Unknown => self.totals.unknown += 1,
             _ => {}
         }
     }
@@ -159,9 +152,8 @@
         }
     }
 
-    /// Records an order whose outcome can't be told.
+    /// Records the answer that the outcome of an order can't be told.
     pub(super) fn unknown(&mut self, incarnation: Incarnation, serial: u64, now: Instant) {
-        self.totals.unknown += 1;
         self.unknown.last = (incarnation, serial);
         let count = self.unknown.limit.count(now);
         log_unknown(count, self.unknown.last);
@@ -203,7 +195,7 @@
             (Counter::RequestsNotRun, self.totals.not_run),
             (Counter::RequestsRedirected, self.totals.redirected),
             (Counter::RequestsFailed, self.totals.failed),
-            (Counter::OrdersUnknown, self.totals.unknown),
+            (Counter::RequestsUnknown, self.totals.unknown),
         ];
         for (counter, total) in totals {
             self.sampler.count(counter, total);
@@ -226,12 +218,14 @@
             event.log();
         }
         self.log_due(now);
-        self.log_times(now);
+        if let Some(event) = self.times.due(now) {
+            event.log();
+        }
     }
 
     /// Returns the times of requests since the last log line about them.
     pub(super) fn times(&self) -> Snapshot {
-        self.histograms.snapshot()
+        self.times.snapshot()
     }
 
     /// Logs what was held back by a limit.
@@ -245,20 +239,6 @@
         log_unknown(self.unknown.limit.take(now), self.unknown.last);
         log_repeated(self.repeated.limit.take(now), self.repeated.last);
     }
-
-    fn log_times(&mut self, now: Instant) {
-        if now.saturating_duration_since(self.times_since) < TIMES_INTERVAL {
-            return;
-        }
-        self.times_since = now;
-        let snapshot = std::mem::replace(&mut self.histograms, Histograms::new(MAX_TENANTS));
-        let snapshot = snapshot.snapshot();
-        if !snapshot.rows.is_empty()
-            && let Ok(json) = serde_json::to_string(&snapshot)
-        {
-            Event::RequestTimes { json: json.into() }.log();
-        }
-    }
 }
 
 fn log_refused(count: Option<u64>, reason: NotRunReason) {
--- a/crates/cranberrypitch-net/src/events/catalogue.rs
+++ b/crates/cranberrypitch-net/src/events/catalogue.rs
@@ -265,9 +265,9 @@
     /// Orders were refused as not run; limited in rate, with the tenant of the last one.
     601 Warn OrderRefused { count: u64, reason: NotRunReason, tenant: TenantId }
         = "{count} orders refused as not run: {reason}, last of tenant {tenant}";
-    /// It can't be told whether orders ran, and they are not run again; limited in rate.
+    /// It can't be told whether an order ran, and it is not run again; limited in rate.
     602 Error OrderUnknown { count: u64, incarnation: Incarnation, serial: u64 }
-        = "outcome of {count} orders unknown, last {serial} with a ticket of incarnation {incarnation}";
+        = "answered {count} times that the outcome of an order is unknown, last order {serial} of incarnation {incarnation}";
     /// Tickets came again and the stored answers were given; limited in rate.
     603 Info OrderRepeated { count: u64, serial: u64 }
         = "{count} orders repeated, stored answer given, last {serial}";
--- a/crates/cranberrypitch-net/src/metrics.rs
+++ b/crates/cranberrypitch-net/src/metrics.rs
@@ -3,6 +3,7 @@
 mod catalogue;
 mod histograms;
 mod sampler;
+mod times;
 
 use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
 use std::sync::Arc;
@@ -17,6 +18,7 @@
 pub use crate::metrics::catalogue::{CATALOGUE, Counter, Entry, Gauge, Timer, metrics_page};
 pub use crate::metrics::histograms::{Histograms, Percentiles, Snapshot, TenantTimes};
 pub use crate::metrics::sampler::Sampler;
+pub use crate::metrics::times::TimesLog;
 
 /// The prefix of all metric names, followed by the program.
 const PREFIX: &str = "cranberrypitch";
--- a/crates/cranberrypitch-net/src/metrics/catalogue.rs
+++ b/crates/cranberrypitch-net/src/metrics/catalogue.rs
@@ -72,8 +72,8 @@
         RequestsRedirected = "requests.redirected", "requests", "agent";
         /// Requests that failed at the backend server.
         RequestsFailed = "requests.failed", "requests", "agent";
-        /// Orders whose outcome can't be told.
-        OrdersUnknown = "orders.unknown", "orders", "agent";
+        /// Requests that ended with an unknown outcome.
+        RequestsUnknown = "requests.unknown", "requests", "agent";
         /// Load reports: those received by a balancer, those sent by an agent.
         Reports = "reports", "reports", "balancer, agent";
         /// Calls to the store.
--- /dev/null
+++ b/crates/cranberrypitch-net/src/metrics/times.rs
@@ -0,0 +1,65 @@
+//! Times of requests, logged once per interval.
+
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::{Class, TenantId};
+
+use crate::events::Event;
+use crate::metrics::{Histograms, Metrics, Snapshot, Timer};
+
+/// Records the times of requests as metrics, and in histograms that are logged once per interval
+/// and begin anew then.
+#[derive(Debug)]
+pub struct TimesLog {
+    metrics: Metrics,
+    max_tenants: usize,
+    interval: Duration,
+    since: Instant,
+    histograms: Histograms,
+}
+
+impl TimesLog {
+    /// Returns a log with room for a number of tenants.
+    pub fn new(metrics: Metrics, max_tenants: usize, interval: Duration, now: Instant) -> Self {
+        Self {
+            metrics,
+            max_tenants,
+            interval,
+            since: now,
+            histograms: Histograms::new(max_tenants),
+        }
+    }
+
+    /// Records the time from the arrival of a request to its start.
+    pub fn record_wait(&mut self, tenant: &TenantId, class: Class, wait: Duration) {
+        self.histograms.record_wait(tenant, class, wait);
+        self.metrics.time_request(Timer::RequestWait, class, wait);
+    }
+
+    /// Records the time from the start of a request to its end.
+    pub fn record_service(&mut self, tenant: &TenantId, class: Class, service: Duration) {
+        self.histograms.record_service(tenant, class, service);
+        self.metrics
+            .time_request(Timer::RequestService, class, service);
+    }
+
+    /// Returns the times since the last event.
+    pub fn snapshot(&self) -> Snapshot {
+        self.histograms.snapshot()
+    }
+
+    /// Returns the event with the times of the last interval, once per interval with requests.
+    pub fn due(&mut self, now: Instant) -> Option<Event> {
+        if now.saturating_duration_since(self.since) < self.interval {
+            return None;
+        }
+        self.since = now;
+        let empty = Histograms::new(self.max_tenants);
+        let snapshot = std::mem::replace(&mut self.histograms, empty).snapshot();
+        if snapshot.rows.is_empty() {
+            return None;
+        }
+        let json = serde_json::to_string(&snapshot).ok()?.into();
+        Some(Event::RequestTimes { json })
+    }
+}
--- a/crates/cranberrypitch-net/tests/metrics.rs
+++ b/crates/cranberrypitch-net/tests/metrics.rs
@@ -5,7 +5,7 @@
 
 use cranberrypitch_core::{Class, TenantId, VmId};
 use cranberrypitch_net::events::{DropReason, Program};
-use cranberrypitch_net::metrics::{self, Counter, Gauge, Sampler, Timer};
+use cranberrypitch_net::metrics::{self, Counter, Gauge, Sampler, Timer, TimesLog};
 use cranberrypitch_net::{Event, Histograms, Metrics};
 use expect_test::{expect, expect_file};
 
@@ -101,6 +101,29 @@
     );
 }
 
+/// Guards against a log without times, with the times of another minute, or with a line when
+/// there were no requests.
+#[test]
+fn times_are_logged_once_per_interval_with_requests() {
+    let minute = Duration::from_mins(1);
+    let start = Instant::now();
+    let mut times = TimesLog::new(Metrics::none(), 4, minute, start);
+    times.record_wait(&tenant("a"), Class::Order, Duration::from_millis(10));
+    assert_eq!(times.due(start + minute / 2), None);
+    let Some(Event::RequestTimes { json }) = times.due(start + minute) else {
+        panic!("an event is due");
+    };
+    assert!(
+        json.starts_with(r#"{"rows":[{"tenant":"a","class":"order","wait":{"count":1,"#),
+        "{json}"
+    );
+    assert_eq!(times.due(start + minute * 2), None, "no requests since");
+    times.record_service(&tenant("b"), Class::Feed, Duration::from_millis(10));
+    let rows = times.snapshot().rows;
+    assert_eq!(rows.len(), 1);
+    assert_eq!(rows[0].service.count, 1);
+}
+
 /// Guards against classes or tenants that are mixed up when histograms are added and shown.
 #[test]
 fn a_snapshot_serializes_sums() {
--- /dev/null
+++ b/crates/cranberrypitch/tests/records.rs
@@ -0,0 +1,129 @@
+//! What an agent logs and measures of requests.
+
+mod common;
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use common::{order_body, order_options, service, small, tenant, upload_options};
+use cranberrypitch_caller::{place_order, upload};
+use cranberrypitch_core::orders::Ticket;
+use cranberrypitch_core::{ByteSize, Class, Outcome};
+use cranberrypitch_proto::request::RequestHead;
+use cranberrypitch_standins::Deployment;
+
+/// Longer than any wait for a line here: silence is judged after three seconds.
+const LOG_TIMEOUT: Duration = Duration::from_secs(20);
+
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+struct Recorder;
+
+impl log::Log for Recorder {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        LINES.lock().unwrap().push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+fn record_log() {
+    if log::set_logger(&Recorder).is_ok() {
+        log::set_max_level(log::LevelFilter::Info);
+    }
+}
+
+async fn logged(start: &str) {
+    let has_line = || LINES.lock().unwrap().iter().any(|l| l.starts_with(start));
+    let found = tokio::time::timeout(LOG_TIMEOUT, async {
+        while !has_line() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    let is_found = found.await.is_ok();
+    assert!(is_found, "no line {start} in {:#?}", LINES.lock().unwrap());
+}
+
+fn order_head(ticket: Option<Ticket>) -> RequestHead {
+    RequestHead {
+        tenant: tenant("santa-maria"),
+        class: Class::Order,
+        deadline: Duration::from_secs(5),
+        body_len: ByteSize::new(order_body("twice").len() as u64),
+        ticket,
+        reservation_serial: None,
+        resume_from: None,
+    }
+}
+
+/// Guards against requests whose times are not kept per tenant and class.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn times_are_kept_per_tenant_and_class() {
+    let deployment = Deployment::start(small(1, 1, 11)).await.unwrap();
+    let caller = deployment.caller().unwrap();
+    let options = order_options(&deployment, "matcher");
+    let order = place_order(&caller, &options, &order_body("one")).await;
+    assert_eq!(order.unwrap().outcome, Outcome::Done);
+    let options = upload_options(&deployment, "matcher");
+    let file = upload(&caller, &options, &[7; 10_000]).await;
+    assert_eq!(file.unwrap().outcome, Outcome::Done);
+
+    let name = service("matcher");
+    let target = deployment.targets().iter().find(|t| *t.service() == name);
+    let agent = target.unwrap().agent().unwrap();
+    let rows = agent.request_times().await.unwrap().rows;
+    let counts: Vec<_> = rows
+        .iter()
+        .map(|row| {
+            (
+                row.tenant.clone(),
+                row.class,
+                row.wait.count,
+                row.service.count,
+            )
+        })
+        .collect();
+    let expected = [
+        (Some(tenant("bench-1")), Class::Upload, 1, 1),
+        (Some(tenant("santa-maria")), Class::Order, 1, 1),
+    ];
+    assert_eq!(counts, expected);
+}
+
+/// Guards against orders that are refused, repeated or unknown without a line.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn fates_of_orders_are_logged() {
+    record_log();
+    let mut deployment = Deployment::start(small(1, 1, 12)).await.unwrap();
+    let caller = deployment.caller().unwrap();
+    let endpoint = deployment.endpoint(&service("matcher")).unwrap();
+    let connection = caller.connect(&endpoint, None).await.unwrap();
+    let body = order_body("twice");
+    let refused = connection.request(order_head(None), &body).await.unwrap();
+    assert!(refused.outcome.is_not_run());
+    logged("CP0601 1 orders refused as not run: no valid ticket, last of tenant santa-maria").await;
+
+    let issued = connection.issue_ticket().await.unwrap();
+    for _ in 0..2 {
+        let head = order_head(Some(issued.ticket));
+        let response = connection.request(head, &body).await.unwrap();
+        assert_eq!(response.outcome, Outcome::Done);
+    }
+    logged("CP0603 1 orders repeated, stored answer given, last 0").await;
+
+    let name = service("matcher");
+    let mut targets = deployment.targets().iter();
+    let index = targets.position(|t| *t.service() == name).unwrap();
+    deployment.targets_mut()[index].kill_agent();
+    deployment.restart_agent(index).unwrap();
+    deployment.wait_until_ready().await.unwrap();
+    logged("CP0307 ").await;
+    let again = caller.connect(&endpoint, None).await.unwrap();
+    let response = again.query_order(issued.ticket).await.unwrap();
+    assert_eq!(response.outcome, Outcome::Unknown);
+    logged("CP0602 answered 1 times that the outcome of an order is unknown, last order 0").await;
+}
