End a traffic thread whose task panics, and test lines about a frozen agent

A panic in a task left its socket open and unserved without a line. The path of returns is logged at most once per second, as it changes in several steps.

--- a/crates/cranberrypitch-agent/src/announce.rs
+++ b/crates/cranberrypitch-agent/src/announce.rs
@@ -55,6 +55,7 @@
     reported: Option<TargetStatus>,
     reported_at: Option<Instant>,
     sent: u64,
+    changed_path: Option<Arc<Vec<SocketAddrV4>>>,
 }
 
 /// Reports what is due.
@@ -84,12 +85,13 @@
         for balancer in &args.balancers {
             table.add(balancer.clone(), now);
         }
-        let actor = Self {
+        let mut actor = Self {
             args,
             table,
             reported: None,
             reported_at: None,
             sent: 0,
+            changed_path: None,
         };
         actor.publish();
         Ok(actor)
@@ -106,11 +108,9 @@
 }
 
 impl AnnounceActor {
-    fn publish(&self) {
-        if let Some(balancers) = self.args.returns.set_live(&self.table.live()) {
-            let balancers = listed(&balancers);
-            Event::ReturnPathChanged { balancers }.log();
-        }
+    fn publish(&mut self) {
+        let changed = self.args.returns.set_live(&self.table.live());
+        self.changed_path = changed.or(self.changed_path.take());
     }
 
     async fn report(&mut self, is_forced: bool) {
@@ -220,6 +220,10 @@
     type Reply = ();
 
     async fn handle(&mut self, _: Sample, _: &mut Context<Self, ()>) {
+        if let Some(balancers) = self.changed_path.take() {
+            let balancers = listed(&balancers);
+            Event::ReturnPathChanged { balancers }.log();
+        }
         let metrics = &self.args.metrics;
         metrics.count(Counter::Reports, std::mem::take(&mut self.sent));
         let live = self.table.live().len() as u64;
--- a/crates/cranberrypitch-agent/src/daemon.rs
+++ b/crates/cranberrypitch-agent/src/daemon.rs
@@ -418,8 +418,20 @@
         Arc::clone(&server.backend),
         server.target.clone(),
     ));
-    let serve = tokio::spawn(server.run(endpoint));
-    let _stopped = stop.changed().await;
+    let mut serve = tokio::spawn(server.run(endpoint));
+    tokio::select! {
+        _stopped = stop.changed() => {}
+        ended = &mut serve => {
+            // Without the task the agent would report its target and refuse every connection.
+            if let Err(error) = ended
+                && error.is_panic()
+            {
+                std::panic::resume_unwind(error.into_panic());
+            }
+            // A graceful stop closes the endpoint first.
+            let _stopped = stop.changed().await;
+        }
+    }
     serve.abort();
     health.abort();
 }
--- a/crates/cranberrypitch-balancer/src/traffic.rs
+++ b/crates/cranberrypitch-balancer/src/traffic.rs
@@ -14,6 +14,7 @@
 use cranberrypitch_proto::tunnel::{HEADER_LEN_BYTES, Header, Kind};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use tokio::task::{JoinError, JoinSet};
 
 use crate::counters::Counters;
 use crate::route::{Route, route};
@@ -79,18 +80,36 @@
         router: RefCell::new(parts.router),
         sockets: RefCell::default(),
     });
-    let tunnel = tokio::task::spawn_local(serve_tunnel(Rc::clone(&shared), parts.control));
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(serve_tunnel(Rc::clone(&shared), parts.control));
     let mut service_sockets = parts.service_sockets;
-    while let Some(opened) = service_sockets.recv().await {
+    loop {
+        let opened = tokio::select! {
+            opened = service_sockets.recv() => opened,
+            Some(ended) = tasks.join_next() => {
+                end_with(ended);
+                continue;
+            }
+        };
+        let Some(opened) = opened else {
+            return Ok(());
+        };
         let socket = Rc::new(UdpSocket::from_std(opened.socket)?);
         shared
             .sockets
             .borrow_mut()
             .insert(opened.address, Rc::clone(&socket));
-        tokio::task::spawn_local(serve_callers(Rc::clone(&shared), opened.address, socket));
+        tasks.spawn_local(serve_callers(Rc::clone(&shared), opened.address, socket));
+    }
+}
+
+/// Ends the thread if one of its tasks panicked: its socket would stay open and unserved.
+fn end_with(ended: Result<(), JoinError>) {
+    if let Err(error) = ended
+        && error.is_panic()
+    {
+        std::panic::resume_unwind(error.into_panic());
     }
-    tunnel.abort();
-    Ok(())
 }
 
 /// Forwards what callers send to one service address.
--- a/crates/cranberrypitch-net/src/events/catalogue.rs
+++ b/crates/cranberrypitch-net/src/events/catalogue.rs
@@ -224,7 +224,7 @@
     /// Datagrams for another service, agent or incarnation were dropped; limited in rate.
     402 Warn MisdirectedDropped { count: u64 }
         = "{count} misdirected datagrams dropped";
-    /// An agent returns datagrams through other balancers than before.
+    /// An agent returns datagrams through other balancers than before; at most one line per second.
     403 Info ReturnPathChanged { balancers: Box<str> }
         = "return path changed to balancers {balancers}";
     /// An agent knows no live balancer to return datagrams through; limited in rate.
--- a/crates/cranberrypitch-net/src/metrics/catalogue.rs
+++ b/crates/cranberrypitch-net/src/metrics/catalogue.rs
@@ -85,7 +85,7 @@
     Gauge "gauge" {
         /// Targets that new flows may go to, over all services.
         TargetsReady = "targets.ready", "targets", "balancer";
-        /// Live balancers: those listed by a balancer, those that take an agent's returns.
+        /// Live balancers: those in the store's list at a balancer, those that answer an agent.
         BalancersLive = "balancers.live", "balancers", "balancer, agent";
         /// Requests that run.
         RequestsRunning = "requests.running", "requests", "agent";
--- a/crates/cranberrypitch/tests/observability.rs
+++ b/crates/cranberrypitch/tests/observability.rs
@@ -114,3 +114,28 @@
     processes.backends[0].kill();
     processes.agents[0].logged("CP0505 ").await;
 }
+
+/// Guards against a target that is suspected, silent or back without lines at the balancer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_frozen_agent_leaves_its_lines() {
+    let processes = Processes::start(1, 2).await;
+    let (caller, endpoint) = (processes.caller(), processes.endpoint());
+    let balancer = &processes.balancers[0];
+    processes.agents[0].signal("STOP");
+    let knock = async {
+        loop {
+            if let Ok(connection) = caller.connect(&endpoint, None).await {
+                connection.close();
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::select! {
+        () = knock => {}
+        () = balancer.logged("CP0303 ") => {}
+    }
+    balancer.logged("CP0306 ").await;
+    processes.agents[0].signal("CONT");
+    balancer.logged("CP0305 ").await;
+    processes.agents[0].logged("CP0107 ").await;
+}
