--- a/crates/cranberrypitch-agent/src/announce.rs
+++ b/crates/cranberrypitch-agent/src/announce.rs
@@ -225,7 +225,10 @@
             Event::ReturnPathChanged { balancers }.log();
         }
         let metrics = &self.args.metrics;
-        metrics.count(Counter::Reports, std::mem::take(&mut self.sent));
+        let sent = std::mem::take(&mut self.sent);
+        if sent > 0 {
+            metrics.count(Counter::Reports, sent);
+        }
         let live = self.table.live().len() as u64;
         metrics.gauge(Gauge::BalancersLive, live);
         let revision = self.args.revision.borrow().get();
--- a/crates/cranberrypitch-balancer/src/process.rs
+++ b/crates/cranberrypitch-balancer/src/process.rs
@@ -3,6 +3,7 @@
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
+use std::time::Instant;
 
 use cranberrypitch_core::acceptance::Snapshot;
 use cranberrypitch_core::membership::MembershipOptions;
@@ -10,10 +11,11 @@
 use cranberrypitch_net::control::{ControlHandler, ControlOptions, ControlServer};
 use cranberrypitch_net::daemon::{DaemonError, ExitStatus, Startup, until_stop};
 use cranberrypitch_net::keeper::{ConfigSource, Keeper, KeeperOptions};
+use cranberrypitch_net::metrics::Timer;
 use cranberrypitch_net::peers::{self, ControlPeers, ProcessStatus};
 use cranberrypitch_net::registry::Registry;
-use cranberrypitch_net::store::{HttpStore, HttpStoreOptions, StoreMonitor};
-use cranberrypitch_net::{BalancerSettings, Event};
+use cranberrypitch_net::store::{HttpStore, HttpStoreOptions, Store, StoreMonitor};
+use cranberrypitch_net::{BalancerSettings, Event, Metrics};
 use cranberrypitch_proto::control::{BalancerEntry, ConfigHead, ConfigShard, Digest, Notice};
 use cranberrypitch_proto::report::BalancerHint;
 use tokio::sync::watch;
@@ -76,7 +78,7 @@
         Arc::clone(&balancer),
         source.clone(),
         listed.clone(),
-        metrics,
+        metrics.clone(),
     );
     let heard = tokio::spawn(hear_revisions(balancer.heard_revision(), source.clone()));
     tokio::select! {
@@ -87,15 +89,42 @@
         () = observer.run(&control) => {}
         error = balancer.failed() => return Err(error),
     }
-    registry.leave().await;
     keeper.abort();
     heard.abort();
-    let leaving = Notice::Goodbye {
-        vm: settings.vm.clone(),
-    };
-    drop(control.notify(leaving));
-    control.stop().await;
-    balancer.leave().await
+    Leave {
+        settings: &settings,
+        metrics: &metrics,
+        balancer: &balancer,
+    }
+    .run(&mut registry, control)
+    .await
+}
+
+/// The graceful stop of a balancer.
+struct Leave<'a> {
+    settings: &'a BalancerSettings,
+    metrics: &'a Metrics,
+    balancer: &'a BalancerHandle,
+}
+
+impl Leave<'_> {
+    async fn run<S: Store>(self, registry: &mut Registry<S>, control: ControlServer) -> Result<()> {
+        let started = Instant::now();
+        Event::DrainStarted {
+            reason: "signal",
+            deadline_ms: self.settings.linger_ms,
+        }
+        .log();
+        registry.leave().await;
+        let vm = self.settings.vm.clone();
+        drop(control.notify(Notice::Goodbye { vm }));
+        control.stop().await;
+        self.balancer.leave().await?;
+        let elapsed_ms = started.elapsed();
+        Event::DrainFinished { elapsed_ms }.log();
+        self.metrics.time(Timer::Drain, elapsed_ms);
+        Ok(())
+    }
 }
 
 fn options(
--- a/crates/cranberrypitch-net/src/metrics/catalogue.rs
+++ b/crates/cranberrypitch-net/src/metrics/catalogue.rs
@@ -106,8 +106,8 @@
         RequestService = "requests.service", "ms", "agent";
         /// One call to the store; watches, which wait on purpose, are left out.
         StoreCall = "store.call", "ms", "balancer, agent";
-        /// One drain.
-        Drain = "drain", "ms", "agent";
+        /// From the start of a drain to its end.
+        Drain = "drain", "ms", "balancer, agent";
     }
 }
 
--- a/crates/cranberrypitch/tests/observability.rs
+++ b/crates/cranberrypitch/tests/observability.rs
@@ -91,10 +91,14 @@
     processes.balancers[0].signal("TERM");
     processes.agents[0].logged("CP0312 ").await;
     assert!(processes.balancers[0].wait().await.success());
+    processes.balancers[0].logged("CP0503 ").await;
     processes.agents[0].signal("TERM");
     assert!(processes.agents[0].wait().await.success());
     processes.balancers[1].logged("CP0302 ").await;
-    let drained = ["cranberrypitch.agent.drain:"];
+    let drained = [
+        "cranberrypitch.balancer.drain:",
+        "cranberrypitch.agent.drain:",
+    ];
     assert_eq!(missing_metrics(&receiver, &drained), [""; 0]);
 }
 
--- a/crates/cranberrypitch/tests/records.rs
+++ b/crates/cranberrypitch/tests/records.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use common::{order_body, order_options, service, small, tenant, upload_options};
+use cranberrypitch_agent::backend::BackendState;
 use cranberrypitch_caller::{place_order, upload};
 use cranberrypitch_core::orders::Ticket;
 use cranberrypitch_core::{ByteSize, Class, Outcome};
@@ -127,3 +128,41 @@
     assert_eq!(response.outcome, Outcome::Unknown);
     logged("CP0602 answered 1 times that the outcome of an order is unknown, last order 0").await;
 }
+
+/// Guards against refusals, a failing backend server, or a health endpoint that lies, without a
+/// line at the agent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusals_and_failures_are_logged() {
+    record_log();
+    let deployment = Deployment::start(small(1, 1, 13)).await.unwrap();
+    let caller = deployment.caller().unwrap();
+    let endpoint = deployment.endpoint(&service("tracer")).unwrap();
+    let connection = caller.connect(&endpoint, None).await.unwrap();
+    let late = RequestHead {
+        class: Class::Upload,
+        deadline: Duration::ZERO,
+        ..order_head(None)
+    };
+    let refused = connection
+        .request(late, &order_body("twice"))
+        .await
+        .unwrap();
+    assert!(refused.outcome.is_not_run());
+    logged("CP0508 1 requests refused as not run: deadline").await;
+
+    let name = service("tracer");
+    let mut targets = deployment.targets().iter();
+    let target = targets.find(|t| *t.service() == name).unwrap();
+    target.backend().set_faults(|faults| {
+        faults.fail_rate = 1.0;
+        faults.health_claim = Some(BackendState::Ready);
+    });
+    for _ in 0..6 {
+        let issued = connection.issue_ticket().await.unwrap();
+        let head = order_head(Some(issued.ticket));
+        let response = connection.request(head, &order_body("twice")).await;
+        assert_ne!(response.unwrap().outcome, Outcome::Done);
+    }
+    logged("CP0505 backend server down: requests fail").await;
+    logged("CP0507 health endpoint overruled ").await;
+}
