--- a/crates/cranberrypitch/tests/observability.rs
+++ b/crates/cranberrypitch/tests/observability.rs
@@ -13,6 +13,10 @@
 /// Longer than any wait between two samples, on a busy machine.
 const METRICS_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Longer than the pause of three seconds that a process logs. Silence at the balancer may come
+/// earlier, as it counts from the last report.
+const FREEZE: Duration = Duration::from_millis(4500);
+
 fn receiver() -> UdpSocket {
     let receiver = UdpSocket::bind("127.0.0.1:0").unwrap();
     let timeout = Some(Duration::from_millis(100));
@@ -126,6 +130,7 @@
     let (caller, endpoint) = (processes.caller(), processes.endpoint());
     let balancer = &processes.balancers[0];
     processes.agents[0].signal("STOP");
+    let frozen_at = tokio::time::Instant::now();
     let knock = async {
         loop {
             if let Ok(connection) = caller.connect(&endpoint, None).await {
@@ -139,6 +144,7 @@
         () = balancer.logged("CP0303 ") => {}
     }
     balancer.logged("CP0306 ").await;
+    tokio::time::sleep_until(frozen_at + FREEZE).await;
     processes.agents[0].signal("CONT");
     balancer.logged("CP0305 ").await;
     processes.agents[0].logged("CP0107 ").await;
