--- a/crates/cranberrypitch-net/src/events/catalogue.rs
+++ b/crates/cranberrypitch-net/src/events/catalogue.rs
@@ -224,7 +224,7 @@
     /// Datagrams for another service, agent or incarnation were dropped; limited in rate.
     402 Warn MisdirectedDropped { count: u64 }
         = "{count} misdirected datagrams dropped";
-    /// An agent returns datagrams through other balancers than before.
+    /// An agent returns datagrams through other balancers than before; at most one line per second.
     403 Info ReturnPathChanged { balancers: Box<str> }
         = "return path changed to balancers {balancers}";
     /// An agent knows no live balancer to return datagrams through; limited in rate.
@@ -265,9 +265,9 @@
     /// Orders were refused as not run; limited in rate, with the tenant of the last one.
     601 Warn OrderRefused { count: u64, reason: NotRunReason, tenant: TenantId }
         = "{count} orders refused as not run: {reason}, last of tenant {tenant}";
-    /// It can't be told whether orders ran, and they are not run again; limited in rate.
+    /// It can't be told whether an order ran, and it is not run again; limited in rate.
     602 Error OrderUnknown { count: u64, incarnation: Incarnation, serial: u64 }
-        = "outcome of {count} orders unknown, last {serial} with a ticket of incarnation {incarnation}";
+        = "answered {count} times that the outcome of an order is unknown, last order {serial} of incarnation {incarnation}";
     /// Tickets came again and the stored answers were given; limited in rate.
     603 Info OrderRepeated { count: u64, serial: u64 }
         = "{count} orders repeated, stored answer given, last {serial}";
--- a/crates/cranberrypitch-net/src/metrics/catalogue.rs
+++ b/crates/cranberrypitch-net/src/metrics/catalogue.rs
@@ -72,8 +72,8 @@
         RequestsRedirected = "requests.redirected", "requests", "agent";
         /// Requests that failed at the backend server.
         RequestsFailed = "requests.failed", "requests", "agent";
-        /// Orders whose outcome can't be told.
-        OrdersUnknown = "orders.unknown", "orders", "agent";
+        /// Requests that ended with an unknown outcome.
+        RequestsUnknown = "requests.unknown", "requests", "agent";
         /// Load reports: those received by a balancer, those sent by an agent.
         Reports = "reports", "reports", "balancer, agent";
         /// Calls to the store.
@@ -85,7 +85,7 @@
     Gauge "gauge" {
         /// Targets that new flows may go to, over all services.
         TargetsReady = "targets.ready", "targets", "balancer";
-        /// Live balancers: those listed by a balancer, those that take an agent's returns.
+        /// Live balancers: those in the store's list at a balancer, those that answer an agent.
         BalancersLive = "balancers.live", "balancers", "balancer, agent";
         /// Requests that run.
         RequestsRunning = "requests.running", "requests", "agent";
@@ -106,8 +106,8 @@
         RequestService = "requests.service", "ms", "agent";
         /// One call to the store; watches, which wait on purpose, are left out.
         StoreCall = "store.call", "ms", "balancer, agent";
-        /// One drain.
-        Drain = "drain", "ms", "agent";
+        /// From the start of a drain to its end.
+        Drain = "drain", "ms", "balancer, agent";
     }
 }
 
--- a/crates/cranberrypitch/tests/observability.rs
+++ b/crates/cranberrypitch/tests/observability.rs
@@ -13,6 +13,10 @@
 /// Longer than any wait between two samples, on a busy machine.
 const METRICS_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Longer than the pause of three seconds that a process logs. Silence at the balancer may come
+/// earlier, as it counts from the last report.
+const FREEZE: Duration = Duration::from_millis(4500);
+
 fn receiver() -> UdpSocket {
     let receiver = UdpSocket::bind("127.0.0.1:0").unwrap();
     let timeout = Some(Duration::from_millis(100));
@@ -91,10 +95,14 @@
     processes.balancers[0].signal("TERM");
     processes.agents[0].logged("CP0312 ").await;
     assert!(processes.balancers[0].wait().await.success());
+    processes.balancers[0].logged("CP0503 ").await;
     processes.agents[0].signal("TERM");
     assert!(processes.agents[0].wait().await.success());
     processes.balancers[1].logged("CP0302 ").await;
-    let drained = ["cranberrypitch.agent.drain:"];
+    let drained = [
+        "cranberrypitch.balancer.drain:",
+        "cranberrypitch.agent.drain:",
+    ];
     assert_eq!(missing_metrics(&receiver, &drained), [""; 0]);
 }
 
@@ -114,3 +122,30 @@
     processes.backends[0].kill();
     processes.agents[0].logged("CP0505 ").await;
 }
+
+/// Guards against a target that is suspected, silent or back without lines at the balancer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_frozen_agent_leaves_its_lines() {
+    let processes = Processes::start(1, 2).await;
+    let (caller, endpoint) = (processes.caller(), processes.endpoint());
+    let balancer = &processes.balancers[0];
+    processes.agents[0].signal("STOP");
+    let frozen_at = tokio::time::Instant::now();
+    let knock = async {
+        loop {
+            if let Ok(connection) = caller.connect(&endpoint, None).await {
+                connection.close();
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::select! {
+        () = knock => {}
+        () = balancer.logged("CP0303 ") => {}
+    }
+    balancer.logged("CP0306 ").await;
+    tokio::time::sleep_until(frozen_at + FREEZE).await;
+    processes.agents[0].signal("CONT");
+    balancer.logged("CP0305 ").await;
+    processes.agents[0].logged("CP0107 ").await;
+}
