--- /dev/null
+++ b/crates/cranberrypitch-core/tests/replay_acceptance.rs
@@ -0,0 +1,221 @@
+//! Replays the traces in `traces/acceptance` against their stated outcomes. The first line of each
+//! trace names the failure it guards against.
+
+mod traces;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cranberrypitch_core::acceptance::{Acceptance, Progress};
+use cranberrypitch_core::config::{Edit, ServiceText, ShardCount};
+use cranberrypitch_core::{EditId, Error, Revision, ServiceName, Slots};
+use serde::Deserialize;
+
+const VALVES: &str = include_str!("../../../samples/valves.json");
+const SERVICES: usize = 40;
+const SHARDS: usize = 8;
+const REVISIONS: u32 = 6;
+
+/// What reaches a process. Revisions are those of [`configurations`].
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+enum Event {
+    /// The head of a revision.
+    Head { process: String, revision: usize },
+    /// A head that claims a revision for another edit.
+    RivalHead { process: String, revision: usize },
+    /// Some shards of a revision, in this order.
+    Shards {
+        process: String,
+        revision: usize,
+        indexes: Vec<usize>,
+    },
+    /// The news that a revision is in force elsewhere.
+    Floor { process: String, revision: u64 },
+    /// The answer of a peer, as far as the peer is ahead.
+    Answer { process: String, from: String },
+    /// A process that starts with nothing.
+    Restart { process: String },
+}
+
+/// What must hold for the event's process. What is left out is not checked.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Expected {
+    outcome: Option<Outcome>,
+    in_force: Option<u64>,
+    newest_known: Option<u64>,
+    lacking: Option<usize>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Outcome {
+    Ignored,
+    Lacking,
+    InForce,
+    Conflict,
+    NothingNewer,
+}
+
+/// Returns revisions 1 to [`REVISIONS`]; each gives all services of one other shard more slots, so
+/// revision `n` differs from the one before it in the shard with index `n - 1`.
+fn configurations() -> Vec<Edit> {
+    let count = ShardCount::try_new(SHARDS).expect("a power of two");
+    let mut text = ServiceText::parse(VALVES).expect("a valid sample");
+    let sample = text.services[0].clone();
+    text.services = (0..SERVICES)
+        .map(|n| {
+            let mut service = sample.clone();
+            service.name = ServiceName::try_new(&format!("n{n:05}")).expect("a valid name");
+            service
+        })
+        .collect();
+    let mut edits: Vec<Edit> = Vec::new();
+    for step in 0..REVISIONS {
+        for service in &mut text.services {
+            if count.index_of(service.tag()) == step as usize {
+                service.slots = Slots::new(100 + step);
+            }
+        }
+        let head = edits.last().map(|edit| &edit.head);
+        let id = EditId::new(u128::from(step) + 1);
+        edits.push(Edit::with_count(&text, head, id, count).expect("a valid edit"));
+    }
+    edits
+}
+
+fn outcome(result: Result<Progress, Error>) -> Outcome {
+    match result {
+        Ok(Progress::Ignored) => Outcome::Ignored,
+        Ok(Progress::Lacking(_)) => Outcome::Lacking,
+        Ok(Progress::InForce(_)) => Outcome::InForce,
+        Err(Error::RevisionConflict { .. }) => Outcome::Conflict,
+        Err(error) => panic!("no trace expects '{error}'"),
+    }
+}
+
+struct Replay {
+    edits: Vec<Edit>,
+    processes: BTreeMap<String, Acceptance>,
+}
+
+impl Replay {
+    fn process(&mut self, name: &str) -> &mut Acceptance {
+        self.processes.entry(name.to_owned()).or_default()
+    }
+
+    /// Applies an event and returns its process, with the outcome if the event has one.
+    fn apply(&mut self, event: Event) -> (String, Option<Outcome>) {
+        match event {
+            Event::Head { process, revision } => {
+                let head = self.edits[revision - 1].head.clone();
+                let result = self.process(&process).offer_head(head);
+                (process, Some(outcome(result)))
+            }
+            Event::RivalHead { process, revision } => {
+                let mut head = self.edits[revision - 1].head.clone();
+                head.edit_id = EditId::new(999);
+                let result = self.process(&process).offer_head(head);
+                (process, Some(outcome(result)))
+            }
+            Event::Shards {
+                process,
+                revision,
+                indexes,
+            } => {
+                let mut last = None;
+                for index in indexes {
+                    let shard = Arc::clone(&self.edits[revision - 1].shards[index]);
+                    let result = self.process(&process).offer_shard(shard.encoded());
+                    last = Some(outcome(result));
+                }
+                (process, last)
+            }
+            Event::Floor { process, revision } => {
+                let process_state = self.process(&process);
+                process_state.raise_floor(Revision::new(revision));
+                (process, None)
+            }
+            Event::Answer { process, from } => {
+                let known = self.process(&process).revision();
+                let update = self.process(&from).update_since(known);
+                let outcome = update.map_or(Outcome::NothingNewer, |update| {
+                    outcome(self.process(&process).offer(update))
+                });
+                (process, Some(outcome))
+            }
+            Event::Restart { process } => {
+                self.processes.insert(process.clone(), Acceptance::new());
+                (process, None)
+            }
+        }
+    }
+
+    fn check(&mut self, name: &str, found: Option<Outcome>, expected: &Expected, place: &str) {
+        if expected.outcome.is_some() {
+            assert_eq!(found, expected.outcome, "{place}: outcome");
+        }
+        let process = self.process(name);
+        if let Some(revision) = expected.in_force {
+            assert_eq!(process.revision().get(), revision, "{place}: in force");
+        }
+        if let Some(revision) = expected.newest_known {
+            let found = process.newest_known().get();
+            assert_eq!(found, revision, "{place}: newest known");
+        }
+        if let Some(lacking) = expected.lacking {
+            assert_eq!(process.lacking().len(), lacking, "{place}: lacking");
+        }
+    }
+
+    /// Checks that each process has the whole of one revision in force, and none older than before.
+    fn check_order(&self, before: &BTreeMap<String, u64>, restarted: &str, place: &str) {
+        for (name, process) in &self.processes {
+            let Some(snapshot) = process.in_force() else {
+                continue;
+            };
+            let revision = process.revision().get();
+            let index = usize::try_from(revision).expect("a small number") - 1;
+            assert!(
+                snapshot.shards() == &*self.edits[index].shards,
+                "{place}: {name} mixes revisions"
+            );
+            let earlier = before.get(name).filter(|_| name != restarted);
+            assert!(
+                earlier.is_none_or(|r| *r <= revision),
+                "{place}: {name} went back"
+            );
+        }
+    }
+
+    fn revisions(&self) -> BTreeMap<String, u64> {
+        let processes = self.processes.iter();
+        processes
+            .map(|(name, p)| (name.clone(), p.revision().get()))
+            .collect()
+    }
+}
+
+/// Guards against the failures that the traces name, and after each event against a process that
+/// went back or mixes two revisions.
+#[test]
+fn acceptance_traces_end_as_stated() {
+    for trace in traces::load::<Event, Expected>("acceptance") {
+        let mut replay = Replay {
+            edits: configurations(),
+            processes: BTreeMap::new(),
+        };
+        for step in trace.steps {
+            let place = format!("{} at {:?}: {}", trace.failure, step.at, step.place);
+            let before = replay.revisions();
+            let is_restart = matches!(step.event, Event::Restart { .. });
+            let (name, found) = replay.apply(step.event);
+            let restarted = if is_restart { &*name } else { "" };
+            replay.check_order(&before, restarted, &place);
+            if let Some(expected) = step.expected {
+                replay.check(&name, found, &expected, &place);
+            }
+        }
+    }
+}
