Measure uploads with different thresholds of loss detection

Cause: the thresholds come from a trial outside the real path, without loss. Ruled out: thresholds as settings of the daemons, as nobody would tune them per process and both ends have to agree. Change: TransportOptions carries both thresholds, with the values in use as defaults; DeploymentOptions passes the options to agents and callers. 'measure upload' runs an upload per condition and thresholds. Behaviour of the daemons: unchanged.

--- a/crates/cranberrypitch-agent/src/process.rs
+++ b/crates/cranberrypitch-agent/src/process.rs
@@ -95,6 +95,7 @@
         .transport(TransportOptions {
             idle_timeout_ms: settings.idle_timeout_ms,
             keep_alive_ms: settings.keep_alive_ms,
+            ..TransportOptions::default()
         })
         .drain_deadline(settings.drain_deadline_ms)
         .report_interval(settings.report_interval_ms)
--- a/crates/cranberrypitch-measure/src/errors.rs
+++ b/crates/cranberrypitch-measure/src/errors.rs
@@ -20,6 +20,9 @@
     /// A decision of the core refuses its options.
     #[display("{_0}")]
     Core(cranberrypitch_core::Error),
+    /// A configuration text is invalid.
+    #[display("{_0}")]
+    Text(cranberrypitch_core::config::Problems),
     /// A balancer can't run.
     #[display("{_0}")]
     Balancer(cranberrypitch_balancer::Error),
--- a/crates/cranberrypitch-measure/src/lib.rs
+++ b/crates/cranberrypitch-measure/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod process;
 pub mod retry;
 pub(crate) mod timeline;
+pub mod upload;
 mod verbs;
 
 use pico_args::Arguments;
@@ -30,7 +31,7 @@
 }
 
 /// All verbs.
-pub const VERBS: [Verb; 7] = [
+pub const VERBS: [Verb; 8] = [
     Verb {
         name: "placement",
         summary: "waits and imbalance of each placement policy",
@@ -66,6 +67,11 @@
         summary: "bytes, processor time and memory against the size of the fleet",
         run: capacity::run,
     },
+    Verb {
+        name: "upload",
+        summary: "seconds and packets counted as lost of an upload, per loss threshold",
+        run: upload::run,
+    },
 ];
 
 /// Runs the verb that the arguments name.
--- a/crates/cranberrypitch-net/src/tls.rs
+++ b/crates/cranberrypitch-net/src/tls.rs
@@ -34,12 +34,16 @@
 pub const MAX_MTU_BYTES: u16 = 1350;
 
 /// The options of both ends of a QUIC connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TransportOptions {
     /// A connection ends after this time without a packet from the other end.
     pub idle_timeout_ms: Duration,
     /// A packet is sent after this time without one.
     pub keep_alive_ms: Duration,
+    /// A packet counts as lost when one sent this many packets later is acknowledged.
+    pub packet_threshold: u32,
+    /// A packet counts as lost this many round-trip times after it was sent.
+    pub time_threshold_rtts: f32,
 }
 
 impl Default for TransportOptions {
@@ -47,6 +51,8 @@
         Self {
             idle_timeout_ms: Duration::from_secs(30),
             keep_alive_ms: Duration::from_secs(5),
+            packet_threshold: PACKET_THRESHOLD,
+            time_threshold_rtts: TIME_THRESHOLD_RTTS,
         }
     }
 }
@@ -59,8 +65,8 @@
     discovery.upper_bound(MAX_MTU_BYTES);
     let mut config = TransportConfig::default();
     config
-        .packet_threshold(PACKET_THRESHOLD)
-        .time_threshold(TIME_THRESHOLD_RTTS)
+        .packet_threshold(options.packet_threshold)
+        .time_threshold(options.time_threshold_rtts)
         .initial_mtu(INITIAL_MTU_BYTES)
         .mtu_discovery_config(Some(discovery))
         .max_idle_timeout(Some(idle_timeout))
--- a/crates/cranberrypitch-standins/src/deployment.rs
+++ b/crates/cranberrypitch-standins/src/deployment.rs
@@ -45,6 +45,7 @@
     to_callers: LinkOptions,
     service_time: ServiceTime,
     reading_interval: Duration,
+    transport: TransportOptions,
 }
 
 impl DeploymentOptions {
@@ -59,6 +60,7 @@
             to_callers: LinkOptions::default(),
             service_time: ServiceTime::Fixed(Duration::from_millis(20)),
             reading_interval: Duration::from_millis(50),
+            transport: TransportOptions::default(),
         }
     }
 
@@ -97,6 +99,13 @@
         self.reading_interval = interval;
         self
     }
+
+    /// Sets the options of both ends of callers' connections.
+    #[must_use]
+    pub const fn transport(mut self, transport: TransportOptions) -> Self {
+        self.transport = transport;
+        self
+    }
 }
 
 /// A running balancer VM.
@@ -260,6 +269,7 @@
             seed: self.options.seed.wrapping_add(self.targets.len() as u64),
             service_time: self.options.service_time,
             reading_interval: self.options.reading_interval,
+            transport: self.options.transport,
             service,
         };
         self.targets.push(TargetVm::start(seed).await?);
@@ -302,10 +312,10 @@
 
     /// Returns a caller's transport.
     pub fn caller(&self) -> Result<Caller> {
-        self.caller_with(&TransportOptions::default())
+        self.caller_with(&self.options.transport)
     }
 
-    /// Returns a caller's transport with these timeouts.
+    /// Returns a caller's transport with options that may differ from the agents'.
     pub fn caller_with(&self, transport: &TransportOptions) -> Result<Caller> {
         let authorities = Authorities::from_pem(self.authority.pem().as_bytes())?;
         let config = tls::client_config(&authorities, tls::transport_config(transport)?)?;
--- a/crates/cranberrypitch-standins/src/deployment/target.rs
+++ b/crates/cranberrypitch-standins/src/deployment/target.rs
@@ -14,7 +14,7 @@
 use cranberrypitch_core::membership::Target;
 use cranberrypitch_core::{FailureDomain, Incarnation, ServiceName, Slots, TargetState};
 use cranberrypitch_net::KeyRing;
-use cranberrypitch_net::tls::Certificate;
+use cranberrypitch_net::tls::{Certificate, TransportOptions};
 
 use super::vm_id;
 use crate::backend::{BackendHandle, BackendOptions, BackendStandin, JournalEntry, ServiceTime};
@@ -45,6 +45,7 @@
     pub(crate) seed: u64,
     pub(crate) service_time: ServiceTime,
     pub(crate) reading_interval: Duration,
+    pub(crate) transport: TransportOptions,
     pub(crate) service: Service,
 }
 
@@ -163,6 +164,7 @@
         .build()?;
     let options = AgentOptions::builder(identity, Arc::clone(&seed.keys), certificate, admission)
         .balancers(seed.balancers.clone())
+        .transport(seed.transport)
         .drain_deadline(Duration::from_secs(20))
         .drain(DRAIN)
         .build();
