Keep the loss thresholds after measuring them on the real path

Cause: the thresholds rested on one trial without loss, outside the real path. Ruled out: (64, 2) and (32, 3), slower in every round with jitter; (128, 3), whose spread overlaps that of (64, 3) and which was slower with 1% loss. Conclusion: the thresholds stay at 64 packets and 3 round-trip times.

--- a/crates/cranberrypitch-measure/src/upload/condition.rs
+++ b/crates/cranberrypitch-measure/src/upload/condition.rs
@@ -34,10 +34,11 @@
     /// One balancer, without jitter.
     pub const SINGLE: Self = Self::new("single", 1, Duration::ZERO, 0.0);
     /// All conditions.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::SPRAYED_JITTER,
         Self::SPRAYED,
         Self::SINGLE,
+        Self::new("single-loss-1%", 1, Duration::ZERO, 0.01),
         Self::new("sprayed-jitter-loss-0.1%", 3, JITTER, 0.001),
         Self::new("sprayed-jitter-loss-1%", 3, JITTER, 0.01),
         Self::new("sprayed-jitter-loss-3%", 3, JITTER, 0.03),
@@ -104,7 +105,7 @@
         Self { packets, rtts }
     }
 
-    pub(crate) fn transport(&self) -> TransportOptions {
+    pub(crate) fn transport(self) -> TransportOptions {
         TransportOptions {
             packet_threshold: self.packets,
             time_threshold_rtts: self.rtts,
--- a/crates/cranberrypitch-measure/tests/upload.rs
+++ b/crates/cranberrypitch-measure/tests/upload.rs
@@ -13,7 +13,7 @@
 #[test]
 fn a_sprayed_upload_with_jitter_has_few_false_losses() {
     let options = Options {
-        len_bytes: 3_000_000,
+        len_bytes: 10_000_000,
         rounds: 1,
         limit: Duration::from_secs(20),
         conditions: vec![Condition::SPRAYED_JITTER],
@@ -21,7 +21,7 @@
     };
     let report = measure(&options, 1).expect("the deployment starts");
     let upload = &report.uploads[0];
-    assert_eq!(upload.end, End::Done, "{upload:?}");
-    assert_eq!(upload.dropped_by_fabric, 0, "{upload:?}");
     assert!(upload.lost_share() < MAX_FALSE_LOSSES, "{upload:?}");
+    assert_eq!(upload.dropped_by_fabric, 0, "{upload:?}");
+    assert_eq!(upload.end, End::Done, "{upload:?}");
 }
--- a/crates/cranberrypitch-net/src/tls.rs
+++ b/crates/cranberrypitch-net/src/tls.rs
@@ -21,7 +21,7 @@
 use crate::errors::{Error, Result};
 
 /// A packet counts as lost when one sent this many packets later is acknowledged. Spraying
-/// reorders packets; section 2.5 of the design has the trial behind both thresholds.
+/// reorders packets; `docs/transport.md` has the measurement behind both thresholds.
 pub const PACKET_THRESHOLD: u32 = 64;
 
 /// A packet counts as lost this many round-trip times after it was sent.
