Pass first packets on at a balancer that knows no target yet

Cause: a balancer that has just joined gets packets from the fabric before the agents report to it, dropped first packets as 'no target', and each cost its caller the probe timeout of a second. Before: the new test fails (3 dropped). After: it passes.

--- a/crates/cranberrypitch-balancer/src/daemon.rs
+++ b/crates/cranberrypitch-balancer/src/daemon.rs
@@ -28,7 +28,7 @@
     ListTargets, MembersActor, MembersArgs, MembersTick, SayGoodbye, SetBalancers, TICK_INTERVAL,
 };
 use crate::options::BalancerOptions;
-use crate::routing::{Router, ServiceViews, Sighting};
+use crate::routing::{Peers, Router, ServiceViews, Sighting};
 use crate::traffic::{self, Addresses, ControlDatagram, ServiceSocket, TrafficParts};
 
 /// Messages for the control thread that may wait.
@@ -64,6 +64,8 @@
 pub struct BalancerHandle {
     members: ActorRef<MembersActor>,
     views: Arc<ArcSwap<ServiceViews>>,
+    peers: Arc<ArcSwap<Peers>>,
+    tunnel_address: SocketAddrV4,
     addresses: Arc<ArcSwap<Addresses>>,
     open: Mutex<FastSet<SocketAddrV4>>,
     sockets: mpsc::Sender<ServiceSocket>,
@@ -119,7 +121,14 @@
         let rng = options
             .seed
             .map_or_else(rand::make_rng, StdRng::seed_from_u64);
-        let router = Router::new(options.placement, Arc::clone(&views), sighting_sender, rng);
+        let peers: Arc<ArcSwap<Peers>> = Arc::default();
+        let router = Router::new(
+            options.placement,
+            Arc::clone(&views),
+            Arc::clone(&peers),
+            sighting_sender,
+            rng,
+        );
         let parts = {
             let _entered = traffic_runtime.enter();
             TrafficParts {
@@ -144,6 +153,8 @@
         Ok(Self {
             members,
             views,
+            peers,
+            tunnel_address: address,
             addresses,
             open: Mutex::default(),
             sockets,
@@ -204,6 +215,9 @@
 
     /// Replaces the live balancers, this one among them, of which agents are told.
     pub async fn set_balancers(&self, balancers: Vec<BalancerHint>) -> Result<()> {
+        let others = balancers.iter().map(|b| b.tunnel);
+        let others = others.filter(|address| *address != self.tunnel_address);
+        self.peers.store(Arc::new(others.collect()));
         let sent = self.members.tell(SetBalancers(balancers)).await;
         sent.map_err(|_closed| Error::ended("members actor"))
     }
--- a/crates/cranberrypitch-balancer/src/routing.rs
+++ b/crates/cranberrypitch-balancer/src/routing.rs
@@ -26,6 +26,9 @@
 /// does not grow with the number of services.
 pub(crate) type ServiceViews = FastMap<ServiceTag, Arc<ArcSwap<ServiceView>>>;
 
+/// The tunnel addresses of the other live balancers.
+pub(crate) type Peers = Vec<SocketAddrV4>;
+
 /// Where a first packet goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Destination {
@@ -58,6 +61,7 @@
 pub(crate) struct Router {
     options: PlacementOptions,
     views: Arc<ArcSwap<ServiceViews>>,
+    peers: Arc<ArcSwap<Peers>>,
     services: FastMap<ServiceTag, Service>,
     sightings: mpsc::Sender<Sighting>,
     rng: StdRng,
@@ -67,30 +71,42 @@
     pub(crate) fn new(
         options: PlacementOptions,
         views: Arc<ArcSwap<ServiceViews>>,
+        peers: Arc<ArcSwap<Peers>>,
         sightings: mpsc::Sender<Sighting>,
         rng: StdRng,
     ) -> Self {
         Self {
             options,
             views,
+            peers,
             services: FastMap::default(),
             sightings,
             rng,
         }
     }
 
-    /// Picks a target, or a balancer of the service's subset.
+    /// Picks a target, or a balancer that knows one.
+    ///
+    /// A balancer that has just joined gets packets before the agents report to it. It passes
+    /// first packets on, as a dropped one costs its caller a second.
     pub(crate) fn place(
         &mut self,
         service: ServiceTag,
         connection_id: &[u8],
         now: Instant,
     ) -> Result<Destination, DropReason> {
-        let view = self.view(service)?;
-        if let Some(tunnel_address) = pick_by_id(&view.subset, connection_id) {
+        if let Ok(view) = self.view(service)
+            && let Some(tunnel_address) = pick_by_id(&view.subset, connection_id)
+        {
+            return Ok(Destination::Balancer { tunnel_address });
+        }
+        let placed = self.place_here(service, connection_id, now);
+        if placed == Err(DropReason::NoTarget)
+            && let Some(tunnel_address) = pick_by_id(&self.peers.load(), connection_id)
+        {
             return Ok(Destination::Balancer { tunnel_address });
         }
-        self.place_here(service, connection_id, now)
+        placed
     }
 
     /// Picks a target among those known here.
--- a/crates/cranberrypitch/tests/failures.rs
+++ b/crates/cranberrypitch/tests/failures.rs
@@ -391,6 +391,23 @@
     assert_clean(&workload.finish(&deployment).await);
 }
 
+/// G1: guards against first packets that are lost at a balancer to which no agent has reported yet:
+/// each costs its caller a second.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn balancer_that_has_just_joined_passes_first_packets_on() {
+    let mut deployment = Deployment::start(small(2, 0, 18)).await.unwrap();
+    let target = deployment.endpoint(&service("matcher")).unwrap();
+    let caller = deployment.caller().unwrap();
+    deployment.add_balancer().await.unwrap();
+    let joined = deployment.balancers().last().unwrap();
+    deployment.fabric().set_balancers(&[joined.ip]);
+    let connection = caller.connect(&target, None).await.unwrap();
+    connection.issue_ticket().await.unwrap();
+    let counters = joined.handle.counters();
+    assert!(counters.passed_on() > 0, "{:?}", counters.dropped());
+    assert_eq!(counters.dropped(), []);
+}
+
 /// G1: guards against a flow that breaks because copies of its first packet reached two agents.
 /// Both answer with keys that are derived from the caller's connection id, so the caller would
 /// acknowledge packets of one agent to the other, which closes the connection as a violation.
