Never issue a connection id that is in use, and buffer service sockets

Cause: random nonces of 24 bits. An agent with 1,600 connections holds some 13,000 connection ids; QUIC does not check the id of a retry against them, so a caller whose retry got an id in use waited in vain until its timeout. Ruled out: drops at balancer, agent and fabric (all counters 0), the limit of connections, the callers' socket, placement (the stuck flow was placed once). Change: nonces come from a sequence that uses all values once, spread by an odd factor; long flows change their ids before it starts over.

--- a/crates/cranberrypitch-agent/src/daemon.rs
+++ b/crates/cranberrypitch-agent/src/daemon.rs
@@ -14,7 +14,7 @@
 use cranberrypitch_net::daemon::{RestartLog, log_ended};
 use cranberrypitch_net::metrics::Snapshot;
 use cranberrypitch_net::tls;
-use cranberrypitch_net::udp::bind_tunnel;
+use cranberrypitch_net::udp::bind_buffered;
 use kameo::actor::{ActorRef, Spawn};
 use quinn::{Endpoint, TokioRuntime};
 use tokio::runtime::{Builder, Runtime};
@@ -276,7 +276,7 @@
     fn open(options: &AgentOptions, traffic: &Runtime) -> Result<Self> {
         let identity = &options.identity;
         let address = identity.tunnel_address;
-        let io = bind_tunnel(address).map_err(|e| Error::bind(address, e))?;
+        let io = bind_buffered(address).map_err(|e| Error::bind(address, e))?;
         let service = ServiceTag::of(&identity.service);
         let returns = Arc::new(ReturnPath::new(identity.failure_domain.clone()));
         let (control, datagrams) = mpsc::channel(CONTROL_QUEUE_LEN);
--- a/crates/cranberrypitch-agent/src/ids.rs
+++ b/crates/cranberrypitch-agent/src/ids.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cranberrypitch_core::token::TOKEN_LEN_BYTES;
+use cranberrypitch_core::token::{NonceSequence, TOKEN_LEN_BYTES};
 use cranberrypitch_core::{Incarnation, RoutingToken, ServiceTag};
 use cranberrypitch_net::KeyRing;
 use quinn::{ConnectionId, ConnectionIdGenerator};
@@ -19,10 +19,11 @@
     incarnation: Incarnation,
     keys: Arc<KeyRing>,
     lifetime: Duration,
+    nonces: Arc<NonceSequence>,
 }
 
 impl TokenIssuer {
-    pub(crate) const fn new(
+    pub(crate) fn new(
         agent: SocketAddrV4,
         service: ServiceTag,
         incarnation: Incarnation,
@@ -35,6 +36,7 @@
             incarnation,
             keys,
             lifetime,
+            nonces: Arc::new(NonceSequence::new(rand::rng().random())),
         }
     }
 
@@ -50,7 +52,7 @@
 
     /// Returns a new token, signed with the current key.
     pub(crate) fn issue(&self) -> [u8; TOKEN_LEN_BYTES] {
-        let nonce = rand::rng().random();
+        let nonce = self.nonces.next();
         let token = RoutingToken::new(self.agent, self.service, self.incarnation, nonce);
         token.encode(&self.keys.token_keys())
     }
--- a/crates/cranberrypitch-core/src/token.rs
+++ b/crates/cranberrypitch-core/src/token.rs
@@ -5,6 +5,7 @@
 
 use std::hash::Hasher;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use siphasher::sip::SipHasher24;
 
@@ -95,6 +96,34 @@
     }
 }
 
+/// Nonces of one agent that repeat only after all [`MAX_NONCE`] + 1 values were used.
+///
+/// Random nonces are too few: an agent with 2,000 connections holds some 16,000 connection ids, so
+/// one new id in a thousand would be in use already. QUIC does not check the id of a retry, and a
+/// connection attempt with an id that is in use gets no answer. Long flows change their ids before
+/// the nonces start over.
+#[derive(Debug)]
+pub struct NonceSequence {
+    next: AtomicU32,
+}
+
+impl NonceSequence {
+    /// Returns a sequence that starts anywhere.
+    pub const fn new(start: u32) -> Self {
+        Self {
+            next: AtomicU32::new(start),
+        }
+    }
+
+    /// Returns the next nonce. Neighbours are spread, so that an id does not tell its successor.
+    pub fn next(&self) -> u32 {
+        // An odd factor maps the values of 24 bits one to one.
+        const SPREAD: u32 = 0x009e_3779;
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        number.wrapping_mul(SPREAD) & MAX_NONCE
+    }
+}
+
 /// The content of a routing token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct RoutingToken {
--- a/crates/cranberrypitch-core/tests/forged_tokens.rs
+++ b/crates/cranberrypitch-core/tests/forged_tokens.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use cranberrypitch_core::orders::Ticket;
-use cranberrypitch_core::token::{CheckKey, MAX_NONCE, TOKEN_LEN_BYTES};
+use cranberrypitch_core::token::{CheckKey, MAX_NONCE, NonceSequence, TOKEN_LEN_BYTES};
 use cranberrypitch_core::{Error, Incarnation, KeyGeneration, RoutingToken, ServiceTag, TokenKeys};
 use proptest::prelude::*;
 
@@ -106,3 +106,16 @@
         prop_assert!(!ticket.verifies(&keys));
     }
 }
+
+/// Guards against a connection id that is issued again while a connection still uses it: the next
+/// caller that gets it would wait for an answer in vain.
+#[test]
+fn nonces_of_an_agent_repeat_only_after_all_were_used() {
+    let nonces = NonceSequence::new(u32::MAX - 1000);
+    let mut used = vec![false; MAX_NONCE as usize + 1];
+    for _ in 0..=MAX_NONCE {
+        let nonce = nonces.next() as usize;
+        assert!(!used[nonce], "nonce {nonce} came twice");
+        used[nonce] = true;
+    }
+}
--- a/crates/cranberrypitch-standins/src/fabric.rs
+++ b/crates/cranberrypitch-standins/src/fabric.rs
@@ -12,6 +12,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 
+use cranberrypitch_net::udp::bind_buffered;
 use tokio::net::UdpSocket;
 use tokio::task::JoinSet;
 
@@ -28,6 +29,10 @@
 
 impl Fabric {
     /// Starts a fabric on the current tokio runtime.
+    #[expect(
+        clippy::unused_async,
+        reason = "callers need a runtime, which an async fn shows"
+    )]
     pub async fn spawn(options: FabricOptions) -> Result<FabricHandle> {
         options.check()?;
         let spray = Arc::new(Spray::new(&options));
@@ -35,8 +40,8 @@
         let mut tasks = JoinSet::new();
         let mut addresses = Vec::new();
         for (public, port) in &options.services {
-            let socket = UdpSocket::bind(public)
-                .await
+            let socket = bind_buffered(*public)
+                .and_then(UdpSocket::from_std)
                 .map_err(|e| Error::listen(*public, e))?;
             addresses.push(bound_address(&socket, *public)?);
             let relay = ServiceRelay::new(
