Refuse a request at once whose time has passed before it was sent

Cause: the adapter sent a request with a deadline of zero on an open connection, as timers fire up to a millisecond late, and reported it as unknown. Ruled out: the reports, none of which was false. Change: deadlines are checked before a connection is taken. The test is as it was.

--- a/crates/cranberrypitch-agent/src/backend/http.rs
+++ b/crates/cranberrypitch-agent/src/backend/http.rs
@@ -120,6 +120,18 @@
     answer: Instant,
 }
 
+impl Deadlines {
+    /// Refuses a request whose time has passed before anything was sent. Timers fire up to a
+    /// millisecond late, so that such a request would reach an open connection.
+    fn check(self) -> Result<()> {
+        if Instant::now() < self.start.min(self.answer) {
+            Ok(())
+        } else {
+            Err(not_sent(Cause::Deadline))
+        }
+    }
+}
+
 impl HttpBackend {
     /// Returns the adapter for the backend server at an address. Nothing is sent yet.
     pub fn new(address: SocketAddr, options: HttpBackendOptions) -> Self {
@@ -159,6 +171,7 @@
         deadlines: Deadlines,
         build: impl Fn() -> Result<Request<RequestBody>>,
     ) -> Result<(Exchange, Response<Incoming>)> {
+        deadlines.check()?;
         let exchange = self.pool.take(deadlines.connect).await.map_err(not_sent)?;
         let is_reused = exchange.is_reused;
         match send_on(exchange, build()?, deadlines).await {
@@ -212,6 +225,7 @@
         source: S,
         deadlines: Deadlines,
     ) -> Result<Answer> {
+        deadlines.check()?;
         let exchange = self.pool.take(deadlines.connect).await.map_err(not_sent)?;
         let (chunks, body) = RequestBody::streamed(body_len);
         let request = with_deadline(request, deadlines).header(EXPECT, "100-continue");
--- a/crates/cranberrypitch-core/src/ids.rs
+++ b/crates/cranberrypitch-core/src/ids.rs
@@ -9,6 +9,7 @@
 use siphasher::sip::SipHasher24;
 
 use crate::errors::{Error, Result};
+use crate::newtype::number_type;
 
 const MAX_NAME_CHARS: usize = 63;
 const NAME_RULE: &str = "1 to 63 letters, digits, '-', '_' or '.'";
@@ -78,41 +79,6 @@
     VmId, "VM id"
 }
 
-macro_rules! number_type {
-    ($(#[$doc:meta])* $name:ident, $inner:ty, $kind:literal) => {
-        $(#[$doc])*
-        #[derive(
-            Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash,
-            serde::Serialize, serde::Deserialize,
-        )]
-        #[serde(transparent)]
-        pub struct $name($inner);
-
-        impl $name {
-            /// Returns the identifier with this value.
-            pub const fn new(value: $inner) -> Self {
-                Self(value)
-            }
-
-            /// Returns the value.
-            pub const fn get(self) -> $inner {
-                self.0
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = Error;
-
-            fn from_str(text: &str) -> Result<Self> {
-                match text.parse() {
-                    Ok(value) => Ok(Self(value)),
-                    Err(_) => Err(Error::parse($kind, text, "a whole number")),
-                }
-            }
-        }
-    };
-}
-
 number_type! {
     /// The number of one run of an agent or balancer; a later run has a higher number.
     Incarnation, u64, "incarnation"
--- a/crates/cranberrypitch-core/src/lib.rs
+++ b/crates/cranberrypitch-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod health;
 pub mod ids;
 pub mod membership;
+pub(crate) mod newtype;
 pub mod orders;
 pub mod placement;
 pub mod request;
