--- a/crates/cranberrypitch/tests/command/main.rs
+++ b/crates/cranberrypitch/tests/command/main.rs
@@ -6,6 +6,7 @@
 
 mod arguments;
 mod callers;
+mod demo;
 mod operators;
 mod proxy;
 
