--- /dev/null
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -0,0 +1,315 @@
+//! The decisions of a balancer: where each packet of a caller goes.
+
+mod locating;
+mod opening;
+mod table;
+
+use std::borrow::Cow;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use rand_pcg::Pcg64Mcg;
+
+use self::table::{FlowState, FlowTable};
+use super::directory::{AgentRecord, Directory, DirectoryOptions};
+use super::event::{DropCause, FlowEvent, ResetCause};
+use super::load::AgentLoad;
+use super::message::{Action, Message};
+use super::packet::{FlowKey, PacketFlags, PacketHead, Reset};
+use super::routes::{RouteConfig, Routes};
+use super::selection::{Selector, SelectorOptions};
+use crate::ids::FailureDomain;
+
+/// Settings of a [`Dispatcher`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DispatcherOptions {
+    /// How agents are judged.
+    pub directory: DirectoryOptions,
+    /// How agents are chosen.
+    pub selector: SelectorOptions,
+    /// How long an agent may leave an opening packet unanswered before another one gets it.
+    pub open_timeout: Duration,
+    /// How long agents may leave a question for a flow unanswered.
+    pub locate_timeout: Duration,
+    /// The time between two rounds of questions for a flow that no agent holds.
+    pub locate_interval: Duration,
+    /// How long an opening packet waits for the first target; callers give up after 1.4 s.
+    pub opening_lifetime: Duration,
+    /// The least time without packets after which a flow is forgotten.
+    pub flow_lifetime: Duration,
+}
+
+impl Default for DispatcherOptions {
+    fn default() -> Self {
+        Self {
+            directory: DirectoryOptions::default(),
+            selector: SelectorOptions::default(),
+            open_timeout: Duration::from_millis(60),
+            locate_timeout: Duration::from_millis(80),
+            locate_interval: Duration::from_millis(250),
+            opening_lifetime: Duration::from_millis(1400),
+            flow_lifetime: Duration::from_secs(20),
+        }
+    }
+}
+
+/// Sends each packet of a caller to the agent whose target holds the flow.
+#[derive(Debug)]
+pub struct Dispatcher {
+    options: DispatcherOptions,
+    routes: Routes,
+    directory: Directory,
+    selector: Selector,
+    flows: FlowTable,
+    rng: Pcg64Mcg,
+}
+
+impl Dispatcher {
+    /// Returns a dispatcher that knows no configuration and no agent.
+    pub fn new(options: DispatcherOptions, domain: FailureDomain, rng: Pcg64Mcg) -> Self {
+        Self {
+            options,
+            routes: Routes::default(),
+            directory: Directory::new(options.directory, domain),
+            selector: Selector::new(options.selector),
+            flows: FlowTable::default(),
+            rng,
+        }
+    }
+
+    /// Returns the routes in force.
+    pub const fn routes(&self) -> &Routes {
+        &self.routes
+    }
+
+    /// Returns the known agents.
+    pub const fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Returns the number of flows in the table.
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Returns whether the balancer can serve callers.
+    pub const fn is_ready(&self) -> bool {
+        self.routes.version().is_some() && self.directory.is_complete()
+    }
+
+    /// Takes in a packet of a caller.
+    pub fn on_packet<'a>(
+        &mut self,
+        head: &PacketHead,
+        packet: &'a [u8],
+        now: Instant,
+    ) -> Vec<Action<'a>> {
+        let flow = head.flow_from_caller();
+        if head.is_accepting() || head.flags.contains(PacketFlags::BOUNCED) {
+            return dropped(flow, DropCause::NotAllowed);
+        }
+        if self.routes.version().is_none() {
+            return dropped(flow, DropCause::NoConfiguration);
+        }
+        if self.routes.route(flow.service_address).is_none() {
+            return self.on_unrouted(head);
+        }
+        if head.is_opening() {
+            self.on_opening(head, packet, now)
+        } else {
+            self.on_later(head, packet, now)
+        }
+    }
+
+    /// Takes in a configuration.
+    pub fn on_config(&mut self, config: &RouteConfig) -> Vec<Action<'static>> {
+        let version = config.version;
+        let event = if self.routes.accept(config) {
+            let routes = config.routes.len();
+            FlowEvent::ConfigurationInForce { version, routes }
+        } else if self.routes.version() == Some(version) {
+            return Vec::new();
+        } else {
+            FlowEvent::ConfigurationStale { version }
+        };
+        vec![Action::Record(event)]
+    }
+
+    /// Takes in the store's whole list of agents.
+    pub fn on_list(&mut self, records: Vec<AgentRecord>, now: Instant) -> Vec<Action<'static>> {
+        let changed = self.directory.on_list(records, now);
+        let mut actions: Vec<_> = changed.iter().map(target_changed).collect();
+        actions.extend(self.place_waiting(now));
+        actions
+    }
+
+    /// Takes in one registration of the store.
+    pub fn on_registered(&mut self, record: AgentRecord, now: Instant) -> Vec<Action<'static>> {
+        if !self.directory.on_registered(record.clone(), now) {
+            return Vec::new();
+        }
+        let mut actions = vec![target_changed(&record)];
+        actions.extend(self.place_waiting(now));
+        actions
+    }
+
+    /// Notes that a registration of the store ended.
+    pub fn on_unregistered(&mut self, agent: SocketAddrV4, now: Instant) {
+        self.directory.on_unregistered(agent, now);
+    }
+
+    /// Takes in a report of an agent.
+    pub fn on_report(
+        &mut self,
+        record: AgentRecord,
+        load: AgentLoad,
+        now: Instant,
+    ) -> Vec<Action<'static>> {
+        self.selector.on_answer(record.address);
+        if !self.directory.on_report(record.clone(), load, now) {
+            return Vec::new();
+        }
+        let mut actions = vec![target_changed(&record)];
+        actions.extend(self.place_waiting(now));
+        actions
+    }
+
+    /// Notes that the target of an agent accepted a flow.
+    pub fn on_accepted(&mut self, agent: SocketAddrV4, flow: FlowKey, now: Instant) {
+        self.selector.on_answer(agent);
+        let Some(entry) = self.flows.get(&flow) else {
+            return self.flows.insert(flow, FlowState::Held(agent), now);
+        };
+        match &entry.state {
+            // The first target that accepts is the one that the caller most likely follows.
+            FlowState::Held(_) => {}
+            FlowState::Opening(_) | FlowState::Locating(_) => {
+                self.flows.insert(flow, FlowState::Held(agent), now);
+            }
+        }
+    }
+
+    /// Takes in a packet that an agent returned because its target does not hold the flow.
+    pub fn on_returned(
+        &mut self,
+        agent: SocketAddrV4,
+        head: &PacketHead,
+        packet: &[u8],
+        now: Instant,
+    ) -> Vec<Action<'static>> {
+        let flow = head.flow_from_caller();
+        match self.flows.get_mut(&flow).map(|entry| &mut entry.state) {
+            Some(FlowState::Held(held)) if *held != agent => {
+                let message = Message::Forward {
+                    packet: Cow::Owned(packet.to_vec()),
+                };
+                vec![Action::send(*held, message)]
+            }
+            Some(FlowState::Locating(locating)) => {
+                locating.exclude(agent);
+                locating.hold(packet);
+                self.conclude(flow, now)
+            }
+            _ => self.locate(head, packet, Some(agent), now),
+        }
+    }
+
+    /// Lets time pass: gives up silent agents and forgets old flows.
+    pub fn on_tick(&mut self, now: Instant) -> Vec<Action<'static>> {
+        let mut actions = Vec::new();
+        for agent in self.directory.on_tick(now) {
+            self.selector.forget(agent);
+            actions.push(Action::Record(FlowEvent::TargetGone { agent }));
+        }
+        for flow in self.flows.unsettled() {
+            actions.extend(self.on_unsettled(flow, now));
+        }
+        let lifetime = self.options.flow_lifetime.max(self.routes.idle_timeout());
+        self.flows.sweep(lifetime, now);
+        actions
+    }
+
+    /// Returns whether a flow waits for an answer, so that ticks are due soon.
+    pub fn has_unsettled(&self) -> bool {
+        self.flows.has_unsettled()
+    }
+
+    fn on_unsettled(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'static>> {
+        match self.flows.get(&flow).map(|entry| &entry.state) {
+            Some(FlowState::Opening(opening)) => {
+                if opening.is_overdue(self.options.open_timeout, now) {
+                    return self.reopen(flow, now);
+                }
+            }
+            Some(FlowState::Locating(locating)) => {
+                if locating.is_overdue(self.options.locate_timeout, now) {
+                    return self.conclude(flow, now);
+                }
+            }
+            _ => {}
+        }
+        Vec::new()
+    }
+
+    fn on_unrouted<'a>(&mut self, head: &PacketHead) -> Vec<Action<'a>> {
+        let flow = head.flow_from_caller();
+        self.flows.remove(&flow);
+        if head.flags.contains(PacketFlags::RST) {
+            return Vec::new();
+        }
+        reset(head, ResetCause::NoRoute)
+    }
+
+    fn on_later<'a>(
+        &mut self,
+        head: &PacketHead,
+        packet: &'a [u8],
+        now: Instant,
+    ) -> Vec<Action<'a>> {
+        let flow = head.flow_from_caller();
+        let Some(entry) = self.flows.get_mut(&flow) else {
+            return self.locate(head, packet, None, now);
+        };
+        entry.used_at = now;
+        match &mut entry.state {
+            FlowState::Held(agent) => {
+                let agent = *agent;
+                if self.directory.agent(agent).is_some() {
+                    return forward(agent, packet);
+                }
+                self.locate(head, packet, Some(agent), now)
+            }
+            FlowState::Opening(opening) => {
+                let target = opening.target;
+                target.map_or_else(Vec::new, |agent| forward(agent, packet))
+            }
+            FlowState::Locating(_) => self.on_while_locating(head, packet, now),
+        }
+    }
+}
+
+fn forward(agent: SocketAddrV4, packet: &[u8]) -> Vec<Action<'_>> {
+    let packet = Cow::Borrowed(packet);
+    vec![Action::send(agent, Message::Forward { packet })]
+}
+
+fn dropped<'a>(flow: FlowKey, cause: DropCause) -> Vec<Action<'a>> {
+    vec![Action::Record(FlowEvent::Dropped { flow, cause })]
+}
+
+fn reset<'a>(head: &PacketHead, cause: ResetCause) -> Vec<Action<'a>> {
+    let flow = head.flow_from_caller();
+    vec![
+        Action::Record(FlowEvent::Reset { flow, cause }),
+        Action::Reset(Reset::answering(head)),
+    ]
+}
+
+fn target_changed<'a>(record: &AgentRecord) -> Action<'a> {
+    Action::Record(FlowEvent::TargetChanged {
+        agent: record.address,
+        service: record.service.clone(),
+        incarnation: record.incarnation,
+        state: record.state,
+    })
+}
--- /dev/null
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
@@ -0,0 +1,248 @@
+//! The opening of flows at a balancer.
+
+use std::borrow::Cow;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use super::table::FlowState;
+use super::{Dispatcher, dropped, reset};
+use crate::flow::event::{DropCause, FlowEvent, ResetCause};
+use crate::flow::message::{Action, Message, RefusalCause};
+use crate::flow::packet::{FlowKey, PacketHead};
+use crate::flow::selection::Choice;
+use crate::ids::{ServiceName, ServiceTag};
+
+/// Opening packets that wait for the first target at most.
+const MAX_WAITING: usize = 512;
+
+/// An opening packet without an answer yet.
+#[derive(Debug)]
+pub(super) struct Opening {
+    head: PacketHead,
+    packet: Box<[u8]>,
+    service: ServiceName,
+    is_bulk: bool,
+    /// The agent that has the packet, or none while no target is known.
+    pub(super) target: Option<SocketAddrV4>,
+    tried: Vec<SocketAddrV4>,
+    began_at: Instant,
+    sent_at: Instant,
+}
+
+impl Opening {
+    pub(super) fn is_overdue(&self, timeout: Duration, now: Instant) -> bool {
+        now.saturating_duration_since(self.sent_at) >= timeout
+    }
+
+    /// Returns whether this balancer had the caller's first packet of the flow, so that no other
+    /// balancer can have opened it before.
+    const fn is_first_copy(&self) -> bool {
+        self.head.acknowledged == 0
+    }
+}
+
+impl Dispatcher {
+    pub(super) fn on_opening<'a>(
+        &mut self,
+        head: &PacketHead,
+        packet: &'a [u8],
+        now: Instant,
+    ) -> Vec<Action<'a>> {
+        let flow = head.flow_from_caller();
+        match self.flows.get(&flow).map(|entry| &entry.state) {
+            Some(FlowState::Held(agent)) => {
+                let agent = *agent;
+                self.open_again(agent, flow, packet)
+            }
+            Some(FlowState::Opening(opening)) => match opening.target {
+                Some(agent) => self.open_again(agent, flow, packet),
+                None => Vec::new(),
+            },
+            Some(FlowState::Locating(_)) => dropped(flow, DropCause::NotFound),
+            None => self.open_new(head, packet, now),
+        }
+    }
+
+    /// Notes that an agent did not open a flow, and tries the next one.
+    pub fn on_refused(
+        &mut self,
+        agent: SocketAddrV4,
+        flow: FlowKey,
+        cause: RefusalCause,
+        now: Instant,
+    ) -> Vec<Action<'static>> {
+        let mut actions = vec![Action::Record(FlowEvent::Refused { flow, agent, cause })];
+        self.selector.on_answer(agent);
+        if let Some(entry) = self.flows.get_mut(&flow)
+            && let FlowState::Opening(opening) = &mut entry.state
+        {
+            let is_current = opening.target == Some(agent);
+            if !opening.tried.contains(&agent) {
+                opening.tried.push(agent);
+            }
+            if is_current {
+                actions.extend(self.place(flow, now));
+            }
+        }
+        actions
+    }
+
+    /// Sends the opening packet of a flow whose agent is silent to another agent.
+    pub(super) fn reopen(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'static>> {
+        let lifetime = self.options.opening_lifetime;
+        let Some(entry) = self.flows.get_mut(&flow) else {
+            return Vec::new();
+        };
+        let FlowState::Opening(opening) = &mut entry.state else {
+            return Vec::new();
+        };
+        if now.saturating_duration_since(opening.began_at) >= lifetime {
+            self.flows.remove(&flow);
+            return Vec::new();
+        }
+        let Some(agent) = opening.target else {
+            return Vec::new();
+        };
+        opening.sent_at = now;
+        if opening.tried.contains(&agent) {
+            return Vec::new();
+        }
+        opening.tried.push(agent);
+        self.selector.on_unanswered(agent, now);
+        let mut actions = vec![Action::Record(FlowEvent::Unanswered { flow, agent })];
+        if let Some(next) = self.choose(flow, now) {
+            actions.extend(self.open_at(next, flow, now));
+        }
+        actions
+    }
+
+    /// Places the opening packets that waited for a target.
+    pub(super) fn place_waiting(&mut self, now: Instant) -> Vec<Action<'static>> {
+        let mut actions = Vec::new();
+        for flow in self.flows.unsettled() {
+            if let Some(entry) = self.flows.get(&flow)
+                && let FlowState::Opening(opening) = &entry.state
+                && opening.target.is_none()
+                && let Some(agent) = self.choose(flow, now)
+            {
+                actions.extend(self.open_at(agent, flow, now));
+            }
+        }
+        actions
+    }
+
+    fn open_new<'a>(
+        &mut self,
+        head: &PacketHead,
+        packet: &'a [u8],
+        now: Instant,
+    ) -> Vec<Action<'a>> {
+        let flow = head.flow_from_caller();
+        let route = self.routes.route(flow.service_address);
+        let Some((route, service)) = route.and_then(|r| Some((r, r.service_of(&flow)?))) else {
+            return reset(head, ResetCause::NoRoute);
+        };
+        let opening = Opening {
+            head: *head,
+            packet: packet.into(),
+            service: service.clone(),
+            is_bulk: route.is_bulk,
+            target: None,
+            tried: Vec::new(),
+            began_at: now,
+            sent_at: now,
+        };
+        let state = FlowState::Opening(Box::new(opening));
+        self.flows.insert(flow, state, now);
+        self.place(flow, now)
+    }
+
+    /// Chooses an agent for a flow that opens. Without one the flow waits while the list of agents
+    /// is not complete, and is reset afterwards.
+    fn place(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'static>> {
+        if let Some(agent) = self.choose(flow, now) {
+            return self.open_at(agent, flow, now);
+        }
+        let may_wait =
+            !self.directory.is_complete() && self.flows.unsettled_len() <= MAX_WAITING;
+        let Some(entry) = self.flows.get_mut(&flow) else {
+            return Vec::new();
+        };
+        let FlowState::Opening(opening) = &mut entry.state else {
+            return Vec::new();
+        };
+        if may_wait {
+            opening.target = None;
+            return Vec::new();
+        }
+        let (head, is_first_copy) = (opening.head, opening.is_first_copy());
+        self.flows.remove(&flow);
+        // Another balancer may have opened the flow with an earlier copy.
+        if is_first_copy {
+            reset(&head, ResetCause::NoTarget)
+        } else {
+            dropped(flow, DropCause::NotFound)
+        }
+    }
+
+    fn choose(&mut self, flow: FlowKey, now: Instant) -> Option<SocketAddrV4> {
+        let FlowState::Opening(opening) = &self.flows.get(&flow)?.state else {
+            return None;
+        };
+        let choice = Choice {
+            service: ServiceTag::of(&opening.service),
+            is_bulk: opening.is_bulk,
+            tried: &opening.tried,
+        };
+        self.selector
+            .choose(&choice, &self.directory, now, &mut self.rng)
+    }
+
+    fn open_at(
+        &mut self,
+        agent: SocketAddrV4,
+        flow: FlowKey,
+        now: Instant,
+    ) -> Vec<Action<'static>> {
+        let load_at = self.directory.agent(agent).and_then(|known| known.load_at);
+        let version = self.routes.version().unwrap_or_default();
+        let Some(entry) = self.flows.get_mut(&flow) else {
+            return Vec::new();
+        };
+        let FlowState::Opening(opening) = &mut entry.state else {
+            return Vec::new();
+        };
+        opening.target = Some(agent);
+        opening.sent_at = now;
+        let event = FlowEvent::Placed {
+            flow,
+            service: opening.service.clone(),
+            agent,
+            attempt: opening.tried.len() + 1,
+            version,
+            load_age: load_at.map(|at| now.saturating_duration_since(at)),
+        };
+        let message = Message::Open {
+            service: ServiceTag::of(&opening.service),
+            packet: Cow::Owned(opening.packet.to_vec()),
+        };
+        vec![Action::Record(event), Action::send(agent, message)]
+    }
+
+    /// Sends a copy of an opening packet where the first one went.
+    fn open_again<'a>(
+        &self,
+        agent: SocketAddrV4,
+        flow: FlowKey,
+        packet: &'a [u8],
+    ) -> Vec<Action<'a>> {
+        let route = self.routes.route(flow.service_address);
+        let known = self.directory.agent(agent).map(|known| known.tag);
+        let routed = || route?.service_of(&flow).map(ServiceTag::of);
+        let Some(service) = known.or_else(routed) else {
+            return Vec::new();
+        };
+        let packet = Cow::Borrowed(packet);
+        vec![Action::send(agent, Message::Open { service, packet })]
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -0,0 +1,452 @@
+//! The decisions of an agent: which packets reach its target, and where the target's packets go.
+
+mod hosted;
+mod run;
+
+use std::borrow::Cow;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use self::hosted::HostedFlows;
+pub use self::run::{StatusReport, TargetRun};
+use super::directory::AgentRecord;
+use super::event::{DropCause, FlowEvent, ResetCause};
+use super::load::LoadMeter;
+use super::message::{Action, LocateAnswer, Message, RefusalCause};
+use super::packet::{FlowKey, PacketFlags, PacketHead, Reset};
+use crate::collections::FastMap;
+use crate::ids::{FailureDomain, Incarnation, ServiceName, ServiceTag};
+use crate::target::TargetState;
+use crate::units::Slots;
+
+/// Settings of an [`Endpoint`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointOptions {
+    /// A target without a status report for longer than this gets no new flows, as its address may
+    /// serve another service by now.
+    pub status_lifetime: Duration,
+    /// How long after its start an agent trusts its settings for the service of its target.
+    pub settings_lifetime: Duration,
+    /// The longest life of a flow.
+    pub flow_lifetime: Duration,
+    /// How long a flow is remembered after its end, for packets that are sent again.
+    pub ended_lifetime: Duration,
+    /// How long a target that said that it is gone may still send packets.
+    pub exit_delay: Duration,
+    /// How long a balancer gets reports after its last message.
+    pub balancer_lifetime: Duration,
+    /// The time between two reports to a balancer that opens flows here.
+    pub report_interval: Duration,
+    /// The time between two reports to any other balancer.
+    pub idle_report_interval: Duration,
+}
+
+impl Default for EndpointOptions {
+    fn default() -> Self {
+        Self {
+            status_lifetime: Duration::from_millis(1800),
+            settings_lifetime: Duration::from_millis(1800),
+            flow_lifetime: Duration::from_secs(60),
+            ended_lifetime: Duration::from_secs(4),
+            exit_delay: Duration::from_millis(500),
+            balancer_lifetime: Duration::from_secs(10),
+            report_interval: Duration::from_millis(200),
+            idle_report_interval: Duration::from_secs(1),
+        }
+    }
+}
+
+/// What an agent knows of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// Where the agent receives messages of balancers.
+    pub address: SocketAddrV4,
+    /// The service that the settings name.
+    pub service: ServiceName,
+    /// The failure domain of the VM.
+    pub failure_domain: FailureDomain,
+    /// The run of the agent.
+    pub incarnation: Incarnation,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KnownBalancer {
+    heard_at: Instant,
+    opened_at: Option<Instant>,
+    reported_at: Option<Instant>,
+}
+
+/// Decides for the target beside it.
+#[derive(Debug)]
+pub struct Endpoint {
+    options: EndpointOptions,
+    identity: Identity,
+    started_at: Instant,
+    target: Option<TargetRun>,
+    flows: HostedFlows,
+    meter: LoadMeter,
+    balancers: FastMap<SocketAddrV4, KnownBalancer>,
+    is_leaving: bool,
+}
+
+impl Endpoint {
+    /// Returns the endpoint of an agent that starts now.
+    pub fn new(options: EndpointOptions, identity: Identity, now: Instant) -> Self {
+        Self {
+            options,
+            identity,
+            started_at: now,
+            target: None,
+            flows: HostedFlows::default(),
+            meter: LoadMeter::new(now),
+            balancers: FastMap::default(),
+            is_leaving: false,
+        }
+    }
+
+    /// Returns what the agent says about itself and its target.
+    pub fn record(&self, now: Instant) -> AgentRecord {
+        let target = self.target.as_ref();
+        AgentRecord {
+            address: self.identity.address,
+            service: self.service().clone(),
+            failure_domain: self.identity.failure_domain.clone(),
+            incarnation: self.identity.incarnation,
+            state: self.state(),
+            slots: target.map_or(Slots::new(1), TargetRun::slots),
+            warmup_left: target.map_or(Duration::ZERO, |t| t.warmup_left(now)),
+        }
+    }
+
+    /// Returns the number of flows that are open or opening.
+    pub fn flow_count(&self) -> usize {
+        self.flows.open_len()
+    }
+
+    /// Returns the requests that the target has and has not answered.
+    pub fn running(&mut self, now: Instant) -> u16 {
+        self.meter.load(0, now).running
+    }
+
+    fn service(&self) -> &ServiceName {
+        let reported = self.target.as_ref().map(TargetRun::service);
+        reported.unwrap_or(&self.identity.service)
+    }
+
+    fn state(&self) -> TargetState {
+        match &self.target {
+            _ if self.is_leaving => TargetState::Gone,
+            Some(target) => target.state(),
+            None => TargetState::Ready,
+        }
+    }
+
+    /// Takes in a status report of the target. Returns actions, or nothing for a late report.
+    pub fn on_status(&mut self, report: StatusReport, now: Instant) -> Vec<Action<'static>> {
+        if let Some(target) = &mut self.target
+            && target.is_same_run(&report)
+        {
+            let is_changed = target.update(report, now);
+            return if is_changed {
+                self.announce(now)
+            } else {
+                Vec::new()
+            };
+        }
+        if self.target.as_ref().is_some_and(|t| t.is_newer(&report)) {
+            return Vec::new();
+        }
+        let is_first = self.target.is_none();
+        // A target that was there before the agent holds flows that the agent has not seen.
+        let target = TargetRun::new(report, is_first, now);
+        if !is_first {
+            self.flows.orphan_all();
+            self.meter = LoadMeter::new(now);
+        }
+        self.target = Some(target);
+        self.announce(now)
+    }
+
+    /// Notes that the target said that it is gone.
+    pub fn on_leave(&mut self, id: &str, now: Instant) -> Vec<Action<'static>> {
+        match &mut self.target {
+            Some(target) if target.id() == id => target.leave(now),
+            _ => return Vec::new(),
+        }
+        self.announce(now)
+    }
+
+    /// Notes that the agent stops, which its balancers are told.
+    pub fn on_stop(&mut self, now: Instant) -> Vec<Action<'static>> {
+        self.is_leaving = true;
+        self.announce(now)
+    }
+
+    /// Takes in an opening packet from a balancer.
+    pub fn on_open<'a>(
+        &mut self,
+        balancer: SocketAddrV4,
+        service: ServiceTag,
+        head: &PacketHead,
+        packet: &'a [u8],
+        now: Instant,
+    ) -> Vec<Action<'a>> {
+        let flow = head.flow_from_caller();
+        self.heard(balancer, now).opened_at = Some(now);
+        if !head.is_opening() {
+            return dropped(flow, DropCause::NotAllowed);
+        }
+        if let Some(cause) = self.refusal(service, now) {
+            let record = Action::Record(FlowEvent::Refused {
+                flow,
+                agent: self.identity.address,
+                cause,
+            });
+            let mut actions = vec![record, refuse(balancer, flow, cause)];
+            actions.extend(self.report(balancer, now));
+            return actions;
+        }
+        self.flows.open(flow, balancer, now);
+        vec![Action::ToTarget(Cow::Borrowed(packet))]
+    }
+
+    /// Takes in a later packet of a flow from a balancer.
+    pub fn on_forward<'a>(
+        &mut self,
+        balancer: SocketAddrV4,
+        head: &PacketHead,
+        packet: &'a [u8],
+        now: Instant,
+    ) -> Vec<Action<'a>> {
+        let flow = head.flow_from_caller();
+        self.heard(balancer, now);
+        if head.flags.contains(PacketFlags::SYN) {
+            return dropped(flow, DropCause::NotAllowed);
+        }
+        if self.is_over(&flow, now) {
+            return end_orphan(head);
+        }
+        if let Some(hosted) = self.flows.get_mut(&flow) {
+            if hosted.may_be_acknowledged(head.acknowledged) {
+                hosted.on_caller_packet(balancer, head, &mut self.meter, now);
+                return vec![Action::ToTarget(Cow::Borrowed(packet))];
+            }
+            // The caller follows another target that accepted a copy of the opening packet.
+            self.flows.remove(&flow, &mut self.meter, now);
+        } else if self.may_hold_unknown(now) {
+            self.flows.expect(flow, balancer, now);
+            return vec![Action::ToTarget(Cow::Borrowed(packet))];
+        }
+        let packet = Cow::Borrowed(packet);
+        vec![Action::send(balancer, Message::Returned { packet })]
+    }
+
+    /// Answers a balancer that looks for a flow.
+    pub fn on_locate(
+        &mut self,
+        balancer: SocketAddrV4,
+        flow: FlowKey,
+        acknowledged: u32,
+        now: Instant,
+    ) -> Vec<Action<'static>> {
+        self.heard(balancer, now);
+        let answer = match self.flows.get(&flow) {
+            // The agent resets the flow at its next packet.
+            _ if self.flows.is_orphan(&flow) => LocateAnswer::Held,
+            Some(hosted) if hosted.is_expected() => LocateAnswer::Unknown,
+            Some(hosted) if hosted.may_be_acknowledged(acknowledged) => LocateAnswer::Held,
+            Some(_) => LocateAnswer::NotHeld,
+            None if self.may_hold_unknown(now) => LocateAnswer::Unknown,
+            None => LocateAnswer::NotHeld,
+        };
+        vec![Action::send(balancer, Message::Located { flow, answer })]
+    }
+
+    /// Takes in a packet that the target sent.
+    pub fn on_target_packet<'a>(
+        &mut self,
+        head: &PacketHead,
+        packet: &'a [u8],
+        now: Instant,
+    ) -> Vec<Action<'a>> {
+        if head.flags.contains(PacketFlags::BOUNCED) {
+            return self.on_bounced(head, packet, now);
+        }
+        let flow = head.flow_from_target();
+        let mut actions = Vec::with_capacity(2);
+        let hosted = self.flows.get_or_adopt(flow, now);
+        let is_new = hosted.on_target_packet(head, &mut self.meter, now);
+        if is_new && let Some(balancer) = hosted.balancer() {
+            actions.push(Action::send(balancer, Message::Accepted { flow }));
+        }
+        actions.push(Action::ToCaller {
+            caller: flow.caller,
+            packet: Cow::Borrowed(packet),
+        });
+        actions
+    }
+
+    /// Lets time pass: reports to the balancers that are due, and forgets old flows.
+    pub fn on_tick(&mut self, now: Instant) -> Vec<Action<'static>> {
+        self.flows.sweep(&self.options, &mut self.meter, now);
+        let options = self.options;
+        self.balancers
+            .retain(|_, b| now.saturating_duration_since(b.heard_at) < options.balancer_lifetime);
+        let due: Vec<_> = self
+            .balancers
+            .iter()
+            .filter(|(_, balancer)| balancer.is_due(&options, now))
+            .map(|(address, _)| *address)
+            .collect();
+        due.into_iter()
+            .flat_map(|balancer| self.report(balancer, now))
+            .collect()
+    }
+
+    /// Reports to all balancers at once, after a change that they should know.
+    fn announce(&mut self, now: Instant) -> Vec<Action<'static>> {
+        let record = self.record(now);
+        let event = FlowEvent::TargetChanged {
+            agent: record.address,
+            service: record.service,
+            incarnation: record.incarnation,
+            state: record.state,
+        };
+        let balancers: Vec<_> = self.balancers.keys().copied().collect();
+        let mut actions = vec![Action::Record(event)];
+        for balancer in balancers {
+            actions.extend(self.report(balancer, now));
+        }
+        actions
+    }
+
+    fn report(&mut self, balancer: SocketAddrV4, now: Instant) -> Option<Action<'static>> {
+        let record = self.record(now);
+        let load = self.meter.load(self.flows.open_len(), now);
+        self.balancers.get_mut(&balancer)?.reported_at = Some(now);
+        Some(Action::send(balancer, Message::Report { record, load }))
+    }
+
+    fn heard(&mut self, balancer: SocketAddrV4, now: Instant) -> &mut KnownBalancer {
+        let known = self.balancers.entry(balancer).or_insert(KnownBalancer {
+            heard_at: now,
+            opened_at: None,
+            reported_at: None,
+        });
+        known.heard_at = now;
+        known
+    }
+
+    /// Returns why a flow for a service can't be opened, if it can't.
+    fn refusal(&self, service: ServiceTag, now: Instant) -> Option<RefusalCause> {
+        if self.is_leaving {
+            return Some(RefusalCause::Draining);
+        }
+        if ServiceTag::of(self.service()) != service {
+            return Some(RefusalCause::OtherService);
+        }
+        let Some(target) = &self.target else {
+            let age = now.saturating_duration_since(self.started_at);
+            let is_trusted = age < self.options.settings_lifetime;
+            return (!is_trusted).then_some(RefusalCause::TargetSilent);
+        };
+        if target.state() != TargetState::Ready {
+            return Some(RefusalCause::Draining);
+        }
+        let is_fresh = target.heard_within(self.options.status_lifetime, now);
+        (!is_fresh).then_some(RefusalCause::TargetSilent)
+    }
+
+    /// Returns whether the target may hold flows from before the agent started.
+    fn may_hold_unknown(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.started_at);
+        age < self.options.flow_lifetime && self.target.as_ref().is_none_or(TargetRun::is_inherited)
+    }
+
+    fn on_bounced<'a>(
+        &mut self,
+        head: &PacketHead,
+        packet: &'a [u8],
+        now: Instant,
+    ) -> Vec<Action<'a>> {
+        let flow = head.flow_from_caller();
+        let Some(hosted) = self.flows.get(&flow) else {
+            return dropped(flow, DropCause::NotFound);
+        };
+        let (balancer, is_accepted) = (hosted.balancer(), hosted.is_accepted());
+        let is_expected = hosted.is_expected();
+        if head.is_opening() {
+            if is_accepted {
+                return Vec::new();
+            }
+            self.flows.remove(&flow, &mut self.meter, now);
+            return balancer.map_or_else(Vec::new, |balancer| {
+                self.refused_by_target(balancer, flow)
+            });
+        }
+        self.flows.remove(&flow, &mut self.meter, now);
+        match balancer {
+            Some(balancer) if is_expected => {
+                let packet = Cow::Borrowed(packet);
+                vec![Action::send(balancer, Message::Returned { packet })]
+            }
+            _ => ended(head),
+        }
+    }
+
+    fn refused_by_target(&self, balancer: SocketAddrV4, flow: FlowKey) -> Vec<Action<'static>> {
+        let cause = RefusalCause::TargetFull;
+        let agent = self.identity.address;
+        vec![
+            Action::Record(FlowEvent::Refused { flow, agent, cause }),
+            refuse(balancer, flow, cause),
+        ]
+    }
+
+    /// Returns whether the target that held a flow is gone.
+    fn is_over(&self, flow: &FlowKey, now: Instant) -> bool {
+        let exit_delay = self.options.exit_delay;
+        let is_gone = self.target.as_ref().is_some_and(|t| t.is_gone_for(exit_delay, now));
+        self.flows.is_orphan(flow) || is_gone && self.flows.get(flow).is_some()
+    }
+}
+
+impl KnownBalancer {
+    fn is_due(&self, options: &EndpointOptions, now: Instant) -> bool {
+        let elapsed = |at: Instant| now.saturating_duration_since(at);
+        let is_opening = self
+            .opened_at
+            .is_some_and(|at| elapsed(at) < options.idle_report_interval * 2);
+        let interval = if is_opening {
+            options.report_interval
+        } else {
+            options.idle_report_interval
+        };
+        self.reported_at.is_none_or(|at| elapsed(at) >= interval)
+    }
+}
+
+/// Resets a flow of an earlier run of the target.
+fn end_orphan<'a>(head: &PacketHead) -> Vec<Action<'a>> {
+    if head.flags.contains(PacketFlags::RST) {
+        return Vec::new();
+    }
+    ended(head)
+}
+
+fn refuse<'a>(balancer: SocketAddrV4, flow: FlowKey, cause: RefusalCause) -> Action<'a> {
+    Action::send(balancer, Message::Refused { flow, cause })
+}
+
+fn ended<'a>(head: &PacketHead) -> Vec<Action<'a>> {
+    let flow = head.flow_from_caller();
+    let cause = ResetCause::FlowEnded;
+    vec![
+        Action::Record(FlowEvent::Reset { flow, cause }),
+        Action::Reset(Reset::answering(head)),
+    ]
+}
+
+fn dropped<'a>(flow: FlowKey, cause: DropCause) -> Vec<Action<'a>> {
+    vec![Action::Record(FlowEvent::Dropped { flow, cause })]
+}
--- /dev/null
+++ b/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
@@ -0,0 +1,250 @@
+//! The flows of a target.
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use super::EndpointOptions;
+use crate::collections::{FastMap, FastSet};
+use crate::flow::load::LoadMeter;
+use crate::flow::packet::{FlowKey, PacketFlags, PacketHead};
+
+/// A caller may acknowledge this many sequence numbers beyond the last payload, for the flags that
+/// count as one.
+const FLAG_SEQUENCE_NUMBERS: u32 = 4;
+
+/// The time between two searches for old flows.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HostedState {
+    /// The target has an opening packet.
+    Opening,
+    /// A packet was passed on, as the target may hold the flow from before the agent started.
+    Expected,
+    /// The target accepted the flow or sent packets of it.
+    Accepted,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HostedFlow {
+    state: HostedState,
+    balancer: Option<SocketAddrV4>,
+    /// The first sequence number of the target and the one after its last payload.
+    sent: Option<(u32, u32)>,
+    has_request: bool,
+    caller_finished: bool,
+    target_finished: bool,
+    used_at: Instant,
+}
+
+impl HostedFlow {
+    const fn new(state: HostedState, balancer: Option<SocketAddrV4>, now: Instant) -> Self {
+        Self {
+            state,
+            balancer,
+            sent: None,
+            has_request: false,
+            caller_finished: false,
+            target_finished: false,
+            used_at: now,
+        }
+    }
+
+    pub(super) const fn balancer(&self) -> Option<SocketAddrV4> {
+        self.balancer
+    }
+
+    pub(super) fn is_accepted(&self) -> bool {
+        self.state == HostedState::Accepted
+    }
+
+    pub(super) fn is_expected(&self) -> bool {
+        self.state == HostedState::Expected
+    }
+
+    const fn is_ended(&self) -> bool {
+        self.caller_finished && self.target_finished
+    }
+
+    /// Returns whether a caller that follows this target can acknowledge a number. Copies of an
+    /// opening packet may have been accepted by several targets, each with its own numbers.
+    pub(super) const fn may_be_acknowledged(&self, acknowledged: u32) -> bool {
+        match self.sent {
+            None => true,
+            Some((first, next)) => {
+                let length = next.wrapping_sub(first).wrapping_add(FLAG_SEQUENCE_NUMBERS);
+                acknowledged.wrapping_sub(first) <= length
+            }
+        }
+    }
+
+    pub(super) fn on_caller_packet(
+        &mut self,
+        balancer: SocketAddrV4,
+        head: &PacketHead,
+        meter: &mut LoadMeter,
+        now: Instant,
+    ) {
+        self.balancer = Some(balancer);
+        self.used_at = now;
+        if head.flags.contains(PacketFlags::RST) {
+            self.finish(meter, now);
+            self.caller_finished = true;
+            self.target_finished = true;
+        }
+        self.caller_finished |= head.flags.contains(PacketFlags::FIN);
+        if head.payload_len > 0 && !self.has_request && !self.is_ended() {
+            self.has_request = true;
+            meter.begin(now);
+        }
+    }
+
+    /// Takes in a packet of the target. Returns whether it is the first sign that the target holds
+    /// the flow, or a copy of its acceptance.
+    pub(super) fn on_target_packet(
+        &mut self,
+        head: &PacketHead,
+        meter: &mut LoadMeter,
+        now: Instant,
+    ) -> bool {
+        self.used_at = now;
+        let is_first = !self.is_accepted() || head.is_accepting();
+        if !head.flags.contains(PacketFlags::RST) {
+            self.state = HostedState::Accepted;
+            self.note_sent(head);
+        }
+        if head.payload_len > 0 {
+            self.finish(meter, now);
+        }
+        if head.flags.contains(PacketFlags::RST) {
+            self.finish(meter, now);
+            self.caller_finished = true;
+            self.target_finished = true;
+        }
+        self.target_finished |= head.flags.contains(PacketFlags::FIN);
+        is_first
+    }
+
+    fn note_sent(&mut self, head: &PacketHead) {
+        let next = head.sequence.wrapping_add(u32::from(head.payload_len));
+        match &mut self.sent {
+            Some((first, last)) => {
+                let is_further = next.wrapping_sub(*first) > last.wrapping_sub(*first);
+                let is_near = next.wrapping_sub(*first) < u32::MAX / 2;
+                if is_further && is_near {
+                    *last = next;
+                }
+            }
+            // The numbers are complete only if the acceptance was seen.
+            None if head.is_accepting() => self.sent = Some((head.sequence, next)),
+            None => {}
+        }
+    }
+
+    /// Notes that the target answered the request of the flow, or that it is given up.
+    fn finish(&mut self, meter: &mut LoadMeter, now: Instant) {
+        if std::mem::take(&mut self.has_request) {
+            meter.end(now);
+        }
+    }
+
+    fn is_kept(&self, options: &EndpointOptions, now: Instant) -> bool {
+        let elapsed = |since: Instant| now.saturating_duration_since(since);
+        let limit = match self.state {
+            HostedState::Accepted if !self.is_ended() => options.flow_lifetime,
+            _ => options.ended_lifetime,
+        };
+        elapsed(self.used_at) < limit
+    }
+}
+
+/// The flows of one target.
+#[derive(Debug, Default)]
+pub(super) struct HostedFlows {
+    flows: FastMap<FlowKey, HostedFlow>,
+    /// Flows of an earlier run of the target, which are reset at their next packet.
+    orphans: FastSet<FlowKey>,
+    orphaned_at: Option<Instant>,
+    open_len: usize,
+    swept_at: Option<Instant>,
+}
+
+impl HostedFlows {
+    /// Returns the number of flows that are open or opening, as of the last sweep or change.
+    pub(super) fn open_len(&self) -> usize {
+        self.open_len
+    }
+
+    pub(super) fn get(&self, flow: &FlowKey) -> Option<&HostedFlow> {
+        self.flows.get(flow)
+    }
+
+    pub(super) fn get_mut(&mut self, flow: &FlowKey) -> Option<&mut HostedFlow> {
+        self.flows.get_mut(flow)
+    }
+
+    pub(super) fn open(&mut self, flow: FlowKey, balancer: SocketAddrV4, now: Instant) {
+        self.orphans.remove(&flow);
+        let open_len = &mut self.open_len;
+        let hosted = self.flows.entry(flow).or_insert_with(|| {
+            *open_len += 1;
+            HostedFlow::new(HostedState::Opening, Some(balancer), now)
+        });
+        hosted.balancer = Some(balancer);
+        hosted.used_at = now;
+    }
+
+    pub(super) fn expect(&mut self, flow: FlowKey, balancer: SocketAddrV4, now: Instant) {
+        let hosted = HostedFlow::new(HostedState::Expected, Some(balancer), now);
+        self.flows.insert(flow, hosted);
+    }
+
+    pub(super) fn get_or_adopt(&mut self, flow: FlowKey, now: Instant) -> &mut HostedFlow {
+        self.flows
+            .entry(flow)
+            .or_insert_with(|| HostedFlow::new(HostedState::Expected, None, now))
+    }
+
+    pub(super) fn remove(&mut self, flow: &FlowKey, meter: &mut LoadMeter, now: Instant) {
+        if let Some(mut hosted) = self.flows.remove(flow) {
+            hosted.finish(meter, now);
+            self.open_len = self.open_len.saturating_sub(1);
+        }
+    }
+
+    /// Notes that the target started anew and holds none of the flows.
+    pub(super) fn orphan_all(&mut self) {
+        let accepted = self.flows.drain();
+        self.orphans
+            .extend(accepted.filter(|(_, f)| f.is_accepted()).map(|(key, _)| key));
+        self.orphaned_at = None;
+        self.open_len = 0;
+    }
+
+    pub(super) fn is_orphan(&self, flow: &FlowKey) -> bool {
+        self.orphans.contains(flow)
+    }
+
+    pub(super) fn sweep(&mut self, options: &EndpointOptions, meter: &mut LoadMeter, now: Instant) {
+        let elapsed = |since: Instant| now.saturating_duration_since(since);
+        if self
+            .swept_at
+            .is_some_and(|at| elapsed(at) < SWEEP_INTERVAL)
+        {
+            return;
+        }
+        self.swept_at = Some(now);
+        self.flows.retain(|_, hosted| {
+            let is_kept = hosted.is_kept(options, now);
+            if !is_kept {
+                hosted.finish(meter, now);
+            }
+            is_kept
+        });
+        self.open_len = self.flows.values().filter(|f| !f.is_ended()).count();
+        let orphaned_at = *self.orphaned_at.get_or_insert(now);
+        if elapsed(orphaned_at) >= options.flow_lifetime {
+            self.orphans.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-core/src/flow/load.rs
@@ -0,0 +1,81 @@
+//! The load of a target as its agent counts it.
+
+use std::time::{Duration, Instant};
+
+/// The time over which the number of running requests is averaged.
+const SMOOTHING: Duration = Duration::from_secs(1);
+
+/// Requests in hundredths, the unit of smoothed counts in messages.
+const HUNDREDTHS: f64 = 100.0;
+
+/// The load of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AgentLoad {
+    /// Requests that the target has and has not answered.
+    pub running: u16,
+    /// The mean of `running` over about a second, in hundredths of a request.
+    pub smoothed_hundredths: u16,
+    /// Flows that are open or opening.
+    pub flows: u16,
+}
+
+impl AgentLoad {
+    /// Returns the mean number of running requests.
+    pub fn smoothed(&self) -> f64 {
+        f64::from(self.smoothed_hundredths) / HUNDREDTHS
+    }
+}
+
+/// Counts running requests and their mean.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadMeter {
+    running: u16,
+    smoothed: f64,
+    updated_at: Instant,
+}
+
+impl LoadMeter {
+    /// Returns a meter of an idle target.
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            running: 0,
+            smoothed: 0.0,
+            updated_at: now,
+        }
+    }
+
+    /// Notes that a request was passed to the target.
+    pub fn begin(&mut self, now: Instant) {
+        self.settle(now);
+        self.running = self.running.saturating_add(1);
+    }
+
+    /// Notes that a request was answered or given up.
+    pub fn end(&mut self, now: Instant) {
+        self.settle(now);
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Returns the load with a number of open flows.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the value is clamped to the range"
+    )]
+    pub fn load(&mut self, flows: usize, now: Instant) -> AgentLoad {
+        self.settle(now);
+        let hundredths = (self.smoothed * HUNDREDTHS).clamp(0.0, f64::from(u16::MAX));
+        AgentLoad {
+            running: self.running,
+            smoothed_hundredths: hundredths as u16,
+            flows: u16::try_from(flows).unwrap_or(u16::MAX),
+        }
+    }
+
+    fn settle(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.updated_at);
+        let left = (-elapsed.div_duration_f64(SMOOTHING)).exp();
+        self.smoothed = f64::from(self.running) + (self.smoothed - f64::from(self.running)) * left;
+        self.updated_at = self.updated_at.max(now);
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -0,0 +1,130 @@
+//! Messages between balancers and agents, and the actions that decisions lead to.
+
+use std::borrow::Cow;
+use std::net::SocketAddrV4;
+
+use derive_more::Display;
+
+use super::directory::AgentRecord;
+use super::event::FlowEvent;
+use super::load::AgentLoad;
+use super::packet::{FlowKey, Reset};
+use crate::ids::ServiceTag;
+
+/// Why an agent does not open a flow. Its target has not run anything of it.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum RefusalCause {
+    /// The target serves another service now.
+    #[display("other service")]
+    OtherService,
+    /// The target leaves.
+    #[display("draining")]
+    Draining,
+    /// The target has not reported for too long.
+    #[display("target silent")]
+    TargetSilent,
+    /// The target returned the packet.
+    #[display("target full")]
+    TargetFull,
+}
+
+/// What an agent knows of a flow that a balancer looks for.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum LocateAnswer {
+    /// The target holds the flow.
+    #[display("held")]
+    Held,
+    /// The target does not hold the flow.
+    #[display("not held")]
+    NotHeld,
+    /// The agent started after its target, which may hold flows from before.
+    #[display("may be held")]
+    Unknown,
+}
+
+/// A message between a balancer and an agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Message<'a> {
+    /// Balancer to agent: open a flow.
+    Open {
+        /// The service that the flow is meant for.
+        service: ServiceTag,
+        /// The opening packet.
+        packet: Cow<'a, [u8]>,
+    },
+    /// Balancer to agent: a later packet of a flow.
+    Forward {
+        /// The packet.
+        packet: Cow<'a, [u8]>,
+    },
+    /// Balancer to agent: does the target hold this flow?
+    Locate {
+        /// The flow.
+        flow: FlowKey,
+        /// The sequence number that the caller acknowledged, which tells the target's own flow
+        /// from one that another target accepted.
+        acknowledged: u32,
+    },
+    /// Agent to balancer: the target accepted the flow.
+    Accepted {
+        /// The flow.
+        flow: FlowKey,
+    },
+    /// Agent to balancer: the flow was not opened.
+    Refused {
+        /// The flow.
+        flow: FlowKey,
+        /// Why.
+        cause: RefusalCause,
+    },
+    /// Agent to balancer: the answer to a [`Message::Locate`].
+    Located {
+        /// The flow.
+        flow: FlowKey,
+        /// What the agent knows.
+        answer: LocateAnswer,
+    },
+    /// Agent to balancer: a forwarded packet of a flow that the target does not hold.
+    Returned {
+        /// The packet.
+        packet: Cow<'a, [u8]>,
+    },
+    /// Agent to balancer: state and load of the target.
+    Report {
+        /// The target.
+        record: AgentRecord,
+        /// Its load.
+        load: AgentLoad,
+    },
+}
+
+/// What a decision asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action<'a> {
+    /// Send a message to a balancer or an agent.
+    Send {
+        /// Where to.
+        peer: SocketAddrV4,
+        /// The message.
+        message: Message<'a>,
+    },
+    /// Pass a packet to the backend server.
+    ToTarget(Cow<'a, [u8]>),
+    /// Pass a packet to a caller.
+    ToCaller {
+        /// The caller's end of the flow.
+        caller: SocketAddrV4,
+        /// The packet.
+        packet: Cow<'a, [u8]>,
+    },
+    /// Reset a flow at its caller.
+    Reset(Reset),
+    /// Record a decision.
+    Record(FlowEvent),
+}
+
+impl<'a> Action<'a> {
+    pub(crate) const fn send(peer: SocketAddrV4, message: Message<'a>) -> Self {
+        Self::Send { peer, message }
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -0,0 +1,28 @@
+//! Flows whose packets the system carries without reading or changing their bytes.
+//!
+//! A balancer opens a flow at one target and later finds the target again for every packet of the
+//! flow. The agent beside the target is the authority on the flows that the target holds, so a
+//! balancer's table is only a cache: a balancer that does not know a flow asks the agents.
+//!
+//! [`Dispatcher`] holds the decisions of a balancer, [`Endpoint`] those of an agent. Both take
+//! typed events with a clock reading and return typed actions.
+
+mod directory;
+mod dispatcher;
+mod endpoint;
+mod event;
+mod load;
+mod message;
+mod packet;
+mod routes;
+mod selection;
+
+pub use self::directory::{AgentRecord, Directory, DirectoryOptions, RegistrationRevision};
+pub use self::dispatcher::{Dispatcher, DispatcherOptions};
+pub use self::endpoint::{Endpoint, EndpointOptions, Identity, StatusReport, TargetRun};
+pub use self::event::{DropCause, FlowEvent, ResetCause};
+pub use self::load::{AgentLoad, LoadMeter};
+pub use self::message::{Action, LocateAnswer, Message, RefusalCause};
+pub use self::packet::{FlowKey, PacketFlags, PacketHead, Reset};
+pub use self::routes::{Backend, Route, RouteConfig, Routes};
+pub use self::selection::{Choice, Selector, SelectorOptions};
--- /dev/null
+++ b/crates/cranberrypitch-core/src/flow/selection.rs
@@ -0,0 +1,191 @@
+//! The choice of an agent for a new flow.
+//!
+//! Bytes between failure domains are costly, so a local target is preferred until it is clearly
+//! busier than a remote one. Among equals the less loaded of two drawn at random is chosen, so that
+//! balancers with the same view do not all choose the same target.
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use rand::{Rng, RngExt};
+
+use super::directory::{Directory, KnownAgent};
+use super::load::AgentLoad;
+use crate::collections::FastMap;
+use crate::ids::ServiceTag;
+use crate::target::TargetState;
+
+/// Settings of a [`Selector`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SelectorOptions {
+    /// By how many requests per slot a remote target must be less loaded than a local one.
+    pub remote_penalty: f64,
+    /// The same for routes with large bodies.
+    pub bulk_remote_penalty: f64,
+    /// The load, in requests per slot, that a target counts for while it is slow after its start.
+    pub warmup_penalty: f64,
+    /// The load, in requests per slot, that an open flow counts for.
+    pub flow_load: f64,
+    /// How long a target that left an opening packet unanswered is avoided.
+    pub suspect_for: Duration,
+    /// How long an own choice counts as a running request if no report shows it.
+    pub pick_lifetime: Duration,
+}
+
+impl Default for SelectorOptions {
+    fn default() -> Self {
+        Self {
+            remote_penalty: 0.4,
+            bulk_remote_penalty: 3.0,
+            warmup_penalty: 0.5,
+            flow_load: 0.005,
+            suspect_for: Duration::from_secs(2),
+            pick_lifetime: Duration::from_millis(100),
+        }
+    }
+}
+
+/// What a new flow asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Choice<'a> {
+    /// The service.
+    pub service: ServiceTag,
+    /// Whether the route carries large bodies.
+    pub is_bulk: bool,
+    /// Agents that did not take the flow.
+    pub tried: &'a [SocketAddrV4],
+}
+
+#[derive(Clone, Debug, Default)]
+struct Tracked {
+    picks: Vec<Instant>,
+    suspected_until: Option<Instant>,
+}
+
+/// Chooses agents, and remembers its own choices and the agents that did not answer.
+#[derive(Debug)]
+pub struct Selector {
+    options: SelectorOptions,
+    tracked: FastMap<SocketAddrV4, Tracked>,
+}
+
+impl Selector {
+    /// Returns a selector without memory.
+    pub fn new(options: SelectorOptions) -> Self {
+        Self {
+            options,
+            tracked: FastMap::default(),
+        }
+    }
+
+    /// Chooses an agent that was not tried, or returns nothing when no other takes flows.
+    pub fn choose(
+        &mut self,
+        choice: &Choice<'_>,
+        directory: &Directory,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<SocketAddrV4> {
+        let usable: Vec<_> = directory
+            .of_service(choice.service)
+            .filter(|agent| agent.record.state == TargetState::Ready)
+            .filter(|agent| !choice.tried.contains(&agent.record.address))
+            .collect();
+        let trusted: Vec<_> = usable
+            .iter()
+            .copied()
+            .filter(|agent| !self.is_suspected(agent.record.address, now))
+            .collect();
+        let eligible = if trusted.is_empty() { usable } else { trusted };
+        let (local, remote): (Vec<&KnownAgent>, Vec<_>) =
+            eligible.into_iter().partition(|agent| agent.is_local);
+        let penalty = if choice.is_bulk {
+            self.options.bulk_remote_penalty
+        } else {
+            self.options.remote_penalty
+        };
+        let local = self.lighter_of_two(&local, now, rng);
+        let remote = self.lighter_of_two(&remote, now, rng);
+        let (address, _) = match (local, remote) {
+            (Some(local), Some(remote)) if remote.1 + penalty < local.1 => remote,
+            (Some(local), _) => local,
+            (None, remote) => remote?,
+        };
+        let picks = &mut self.tracked.entry(address).or_default().picks;
+        picks.retain(|at| now.saturating_duration_since(*at) < self.options.pick_lifetime);
+        picks.push(now);
+        Some(address)
+    }
+
+    /// Notes that an agent left an opening packet unanswered.
+    pub fn on_unanswered(&mut self, address: SocketAddrV4, now: Instant) {
+        let until = now + self.options.suspect_for;
+        self.tracked.entry(address).or_default().suspected_until = Some(until);
+    }
+
+    /// Notes that an agent answered.
+    pub fn on_answer(&mut self, address: SocketAddrV4) {
+        if let Some(tracked) = self.tracked.get_mut(&address) {
+            tracked.suspected_until = None;
+        }
+    }
+
+    /// Forgets an agent.
+    pub fn forget(&mut self, address: SocketAddrV4) {
+        self.tracked.remove(&address);
+    }
+
+    fn is_suspected(&self, address: SocketAddrV4, now: Instant) -> bool {
+        let until = self.tracked.get(&address).and_then(|t| t.suspected_until);
+        until.is_some_and(|until| now < until)
+    }
+
+    fn lighter_of_two(
+        &self,
+        agents: &[&KnownAgent],
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<(SocketAddrV4, f64)> {
+        if agents.is_empty() {
+            return None;
+        }
+        let first = rng.random_range(0..agents.len());
+        let step = rng.random_range(0..agents.len().max(2) - 1) + 1;
+        let second = (first + step) % agents.len();
+        let scored = [first, second].map(|index| {
+            let agent = agents[index];
+            (agent.record.address, self.score(agent, now))
+        });
+        Some(if scored[1].1 < scored[0].1 {
+            scored[1]
+        } else {
+            scored[0]
+        })
+    }
+
+    /// Returns the expected requests per slot.
+    fn score(&self, agent: &KnownAgent, now: Instant) -> f64 {
+        let slots = f64::from(agent.record.slots.get().max(1));
+        let AgentLoad { running, flows, .. } = agent.load;
+        let requests = f64::midpoint(f64::from(running), agent.load.smoothed());
+        let picks = f64::from(self.recent_picks(agent, now));
+        let warmup = if agent.record.warmup_left.is_zero() {
+            0.0
+        } else {
+            self.options.warmup_penalty
+        };
+        (requests + picks) / slots + f64::from(flows) * self.options.flow_load / slots + warmup
+    }
+
+    /// Returns the own choices that the last report can't include.
+    fn recent_picks(&self, agent: &KnownAgent, now: Instant) -> u32 {
+        let Some(tracked) = self.tracked.get(&agent.record.address) else {
+            return 0;
+        };
+        let is_recent = |at: &&Instant| {
+            now.saturating_duration_since(**at) < self.options.pick_lifetime
+                && agent.load_at.is_none_or(|reported| **at >= reported)
+        };
+        u32::try_from(tracked.picks.iter().filter(is_recent).count()).unwrap_or(u32::MAX)
+    }
+}
--- a/crates/cranberrypitch-core/src/lib.rs
+++ b/crates/cranberrypitch-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod drain;
 pub mod errors;
+pub mod flow;
 pub mod handoff;
 pub mod health;
 pub mod ids;
--- a/crates/cranberrypitch-net/src/lib.rs
+++ b/crates/cranberrypitch-net/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod daemon;
 pub mod errors;
 pub mod events;
+pub mod http_client;
 pub(crate) mod json;
 pub mod keeper;
 pub mod keys;
--- a/crates/cranberrypitch-net/src/store/http.rs
+++ b/crates/cranberrypitch-net/src/store/http.rs
@@ -1,25 +1,17 @@
 //! The adapter to the service over HTTP/1.1 with JSON.
 
 use std::net::SocketAddrV4;
-use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper::{Request, Response, StatusCode, header};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
+use http_body_util::Full;
+use hyper::{Request, StatusCode, header};
 
+use crate::http_client::{Failure, HttpClient, HttpClientOptions};
 use crate::store::errors::{Error, Result};
 use crate::store::wire::{Answer, Call, MAX_BODY_BYTES, PATH};
 use crate::store::{Entry, LeaseId, Listing, Put, Store, StoreKey, Version, Watched};
 
-/// The connections that are kept open between calls.
-const MAX_IDLE: usize = 4;
-
 /// The time that the answer to a watch may take beyond its wait.
 const WATCH_MARGIN: Duration = Duration::from_secs(1);
 
@@ -49,24 +41,18 @@
 #[derive(Debug)]
 pub struct HttpStore {
     options: HttpStoreOptions,
-    idle: Mutex<Vec<Connection>>,
-}
-
-type Connection = SendRequest<Full<Bytes>>;
-
-/// A failure before the request was on its way, or after.
-enum Failure {
-    NotSent(String),
-    Sent(String),
+    client: HttpClient,
 }
 
 impl HttpStore {
     /// Returns the adapter. It connects with the first call.
     pub const fn new(options: HttpStoreOptions) -> Self {
-        Self {
-            options,
-            idle: Mutex::new(Vec::new()),
-        }
+        let client = HttpClient::new(HttpClientOptions {
+            address: options.address,
+            connect_timeout: options.connect_timeout,
+            max_body_bytes: MAX_BODY_BYTES,
+        });
+        Self { options, client }
     }
 
     async fn call(&self, call: Call) -> Result<Answer> {
@@ -75,7 +61,10 @@
             _ => self.options.call_timeout,
         };
         let body = serde_json::to_vec(&call).map_err(|e| Error::refused(&e))?;
-        match self.exchange(body.into(), limit).await {
+        let request = self
+            .request(body.into())
+            .map_err(|e| Error::refused(&e))?;
+        match self.client.exchange(request, limit).await {
             Ok((StatusCode::OK, body)) => {
                 Answer::decode(&body).map_err(|e| lost(&call, &format!("malformed answer: {e}")))
             }
@@ -85,87 +74,11 @@
         }
     }
 
-    async fn exchange(
-        &self,
-        body: Bytes,
-        limit: Duration,
-    ) -> std::result::Result<(StatusCode, Bytes), Failure> {
-        let mut request = self.request(body)?;
-        while let Some(mut connection) = self.take_idle() {
-            match timeout(limit, connection.try_send_request(request)).await {
-                Err(_) => return Err(Failure::Sent("no answer in time".into())),
-                Ok(Ok(response)) => return self.finish(connection, response, limit).await,
-                Ok(Err(mut failed)) => match failed.take_message() {
-                    // The service closed the idle connection before the request was sent.
-                    Some(unsent) => request = unsent,
-                    None => return Err(Failure::Sent(failed.into_error().to_string())),
-                },
-            }
-        }
-        let mut connection = self.connect().await?;
-        match timeout(limit, connection.send_request(request)).await {
-            Err(_) => Err(Failure::Sent("no answer in time".into())),
-            Ok(Ok(response)) => self.finish(connection, response, limit).await,
-            Ok(Err(error)) => Err(Failure::Sent(error.to_string())),
-        }
-    }
-
-    fn request(&self, body: Bytes) -> std::result::Result<Request<Full<Bytes>>, Failure> {
+    fn request(&self, body: Bytes) -> std::result::Result<Request<Full<Bytes>>, hyper::http::Error> {
         Request::post(PATH)
             .header(header::HOST, self.options.address.to_string())
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
-            .map_err(|e| Failure::NotSent(e.to_string()))
-    }
-
-    async fn connect(&self) -> std::result::Result<Connection, Failure> {
-        let limit = self.options.connect_timeout;
-        let stream = match timeout(limit, TcpStream::connect(self.options.address)).await {
-            Err(_) => return Err(Failure::NotSent("no connection in time".into())),
-            Ok(Err(error)) => return Err(Failure::NotSent(error.to_string())),
-            Ok(Ok(stream)) => stream,
-        };
-        let not_sent = |e: &dyn ToString| Failure::NotSent(e.to_string());
-        stream.set_nodelay(true).map_err(|e| not_sent(&e))?;
-        let shaken = handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = shaken.map_err(|e| not_sent(&e))?;
-        tokio::spawn(async move {
-            // The failure of a connection reaches the call that waits on it.
-            drop(connection.await);
-        });
-        Ok(sender)
-    }
-
-    async fn finish(
-        &self,
-        connection: Connection,
-        response: Response<Incoming>,
-        limit: Duration,
-    ) -> std::result::Result<(StatusCode, Bytes), Failure> {
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect();
-        match timeout(limit, body).await {
-            Err(_) => Err(Failure::Sent("answer cut off".into())),
-            Ok(Err(error)) => Err(Failure::Sent(error.to_string())),
-            Ok(Ok(body)) => {
-                self.put_idle(connection);
-                Ok((status, body.to_bytes()))
-            }
-        }
-    }
-
-    fn take_idle(&self) -> Option<Connection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|connection| !connection.is_closed());
-        let ready = idle.iter().position(SendRequest::is_ready)?;
-        Some(idle.swap_remove(ready))
-    }
-
-    fn put_idle(&self, connection: Connection) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < MAX_IDLE && !connection.is_closed() {
-            idle.push(connection);
-        }
     }
 }
 
--- a/crates/cranberrypitch-proto/src/lib.rs
+++ b/crates/cranberrypitch-proto/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod errors;
 pub mod peer;
+pub mod relay;
 pub mod report;
 pub mod request;
 pub mod tunnel;
--- /dev/null
+++ b/crates/cranberrypitch-proto/src/relay.rs
@@ -0,0 +1,288 @@
+//! Messages between balancers and agents that carry the packets of callers whole.
+//!
+//! Each datagram has a head of two bytes, the format and the kind. Numbers are big-endian. The
+//! messages stay within one deployment, whose network delivers them to its own VMs only.
+
+use std::borrow::Cow;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use bytes::{Buf, BufMut};
+use cranberrypitch_core::flow::{
+    AgentLoad, AgentRecord, FlowKey, LocateAnswer, Message, RefusalCause,
+};
+use cranberrypitch_core::{
+    FailureDomain, Incarnation, ServiceName, ServiceTag, Slots, TargetState,
+};
+
+use crate::errors::{Error, Result};
+
+/// The first byte of each datagram: the magic number and the version of the format.
+const FORMAT: u8 = 0xd1;
+
+/// The bytes before the payload of [`Message::Open`], the longest head before a packet.
+pub const MAX_HEAD_BYTES: usize = 6;
+
+const OPEN: u8 = 1;
+const FORWARD: u8 = 2;
+const LOCATE: u8 = 3;
+const ACCEPTED: u8 = 4;
+const REFUSED: u8 = 5;
+const LOCATED: u8 = 6;
+const RETURNED: u8 = 7;
+const REPORT: u8 = 8;
+
+/// Writes a message over the content of `datagram`.
+pub fn encode(message: &Message<'_>, datagram: &mut Vec<u8>) {
+    datagram.clear();
+    datagram.put_u8(FORMAT);
+    match message {
+        Message::Open { service, packet } => {
+            datagram.put_u8(OPEN);
+            datagram.put_u32(service.get());
+            datagram.put_slice(packet);
+        }
+        Message::Forward { packet } => {
+            datagram.put_u8(FORWARD);
+            datagram.put_slice(packet);
+        }
+        Message::Locate { flow, acknowledged } => {
+            datagram.put_u8(LOCATE);
+            put_flow(datagram, flow);
+            datagram.put_u32(*acknowledged);
+        }
+        Message::Accepted { flow } => {
+            datagram.put_u8(ACCEPTED);
+            put_flow(datagram, flow);
+        }
+        Message::Refused { flow, cause } => {
+            datagram.put_u8(REFUSED);
+            put_flow(datagram, flow);
+            datagram.put_u8(refusal_code(*cause));
+        }
+        Message::Located { flow, answer } => {
+            datagram.put_u8(LOCATED);
+            put_flow(datagram, flow);
+            datagram.put_u8(answer_code(*answer));
+        }
+        Message::Returned { packet } => {
+            datagram.put_u8(RETURNED);
+            datagram.put_slice(packet);
+        }
+        Message::Report { record, load } => {
+            datagram.put_u8(REPORT);
+            put_report(datagram, record, *load);
+        }
+    }
+}
+
+/// Reads a message.
+pub fn decode(datagram: &[u8]) -> Result<Message<'_>> {
+    let Some(([format, kind], body)) = datagram.split_first_chunk() else {
+        return Err(Error::Truncated {
+            len_bytes: datagram.len(),
+        });
+    };
+    if *format != FORMAT {
+        return Err(Error::NotTunnel);
+    }
+    let mut reader = Reader(body);
+    let message = match *kind {
+        OPEN => Message::Open {
+            service: ServiceTag::new(reader.u32()?),
+            packet: reader.rest(),
+        },
+        FORWARD => Message::Forward {
+            packet: reader.rest(),
+        },
+        LOCATE => Message::Locate {
+            flow: reader.flow()?,
+            acknowledged: reader.u32()?,
+        },
+        ACCEPTED => Message::Accepted {
+            flow: reader.flow()?,
+        },
+        REFUSED => Message::Refused {
+            flow: reader.flow()?,
+            cause: refusal_cause(reader.u8()?)?,
+        },
+        LOCATED => Message::Located {
+            flow: reader.flow()?,
+            answer: locate_answer(reader.u8()?)?,
+        },
+        RETURNED => Message::Returned {
+            packet: reader.rest(),
+        },
+        REPORT => reader.report()?,
+        kind => return Err(Error::UnknownKind { kind }),
+    };
+    reader.finish()?;
+    Ok(message)
+}
+
+fn put_address(datagram: &mut Vec<u8>, address: SocketAddrV4) {
+    datagram.put_slice(&address.ip().octets());
+    datagram.put_u16(address.port());
+}
+
+fn put_flow(datagram: &mut Vec<u8>, flow: &FlowKey) {
+    put_address(datagram, flow.caller);
+    put_address(datagram, flow.service_address);
+}
+
+/// Writes a name, which has at most 63 bytes.
+fn put_name(datagram: &mut Vec<u8>, name: &str) {
+    datagram.put_u8(u8::try_from(name.len()).unwrap_or(u8::MAX));
+    datagram.put_slice(name.as_bytes());
+}
+
+fn put_report(datagram: &mut Vec<u8>, record: &AgentRecord, load: AgentLoad) {
+    put_address(datagram, record.address);
+    datagram.put_u64(record.incarnation.get());
+    datagram.put_u8(state_code(record.state));
+    datagram.put_u32(record.slots.get());
+    datagram.put_u32(u32::try_from(record.warmup_left.as_millis()).unwrap_or(u32::MAX));
+    datagram.put_u16(load.running);
+    datagram.put_u16(load.smoothed_hundredths);
+    datagram.put_u16(load.flows);
+    put_name(datagram, record.service.as_str());
+    put_name(datagram, record.failure_domain.as_str());
+}
+
+struct Reader<'a>(&'a [u8]);
+
+impl<'a> Reader<'a> {
+    fn u8(&mut self) -> Result<u8> {
+        self.0.try_get_u8().map_err(|e| malformed(&e))
+    }
+
+    fn u16(&mut self) -> Result<u16> {
+        self.0.try_get_u16().map_err(|e| malformed(&e))
+    }
+
+    fn u32(&mut self) -> Result<u32> {
+        self.0.try_get_u32().map_err(|e| malformed(&e))
+    }
+
+    fn u64(&mut self) -> Result<u64> {
+        self.0.try_get_u64().map_err(|e| malformed(&e))
+    }
+
+    fn address(&mut self) -> Result<SocketAddrV4> {
+        let ip = Ipv4Addr::from(self.u32()?);
+        Ok(SocketAddrV4::new(ip, self.u16()?))
+    }
+
+    fn flow(&mut self) -> Result<FlowKey> {
+        Ok(FlowKey {
+            caller: self.address()?,
+            service_address: self.address()?,
+        })
+    }
+
+    fn name(&mut self) -> Result<&'a str> {
+        let len = usize::from(self.u8()?);
+        let Some((name, rest)) = self.0.split_at_checked(len) else {
+            return Err(malformed(&"name cut off"));
+        };
+        self.0 = rest;
+        std::str::from_utf8(name).map_err(|e| malformed(&e))
+    }
+
+    /// Returns what is left, which is a packet.
+    const fn rest(&mut self) -> Cow<'a, [u8]> {
+        let rest = self.0;
+        self.0 = &[];
+        Cow::Borrowed(rest)
+    }
+
+    fn finish(&self) -> Result<()> {
+        if self.0.is_empty() {
+            Ok(())
+        } else {
+            Err(malformed(&"bytes behind the end"))
+        }
+    }
+
+    fn report(&mut self) -> Result<Message<'a>> {
+        let address = self.address()?;
+        let incarnation = Incarnation::new(self.u64()?);
+        let state = target_state(self.u8()?)?;
+        let slots = Slots::new(self.u32()?);
+        let warmup_left = Duration::from_millis(u64::from(self.u32()?));
+        let load = AgentLoad {
+            running: self.u16()?,
+            smoothed_hundredths: self.u16()?,
+            flows: self.u16()?,
+        };
+        let record = AgentRecord {
+            address,
+            service: ServiceName::try_new(self.name()?).map_err(|e| malformed(&e))?,
+            failure_domain: FailureDomain::try_new(self.name()?).map_err(|e| malformed(&e))?,
+            incarnation,
+            state,
+            slots,
+            warmup_left,
+        };
+        Ok(Message::Report { record, load })
+    }
+}
+
+fn malformed(detail: &impl ToString) -> Error {
+    Error::malformed("relay message", detail)
+}
+
+const fn refusal_code(cause: RefusalCause) -> u8 {
+    match cause {
+        RefusalCause::OtherService => 1,
+        RefusalCause::Draining => 2,
+        RefusalCause::TargetSilent => 3,
+        RefusalCause::TargetFull => 4,
+    }
+}
+
+fn refusal_cause(code: u8) -> Result<RefusalCause> {
+    Ok(match code {
+        1 => RefusalCause::OtherService,
+        2 => RefusalCause::Draining,
+        3 => RefusalCause::TargetSilent,
+        4 => RefusalCause::TargetFull,
+        _ => return Err(malformed(&format!("refusal cause {code}"))),
+    })
+}
+
+const fn answer_code(answer: LocateAnswer) -> u8 {
+    match answer {
+        LocateAnswer::Held => 1,
+        LocateAnswer::NotHeld => 2,
+        LocateAnswer::Unknown => 3,
+    }
+}
+
+fn locate_answer(code: u8) -> Result<LocateAnswer> {
+    Ok(match code {
+        1 => LocateAnswer::Held,
+        2 => LocateAnswer::NotHeld,
+        3 => LocateAnswer::Unknown,
+        _ => return Err(malformed(&format!("answer {code}"))),
+    })
+}
+
+const fn state_code(state: TargetState) -> u8 {
+    match state {
+        TargetState::Starting => 1,
+        TargetState::Ready => 2,
+        TargetState::Draining => 3,
+        TargetState::Gone => 4,
+    }
+}
+
+fn target_state(code: u8) -> Result<TargetState> {
+    Ok(match code {
+        1 => TargetState::Starting,
+        2 => TargetState::Ready,
+        3 => TargetState::Draining,
+        4 => TargetState::Gone,
+        _ => return Err(malformed(&format!("target state {code}"))),
+    })
+}
--- /dev/null
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -0,0 +1,292 @@
+//! The agent: the only way to the backend server beside it.
+
+use std::marker::PhantomData;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cranberrypitch_core::Clock;
+use cranberrypitch_core::flow::{
+    Action, AgentRecord, Endpoint, EndpointOptions, Identity, Message, PacketFlags,
+};
+use cranberrypitch_net::daemon::{Signal, new_incarnation};
+use cranberrypitch_proto::relay;
+use hyper::StatusCode;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+
+use crate::balancer::log_unreadable;
+use crate::daemon::{Outlet, Readiness, Startup, reload};
+use crate::errors::{Error, Result};
+use crate::http_server::{self, Call};
+use crate::log;
+use crate::platform::{AgentCall, Platform};
+use crate::registration::Registration;
+use crate::settings::{RelaySettings, TargetSettings};
+use crate::sockets::{BATCH, MAX_DATAGRAM_BYTES, bind, receive};
+
+/// The time between two ticks, a part of the time between two reports.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Calls of the target that wait to be taken in.
+const CALL_QUEUE: usize = 16;
+
+/// Of the time after which an address may be used again, the part that a target may be silent and
+/// still get new flows.
+const SILENCE_SHARE: f64 = 0.9;
+
+/// Runs an agent until it is asked to stop.
+pub async fn run_agent<P: Platform>(startup: Startup) -> Result<()> {
+    let settings = &startup.settings;
+    let Some(target) = settings.target.clone() else {
+        return Err(Error::settings(&"target: an agent needs it"));
+    };
+    let now = startup.clock.now();
+    let peers = Arc::new(bind(settings.datagram_address)?);
+    let outbound = Arc::new(bind(target.outbound_address)?);
+    let readiness = Readiness::default();
+    readiness.serve::<P>(settings.readiness_address).await?;
+    readiness.set(true);
+    let calls = serve_target::<P>(target.status_address).await?;
+    let identity = Identity {
+        address: settings.datagram_address,
+        service: target.service.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        incarnation: new_incarnation(&*startup.clock),
+    };
+    let endpoint = Endpoint::new(endpoint_options(settings), identity, now);
+    let (records, registration) = register::<P>(settings, &endpoint.record(now))?;
+    let to_target = (Arc::clone(&outbound), target.backend_address);
+    let caller_port = settings.datagram_address.port();
+    let mut agent = Agent::<P> {
+        endpoint,
+        outlet: Outlet::new(Arc::clone(&peers), Arc::clone(&peers), Some(to_target), caller_port, now),
+        clock: Arc::clone(&startup.clock),
+        records,
+        buffer: vec![0; MAX_DATAGRAM_BYTES],
+        platform: PhantomData,
+    };
+    agent.run(startup, &peers, &outbound, calls, &target).await;
+    // The registration ends with the sender of its records.
+    drop(agent);
+    if let Err(error) = registration.await {
+        tracing::warn!(target: log::TARGET, %error, "registration task failed");
+    }
+    Ok(())
+}
+
+fn endpoint_options(settings: &RelaySettings) -> EndpointOptions {
+    let silence = settings.address_reuse_s.mul_f64(SILENCE_SHARE);
+    EndpointOptions {
+        status_lifetime: silence,
+        settings_lifetime: silence,
+        flow_lifetime: settings.flow_lifetime_s,
+        ..EndpointOptions::default()
+    }
+}
+
+type Records = watch::Sender<Option<AgentRecord>>;
+
+fn register<P: Platform>(
+    settings: &RelaySettings,
+    record: &AgentRecord,
+) -> Result<(Records, JoinHandle<()>)> {
+    let (sender, receiver) = watch::channel(None);
+    let store = P::store(settings.store_address);
+    let (record, ttl_min) = (record.clone(), settings.lease_min_ms);
+    // The key is checked before the task begins.
+    crate::registration::key_of(&record)?;
+    let task = tokio::spawn(async move {
+        match Registration::try_new(&store, &record, ttl_min) {
+            Ok(registration) => registration.run(receiver).await,
+            Err(error) => tracing::error!(target: log::TARGET, %error, "not registered"),
+        }
+    });
+    Ok((sender, task))
+}
+
+/// A call of the target and where its answer goes.
+type PendingCall = (AgentCall, oneshot::Sender<()>);
+
+/// Serves the calls of the target. Each is answered once the agent has taken it in.
+async fn serve_target<P: Platform>(address: SocketAddrV4) -> Result<mpsc::Receiver<PendingCall>> {
+    let (sender, receiver) = mpsc::channel(CALL_QUEUE);
+    http_server::serve(address, move |call: Call| {
+        let sender = sender.clone();
+        async move {
+            match P::read_call(&call.method, &call.path, &call.body) {
+                Ok(call) => (pass_on(&sender, call).await, Bytes::from_static(b"{}")),
+                Err(error) => {
+                    tracing::warn!(target: log::TARGET, event = "CallRefused", path = %call.path, %error);
+                    (StatusCode::BAD_REQUEST, Bytes::new())
+                }
+            }
+        }
+    })
+    .await?;
+    Ok(receiver)
+}
+
+async fn pass_on(sender: &mpsc::Sender<PendingCall>, call: AgentCall) -> StatusCode {
+    let (taken_in, answer) = oneshot::channel();
+    if sender.send((call, taken_in)).await.is_ok() && answer.await.is_ok() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
+struct Agent<P> {
+    endpoint: Endpoint,
+    outlet: Outlet,
+    clock: Arc<dyn Clock>,
+    records: Records,
+    buffer: Vec<u8>,
+    platform: PhantomData<P>,
+}
+
+impl<P: Platform> Agent<P> {
+    async fn run(
+        &mut self,
+        mut startup: Startup,
+        peers: &UdpSocket,
+        outbound: &UdpSocket,
+        mut calls: mpsc::Receiver<PendingCall>,
+        target: &TargetSettings,
+    ) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                result = peers.readable() => {
+                    log_unreadable(result);
+                    self.read_peers(peers);
+                }
+                result = outbound.readable() => {
+                    log_unreadable(result);
+                    self.read_target(outbound, target);
+                }
+                Some((call, taken_in)) = calls.recv() => {
+                    self.on_call(call);
+                    // A target that no longer waits calls again.
+                    let _ = taken_in.send(());
+                }
+                _ = ticks.tick() => self.on_tick(),
+                signal = startup.signals.next() => match signal {
+                    Signal::ReloadKeys => reload(&startup.settings_file),
+                    Signal::Terminate | Signal::Interrupt => {
+                        tracing::info!(target: log::TARGET, event = "StopRequested", signal = signal.name());
+                        let now = self.clock.now();
+                        let actions = self.endpoint.on_stop(now);
+                        self.outlet.perform::<P>(actions, now);
+                        return;
+                    }
+                },
+            }
+        }
+    }
+
+    fn read_peers(&mut self, socket: &UdpSocket) {
+        let now = self.clock.now();
+        for _ in 0..BATCH {
+            let Some((datagram, balancer)) = receive(socket, &mut self.buffer) else {
+                return;
+            };
+            match relay::decode(datagram) {
+                Ok(message) => {
+                    on_message::<P>(&mut self.endpoint, &mut self.outlet, balancer, message, now);
+                }
+                Err(error) => {
+                    tracing::debug!(target: log::TARGET, %balancer, %error, "message refused");
+                }
+            }
+        }
+    }
+
+    fn read_target(&mut self, socket: &UdpSocket, target: &TargetSettings) {
+        let now = self.clock.now();
+        for _ in 0..BATCH {
+            let received = receive(socket, &mut self.buffer);
+            let Some((len, sender)) = received.map(|(packet, sender)| (packet.len(), sender)) else {
+                return;
+            };
+            let packet = &mut self.buffer[..len];
+            if sender.ip() != target.backend_address.ip() {
+                tracing::debug!(target: log::TARGET, %sender, "packet not from the target");
+                continue;
+            }
+            match P::read_head(packet) {
+                Ok(head) => {
+                    if head.flags.contains(PacketFlags::BOUNCED) {
+                        P::restore_bounced(packet);
+                    }
+                    let actions = self.endpoint.on_target_packet(&head, packet, now);
+                    self.outlet.perform::<P>(actions, now);
+                }
+                Err(error) => tracing::debug!(target: log::TARGET, %error, "packet refused"),
+            }
+        }
+    }
+
+    fn on_call(&mut self, call: AgentCall) {
+        let now = self.clock.now();
+        let actions = match call {
+            AgentCall::Status(report) => self.endpoint.on_status(report, now),
+            AgentCall::Leave(id) => self.endpoint.on_leave(&id, now),
+        };
+        self.outlet.perform::<P>(actions, now);
+        let record = self.endpoint.record(now);
+        self.records.send_if_modified(|known| {
+            let is_changed = known.as_ref().is_none_or(|known| {
+                known.state != record.state
+                    || known.service != record.service
+                    || known.slots != record.slots
+            });
+            if is_changed {
+                *known = Some(record);
+            }
+            is_changed
+        });
+    }
+
+    fn on_tick(&mut self) {
+        let now = self.clock.now();
+        let actions = self.endpoint.on_tick(now);
+        self.outlet.perform::<P>(actions, now);
+        self.outlet.summarize(now);
+    }
+}
+
+fn on_message<P: Platform>(
+    endpoint: &mut Endpoint,
+    outlet: &mut Outlet,
+    balancer: SocketAddrV4,
+    message: Message<'_>,
+    now: Instant,
+) {
+    let packet = match &message {
+        Message::Open { packet, .. } | Message::Forward { packet } => packet,
+        Message::Locate { flow, acknowledged } => {
+            let actions = endpoint.on_locate(balancer, *flow, *acknowledged, now);
+            return outlet.perform::<P>(actions, now);
+        }
+        _ => {
+            tracing::debug!(target: log::TARGET, %balancer, "message not meant for an agent");
+            return;
+        }
+    };
+    let head = match P::read_head(packet) {
+        Ok(head) => head,
+        Err(error) => {
+            tracing::debug!(target: log::TARGET, %balancer, %error, "packet refused");
+            return;
+        }
+    };
+    let actions: Vec<Action<'_>> = match &message {
+        Message::Open { service, .. } => endpoint.on_open(balancer, *service, &head, packet, now),
+        _ => endpoint.on_forward(balancer, &head, packet, now),
+    };
+    outlet.perform::<P>(actions, now);
+}
--- /dev/null
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -0,0 +1,257 @@
+//! The balancer: receives packets of callers and passes them to agents.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::Clock;
+use cranberrypitch_core::flow::{Action, Dispatcher, DispatcherOptions, Message};
+use cranberrypitch_net::daemon::Signal;
+use cranberrypitch_proto::relay;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::daemon::{Outlet, Readiness, Startup, reload};
+use crate::errors::Result;
+use crate::follow::{Update, follow_agents, follow_config};
+use crate::log;
+use crate::platform::Platform;
+use crate::registration;
+use crate::sockets::{BATCH, MAX_DATAGRAM_BYTES, bind, receive};
+
+/// The time between two ticks while a flow waits for an answer.
+const SHORT_TICK: Duration = Duration::from_millis(20);
+
+/// The time between two ticks otherwise.
+const LONG_TICK: Duration = Duration::from_millis(250);
+
+/// How long a leaving balancer forwards at least: the platform asks twice a second whether it is
+/// ready, and takes it out after two misses.
+const STOP_NOTICE: Duration = Duration::from_millis(1700);
+
+/// How long no packet must arrive before a leaving balancer ends.
+const STOP_QUIET: Duration = Duration::from_millis(600);
+
+/// The part of the grace period that is left for the end of the process.
+const STOP_RESERVE: Duration = Duration::from_millis(700);
+
+/// Updates of the store that wait to be taken in.
+const UPDATE_QUEUE: usize = 16;
+
+/// Runs a balancer until it is asked to stop and callers' packets no longer arrive.
+pub async fn run_balancer<P: Platform>(startup: Startup) -> Result<()> {
+    let settings = &startup.settings;
+    let callers = Arc::new(bind(settings.datagram_address)?);
+    let peers = Arc::new(bind(settings.balancer_address())?);
+    let readiness = Readiness::default();
+    readiness.serve::<P>(settings.readiness_address).await?;
+    let updates = follow::<P>(settings.store_address);
+    let now = startup.clock.now();
+    let options = DispatcherOptions::default();
+    let domain = settings.failure_domain.clone();
+    let caller_port = settings.datagram_address.port();
+    let mut balancer = Balancer::<P> {
+        dispatcher: Dispatcher::new(options, domain, Pcg64Mcg::from_rng(&mut rand::rng())),
+        outlet: Outlet::new(Arc::clone(&peers), Arc::clone(&callers), None, caller_port, now),
+        clock: Arc::clone(&startup.clock),
+        readiness,
+        buffer: vec![0; MAX_DATAGRAM_BYTES],
+        platform: std::marker::PhantomData,
+    };
+    balancer.run(startup, &callers, &peers, updates).await;
+    Ok(())
+}
+
+fn follow<P: Platform>(store_address: SocketAddrV4) -> mpsc::Receiver<Update> {
+    let (sender, receiver) = mpsc::channel(UPDATE_QUEUE);
+    let store = Arc::new(P::store(store_address));
+    let (config_store, config_sender) = (Arc::clone(&store), sender.clone());
+    tokio::spawn(async move {
+        if let Err(error) = follow_config::<P>(&config_store, config_sender).await {
+            tracing::error!(target: log::TARGET, %error, "configuration not followed");
+        }
+    });
+    tokio::spawn(async move {
+        if let Err(error) = follow_agents(&*store, sender).await {
+            tracing::error!(target: log::TARGET, %error, "agents not followed");
+        }
+    });
+    receiver
+}
+
+struct Balancer<P> {
+    dispatcher: Dispatcher,
+    outlet: Outlet,
+    clock: Arc<dyn Clock>,
+    readiness: Readiness,
+    buffer: Vec<u8>,
+    platform: std::marker::PhantomData<P>,
+}
+
+/// A stop that was asked for.
+#[derive(Clone, Copy, Debug)]
+struct Stop {
+    asked_at: Instant,
+    end_by: Instant,
+    heard_at: Instant,
+}
+
+impl Stop {
+    fn is_over(&self, now: Instant) -> bool {
+        let is_noticed = now.saturating_duration_since(self.asked_at) >= STOP_NOTICE;
+        let is_quiet = now.saturating_duration_since(self.heard_at) >= STOP_QUIET;
+        now >= self.end_by || (is_noticed && is_quiet)
+    }
+}
+
+impl<P: Platform> Balancer<P> {
+    async fn run(
+        &mut self,
+        mut startup: Startup,
+        callers: &UdpSocket,
+        peers: &UdpSocket,
+        mut updates: mpsc::Receiver<Update>,
+    ) {
+        let mut stop: Option<Stop> = None;
+        let mut next_tick = tokio::time::Instant::now();
+        loop {
+            let tick = if self.dispatcher.has_unsettled() {
+                SHORT_TICK
+            } else {
+                LONG_TICK
+            };
+            next_tick = next_tick.min(tokio::time::Instant::now() + tick);
+            tokio::select! {
+                result = callers.readable() => {
+                    log_unreadable(result);
+                    if self.read_callers(callers) && let Some(stop) = &mut stop {
+                        stop.heard_at = self.clock.now();
+                    }
+                }
+                result = peers.readable() => {
+                    log_unreadable(result);
+                    self.read_peers(peers);
+                }
+                Some(update) = updates.recv() => self.on_update(update),
+                () = tokio::time::sleep_until(next_tick) => {
+                    next_tick = tokio::time::Instant::now() + tick;
+                    self.on_tick();
+                }
+                signal = startup.signals.next() => match signal {
+                    Signal::ReloadKeys => reload(&startup.settings_file),
+                    Signal::Terminate | Signal::Interrupt => {
+                        let now = self.clock.now();
+                        let grace = startup.settings.stop_grace_s.saturating_sub(STOP_RESERVE);
+                        stop.get_or_insert(Stop { asked_at: now, end_by: now + grace, heard_at: now });
+                        tracing::info!(target: log::TARGET, event = "StopRequested", signal = signal.name());
+                    }
+                },
+            }
+            self.readiness
+                .set(stop.is_none() && self.dispatcher.is_ready());
+            if stop.is_some_and(|stop| stop.is_over(self.clock.now())) {
+                return;
+            }
+        }
+    }
+
+    fn read_callers(&mut self, socket: &UdpSocket) -> bool {
+        let now = self.clock.now();
+        let mut is_any = false;
+        for _ in 0..BATCH {
+            let Some((packet, _)) = receive(socket, &mut self.buffer) else {
+                break;
+            };
+            is_any = true;
+            match P::read_head(packet) {
+                Ok(head) => {
+                    let actions = self.dispatcher.on_packet(&head, packet, now);
+                    self.outlet.perform::<P>(actions, now);
+                }
+                Err(error) => tracing::debug!(target: log::TARGET, %error, "packet refused"),
+            }
+        }
+        is_any
+    }
+
+    fn read_peers(&mut self, socket: &UdpSocket) {
+        let now = self.clock.now();
+        for _ in 0..BATCH {
+            let Some((datagram, peer)) = receive(socket, &mut self.buffer) else {
+                return;
+            };
+            match relay::decode(datagram) {
+                Ok(message) => {
+                    let actions = on_message::<P>(&mut self.dispatcher, peer, message, now);
+                    self.outlet.perform::<P>(actions, now);
+                }
+                Err(error) => tracing::debug!(target: log::TARGET, %peer, %error, "message refused"),
+            }
+        }
+    }
+
+    fn on_update(&mut self, update: Update) {
+        let now = self.clock.now();
+        let actions = match update {
+            Update::Config(config) => self.dispatcher.on_config(&config),
+            Update::Agents(records) => self.dispatcher.on_list(records, now),
+            Update::Registered(record) => self.dispatcher.on_registered(record, now),
+            Update::Unregistered(key) => {
+                if let Some(address) = registration::address_of(&key) {
+                    self.dispatcher.on_unregistered(address, now);
+                }
+                Vec::new()
+            }
+        };
+        self.outlet.perform::<P>(actions, now);
+    }
+
+    fn on_tick(&mut self) {
+        let now = self.clock.now();
+        let actions = self.dispatcher.on_tick(now);
+        self.outlet.perform::<P>(actions, now);
+        self.outlet.summarize(now);
+    }
+}
+
+fn on_message<P: Platform>(
+    dispatcher: &mut Dispatcher,
+    agent: SocketAddrV4,
+    message: Message<'_>,
+    now: Instant,
+) -> Vec<Action<'static>> {
+    match message {
+        Message::Accepted { flow } => {
+            dispatcher.on_accepted(agent, flow, now);
+            Vec::new()
+        }
+        Message::Refused { flow, cause } => dispatcher.on_refused(agent, flow, cause, now),
+        Message::Located { flow, answer } => dispatcher.on_located(agent, flow, answer, now),
+        Message::Returned { packet } => match P::read_head(&packet) {
+            Ok(head) => dispatcher.on_returned(agent, &head, &packet, now),
+            Err(error) => {
+                tracing::debug!(target: log::TARGET, %agent, %error, "returned packet refused");
+                Vec::new()
+            }
+        },
+        Message::Report { record, load } if record.address == agent => {
+            dispatcher.on_report(record, load, now)
+        }
+        Message::Open { .. }
+        | Message::Forward { .. }
+        | Message::Locate { .. }
+        | Message::Report { .. } => {
+            tracing::debug!(target: log::TARGET, %agent, "message not meant for a balancer");
+            Vec::new()
+        }
+    }
+}
+
+/// A socket that can't be waited on is read at the next tick.
+pub(crate) fn log_unreadable(result: std::io::Result<()>) {
+    if let Err(error) = result {
+        tracing::warn!(target: log::TARGET, %error, "socket not readable");
+    }
+}
--- /dev/null
+++ b/crates/cranberrypitch-relay/src/lib.rs
@@ -0,0 +1,27 @@
+//! Daemons that carry the packets of callers whole between callers and backend servers.
+//!
+//! The balancer receives packets of callers and passes each one to the agent whose target holds the
+//! flow. The agent runs beside a backend server and is the only way to it. Decisions are those of
+//! [`cranberrypitch_core::flow`]; what is spoken around the system is behind [`Platform`].
+
+mod agent;
+mod balancer;
+mod clock;
+mod daemon;
+mod errors;
+mod follow;
+mod http_server;
+mod log;
+mod platform;
+mod registration;
+mod settings;
+mod sockets;
+
+pub use crate::agent::run_agent;
+pub use crate::balancer::run_balancer;
+pub use crate::clock::BoottimeClock;
+pub use crate::daemon::{Role, run};
+pub use crate::errors::{Error, Result};
+pub use crate::log::LineBudget;
+pub use crate::platform::{AgentCall, Platform};
+pub use crate::settings::RelaySettings;
