Reset flows that no agent holds at once, and hold packets until a balancer is ready

Cause: after a final fault each flow waited two rounds of questions (250 ms and more) before its reset, and packets in the first 50 ms of a balancer were dropped, so callers repeated them after 200 ms.

--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -1,5 +1,6 @@
 //! The decisions of a balancer: where each packet of a caller goes.
 
+mod early;
 mod locating;
 mod opening;
 mod table;
@@ -10,6 +11,7 @@
 
 use rand_pcg::Pcg64Mcg;
 
+use self::early::EarlyPackets;
 use self::table::{FlowState, FlowTable};
 use super::directory::{AgentRecord, Directory, DirectoryOptions};
 use super::event::{DropCause, FlowEvent, ResetCause};
@@ -61,6 +63,8 @@
     directory: Directory,
     selector: Selector,
     flows: FlowTable,
+    early: EarlyPackets,
+    is_list_fresh: bool,
     rng: Pcg64Mcg,
 }
 
@@ -73,6 +77,8 @@
             directory: Directory::new(options.directory, domain),
             selector: Selector::new(options.selector),
             flows: FlowTable::default(),
+            early: EarlyPackets::default(),
+            is_list_fresh: false,
             rng,
         }
     }
@@ -108,8 +114,11 @@
         if head.is_accepting() || head.flags.contains(PacketFlags::BOUNCED) {
             return dropped(flow, DropCause::NotAllowed);
         }
-        if self.routes.version().is_none() {
-            return dropped(flow, DropCause::NoConfiguration);
+        if !self.is_ready() {
+            return match self.early.hold(packet) {
+                true => Vec::new(),
+                false => dropped(flow, DropCause::NoConfiguration),
+            };
         }
         if self.routes.route(flow.service_address).is_none() {
             return self.on_unrouted(head);
@@ -121,6 +130,21 @@
         }
     }
 
+    /// Returns the packets that arrived before the first configuration and list of agents, for
+    /// [`Self::on_packet`], once both are there.
+    pub fn take_early_packets(&mut self) -> Vec<Box<[u8]>> {
+        if self.is_ready() {
+            self.early.take()
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Notes whether the store tells of changes of the list of agents at present.
+    pub const fn on_list_followed(&mut self, is_followed: bool) {
+        self.is_list_fresh = is_followed;
+    }
+
     /// Takes in a configuration.
     pub fn on_config(&mut self, config: &RouteConfig) -> Vec<Action<'static>> {
         let version = config.version;
@@ -137,6 +161,7 @@
 
     /// Takes in the store's whole list of agents.
     pub fn on_list(&mut self, records: Vec<AgentRecord>, now: Instant) -> Vec<Action<'static>> {
+        self.is_list_fresh = true;
         let changed = self.directory.on_list(records, now);
         let mut actions: Vec<_> = changed.iter().map(target_changed).collect();
         actions.extend(self.place_waiting(now));
--- a/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
@@ -14,12 +14,14 @@
 /// Packets of one flow that wait for an answer; a sender has at most 16 in flight.
 const MAX_HELD_PACKETS: usize = 16;
 
-/// Rounds in which no agent holds a flow before the flow is reset.
+/// Rounds in which no agent holds a flow before the flow is reset, if an agent was silent.
 const ROUNDS_TO_RESET: u32 = 2;
 
 /// A flow whose target is looked for.
 #[derive(Debug)]
 pub(super) struct Locating {
+    /// The head of the latest packet.
+    head: PacketHead,
     /// Packets that wait for the answer.
     held: Vec<Box<[u8]>>,
     /// Agents that were asked and have not answered.
@@ -65,6 +67,7 @@
         now: Instant,
     ) -> Vec<Action<'a>> {
         let locating = Locating {
+            head: *head,
             held: vec![packet.into()],
             pending: FastSet::default(),
             unsure: Vec::new(),
@@ -163,12 +166,15 @@
         let held = std::mem::take(&mut locating.held);
         if locating.unsure.is_empty() {
             locating.rounds += 1;
-            let event = FlowEvent::NotLocated {
+            let (asked, silent) = (locating.asked, locating.pending.len());
+            let event = Action::Record(FlowEvent::NotLocated {
                 flow,
-                asked: locating.asked,
-                silent: locating.pending.len(),
-            };
-            return vec![Action::Record(event)];
+                asked,
+                silent,
+            });
+            return std::iter::once(event)
+                .chain(self.end_if_lost(flow))
+                .collect();
         }
         let mut actions = Vec::new();
         for packet in held {
@@ -212,6 +218,7 @@
         if self.is_lost(&locating) && !head.flags.contains(PacketFlags::RST) {
             return reset(head, ResetCause::FlowEnded);
         }
+        locating.head = *head;
         let elapsed = now.saturating_duration_since(locating.asked_at);
         if elapsed < self.options.locate_interval {
             self.put_back(flow, locating, now);
@@ -221,12 +228,33 @@
         self.ask(head, *locating, now)
     }
 
-    /// Returns whether no agent can hold the flow: all that are known said so in every round, and
-    /// those that did not answer are gone.
+    /// Resets a flow that no agent can hold, so that its caller opens another one at once.
+    fn end_if_lost(&mut self, flow: FlowKey) -> Vec<Action<'static>> {
+        let Some(entry) = self.flows.get(&flow) else {
+            return Vec::new();
+        };
+        let FlowState::Locating(locating) = &entry.state else {
+            return Vec::new();
+        };
+        let head = locating.head;
+        if !self.is_lost(locating) || head.flags.contains(PacketFlags::RST) {
+            return Vec::new();
+        }
+        self.flows.remove(&flow);
+        reset(&head, ResetCause::FlowEnded)
+    }
+
+    /// Returns whether no agent can hold the flow: the list of agents is up to date, all of them
+    /// said so, and those that did not answer are gone and had time to.
     fn is_lost(&self, locating: &Locating) -> bool {
         let is_known = |agent: &SocketAddrV4| self.directory.agent(*agent).is_some();
-        locating.rounds >= ROUNDS_TO_RESET
-            && self.directory.is_complete()
+        let rounds = if locating.pending.is_empty() {
+            1
+        } else {
+            ROUNDS_TO_RESET
+        };
+        self.is_list_fresh
+            && locating.rounds >= rounds
             && !locating.pending.iter().any(is_known)
     }
 
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -160,19 +160,15 @@
     fn read_callers(&mut self, socket: &UdpSocket) -> bool {
         let now = self.clock.now();
         let mut is_any = false;
+        let mut buffer = std::mem::take(&mut self.buffer);
         for _ in 0..BATCH {
-            let Some((packet, _)) = receive(socket, &mut self.buffer) else {
+            let Some((packet, _)) = receive(socket, &mut buffer) else {
                 break;
             };
             is_any = true;
-            match P::read_head(packet) {
-                Ok(head) => {
-                    let actions = self.dispatcher.on_packet(&head, packet, now);
-                    self.outlet.perform::<P>(actions, now);
-                }
-                Err(error) => tracing::debug!(target: log::TARGET, %error, "packet refused"),
-            }
+            self.on_packet(packet, now);
         }
+        self.buffer = buffer;
         is_any
     }
 
@@ -204,8 +200,25 @@
                 }
                 Vec::new()
             }
+            Update::AgentsFollowed(is_followed) => {
+                self.dispatcher.on_list_followed(is_followed);
+                Vec::new()
+            }
         };
         self.outlet.perform::<P>(actions, now);
+        for packet in self.dispatcher.take_early_packets() {
+            self.on_packet(&packet, now);
+        }
+    }
+
+    fn on_packet(&mut self, packet: &[u8], now: Instant) {
+        match P::read_head(packet) {
+            Ok(head) => {
+                let actions = self.dispatcher.on_packet(&head, packet, now);
+                self.outlet.perform::<P>(actions, now);
+            }
+            Err(error) => tracing::debug!(target: log::TARGET, %error, "packet refused"),
+        }
     }
 
     fn on_tick(&mut self) {
--- a/crates/cranberrypitch-relay/src/follow.rs
+++ b/crates/cranberrypitch-relay/src/follow.rs
@@ -36,6 +36,8 @@
     Registered(AgentRecord),
     /// The registration of a key ended.
     Unregistered(StoreKey),
+    /// The store tells of changes of the list of agents, or does not answer.
+    AgentsFollowed(bool),
 }
 
 /// Follows the configuration until the receiver is gone.
@@ -50,7 +52,7 @@
     };
     let change = move |change: KeyChange| read(change.entry.as_ref()?);
     let list = move |entries: Vec<Entry>| entries.iter().filter_map(&read).collect();
-    follow(store, &key, CONFIG_WAIT, list, change, updates).await;
+    follow(store, &key, CONFIG_WAIT, list, change, |_| None, updates).await;
     Ok(())
 }
 
@@ -65,7 +67,8 @@
         Some(entry) => read_record(entry).map(Update::Registered),
         None => Some(Update::Unregistered(change.key)),
     };
-    follow(store, &prefix, AGENTS_WAIT, list, change, updates).await;
+    let followed = |is_followed| Some(Update::AgentsFollowed(is_followed));
+    follow(store, &prefix, AGENTS_WAIT, list, change, followed, updates).await;
     Ok(())
 }
 
@@ -87,6 +90,7 @@
     wait: Duration,
     list: impl Fn(Vec<Entry>) -> Vec<Update>,
     change: impl Fn(KeyChange) -> Option<Update>,
+    followed: impl Fn(bool) -> Option<Update>,
     updates: Sender<Update>,
 ) {
     let mut pause = Pause::default();
@@ -110,15 +114,22 @@
         };
         match result {
             Ok((next, changes)) => {
-                pause.reset(prefix);
+                let regained = pause.reset(prefix).then(|| followed(true)).flatten();
                 after = next;
-                for update in changes {
+                for update in changes.into_iter().chain(regained) {
                     if updates.send(update).await.is_err() {
                         return;
                     }
                 }
             }
-            Err(error) => pause.wait(prefix, &error).await,
+            Err(error) => {
+                if let Some(update) = followed(false)
+                    && updates.send(update).await.is_err()
+                {
+                    return;
+                }
+                pause.wait(prefix, &error).await;
+            }
         }
     }
 }
@@ -130,11 +141,13 @@
 }
 
 impl Pause {
-    /// Notes a call that went well.
-    pub(crate) fn reset(&mut self, what: &StoreKey) {
-        if std::mem::take(&mut self.failures) > 0 {
-            tracing::info!(target: crate::log::TARGET, %what, "store regained");
+    /// Notes a call that went well. Returns whether the one before had failed.
+    pub(crate) fn reset(&mut self, what: &StoreKey) -> bool {
+        let is_regained = std::mem::take(&mut self.failures) > 0;
+        if is_regained {
+            tracing::info!(target: crate::log::TARGET, event = "StoreRegained", %what);
         }
+        is_regained
     }
 
     /// Waits after a failed call.
@@ -144,7 +157,7 @@
         error: &cranberrypitch_net::store::Error,
     ) {
         if self.failures == 0 {
-            tracing::warn!(target: crate::log::TARGET, %what, %error, "store lost");
+            tracing::warn!(target: crate::log::TARGET, event = "StoreLost", %what, %error);
         }
         let factor = 1_u32 << self.failures.min(8);
         self.failures = self.failures.saturating_add(1);
