Find agents that do not answer, and end flows that no target holds

Cause: after a power loss targets report before their agents are up, so agents could not tell whether a flow was held; the last returned packet of a flow ended nothing, and the caller waited for its deadline. An agent that died kept its flows until its registration lapsed. Change: a balancer asks agents it has not heard, gives up those that leave three questions unanswered, and resets a flow once the last unsure agent returned it.

--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -1,6 +1,7 @@
 //! The decisions of a balancer: where each packet of a caller goes.
 
 mod early;
+mod liveness;
 mod locating;
 mod opening;
 mod table;
@@ -12,6 +13,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use self::early::EarlyPackets;
+use self::liveness::Liveness;
 use self::table::{FlowState, FlowTable};
 use super::directory::{AgentRecord, Directory, DirectoryOptions};
 use super::event::{DropCause, FlowEvent, ResetCause};
@@ -63,6 +65,7 @@
     directory: Directory,
     selector: Selector,
     flows: FlowTable,
+    liveness: Liveness,
     early: EarlyPackets,
     is_list_fresh: bool,
     rng: Pcg64Mcg,
@@ -77,6 +80,7 @@
             directory: Directory::new(options.directory, domain),
             selector: Selector::new(options.selector),
             flows: FlowTable::default(),
+            liveness: Liveness::default(),
             early: EarlyPackets::default(),
             is_list_fresh: false,
             rng,
@@ -190,7 +194,7 @@
         load: AgentLoad,
         now: Instant,
     ) -> Vec<Action<'static>> {
-        self.selector.on_answer(record.address);
+        self.on_heard(record.address, now);
         if !self.directory.on_report(record.clone(), load, now) {
             return Vec::new();
         }
@@ -201,7 +205,7 @@
 
     /// Notes that the target of an agent accepted a flow.
     pub fn on_accepted(&mut self, agent: SocketAddrV4, flow: FlowKey, now: Instant) {
-        self.selector.on_answer(agent);
+        self.on_heard(agent, now);
         let Some(entry) = self.flows.get(&flow) else {
             return self.flows.insert(flow, FlowState::Held(agent), now);
         };
@@ -223,6 +227,7 @@
         now: Instant,
     ) -> Vec<Action<'static>> {
         let flow = head.flow_from_caller();
+        self.on_heard(agent, now);
         match self.flows.get_mut(&flow).map(|entry| &mut entry.state) {
             Some(FlowState::Held(held)) if *held != agent => {
                 let message = Message::Forward {
@@ -230,11 +235,7 @@
                 };
                 vec![Action::send(*held, message)]
             }
-            Some(FlowState::Locating(locating)) => {
-                locating.exclude(agent);
-                locating.hold(packet);
-                self.conclude(flow, now)
-            }
+            Some(FlowState::Locating(_)) => self.on_not_held(agent, flow, now),
             _ => self.locate(head, packet, Some(agent), now),
         }
     }
@@ -244,6 +245,7 @@
         let mut actions = Vec::new();
         for agent in self.directory.on_tick(now) {
             self.selector.forget(agent);
+            self.liveness.forget(agent);
             actions.push(Action::Record(FlowEvent::TargetGone { agent }));
         }
         for flow in self.flows.unsettled() {
@@ -276,6 +278,34 @@
         Vec::new()
     }
 
+    fn on_heard(&mut self, agent: SocketAddrV4, now: Instant) {
+        self.selector.on_answer(agent);
+        self.liveness.on_heard(agent, now);
+    }
+
+    /// Passes on a packet of a flow that an agent holds, unless the agent is gone.
+    fn on_held<'a>(
+        &mut self,
+        agent: SocketAddrV4,
+        head: &PacketHead,
+        packet: &'a [u8],
+        now: Instant,
+    ) -> Vec<Action<'a>> {
+        let timeout = self.options.locate_timeout;
+        if self.directory.agent(agent).is_none()
+            || self.liveness.is_unresponsive(agent, timeout, now)
+        {
+            self.selector.on_unanswered(agent, now);
+            return self.locate(head, packet, Some(agent), now);
+        }
+        let mut actions = forward(agent, packet);
+        if self.liveness.is_question_due(agent, timeout, now) {
+            self.liveness.on_asked(agent, timeout, now);
+            actions.push(Action::send(agent, Message::locate(head)));
+        }
+        actions
+    }
+
     fn on_unrouted<'a>(&mut self, head: &PacketHead) -> Vec<Action<'a>> {
         let flow = head.flow_from_caller();
         self.flows.remove(&flow);
@@ -299,10 +329,7 @@
         match &mut entry.state {
             FlowState::Held(agent) => {
                 let agent = *agent;
-                if self.directory.agent(agent).is_some() {
-                    return forward(agent, packet);
-                }
-                self.locate(head, packet, Some(agent), now)
+                self.on_held(agent, head, packet, now)
             }
             FlowState::Opening(opening) => {
                 let target = opening.target;
--- a/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
@@ -14,9 +14,6 @@
 /// Packets of one flow that wait for an answer; a sender has at most 16 in flight.
 const MAX_HELD_PACKETS: usize = 16;
 
-/// Rounds in which no agent holds a flow before the flow is reset, if an agent was silent.
-const ROUNDS_TO_RESET: u32 = 2;
-
 /// A flow whose target is looked for.
 #[derive(Debug)]
 pub(super) struct Locating {
@@ -32,7 +29,6 @@
     previous: Option<SocketAddrV4>,
     asked: usize,
     asked_at: Instant,
-    rounds: u32,
     is_concluded: bool,
 }
 
@@ -66,47 +62,42 @@
         previous: Option<SocketAddrV4>,
         now: Instant,
     ) -> Vec<Action<'a>> {
+        let flow = head.flow_from_caller();
+        let routed = self
+            .directory
+            .all()
+            .filter(|agent| self.routes.was_routed_to(flow.service_address, agent.tag))
+            .map(|agent| agent.record.address);
+        let pending: FastSet<_> = routed.chain(previous).collect();
         let locating = Locating {
             head: *head,
             held: vec![packet.into()],
-            pending: FastSet::default(),
+            asked: pending.len(),
+            pending,
             unsure: Vec::new(),
             previous,
-            asked: 0,
             asked_at: now,
-            rounds: 0,
             is_concluded: false,
         };
-        self.ask(head, locating, now)
+        let state = FlowState::Locating(Box::new(locating));
+        self.flows.insert(flow, state, now);
+        self.ask_pending(flow, now)
     }
 
-    fn ask<'a>(
-        &mut self,
-        head: &PacketHead,
-        mut locating: Locating,
-        now: Instant,
-    ) -> Vec<Action<'a>> {
-        let flow = head.flow_from_caller();
-        let routed = self
-            .directory
-            .all()
-            .filter(|agent| self.routes.was_routed_to(flow.service_address, agent.tag))
-            .map(|agent| agent.record.address);
-        locating.pending = routed.chain(locating.previous).collect();
-        locating.asked = locating.pending.len();
+    /// Asks the agents that have not answered.
+    fn ask_pending<'a>(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'a>> {
+        let timeout = self.options.locate_timeout;
+        let Some(locating) = self.locating_mut(flow) else {
+            return Vec::new();
+        };
         locating.asked_at = now;
-        locating.is_concluded = false;
-        let message = Message::Locate {
-            flow,
-            acknowledged: head.acknowledged,
+        let message = Message::locate(&locating.head);
+        let pending: Vec<_> = locating.pending.iter().copied().collect();
+        let ask = |agent| {
+            self.liveness.on_asked(agent, timeout, now);
+            Action::send(agent, message.clone())
         };
-        let asked = locating.pending.iter();
-        let actions = asked
-            .map(|agent| Action::send(*agent, message.clone()))
-            .collect();
-        let state = FlowState::Locating(Box::new(locating));
-        self.flows.insert(flow, state, now);
-        actions
+        pending.into_iter().map(ask).collect()
     }
 
     /// Takes in an agent's answer to a question for a flow.
@@ -117,10 +108,8 @@
         answer: LocateAnswer,
         now: Instant,
     ) -> Vec<Action<'static>> {
-        let Some(entry) = self.flows.get_mut(&flow) else {
-            return Vec::new();
-        };
-        let FlowState::Locating(locating) = &mut entry.state else {
+        self.on_heard(agent, now);
+        let Some(locating) = self.locating_mut(flow) else {
             return Vec::new();
         };
         match answer {
@@ -149,33 +138,48 @@
         self.conclude(flow, now)
     }
 
-    /// Decides what becomes of a flow once every agent has answered or is overdue.
-    pub(super) fn conclude(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'static>> {
-        let timeout = self.options.locate_timeout;
-        let Some(entry) = self.flows.get_mut(&flow) else {
+    /// Notes that the target of an agent that could not tell does not hold a flow.
+    pub(super) fn on_not_held(
+        &mut self,
+        agent: SocketAddrV4,
+        flow: FlowKey,
+        now: Instant,
+    ) -> Vec<Action<'static>> {
+        let Some(locating) = self.locating_mut(flow) else {
             return Vec::new();
         };
-        let FlowState::Locating(locating) = &mut entry.state else {
+        locating.exclude(agent);
+        if locating.is_concluded && locating.unsure.is_empty() {
+            return self.end_if_lost(flow);
+        }
+        self.conclude(flow, now)
+    }
+
+    /// Decides what becomes of a flow once every agent has answered or is unresponsive.
+    pub(super) fn conclude(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'static>> {
+        let timeout = self.options.locate_timeout;
+        let liveness = &self.liveness;
+        let Some(FlowState::Locating(locating)) =
+            self.flows.get_mut(&flow).map(|entry| &mut entry.state)
+        else {
             return Vec::new();
         };
-        let is_due = locating.pending.is_empty() || locating.is_overdue(timeout, now);
-        if !is_due || locating.is_concluded {
+        if locating.is_concluded {
             return Vec::new();
         }
+        let is_awaited = |agent: &SocketAddrV4| !liveness.is_unresponsive(*agent, timeout, now);
+        if locating.pending.iter().any(is_awaited) {
+            return if locating.is_overdue(timeout, now) {
+                self.ask_pending(flow, now)
+            } else {
+                Vec::new()
+            };
+        }
         locating.is_concluded = true;
-        let held = std::mem::take(&mut locating.held);
         if locating.unsure.is_empty() {
-            locating.rounds += 1;
-            let (asked, silent) = (locating.asked, locating.pending.len());
-            let event = Action::Record(FlowEvent::NotLocated {
-                flow,
-                asked,
-                silent,
-            });
-            return std::iter::once(event)
-                .chain(self.end_if_lost(flow))
-                .collect();
+            return self.end_if_lost(flow);
         }
+        let held = std::mem::take(&mut locating.held);
         let mut actions = Vec::new();
         for packet in held {
             for agent in &locating.unsure {
@@ -192,13 +196,13 @@
         now: Instant,
     ) -> Vec<Action<'a>> {
         let flow = head.flow_from_caller();
-        let Some(FlowState::Locating(mut locating)) = self.flows.remove(&flow) else {
+        let interval = self.options.locate_interval;
+        let Some(locating) = self.locating_mut(flow) else {
             return Vec::new();
         };
+        locating.head = *head;
         if !locating.is_concluded {
-            let is_held = locating.hold(packet);
-            self.put_back(flow, locating, now);
-            return if is_held {
+            return if locating.hold(packet) {
                 Vec::new()
             } else {
                 dropped(flow, DropCause::WaitingFull)
@@ -209,57 +213,43 @@
                 packet: Cow::Borrowed(packet),
             };
             let unsure = locating.unsure.iter();
-            let actions = unsure
+            return unsure
                 .map(|agent| Action::send(*agent, message.clone()))
                 .collect();
-            self.put_back(flow, locating, now);
-            return actions;
-        }
-        if self.is_lost(&locating) && !head.flags.contains(PacketFlags::RST) {
-            return reset(head, ResetCause::FlowEnded);
         }
-        locating.head = *head;
-        let elapsed = now.saturating_duration_since(locating.asked_at);
-        if elapsed < self.options.locate_interval {
-            self.put_back(flow, locating, now);
+        if now.saturating_duration_since(locating.asked_at) < interval {
             return dropped(flow, DropCause::NotFound);
         }
-        locating.hold(packet);
-        self.ask(head, *locating, now)
+        let previous = locating.previous;
+        self.locate(head, packet, previous, now)
     }
 
-    /// Resets a flow that no agent can hold, so that its caller opens another one at once.
+    /// Resets a flow that no agent holds, so that its caller opens another one at once. Without an
+    /// up-to-date list of agents, one that is not known may hold the flow.
     fn end_if_lost(&mut self, flow: FlowKey) -> Vec<Action<'static>> {
-        let Some(entry) = self.flows.get(&flow) else {
-            return Vec::new();
-        };
-        let FlowState::Locating(locating) = &entry.state else {
+        let is_list_fresh = self.is_list_fresh;
+        let Some(locating) = self.locating_mut(flow) else {
             return Vec::new();
         };
         let head = locating.head;
-        if !self.is_lost(locating) || head.flags.contains(PacketFlags::RST) {
-            return Vec::new();
-        }
-        self.flows.remove(&flow);
-        reset(&head, ResetCause::FlowEnded)
-    }
-
-    /// Returns whether no agent can hold the flow: the list of agents is up to date, all of them
-    /// said so, and those that did not answer are gone and had time to.
-    fn is_lost(&self, locating: &Locating) -> bool {
-        let is_known = |agent: &SocketAddrV4| self.directory.agent(*agent).is_some();
-        let rounds = if locating.pending.is_empty() {
-            1
-        } else {
-            ROUNDS_TO_RESET
+        let event = FlowEvent::NotLocated {
+            flow,
+            asked: locating.asked,
+            silent: locating.pending.len(),
         };
-        self.is_list_fresh
-            && locating.rounds >= rounds
-            && !locating.pending.iter().any(is_known)
+        let mut actions = vec![Action::Record(event)];
+        if is_list_fresh && !head.flags.contains(PacketFlags::RST) {
+            self.flows.remove(&flow);
+            actions.extend(reset(&head, ResetCause::FlowEnded));
+        }
+        actions
     }
 
-    fn put_back(&mut self, flow: FlowKey, locating: Box<Locating>, now: Instant) {
-        self.flows.insert(flow, FlowState::Locating(locating), now);
+    fn locating_mut(&mut self, flow: FlowKey) -> Option<&mut Locating> {
+        match &mut self.flows.get_mut(&flow)?.state {
+            FlowState::Locating(locating) => Some(locating),
+            _ => None,
+        }
     }
 }
 
--- a/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
@@ -72,7 +72,7 @@
         now: Instant,
     ) -> Vec<Action<'static>> {
         let mut actions = vec![Action::Record(FlowEvent::Refused { flow, agent, cause })];
-        self.selector.on_answer(agent);
+        self.on_heard(agent, now);
         if let Some(entry) = self.flows.get_mut(&flow)
             && let FlowState::Opening(opening) = &mut entry.state
         {
--- a/crates/cranberrypitch-core/src/flow/message.rs
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -8,7 +8,7 @@
 use super::directory::AgentRecord;
 use super::event::FlowEvent;
 use super::load::AgentLoad;
-use super::packet::{FlowKey, Reset};
+use super::packet::{FlowKey, PacketHead, Reset};
 use crate::ids::ServiceTag;
 
 /// Why an agent does not open a flow. Its target has not run anything of it.
@@ -98,6 +98,16 @@
     },
 }
 
+impl Message<'_> {
+    /// Returns the question for the flow of a caller's packet.
+    pub(crate) const fn locate(head: &PacketHead) -> Self {
+        Self::Locate {
+            flow: head.flow_from_caller(),
+            acknowledged: head.acknowledged,
+        }
+    }
+}
+
 /// What a decision asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action<'a> {
