Ask for flows in stages, and confirm the list of agents before a reset

Change: new flows go to one of the first three agents of a rendezvous order, which are asked first; a flow that no agent holds ends only after the store's list was read again; agents answer for accepted flows only; messages are read before time-outs count. Watches of the list gather changes for 500 ms.

--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -10,8 +10,6 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use rand_pcg::Pcg64Mcg;
-
 use self::early::EarlyPackets;
 use self::liveness::Liveness;
 use self::table::{FlowState, FlowTable};
@@ -67,13 +65,11 @@
     flows: FlowTable,
     liveness: Liveness,
     early: EarlyPackets,
-    is_list_fresh: bool,
-    rng: Pcg64Mcg,
 }
 
 impl Dispatcher {
     /// Returns a dispatcher that knows no configuration and no agent.
-    pub fn new(options: DispatcherOptions, domain: FailureDomain, rng: Pcg64Mcg) -> Self {
+    pub fn new(options: DispatcherOptions, domain: FailureDomain) -> Self {
         Self {
             options,
             routes: Routes::default(),
@@ -82,8 +78,6 @@
             flows: FlowTable::default(),
             liveness: Liveness::default(),
             early: EarlyPackets::default(),
-            is_list_fresh: false,
-            rng,
         }
     }
 
@@ -144,11 +138,6 @@
         }
     }
 
-    /// Notes whether the store tells of changes of the list of agents at present.
-    pub const fn on_list_followed(&mut self, is_followed: bool) {
-        self.is_list_fresh = is_followed;
-    }
-
     /// Takes in a configuration.
     pub fn on_config(&mut self, config: &RouteConfig) -> Vec<Action<'static>> {
         let version = config.version;
@@ -165,7 +154,6 @@
 
     /// Takes in the store's whole list of agents.
     pub fn on_list(&mut self, records: Vec<AgentRecord>, now: Instant) -> Vec<Action<'static>> {
-        self.is_list_fresh = true;
         let changed = self.directory.on_list(records, now);
         let mut actions: Vec<_> = changed.iter().map(target_changed).collect();
         actions.extend(self.place_waiting(now));
@@ -272,6 +260,9 @@
                 if locating.is_overdue(self.options.locate_timeout, now) {
                     return self.conclude(flow, now);
                 }
+                if locating.is_abandoned(self.options.opening_lifetime, now) {
+                    self.flows.remove(&flow);
+                }
             }
             _ => {}
         }
--- a/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
@@ -1,4 +1,7 @@
 //! The search for the target of a flow that a balancer does not know.
+//!
+//! Agents are asked in stages: the first ones of the flow's order in the own failure domain, those
+//! in others, the rest of the services that the address was routed to, and all others.
 
 use std::borrow::Cow;
 use std::net::SocketAddrV4;
@@ -7,13 +10,51 @@
 use super::table::FlowState;
 use super::{Dispatcher, dropped, reset};
 use crate::collections::FastSet;
+use crate::flow::directory::KnownAgent;
 use crate::flow::event::{DropCause, FlowEvent, ResetCause};
 use crate::flow::message::{Action, LocateAnswer, Message};
 use crate::flow::packet::{FlowKey, PacketFlags, PacketHead};
+use crate::flow::rendezvous;
 
 /// Packets of one flow that wait for an answer; a sender has at most 16 in flight.
 const MAX_HELD_PACKETS: usize = 16;
 
+/// Agents that are asked in one of the first two stages: one more than are compared for a new flow,
+/// as an agent may have been added since.
+const FIRST_AGENTS: usize = 4;
+
+/// Which agents are asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Local,
+    Remote,
+    Service,
+    All,
+}
+
+impl Stage {
+    const fn next(self) -> Option<Self> {
+        match self {
+            Self::Local => Some(Self::Remote),
+            Self::Remote => Some(Self::Service),
+            Self::Service => Some(Self::All),
+            Self::All => None,
+        }
+    }
+}
+
+/// How far a search is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// Answers are awaited.
+    Asking,
+    /// No agent holds the flow. The flow ends once a list that was read after this time shows no
+    /// other agent.
+    Lost { since: Instant },
+    /// Agents that can't tell get the packets.
+    Unsure,
+}
+
 /// A flow whose target is looked for.
 #[derive(Debug)]
 pub(super) struct Locating {
@@ -21,36 +62,58 @@
     head: PacketHead,
     /// Packets that wait for the answer.
     held: Vec<Box<[u8]>>,
+    stage: Stage,
+    asked: FastSet<SocketAddrV4>,
     /// Agents that were asked and have not answered.
     pending: FastSet<SocketAddrV4>,
     /// Agents that can't tell, and get the packets until their target returns one.
     unsure: Vec<SocketAddrV4>,
-    /// The agent that had the flow before.
-    previous: Option<SocketAddrV4>,
-    asked: usize,
+    began_at: Instant,
     asked_at: Instant,
-    is_concluded: bool,
+    progress: Progress,
 }
 
 impl Locating {
-    pub(super) fn is_overdue(&self, timeout: Duration, now: Instant) -> bool {
-        !self.is_concluded && now.saturating_duration_since(self.asked_at) >= timeout
+    fn new(head: PacketHead, packet: &[u8], now: Instant) -> Self {
+        Self {
+            head,
+            held: vec![packet.into()],
+            stage: Stage::Local,
+            asked: FastSet::default(),
+            pending: FastSet::default(),
+            unsure: Vec::new(),
+            began_at: now,
+            asked_at: now,
+            progress: Progress::Asking,
+        }
     }
 
-    /// Notes that an agent does not hold the flow.
-    pub(super) fn exclude(&mut self, agent: SocketAddrV4) {
-        self.pending.remove(&agent);
-        self.unsure.retain(|unsure| *unsure != agent);
+    /// Returns whether nothing came of the search and no packet follows.
+    pub(super) fn is_abandoned(&self, lifetime: Duration, now: Instant) -> bool {
+        match self.progress {
+            Progress::Lost { since } => now.saturating_duration_since(since) >= lifetime,
+            _ => false,
+        }
+    }
+
+    pub(super) fn is_overdue(&self, timeout: Duration, now: Instant) -> bool {
+        self.progress == Progress::Asking
+            && now.saturating_duration_since(self.asked_at) >= timeout
     }
 
     /// Keeps a packet until the target is found.
-    pub(super) fn hold(&mut self, packet: &[u8]) -> bool {
+    fn hold(&mut self, packet: &[u8]) -> bool {
         let has_room = self.held.len() < MAX_HELD_PACKETS;
         if has_room {
             self.held.push(packet.into());
         }
         has_room
     }
+
+    fn exclude(&mut self, agent: SocketAddrV4) {
+        self.pending.remove(&agent);
+        self.unsure.retain(|unsure| *unsure != agent);
+    }
 }
 
 impl Dispatcher {
@@ -63,25 +126,55 @@
         now: Instant,
     ) -> Vec<Action<'a>> {
         let flow = head.flow_from_caller();
-        let routed = self
-            .directory
-            .all()
-            .filter(|agent| self.routes.was_routed_to(flow.service_address, agent.tag))
-            .map(|agent| agent.record.address);
-        let pending: FastSet<_> = routed.chain(previous).collect();
-        let locating = Locating {
-            head: *head,
-            held: vec![packet.into()],
-            asked: pending.len(),
-            pending,
-            unsure: Vec::new(),
-            previous,
-            asked_at: now,
-            is_concluded: false,
-        };
+        let mut locating = Locating::new(*head, packet, now);
+        locating.pending.extend(previous);
+        locating.asked.extend(previous);
         let state = FlowState::Locating(Box::new(locating));
         self.flows.insert(flow, state, now);
-        self.ask_pending(flow, now)
+        self.ask_stage(flow, now)
+    }
+
+    /// Asks the agents of the current stage and those that have not answered. A stage without
+    /// agents is passed over.
+    fn ask_stage<'a>(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'a>> {
+        loop {
+            let Some(locating) = self.locating(flow) else {
+                return Vec::new();
+            };
+            let stage = locating.stage;
+            let agents = self.agents_of(stage, &flow);
+            let Some(locating) = self.locating_mut(flow) else {
+                return Vec::new();
+            };
+            for agent in agents {
+                if locating.asked.insert(agent) {
+                    locating.pending.insert(agent);
+                }
+            }
+            match stage.next() {
+                Some(next) if locating.pending.is_empty() => locating.stage = next,
+                _ => return self.ask_pending(flow, now),
+            }
+        }
+    }
+
+    fn agents_of(&self, stage: Stage, flow: &FlowKey) -> Vec<SocketAddrV4> {
+        let address = flow.service_address;
+        let of_service = || {
+            let all = self.directory.all();
+            all.filter(move |agent| self.routes.was_routed_to(address, agent.tag))
+        };
+        let first = |is_local: bool| {
+            let agents = of_service().filter(move |agent| agent.is_local == is_local);
+            rendezvous::first(flow, agents, FIRST_AGENTS)
+        };
+        let agents: Vec<&KnownAgent> = match stage {
+            Stage::Local => first(true),
+            Stage::Remote => first(false),
+            Stage::Service => of_service().collect(),
+            Stage::All => self.directory.all().collect(),
+        };
+        agents.into_iter().map(|a| a.record.address).collect()
     }
 
     /// Asks the agents that have not answered.
@@ -113,20 +206,7 @@
             return Vec::new();
         };
         match answer {
-            LocateAnswer::Held => {
-                let elapsed = now.saturating_duration_since(locating.asked_at);
-                let held = std::mem::take(&mut locating.held);
-                self.flows.insert(flow, FlowState::Held(agent), now);
-                let event = FlowEvent::Located {
-                    flow,
-                    agent,
-                    answer,
-                    elapsed,
-                };
-                let mut actions = vec![Action::Record(event)];
-                actions.extend(held.into_iter().map(|packet| forward_held(agent, packet)));
-                return actions;
-            }
+            LocateAnswer::Held => return self.on_found(agent, flow, now),
             LocateAnswer::NotHeld => locating.exclude(agent),
             LocateAnswer::Unknown => {
                 locating.pending.remove(&agent);
@@ -138,6 +218,28 @@
         self.conclude(flow, now)
     }
 
+    fn on_found(
+        &mut self,
+        agent: SocketAddrV4,
+        flow: FlowKey,
+        now: Instant,
+    ) -> Vec<Action<'static>> {
+        let Some(locating) = self.locating_mut(flow) else {
+            return Vec::new();
+        };
+        let held = std::mem::take(&mut locating.held);
+        let event = FlowEvent::Located {
+            flow,
+            agent,
+            asked: locating.asked.len(),
+            elapsed: now.saturating_duration_since(locating.began_at),
+        };
+        self.flows.insert(flow, FlowState::Held(agent), now);
+        let mut actions = vec![Action::Record(event)];
+        actions.extend(held.into_iter().map(|packet| forward_held(agent, packet)));
+        actions
+    }
+
     /// Notes that the target of an agent that could not tell does not hold a flow.
     pub(super) fn on_not_held(
         &mut self,
@@ -149,44 +251,51 @@
             return Vec::new();
         };
         locating.exclude(agent);
-        if locating.is_concluded && locating.unsure.is_empty() {
-            return self.end_if_lost(flow);
+        if locating.progress == Progress::Unsure && locating.unsure.is_empty() {
+            return self.on_lost(flow, now);
         }
         self.conclude(flow, now)
     }
 
-    /// Decides what becomes of a flow once every agent has answered or is unresponsive.
+    /// Goes on to the next stage once every agent has answered or is unresponsive, and decides what
+    /// becomes of the flow after the last one.
     pub(super) fn conclude(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'static>> {
         let timeout = self.options.locate_timeout;
-        let liveness = &self.liveness;
-        let Some(FlowState::Locating(locating)) =
-            self.flows.get_mut(&flow).map(|entry| &mut entry.state)
-        else {
+        let Some(locating) = self.locating(flow) else {
             return Vec::new();
         };
-        if locating.is_concluded {
+        if locating.progress != Progress::Asking {
             return Vec::new();
         }
-        let is_awaited = |agent: &SocketAddrV4| !liveness.is_unresponsive(*agent, timeout, now);
-        if locating.pending.iter().any(is_awaited) {
-            return if locating.is_overdue(timeout, now) {
-                self.ask_pending(flow, now)
-            } else {
-                Vec::new()
-            };
-        }
-        locating.is_concluded = true;
-        if locating.unsure.is_empty() {
-            return self.end_if_lost(flow);
+        let is_overdue = locating.is_overdue(timeout, now);
+        let is_awaited =
+            |agent: &SocketAddrV4| !self.liveness.is_unresponsive(*agent, timeout, now);
+        let is_waiting = locating.pending.iter().any(is_awaited);
+        if is_waiting && !is_overdue {
+            return Vec::new();
         }
-        let held = std::mem::take(&mut locating.held);
-        let mut actions = Vec::new();
-        for packet in held {
-            for agent in &locating.unsure {
-                actions.push(forward_held(*agent, packet.clone()));
+        let next = locating.stage.next();
+        let Some(locating) = self.locating_mut(flow) else {
+            return Vec::new();
+        };
+        match next {
+            Some(next) => {
+                locating.stage = next;
+                self.ask_stage(flow, now)
+            }
+            None if is_waiting => self.ask_pending(flow, now),
+            None if locating.unsure.is_empty() => self.on_lost(flow, now),
+            None => {
+                locating.progress = Progress::Unsure;
+                let held = std::mem::take(&mut locating.held);
+                let unsure = &locating.unsure;
+                let copies = |packet: Box<[u8]>| {
+                    let to_agent = move |agent: &SocketAddrV4| forward_held(*agent, packet.clone());
+                    unsure.iter().map(to_agent)
+                };
+                held.into_iter().flat_map(copies).collect()
             }
         }
-        actions
     }
 
     pub(super) fn on_while_locating<'a>(
@@ -201,50 +310,91 @@
             return Vec::new();
         };
         locating.head = *head;
-        if !locating.is_concluded {
-            return if locating.hold(packet) {
-                Vec::new()
-            } else {
-                dropped(flow, DropCause::WaitingFull)
-            };
-        }
-        if !locating.unsure.is_empty() {
-            let message = Message::Forward {
-                packet: Cow::Borrowed(packet),
-            };
-            let unsure = locating.unsure.iter();
-            return unsure
-                .map(|agent| Action::send(*agent, message.clone()))
-                .collect();
-        }
-        if now.saturating_duration_since(locating.asked_at) < interval {
-            return dropped(flow, DropCause::NotFound);
+        match locating.progress {
+            Progress::Asking => {
+                if locating.hold(packet) {
+                    Vec::new()
+                } else {
+                    dropped(flow, DropCause::WaitingFull)
+                }
+            }
+            Progress::Unsure => {
+                let message = Message::Forward {
+                    packet: Cow::Borrowed(packet),
+                };
+                let unsure = locating.unsure.iter();
+                unsure
+                    .map(|agent| Action::send(*agent, message.clone()))
+                    .collect()
+            }
+            Progress::Lost { since } if now.saturating_duration_since(since) < interval => {
+                dropped(flow, DropCause::NotFound)
+            }
+            Progress::Lost { .. } => self.locate(head, packet, None, now),
         }
-        let previous = locating.previous;
-        self.locate(head, packet, previous, now)
     }
 
-    /// Resets a flow that no agent holds, so that its caller opens another one at once. Without an
-    /// up-to-date list of agents, one that is not known may hold the flow.
-    fn end_if_lost(&mut self, flow: FlowKey) -> Vec<Action<'static>> {
-        let is_list_fresh = self.is_list_fresh;
+    /// Notes that no agent holds a flow. A list that is read from now on tells whether an agent was
+    /// missed.
+    fn on_lost(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'static>> {
         let Some(locating) = self.locating_mut(flow) else {
             return Vec::new();
         };
-        let head = locating.head;
+        locating.progress = Progress::Lost { since: now };
         let event = FlowEvent::NotLocated {
             flow,
-            asked: locating.asked,
+            asked: locating.asked.len(),
             silent: locating.pending.len(),
         };
-        let mut actions = vec![Action::Record(event)];
-        if is_list_fresh && !head.flags.contains(PacketFlags::RST) {
-            self.flows.remove(&flow);
-            actions.extend(reset(&head, ResetCause::FlowEnded));
+        vec![Action::Record(event), Action::ReadList]
+    }
+
+    /// Notes that all changes of the list of agents before `as_of` are taken in. Flows that were
+    /// lost before are reset, so that their callers open others at once; those for which another
+    /// agent turned up are looked for there.
+    pub fn on_list_read(&mut self, as_of: Instant, now: Instant) -> Vec<Action<'static>> {
+        let mut actions = Vec::new();
+        for flow in self.flows.unsettled() {
+            let Some(locating) = self.locating(flow) else {
+                continue;
+            };
+            let Progress::Lost { since } = locating.progress else {
+                continue;
+            };
+            if since > as_of {
+                continue;
+            }
+            let is_missed = |agent: &KnownAgent| !locating.asked.contains(&agent.record.address);
+            let has_missed = self.directory.all().any(is_missed);
+            if has_missed {
+                if let Some(locating) = self.locating_mut(flow) {
+                    locating.progress = Progress::Asking;
+                }
+                actions.extend(self.ask_stage(flow, now));
+            } else {
+                actions.extend(self.end(flow));
+            }
         }
         actions
     }
 
+    fn end(&mut self, flow: FlowKey) -> Vec<Action<'static>> {
+        let Some(FlowState::Locating(locating)) = self.flows.remove(&flow) else {
+            return Vec::new();
+        };
+        if locating.head.flags.contains(PacketFlags::RST) {
+            return Vec::new();
+        }
+        reset(&locating.head, ResetCause::FlowEnded)
+    }
+
+    fn locating(&self, flow: FlowKey) -> Option<&Locating> {
+        match &self.flows.get(&flow)?.state {
+            FlowState::Locating(locating) => Some(locating),
+            _ => None,
+        }
+    }
+
     fn locating_mut(&mut self, flow: FlowKey) -> Option<&mut Locating> {
         match &mut self.flows.get_mut(&flow)?.state {
             FlowState::Locating(locating) => Some(locating),
--- a/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
@@ -190,12 +190,12 @@
             return None;
         };
         let choice = Choice {
+            flow,
             service: ServiceTag::of(&opening.service),
             is_bulk: opening.is_bulk,
             tried: &opening.tried,
         };
-        self.selector
-            .choose(&choice, &self.directory, now, &mut self.rng)
+        self.selector.choose(&choice, &self.directory, now)
     }
 
     fn open_at(
--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -226,19 +226,38 @@
         if self.is_over(&flow, now) {
             return end_orphan(head);
         }
-        if let Some(hosted) = self.flows.get_mut(&flow) {
-            if hosted.may_be_acknowledged(head.acknowledged) {
-                hosted.on_caller_packet(balancer, head, &mut self.meter, now);
-                return vec![Action::ToTarget(Cow::Borrowed(packet))];
+        let packet = Cow::Borrowed(packet);
+        match self.holding(&flow, head.acknowledged, now) {
+            LocateAnswer::Held => {
+                if let Some(hosted) = self.flows.get_mut(&flow) {
+                    hosted.on_caller_packet(balancer, head, &mut self.meter, now);
+                }
+                vec![Action::ToTarget(packet)]
+            }
+            LocateAnswer::Unknown => {
+                self.flows.expect(flow, balancer, now);
+                vec![Action::ToTarget(packet)]
             }
-            // The caller follows another target that accepted a copy of the opening packet.
-            self.flows.remove(&flow, &mut self.meter, now);
-        } else if self.may_hold_unknown(now) {
-            self.flows.expect(flow, balancer, now);
-            return vec![Action::ToTarget(Cow::Borrowed(packet))];
+            LocateAnswer::NotHeld => vec![Action::send(balancer, Message::Returned { packet })],
+        }
+    }
+
+    /// Returns whether the target holds a flow whose caller acknowledged a number. Copies of an
+    /// opening packet may reach several targets, and the caller follows one of them.
+    fn holding(&self, flow: &FlowKey, acknowledged: u32, now: Instant) -> LocateAnswer {
+        match self.flows.get(flow) {
+            Some(hosted) if hosted.is_accepted() => {
+                if hosted.may_be_acknowledged(acknowledged) {
+                    LocateAnswer::Held
+                } else {
+                    LocateAnswer::NotHeld
+                }
+            }
+            // The agent sees the acceptance of a flow before the caller does, unless it started
+            // after that.
+            _ if self.may_hold_unknown(now) => LocateAnswer::Unknown,
+            _ => LocateAnswer::NotHeld,
         }
-        let packet = Cow::Borrowed(packet);
-        vec![Action::send(balancer, Message::Returned { packet })]
     }
 
     /// Answers a balancer that looks for a flow.
@@ -250,14 +269,11 @@
         now: Instant,
     ) -> Vec<Action<'static>> {
         self.heard(balancer, now);
-        let answer = match self.flows.get(&flow) {
-            // The agent resets the flow at its next packet.
-            _ if self.flows.is_orphan(&flow) => LocateAnswer::Held,
-            Some(hosted) if hosted.is_expected() => LocateAnswer::Unknown,
-            Some(hosted) if hosted.may_be_acknowledged(acknowledged) => LocateAnswer::Held,
-            Some(_) => LocateAnswer::NotHeld,
-            None if self.may_hold_unknown(now) => LocateAnswer::Unknown,
-            None => LocateAnswer::NotHeld,
+        // The agent resets a flow of an earlier run of the target at its next packet.
+        let answer = if self.flows.is_orphan(&flow) {
+            LocateAnswer::Held
+        } else {
+            self.holding(&flow, acknowledged, now)
         };
         vec![Action::send(balancer, Message::Located { flow, answer })]
     }
@@ -374,23 +390,19 @@
             return dropped(flow, DropCause::NotFound);
         };
         let (balancer, is_accepted) = (hosted.balancer(), hosted.is_accepted());
-        let is_expected = hosted.is_expected();
-        if head.is_opening() {
-            if is_accepted {
-                return Vec::new();
-            }
-            self.flows.remove(&flow, &mut self.meter, now);
-            return balancer.map_or_else(Vec::new, |balancer| {
-                self.refused_by_target(balancer, flow)
-            });
+        if head.is_opening() && is_accepted {
+            return Vec::new();
         }
         self.flows.remove(&flow, &mut self.meter, now);
         match balancer {
-            Some(balancer) if is_expected => {
+            Some(balancer) if head.is_opening() => self.refused_by_target(balancer, flow),
+            // Only a flow that the target has accepted is known to have ended there.
+            _ if is_accepted => ended(head),
+            Some(balancer) => {
                 let packet = Cow::Borrowed(packet);
                 vec![Action::send(balancer, Message::Returned { packet })]
             }
-            _ => ended(head),
+            None => dropped(flow, DropCause::NotFound),
         }
     }
 
--- a/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
@@ -58,10 +58,6 @@
         self.state == HostedState::Accepted
     }
 
-    pub(super) fn is_expected(&self) -> bool {
-        self.state == HostedState::Expected
-    }
-
     const fn is_ended(&self) -> bool {
         self.caller_finished && self.target_finished
     }
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -5,7 +5,7 @@
 
 use derive_more::Display;
 
-use super::message::{LocateAnswer, RefusalCause};
+use super::message::RefusalCause;
 use super::packet::FlowKey;
 use crate::ids::{Incarnation, Revision, ServiceName};
 use crate::target::TargetState;
@@ -69,9 +69,9 @@
         flow: FlowKey,
         /// The agent.
         agent: SocketAddrV4,
-        /// What the agent said.
-        answer: LocateAnswer,
-        /// The time from the question to the answer.
+        /// The agents that were asked.
+        asked: usize,
+        /// The time from the first question to the answer.
         elapsed: Duration,
     },
     /// No agent holds a flow.
--- a/crates/cranberrypitch-core/src/flow/message.rs
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -129,6 +129,8 @@
     },
     /// Reset a flow at its caller.
     Reset(Reset),
+    /// Read the changes of the list of agents now; the balancer is told when they are taken in.
+    ReadList,
     /// Record a decision.
     Record(FlowEvent),
 }
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -14,6 +14,7 @@
 mod load;
 mod message;
 mod packet;
+mod rendezvous;
 mod routes;
 mod selection;
 
--- a/crates/cranberrypitch-core/src/flow/selection.rs
+++ b/crates/cranberrypitch-core/src/flow/selection.rs
@@ -1,16 +1,17 @@
 //! The choice of an agent for a new flow.
 //!
 //! Bytes between failure domains are costly, so a local target is preferred until it is clearly
-//! busier than a remote one. Among equals the less loaded of two drawn at random is chosen, so that
-//! balancers with the same view do not all choose the same target.
+//! busier than a remote one. The least loaded of the first agents in the flow's order is chosen:
+//! balancers with the same view do not all choose the same target, and the flow is found again with
+//! a few questions.
 
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use rand::{Rng, RngExt};
-
 use super::directory::{Directory, KnownAgent};
 use super::load::AgentLoad;
+use super::packet::FlowKey;
+use super::rendezvous;
 use crate::collections::FastMap;
 use crate::ids::ServiceTag;
 use crate::target::TargetState;
@@ -18,6 +19,8 @@
 /// Settings of a [`Selector`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SelectorOptions {
+    /// How many agents of the flow's order are compared, in the own failure domain and in others.
+    pub candidates: usize,
     /// By how many requests per slot a remote target must be less loaded than a local one.
     pub remote_penalty: f64,
     /// The same for routes with large bodies.
@@ -30,17 +33,21 @@
     pub suspect_for: Duration,
     /// How long an own choice counts as a running request if no report shows it.
     pub pick_lifetime: Duration,
+    /// An agent with an older report counts as loaded as the others are on average.
+    pub load_lifetime: Duration,
 }
 
 impl Default for SelectorOptions {
     fn default() -> Self {
         Self {
+            candidates: 3,
             remote_penalty: 0.4,
             bulk_remote_penalty: 3.0,
             warmup_penalty: 0.5,
             flow_load: 0.005,
             suspect_for: Duration::from_secs(2),
             pick_lifetime: Duration::from_millis(100),
+            load_lifetime: Duration::from_secs(3),
         }
     }
 }
@@ -48,6 +55,8 @@
 /// What a new flow asks for.
 #[derive(Clone, Copy, Debug)]
 pub struct Choice<'a> {
+    /// The flow.
+    pub flow: FlowKey,
     /// The service.
     pub service: ServiceTag,
     /// Whether the route carries large bodies.
@@ -84,7 +93,6 @@
         choice: &Choice<'_>,
         directory: &Directory,
         now: Instant,
-        rng: &mut impl Rng,
     ) -> Option<SocketAddrV4> {
         let usable: Vec<_> = directory
             .of_service(choice.service)
@@ -97,23 +105,27 @@
             .filter(|agent| !self.is_suspected(agent.record.address, now))
             .collect();
         let eligible = if trusted.is_empty() { usable } else { trusted };
-        let (local, remote): (Vec<&KnownAgent>, Vec<_>) =
-            eligible.into_iter().partition(|agent| agent.is_local);
+        let typical = self.typical_load(&eligible, now);
+        let lightest = |is_local: bool| {
+            let agents = eligible.iter().copied().filter(|a| a.is_local == is_local);
+            let candidates = rendezvous::first(&choice.flow, agents, self.options.candidates);
+            let scored = candidates.into_iter().map(|agent| {
+                let score = self.score(agent, typical, now);
+                (agent.record.address, score)
+            });
+            scored.min_by(|a, b| a.1.total_cmp(&b.1))
+        };
         let penalty = if choice.is_bulk {
             self.options.bulk_remote_penalty
         } else {
             self.options.remote_penalty
         };
-        let local = self.lighter_of_two(&local, now, rng);
-        let remote = self.lighter_of_two(&remote, now, rng);
-        let (address, _) = match (local, remote) {
+        let (address, _) = match (lightest(true), lightest(false)) {
             (Some(local), Some(remote)) if remote.1 + penalty < local.1 => remote,
             (Some(local), _) => local,
             (None, remote) => remote?,
         };
-        let picks = &mut self.tracked.entry(address).or_default().picks;
-        picks.retain(|at| now.saturating_duration_since(*at) < self.options.pick_lifetime);
-        picks.push(now);
+        self.note_pick(address, now);
         Some(address)
     }
 
@@ -135,46 +147,53 @@
         self.tracked.remove(&address);
     }
 
+    fn note_pick(&mut self, address: SocketAddrV4, now: Instant) {
+        let lifetime = self.options.pick_lifetime;
+        let picks = &mut self.tracked.entry(address).or_default().picks;
+        picks.retain(|at| now.saturating_duration_since(*at) < lifetime);
+        picks.push(now);
+    }
+
     fn is_suspected(&self, address: SocketAddrV4, now: Instant) -> bool {
         let until = self.tracked.get(&address).and_then(|t| t.suspected_until);
         until.is_some_and(|until| now < until)
     }
 
-    fn lighter_of_two(
-        &self,
-        agents: &[&KnownAgent],
-        now: Instant,
-        rng: &mut impl Rng,
-    ) -> Option<(SocketAddrV4, f64)> {
-        if agents.is_empty() {
-            return None;
-        }
-        let first = rng.random_range(0..agents.len());
-        let step = rng.random_range(0..agents.len().max(2) - 1) + 1;
-        let second = (first + step) % agents.len();
-        let scored = [first, second].map(|index| {
-            let agent = agents[index];
-            (agent.record.address, self.score(agent, now))
+    fn is_load_known(&self, agent: &KnownAgent, now: Instant) -> bool {
+        let lifetime = self.options.load_lifetime;
+        agent
+            .load_at
+            .is_some_and(|at| now.saturating_duration_since(at) < lifetime)
+    }
+
+    /// Returns the mean load of the agents that reported lately, in requests per slot.
+    fn typical_load(&self, agents: &[&KnownAgent], now: Instant) -> f64 {
+        let known = agents.iter().filter(|agent| self.is_load_known(agent, now));
+        let (sum, count) = known.fold((0.0, 0_u32), |(sum, count), agent| {
+            (sum + self.reported_load(agent), count + 1)
         });
-        Some(if scored[1].1 < scored[0].1 {
-            scored[1]
-        } else {
-            scored[0]
-        })
+        if count == 0 { 0.0 } else { sum / f64::from(count) }
     }
 
-    /// Returns the expected requests per slot.
-    fn score(&self, agent: &KnownAgent, now: Instant) -> f64 {
-        let slots = f64::from(agent.record.slots.get().max(1));
+    fn reported_load(&self, agent: &KnownAgent) -> f64 {
         let AgentLoad { running, flows, .. } = agent.load;
         let requests = f64::midpoint(f64::from(running), agent.load.smoothed());
-        let picks = f64::from(self.recent_picks(agent, now));
+        (requests + f64::from(flows) * self.options.flow_load) / slots(agent)
+    }
+
+    /// Returns the expected requests per slot.
+    fn score(&self, agent: &KnownAgent, typical: f64, now: Instant) -> f64 {
+        let load = if self.is_load_known(agent, now) {
+            self.reported_load(agent)
+        } else {
+            typical
+        };
         let warmup = if agent.record.warmup_left.is_zero() {
             0.0
         } else {
             self.options.warmup_penalty
         };
-        (requests + picks) / slots + f64::from(flows) * self.options.flow_load / slots + warmup
+        load + f64::from(self.recent_picks(agent, now)) / slots(agent) + warmup
     }
 
     /// Returns the own choices that the last report can't include.
@@ -189,3 +208,7 @@
         u32::try_from(tracked.picks.iter().filter(is_recent).count()).unwrap_or(u32::MAX)
     }
 }
+
+fn slots(agent: &KnownAgent) -> f64 {
+    f64::from(agent.record.slots.get().max(1))
+}
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -8,10 +8,8 @@
 use cranberrypitch_core::flow::{Action, Dispatcher, DispatcherOptions, Message};
 use cranberrypitch_net::daemon::Signal;
 use cranberrypitch_proto::relay;
-use rand::SeedableRng;
-use rand_pcg::Pcg64Mcg;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::daemon::{Outlet, Readiness, Startup, reload};
 use crate::errors::Result;
@@ -37,6 +35,9 @@
 /// The part of the grace period that is left for the end of the process.
 const STOP_RESERVE: Duration = Duration::from_millis(700);
 
+/// Batches of messages that are read before a tick at most.
+const TICK_BATCHES: usize = 8;
+
 /// Updates of the store that wait to be taken in.
 const UPDATE_QUEUE: usize = 16;
 
@@ -47,14 +48,16 @@
     let peers = Arc::new(bind(settings.balancer_address())?);
     let readiness = Readiness::default();
     readiness.serve::<P>(settings.readiness_address).await?;
-    let updates = follow::<P>(settings.store_address);
+    let list_wanted = Arc::new(Notify::new());
+    let updates = follow::<P>(&startup, &list_wanted);
     let now = startup.clock.now();
     let options = DispatcherOptions::default();
     let domain = settings.failure_domain.clone();
     let caller_port = settings.datagram_address.port();
     let mut balancer = Balancer::<P> {
-        dispatcher: Dispatcher::new(options, domain, Pcg64Mcg::from_rng(&mut rand::rng())),
-        outlet: Outlet::new(Arc::clone(&peers), Arc::clone(&callers), None, caller_port, now),
+        dispatcher: Dispatcher::new(options, domain),
+        outlet: Outlet::new(Arc::clone(&peers), Arc::clone(&callers), None, caller_port, now)
+            .with_list_wanted(list_wanted),
         clock: Arc::clone(&startup.clock),
         readiness,
         buffer: vec![0; MAX_DATAGRAM_BYTES],
@@ -64,9 +67,10 @@
     Ok(())
 }
 
-fn follow<P: Platform>(store_address: SocketAddrV4) -> mpsc::Receiver<Update> {
+fn follow<P: Platform>(startup: &Startup, list_wanted: &Arc<Notify>) -> mpsc::Receiver<Update> {
     let (sender, receiver) = mpsc::channel(UPDATE_QUEUE);
-    let store = Arc::new(P::store(store_address));
+    let store = Arc::new(P::store(startup.settings.store_address));
+    let (list_wanted, clock) = (Arc::clone(list_wanted), Arc::clone(&startup.clock));
     let (config_store, config_sender) = (Arc::clone(&store), sender.clone());
     tokio::spawn(async move {
         if let Err(error) = follow_config::<P>(&config_store, config_sender).await {
@@ -74,7 +78,7 @@
         }
     });
     tokio::spawn(async move {
-        if let Err(error) = follow_agents(&*store, sender).await {
+        if let Err(error) = follow_agents(&*store, sender, list_wanted, clock).await {
             tracing::error!(target: log::TARGET, %error, "agents not followed");
         }
     });
@@ -137,7 +141,7 @@
                 Some(update) = updates.recv() => self.on_update(update),
                 () = tokio::time::sleep_until(next_tick) => {
                     next_tick = tokio::time::Instant::now() + tick;
-                    self.on_tick();
+                    self.on_tick(peers);
                 }
                 signal = startup.signals.next() => match signal {
                     Signal::ReloadKeys => reload(&startup.settings_file),
@@ -172,11 +176,12 @@
         is_any
     }
 
-    fn read_peers(&mut self, socket: &UdpSocket) {
+    /// Reads messages of agents. Returns whether there may be more.
+    fn read_peers(&mut self, socket: &UdpSocket) -> bool {
         let now = self.clock.now();
         for _ in 0..BATCH {
             let Some((datagram, peer)) = receive(socket, &mut self.buffer) else {
-                return;
+                return false;
             };
             match relay::decode(datagram) {
                 Ok(message) => {
@@ -186,6 +191,7 @@
                 Err(error) => tracing::debug!(target: log::TARGET, %peer, %error, "message refused"),
             }
         }
+        true
     }
 
     fn on_update(&mut self, update: Update) {
@@ -200,10 +206,7 @@
                 }
                 Vec::new()
             }
-            Update::AgentsFollowed(is_followed) => {
-                self.dispatcher.on_list_followed(is_followed);
-                Vec::new()
-            }
+            Update::ListRead(as_of) => self.dispatcher.on_list_read(as_of, now),
         };
         self.outlet.perform::<P>(actions, now);
         for packet in self.dispatcher.take_early_packets() {
@@ -221,8 +224,15 @@
         }
     }
 
-    fn on_tick(&mut self) {
+    /// Lets time pass. Answers that have arrived are read first, so that a balancer that was held up
+    /// does not take agents for silent.
+    fn on_tick(&mut self, peers: &UdpSocket) {
         let now = self.clock.now();
+        for _ in 0..TICK_BATCHES {
+            if !self.read_peers(peers) {
+                break;
+            }
+        }
         let actions = self.dispatcher.on_tick(now);
         self.outlet.perform::<P>(actions, now);
         self.outlet.summarize(now);
--- a/crates/cranberrypitch-relay/src/daemon.rs
+++ b/crates/cranberrypitch-relay/src/daemon.rs
@@ -14,6 +14,7 @@
 use derive_more::Display;
 use hyper::StatusCode;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 use crate::agent::run_agent;
 use crate::balancer::run_balancer;
@@ -136,6 +137,8 @@
     pub(crate) target: Option<(Arc<UdpSocket>, SocketAddrV4)>,
     /// The port of all callers.
     pub(crate) caller_port: u16,
+    /// Asks for the changes of the list of agents.
+    list_wanted: Arc<Notify>,
     buffer: Vec<u8>,
     log: EventLog,
     summarized_at: Instant,
@@ -154,12 +157,18 @@
             callers,
             target,
             caller_port,
+            list_wanted: Arc::default(),
             buffer: Vec::with_capacity(MAX_DATAGRAM_BYTES),
             log: EventLog::new(),
             summarized_at: now,
         }
     }
 
+    pub(crate) fn with_list_wanted(mut self, list_wanted: Arc<Notify>) -> Self {
+        self.list_wanted = list_wanted;
+        self
+    }
+
     pub(crate) fn perform<P: Platform>(&mut self, actions: Vec<Action<'_>>, now: Instant) {
         for action in actions {
             match action {
@@ -180,6 +189,7 @@
                     let address = SocketAddrV4::new(*reset.flow.caller.ip(), self.caller_port);
                     send(&self.callers, &P::reset_packet(&reset), address);
                 }
+                Action::ReadList => self.list_wanted.notify_one(),
                 Action::Record(event) => self.log.record(&event, now),
             }
         }
--- a/crates/cranberrypitch-relay/src/follow.rs
+++ b/crates/cranberrypitch-relay/src/follow.rs
@@ -1,10 +1,15 @@
 //! Following of the store's configuration and list of agents.
 
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use cranberrypitch_core::Clock;
 use cranberrypitch_core::flow::{AgentRecord, RouteConfig};
-use cranberrypitch_net::store::{Entry, KeyChange, Store, StoreKey, Version, Watched};
+use cranberrypitch_net::store::{
+    Entry, KeyChange, Result as StoreResult, Store, StoreKey, Version, Watched,
+};
 use rand::RngExt;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::Sender;
 use tokio::time::sleep;
 
@@ -14,10 +19,19 @@
 
 /// A watch on the configuration waits at most this long, so that a connection that went silent is
 /// noticed within the time that a change may take.
-const CONFIG_WAIT: Duration = Duration::from_millis(2000);
+const CONFIG_WAIT: Duration = Duration::from_millis(3000);
 
-/// The same for the list of agents, whose changes agents also tell themselves.
-const AGENTS_WAIT: Duration = Duration::from_millis(4000);
+/// The same for the list of agents. A flow whose agent may be missing from the list asks for a read.
+const AGENTS_WAIT: Duration = Duration::from_millis(8000);
+
+/// The time between two watches of the list of agents, so that one call tells of many changes.
+const AGENTS_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The least time between two watches of the list of agents.
+const AGENTS_INTERVAL_MIN: Duration = Duration::from_millis(50);
+
+/// The wait of a watch that only reads what has changed.
+const READ_WAIT: Duration = Duration::from_millis(1);
 
 /// The first pause after a failed call; it doubles with each failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -36,40 +50,102 @@
     Registered(AgentRecord),
     /// The registration of a key ended.
     Unregistered(StoreKey),
-    /// The store tells of changes of the list of agents, or does not answer.
-    AgentsFollowed(bool),
+    /// All changes of the list of agents before this time were passed on.
+    ListRead(Instant),
 }
 
 /// Follows the configuration until the receiver is gone.
-pub(crate) async fn follow_config<P: Platform>(store: &P::Store, updates: Sender<Update>) -> Result<()> {
+pub(crate) async fn follow_config<P: Platform>(
+    store: &P::Store,
+    updates: Sender<Update>,
+) -> Result<()> {
     let key = P::config_key()?;
     let read = |entry: &Entry| match P::read_config(&entry.value) {
         Ok(config) => Some(Update::Config(config)),
         Err(error) => {
-            tracing::error!(target: crate::log::TARGET, %error, "configuration refused");
+            tracing::error!(target: crate::log::TARGET, event = "ConfigurationRefused", %error);
             None
         }
     };
-    let change = move |change: KeyChange| read(change.entry.as_ref()?);
-    let list = move |entries: Vec<Entry>| entries.iter().filter_map(&read).collect();
-    follow(store, &key, CONFIG_WAIT, list, change, |_| None, updates).await;
-    Ok(())
+    let mut follower = Follower::new(store, key);
+    loop {
+        let changes = match follower.after {
+            None => follower
+                .list()
+                .await
+                .map(|entries| entries.iter().filter_map(read).collect()),
+            Some(after) => follower
+                .watch(after, CONFIG_WAIT)
+                .await
+                .map(|changes| changes.iter().filter_map(|c| read(c.entry.as_ref()?)).collect()),
+        };
+        if !follower.pass_on(changes, &updates).await {
+            return Ok(());
+        }
+    }
 }
 
-/// Follows the list of agents until the receiver is gone.
-pub(crate) async fn follow_agents<S: Store>(store: &S, updates: Sender<Update>) -> Result<()> {
+/// Follows the list of agents until the receiver is gone. `wanted` asks to read its changes now.
+pub(crate) async fn follow_agents<S: Store>(
+    store: &S,
+    updates: Sender<Update>,
+    wanted: Arc<Notify>,
+    clock: Arc<dyn Clock>,
+) -> Result<()> {
     let prefix = StoreKey::try_new(registration::PREFIX).map_err(Error::Store)?;
-    let list = |entries: Vec<Entry>| {
-        let records = entries.iter().filter_map(read_record).collect();
-        vec![Update::Agents(records)]
-    };
-    let change = |change: KeyChange| match &change.entry {
+    let mut follower = Follower::new(store, prefix);
+    loop {
+        let wait = next_wait(&follower, &wanted).await;
+        let mut as_of = clock.now();
+        let changes = match follower.after {
+            None => follower.list().await.map(listed),
+            Some(after) => {
+                let watched = tokio::select! {
+                    watched = follower.watch(after, wait) => Some(watched),
+                    () = wanted.notified() => None,
+                };
+                let watched = match watched {
+                    Some(watched) => watched,
+                    None => {
+                        as_of = clock.now();
+                        follower.watch(after, READ_WAIT).await
+                    }
+                };
+                watched.map(|changes| changes.into_iter().filter_map(changed).collect())
+            }
+        };
+        let changes = changes.map(|mut changes: Vec<_>| {
+            changes.push(Update::ListRead(as_of));
+            changes
+        });
+        if !follower.pass_on(changes, &updates).await {
+            return Ok(());
+        }
+    }
+}
+
+/// Waits until the next watch of the list of agents is due, and returns how long it may wait.
+async fn next_wait<S: Store>(follower: &Follower<'_, S>, wanted: &Notify) -> Duration {
+    if follower.after.is_none() {
+        return READ_WAIT;
+    }
+    sleep(AGENTS_INTERVAL_MIN).await;
+    tokio::select! {
+        () = sleep(AGENTS_INTERVAL) => AGENTS_WAIT,
+        () = wanted.notified() => READ_WAIT,
+    }
+}
+
+fn listed(entries: Vec<Entry>) -> Vec<Update> {
+    let records = entries.iter().filter_map(read_record).collect();
+    vec![Update::Agents(records)]
+}
+
+fn changed(change: KeyChange) -> Option<Update> {
+    match &change.entry {
         Some(entry) => read_record(entry).map(Update::Registered),
         None => Some(Update::Unregistered(change.key)),
-    };
-    let followed = |is_followed| Some(Update::AgentsFollowed(is_followed));
-    follow(store, &prefix, AGENTS_WAIT, list, change, followed, updates).await;
-    Ok(())
+    }
 }
 
 fn read_record(entry: &Entry) -> Option<AgentRecord> {
@@ -83,52 +159,67 @@
     }
 }
 
-/// Lists a prefix, then passes on its changes. A list that fails is tried again after a pause.
-async fn follow<S: Store>(
-    store: &S,
-    prefix: &StoreKey,
-    wait: Duration,
-    list: impl Fn(Vec<Entry>) -> Vec<Update>,
-    change: impl Fn(KeyChange) -> Option<Update>,
-    followed: impl Fn(bool) -> Option<Update>,
-    updates: Sender<Update>,
-) {
-    let mut pause = Pause::default();
-    let mut after: Option<Version> = None;
-    loop {
-        let result = match after {
-            None => store
-                .list(prefix)
-                .await
-                .map(|listing| (Some(listing.version), list(listing.entries))),
-            Some(version) => store
-                .watch(prefix, version, wait)
-                .await
-                .map(|watched| match watched {
-                    Watched::Unchanged => (after, Vec::new()),
-                    Watched::Reset => (None, Vec::new()),
-                    Watched::Changed { version, changes } => {
-                        (Some(version), changes.into_iter().filter_map(&change).collect())
-                    }
-                }),
-        };
-        match result {
-            Ok((next, changes)) => {
-                let regained = pause.reset(prefix).then(|| followed(true)).flatten();
-                after = next;
-                for update in changes.into_iter().chain(regained) {
+/// Lists a prefix, then watches it.
+#[derive(Debug)]
+struct Follower<'a, S> {
+    store: &'a S,
+    prefix: StoreKey,
+    /// The version up to which changes are known, or none before the first list.
+    after: Option<Version>,
+    pause: Pause,
+}
+
+impl<'a, S: Store> Follower<'a, S> {
+    fn new(store: &'a S, prefix: StoreKey) -> Self {
+        Self {
+            store,
+            prefix,
+            after: None,
+            pause: Pause::default(),
+        }
+    }
+
+    async fn list(&mut self) -> StoreResult<Vec<Entry>> {
+        let listing = self.store.list(&self.prefix).await?;
+        self.after = Some(listing.version);
+        Ok(listing.entries)
+    }
+
+    /// Returns the changes after a version. After a loss of history, the prefix is listed next.
+    async fn watch(&mut self, after: Version, wait: Duration) -> StoreResult<Vec<KeyChange>> {
+        match self.store.watch(&self.prefix, after, wait).await? {
+            Watched::Unchanged => Ok(Vec::new()),
+            Watched::Changed { version, changes } => {
+                self.after = Some(version);
+                Ok(changes)
+            }
+            Watched::Reset => {
+                self.after = None;
+                Ok(Vec::new())
+            }
+        }
+    }
+
+    /// Passes on what a call returned, or pauses after one that failed. Returns whether the receiver
+    /// is there.
+    async fn pass_on(
+        &mut self,
+        changes: StoreResult<Vec<Update>>,
+        updates: &Sender<Update>,
+    ) -> bool {
+        match changes {
+            Ok(changes) => {
+                self.pause.reset(&self.prefix);
+                for update in changes {
                     if updates.send(update).await.is_err() {
-                        return;
+                        return false;
                     }
                 }
+                true
             }
             Err(error) => {
-                if let Some(update) = followed(false)
-                    && updates.send(update).await.is_err()
-                {
-                    return;
-                }
-                pause.wait(prefix, &error).await;
+                self.pause.wait(&self.prefix, &error).await;
+                !updates.is_closed()
             }
         }
     }
@@ -141,13 +232,11 @@
 }
 
 impl Pause {
-    /// Notes a call that went well. Returns whether the one before had failed.
-    pub(crate) fn reset(&mut self, what: &StoreKey) -> bool {
-        let is_regained = std::mem::take(&mut self.failures) > 0;
-        if is_regained {
+    /// Notes a call that went well.
+    pub(crate) fn reset(&mut self, what: &StoreKey) {
+        if std::mem::take(&mut self.failures) > 0 {
             tracing::info!(target: crate::log::TARGET, event = "StoreRegained", %what);
         }
-        is_regained
     }
 
     /// Waits after a failed call.
--- a/crates/cranberrypitch-relay/src/log.rs
+++ b/crates/cranberrypitch-relay/src/log.rs
@@ -140,11 +140,11 @@
         FlowEvent::Located {
             flow,
             agent,
-            answer,
+            asked,
             elapsed,
         } => {
             let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
-            tracing::info!(target: TARGET, event = "Located", %flow, %agent, %answer, elapsed_ms);
+            tracing::info!(target: TARGET, event = "Located", %flow, %agent, asked, elapsed_ms);
         }
         FlowEvent::NotLocated {
             flow,
--- a/crates/cranberrypitch-relay/src/registration.rs
+++ b/crates/cranberrypitch-relay/src/registration.rs
@@ -16,10 +16,10 @@
 pub(crate) const PREFIX: &str = "agents/";
 
 /// The time to live of the lease. It outlasts two lost renewals.
-const LEASE_TTL: Duration = Duration::from_secs(5);
+const LEASE_TTL: Duration = Duration::from_secs(9);
 
 /// The time between two renewals.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(1600);
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(2800);
 
 /// The longest time that the end of the registration may take when the agent stops.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -68,7 +68,8 @@
     pub(crate) async fn run(mut self, mut records: Receiver<Option<AgentRecord>>) {
         let mut pause = Pause::default();
         let mut is_renewal_due = false;
-        loop {
+        // The sender is gone when the agent stops, also while the store does not answer.
+        while records.has_changed().is_ok() {
             let record = records.borrow_and_update().clone();
             let result = match record {
                 Some(record) => self.step(record, is_renewal_due).await,
