--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -113,9 +113,10 @@
             return dropped(flow, DropCause::NotAllowed);
         }
         if !self.is_ready() {
-            return match self.early.hold(packet) {
-                true => Vec::new(),
-                false => dropped(flow, DropCause::NoConfiguration),
+            return if self.early.hold(packet) {
+                Vec::new()
+            } else {
+                dropped(flow, DropCause::NoConfiguration)
             };
         }
         if self.routes.route(flow.service_address).is_none() {
@@ -161,11 +162,11 @@
     }
 
     /// Takes in one registration of the store.
-    pub fn on_registered(&mut self, record: AgentRecord, now: Instant) -> Vec<Action<'static>> {
+    pub fn on_registered(&mut self, record: &AgentRecord, now: Instant) -> Vec<Action<'static>> {
         if !self.directory.on_registered(record.clone(), now) {
             return Vec::new();
         }
-        let mut actions = vec![target_changed(&record)];
+        let mut actions = vec![target_changed(record)];
         actions.extend(self.place_waiting(now));
         actions
     }
@@ -178,7 +179,7 @@
     /// Takes in a report of an agent.
     pub fn on_report(
         &mut self,
-        record: AgentRecord,
+        record: &AgentRecord,
         load: AgentLoad,
         now: Instant,
     ) -> Vec<Action<'static>> {
@@ -186,7 +187,7 @@
         if !self.directory.on_report(record.clone(), load, now) {
             return Vec::new();
         }
-        let mut actions = vec![target_changed(&record)];
+        let mut actions = vec![target_changed(record)];
         actions.extend(self.place_waiting(now));
         actions
     }
@@ -217,11 +218,11 @@
         let flow = head.flow_from_caller();
         self.on_heard(agent, now);
         match self.flows.get_mut(&flow).map(|entry| &mut entry.state) {
-            Some(FlowState::Held(held)) if *held != agent => {
+            Some(FlowState::Held(holder)) if *holder != agent => {
                 let message = Message::Forward {
                     packet: Cow::Owned(packet.to_vec()),
                 };
-                vec![Action::send(*held, message)]
+                vec![Action::send(*holder, message)]
             }
             Some(FlowState::Locating(_)) => self.on_not_held(agent, flow, now),
             _ => self.locate(head, packet, Some(agent), now),
@@ -251,10 +252,10 @@
 
     fn on_unsettled(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'static>> {
         match self.flows.get(&flow).map(|entry| &entry.state) {
-            Some(FlowState::Opening(opening)) => {
-                if opening.is_overdue(self.options.open_timeout, now) {
-                    return self.reopen(flow, now);
-                }
+            Some(FlowState::Opening(opening))
+                if opening.is_overdue(self.options.open_timeout, now) =>
+            {
+                return self.reopen(flow, now);
             }
             Some(FlowState::Locating(locating)) => {
                 if locating.is_overdue(self.options.locate_timeout, now) {
--- a/crates/cranberrypitch-core/src/flow/dispatcher/liveness.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/liveness.rs
@@ -18,9 +18,11 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Heard {
-    heard_at: Instant,
+    /// The last message.
+    at: Instant,
     /// Questions since then.
     asked: u32,
+    /// The last question.
     asked_at: Option<Instant>,
 }
 
@@ -32,7 +34,7 @@
     /// Notes a message of an agent.
     pub(super) fn on_heard(&mut self, agent: SocketAddrV4, now: Instant) {
         let heard = Heard {
-            heard_at: now,
+            at: now,
             asked: 0,
             asked_at: None,
         };
@@ -42,7 +44,7 @@
     /// Notes that an agent was asked. Questions within the time for an answer count as one.
     pub(super) fn on_asked(&mut self, agent: SocketAddrV4, timeout: Duration, now: Instant) {
         let heard = self.0.entry(agent).or_insert(Heard {
-            heard_at: now,
+            at: now,
             asked: 0,
             asked_at: None,
         });
@@ -62,11 +64,11 @@
     ) -> bool {
         let elapsed = |at: Instant| now.saturating_duration_since(at);
         let heard = self.0.entry(agent).or_insert(Heard {
-            heard_at: now,
+            at: now,
             asked: 0,
             asked_at: None,
         });
-        elapsed(heard.heard_at) >= HEARD_LIFETIME
+        elapsed(heard.at) >= HEARD_LIFETIME
             && heard.asked_at.is_none_or(|at| elapsed(at) >= timeout)
     }
 
--- a/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
@@ -97,8 +97,7 @@
     }
 
     pub(super) fn is_overdue(&self, timeout: Duration, now: Instant) -> bool {
-        self.progress == Progress::Asking
-            && now.saturating_duration_since(self.asked_at) >= timeout
+        self.progress == Progress::Asking && now.saturating_duration_since(self.asked_at) >= timeout
     }
 
     /// Keeps a packet until the target is found.
@@ -134,30 +133,49 @@
         self.ask_stage(flow, now)
     }
 
-    /// Asks the agents of the current stage and those that have not answered. A stage without
-    /// agents is passed over.
+    /// Asks the agents of the current stage and those that have not answered. A stage with nobody to
+    /// wait for is passed over.
     fn ask_stage<'a>(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'a>> {
+        let mut actions = Vec::new();
         loop {
             let Some(locating) = self.locating(flow) else {
-                return Vec::new();
+                return actions;
             };
             let stage = locating.stage;
             let agents = self.agents_of(stage, &flow);
             let Some(locating) = self.locating_mut(flow) else {
-                return Vec::new();
+                return actions;
             };
             for agent in agents {
                 if locating.asked.insert(agent) {
                     locating.pending.insert(agent);
                 }
             }
-            match stage.next() {
-                Some(next) if locating.pending.is_empty() => locating.stage = next,
-                _ => return self.ask_pending(flow, now),
+            let next = stage.next();
+            if !self.is_waiting(flow, now)
+                && let Some(next) = next
+                && let Some(locating) = self.locating_mut(flow)
+            {
+                locating.stage = next;
+                continue;
+            }
+            actions.extend(self.ask_pending(flow, now));
+            if !self.is_waiting(flow, now) {
+                actions.extend(self.conclude_last(flow, now));
             }
+            return actions;
         }
     }
 
+    /// Returns whether an agent that usually answers has not answered yet.
+    fn is_waiting(&self, flow: FlowKey, now: Instant) -> bool {
+        let timeout = self.options.locate_timeout;
+        let is_awaited =
+            |agent: &SocketAddrV4| !self.liveness.is_unresponsive(*agent, timeout, now);
+        let locating = self.locating(flow);
+        locating.is_some_and(|locating| locating.pending.iter().any(is_awaited))
+    }
+
     fn agents_of(&self, stage: Stage, flow: &FlowKey) -> Vec<SocketAddrV4> {
         let address = flow.service_address;
         let of_service = || {
@@ -268,34 +286,38 @@
             return Vec::new();
         }
         let is_overdue = locating.is_overdue(timeout, now);
-        let is_awaited =
-            |agent: &SocketAddrV4| !self.liveness.is_unresponsive(*agent, timeout, now);
-        let is_waiting = locating.pending.iter().any(is_awaited);
+        let (stage, is_waiting) = (locating.stage, self.is_waiting(flow, now));
         if is_waiting && !is_overdue {
             return Vec::new();
         }
-        let next = locating.stage.next();
-        let Some(locating) = self.locating_mut(flow) else {
-            return Vec::new();
-        };
-        match next {
+        match stage.next() {
             Some(next) => {
-                locating.stage = next;
+                if let Some(locating) = self.locating_mut(flow) {
+                    locating.stage = next;
+                }
                 self.ask_stage(flow, now)
             }
             None if is_waiting => self.ask_pending(flow, now),
-            None if locating.unsure.is_empty() => self.on_lost(flow, now),
-            None => {
-                locating.progress = Progress::Unsure;
-                let held = std::mem::take(&mut locating.held);
-                let unsure = &locating.unsure;
-                let copies = |packet: Box<[u8]>| {
-                    let to_agent = move |agent: &SocketAddrV4| forward_held(*agent, packet.clone());
-                    unsure.iter().map(to_agent)
-                };
-                held.into_iter().flat_map(copies).collect()
-            }
+            None => self.conclude_last(flow, now),
+        }
+    }
+
+    /// Decides what becomes of a flow that no agent claims.
+    fn conclude_last<'a>(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'a>> {
+        let Some(locating) = self.locating_mut(flow) else {
+            return Vec::new();
+        };
+        if locating.unsure.is_empty() {
+            return self.on_lost(flow, now);
         }
+        locating.progress = Progress::Unsure;
+        let held = std::mem::take(&mut locating.held);
+        let unsure = &locating.unsure;
+        let copies = |packet: Box<[u8]>| {
+            let to_agent = move |agent: &SocketAddrV4| forward_held(*agent, packet.clone());
+            unsure.iter().map(to_agent)
+        };
+        held.into_iter().flat_map(copies).collect()
     }
 
     pub(super) fn on_while_locating<'a>(
@@ -336,7 +358,7 @@
 
     /// Notes that no agent holds a flow. A list that is read from now on tells whether an agent was
     /// missed.
-    fn on_lost(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'static>> {
+    fn on_lost<'a>(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'a>> {
         let Some(locating) = self.locating_mut(flow) else {
             return Vec::new();
         };
--- a/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
@@ -163,8 +163,7 @@
         if let Some(agent) = self.choose(flow, now) {
             return self.open_at(agent, flow, now);
         }
-        let may_wait =
-            !self.directory.is_complete() && self.flows.unsettled_len() <= MAX_WAITING;
+        let may_wait = !self.directory.is_complete() && self.flows.unsettled_len() <= MAX_WAITING;
         let Some(entry) = self.flows.get_mut(&flow) else {
             return Vec::new();
         };
--- a/crates/cranberrypitch-core/src/flow/dispatcher/table.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/table.rs
@@ -82,10 +82,7 @@
     /// Forgets flows without packets for longer than `lifetime`.
     pub(super) fn sweep(&mut self, lifetime: Duration, now: Instant) {
         let elapsed = |since: Instant| now.saturating_duration_since(since);
-        if self
-            .swept_at
-            .is_some_and(|at| elapsed(at) < SWEEP_INTERVAL)
-        {
+        if self.swept_at.is_some_and(|at| elapsed(at) < SWEEP_INTERVAL) {
             return;
         }
         self.swept_at = Some(now);
--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -46,7 +46,7 @@
         Self {
             status_lifetime: Duration::from_millis(1800),
             settings_lifetime: Duration::from_millis(1800),
-            flow_lifetime: Duration::from_secs(60),
+            flow_lifetime: Duration::from_mins(1),
             ended_lifetime: Duration::from_secs(4),
             exit_delay: Duration::from_millis(500),
             balancer_lifetime: Duration::from_secs(10),
@@ -71,9 +71,12 @@
 
 #[derive(Clone, Copy, Debug)]
 struct KnownBalancer {
-    heard_at: Instant,
-    opened_at: Option<Instant>,
-    reported_at: Option<Instant>,
+    /// Its last message.
+    heard: Instant,
+    /// The last flow that it opened here.
+    opened: Option<Instant>,
+    /// The last report to it.
+    reported: Option<Instant>,
 }
 
 /// Decides for the target beside it.
@@ -192,7 +195,7 @@
         now: Instant,
     ) -> Vec<Action<'a>> {
         let flow = head.flow_from_caller();
-        self.heard(balancer, now).opened_at = Some(now);
+        self.heard(balancer, now).opened = Some(now);
         if !head.is_opening() {
             return dropped(flow, DropCause::NotAllowed);
         }
@@ -223,11 +226,12 @@
         if head.flags.contains(PacketFlags::SYN) {
             return dropped(flow, DropCause::NotAllowed);
         }
-        if self.is_over(&flow, now) {
+        if self.flows.is_orphan(&flow, head.acknowledged) {
             return end_orphan(head);
         }
         let packet = Cow::Borrowed(packet);
         match self.holding(&flow, head.acknowledged, now) {
+            LocateAnswer::Held if self.is_target_gone(now) => end_orphan(head),
             LocateAnswer::Held => {
                 if let Some(hosted) = self.flows.get_mut(&flow) {
                     hosted.on_caller_packet(balancer, head, &mut self.meter, now);
@@ -270,7 +274,7 @@
     ) -> Vec<Action<'static>> {
         self.heard(balancer, now);
         // The agent resets a flow of an earlier run of the target at its next packet.
-        let answer = if self.flows.is_orphan(&flow) {
+        let answer = if self.flows.is_orphan(&flow, acknowledged) {
             LocateAnswer::Held
         } else {
             self.holding(&flow, acknowledged, now)
@@ -307,7 +311,7 @@
         self.flows.sweep(&self.options, &mut self.meter, now);
         let options = self.options;
         self.balancers
-            .retain(|_, b| now.saturating_duration_since(b.heard_at) < options.balancer_lifetime);
+            .retain(|_, b| now.saturating_duration_since(b.heard) < options.balancer_lifetime);
         let due: Vec<_> = self
             .balancers
             .iter()
@@ -315,7 +319,7 @@
             .map(|(address, _)| *address)
             .collect();
         due.into_iter()
-            .flat_map(|balancer| self.report(balancer, now))
+            .filter_map(|balancer| self.report(balancer, now))
             .collect()
     }
 
@@ -339,17 +343,17 @@
     fn report(&mut self, balancer: SocketAddrV4, now: Instant) -> Option<Action<'static>> {
         let record = self.record(now);
         let load = self.meter.load(self.flows.open_len(), now);
-        self.balancers.get_mut(&balancer)?.reported_at = Some(now);
+        self.balancers.get_mut(&balancer)?.reported = Some(now);
         Some(Action::send(balancer, Message::Report { record, load }))
     }
 
     fn heard(&mut self, balancer: SocketAddrV4, now: Instant) -> &mut KnownBalancer {
         let known = self.balancers.entry(balancer).or_insert(KnownBalancer {
-            heard_at: now,
-            opened_at: None,
-            reported_at: None,
+            heard: now,
+            opened: None,
+            reported: None,
         });
-        known.heard_at = now;
+        known.heard = now;
         known
     }
 
@@ -415,11 +419,11 @@
         ]
     }
 
-    /// Returns whether the target that held a flow is gone.
-    fn is_over(&self, flow: &FlowKey, now: Instant) -> bool {
-        let exit_delay = self.options.exit_delay;
-        let is_gone = self.target.as_ref().is_some_and(|t| t.is_gone_for(exit_delay, now));
-        self.flows.is_orphan(flow) || is_gone && self.flows.get(flow).is_some()
+    /// Returns whether the target said long enough ago that it is gone.
+    fn is_target_gone(&self, now: Instant) -> bool {
+        let delay = self.options.exit_delay;
+        let target = self.target.as_ref();
+        target.is_some_and(|target| target.is_gone_for(delay, now))
     }
 }
 
@@ -427,14 +431,14 @@
     fn is_due(&self, options: &EndpointOptions, now: Instant) -> bool {
         let elapsed = |at: Instant| now.saturating_duration_since(at);
         let is_opening = self
-            .opened_at
+            .opened
             .is_some_and(|at| elapsed(at) < options.idle_report_interval * 2);
         let interval = if is_opening {
             options.report_interval
         } else {
             options.idle_report_interval
         };
-        self.reported_at.is_none_or(|at| elapsed(at) >= interval)
+        self.reported.is_none_or(|at| elapsed(at) >= interval)
     }
 }
 
--- a/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::EndpointOptions;
-use crate::collections::{FastMap, FastSet};
+use crate::collections::FastMap;
 use crate::flow::load::LoadMeter;
 use crate::flow::packet::{FlowKey, PacketFlags, PacketHead};
 
@@ -23,6 +23,8 @@
     Expected,
     /// The target accepted the flow or sent packets of it.
     Accepted,
+    /// The caller follows this target.
+    Confirmed,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -55,7 +57,7 @@
     }
 
     pub(super) fn is_accepted(&self) -> bool {
-        self.state == HostedState::Accepted
+        matches!(self.state, HostedState::Accepted | HostedState::Confirmed)
     }
 
     const fn is_ended(&self) -> bool {
@@ -83,6 +85,7 @@
     ) {
         self.balancer = Some(balancer);
         self.used_at = now;
+        self.state = HostedState::Confirmed;
         if head.flags.contains(PacketFlags::RST) {
             self.finish(meter, now);
             self.caller_finished = true;
@@ -104,9 +107,11 @@
         now: Instant,
     ) -> bool {
         self.used_at = now;
-        let is_first = !self.is_accepted() || head.is_accepting();
+        let is_first_sign = !self.is_accepted();
         if !head.flags.contains(PacketFlags::RST) {
-            self.state = HostedState::Accepted;
+            if is_first_sign {
+                self.state = HostedState::Accepted;
+            }
             self.note_sent(head);
         }
         if head.payload_len > 0 {
@@ -118,7 +123,7 @@
             self.target_finished = true;
         }
         self.target_finished |= head.flags.contains(PacketFlags::FIN);
-        is_first
+        is_first_sign || head.is_accepting()
     }
 
     fn note_sent(&mut self, head: &PacketHead) {
@@ -146,9 +151,10 @@
 
     fn is_kept(&self, options: &EndpointOptions, now: Instant) -> bool {
         let elapsed = |since: Instant| now.saturating_duration_since(since);
-        let limit = match self.state {
-            HostedState::Accepted if !self.is_ended() => options.flow_lifetime,
-            _ => options.ended_lifetime,
+        let limit = if self.is_accepted() && !self.is_ended() {
+            options.flow_lifetime
+        } else {
+            options.ended_lifetime
         };
         elapsed(self.used_at) < limit
     }
@@ -159,7 +165,7 @@
 pub(super) struct HostedFlows {
     flows: FastMap<FlowKey, HostedFlow>,
     /// Flows of an earlier run of the target, which are reset at their next packet.
-    orphans: FastSet<FlowKey>,
+    orphans: FastMap<FlowKey, HostedFlow>,
     orphaned_at: Option<Instant>,
     open_len: usize,
     swept_at: Option<Instant>,
@@ -210,23 +216,22 @@
 
     /// Notes that the target started anew and holds none of the flows.
     pub(super) fn orphan_all(&mut self) {
-        let accepted = self.flows.drain();
-        self.orphans
-            .extend(accepted.filter(|(_, f)| f.is_accepted()).map(|(key, _)| key));
+        let flows = self.flows.drain();
+        let confirmed = flows.filter(|(_, hosted)| hosted.state == HostedState::Confirmed);
+        self.orphans.extend(confirmed);
         self.orphaned_at = None;
         self.open_len = 0;
     }
 
-    pub(super) fn is_orphan(&self, flow: &FlowKey) -> bool {
-        self.orphans.contains(flow)
+    /// Returns whether an earlier run of the target held a flow whose caller acknowledged a number.
+    pub(super) fn is_orphan(&self, flow: &FlowKey, acknowledged: u32) -> bool {
+        let orphan = self.orphans.get(flow);
+        orphan.is_some_and(|hosted| hosted.may_be_acknowledged(acknowledged))
     }
 
     pub(super) fn sweep(&mut self, options: &EndpointOptions, meter: &mut LoadMeter, now: Instant) {
         let elapsed = |since: Instant| now.saturating_duration_since(since);
-        if self
-            .swept_at
-            .is_some_and(|at| elapsed(at) < SWEEP_INTERVAL)
-        {
+        if self.swept_at.is_some_and(|at| elapsed(at) < SWEEP_INTERVAL) {
             return;
         }
         self.swept_at = Some(now);
--- a/crates/cranberrypitch-core/src/flow/selection.rs
+++ b/crates/cranberrypitch-core/src/flow/selection.rs
@@ -172,7 +172,11 @@
         let (sum, count) = known.fold((0.0, 0_u32), |(sum, count), agent| {
             (sum + self.reported_load(agent), count + 1)
         });
-        if count == 0 { 0.0 } else { sum / f64::from(count) }
+        if count == 0 {
+            0.0
+        } else {
+            sum / f64::from(count)
+        }
     }
 
     fn reported_load(&self, agent: &KnownAgent) -> f64 {
--- /dev/null
+++ b/crates/cranberrypitch-core/tests/flow/endpoint.rs
@@ -0,0 +1,381 @@
+//! What an agent lets through to its target.
+
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::flow::{
+    Action, Endpoint, EndpointOptions, Identity, LocateAnswer, Message, PacketFlags, PacketHead,
+    RefusalCause, StatusReport,
+};
+use cranberrypitch_core::{Incarnation, TargetState};
+
+use crate::support::{
+    acceptance, agent_address, balancer_address, domain, flow, from_target, opening, packet,
+    request, resets, sent, service, status, tag,
+};
+
+pub(crate) fn endpoint(now: Instant) -> Endpoint {
+    let identity = Identity {
+        address: agent_address(1),
+        service: service("matcher"),
+        failure_domain: domain("a"),
+        incarnation: Incarnation::new(1),
+    };
+    Endpoint::new(EndpointOptions::default(), identity, now)
+}
+
+fn with_target(now: Instant) -> Endpoint {
+    let mut endpoint = endpoint(now);
+    endpoint.on_status(status("i-1", 1, 1), now);
+    endpoint
+}
+
+fn open(endpoint: &mut Endpoint, port: u16, now: Instant) -> Option<RefusalCause> {
+    let head = opening(flow(port), 0);
+    let bytes = packet(&head);
+    let actions = endpoint.on_open(balancer_address(1), tag("matcher"), &head, &bytes, now);
+    let refused = sent(&actions)
+        .iter()
+        .find_map(|(_, message)| match message {
+            Message::Refused { cause, .. } => Some(*cause),
+            _ => None,
+        });
+    let is_passed_on = actions.iter().any(|a| matches!(a, Action::ToTarget(_)));
+    assert_eq!(refused.is_none(), is_passed_on);
+    refused
+}
+
+fn accept(endpoint: &mut Endpoint, port: u16, sequence: u32, now: Instant) {
+    let head = acceptance(flow(port), sequence);
+    endpoint.on_target_packet(&head, &packet(&head), now);
+}
+
+/// Passes a caller's packet on and returns what became of it.
+fn forward(endpoint: &mut Endpoint, port: u16, acknowledged: u32, now: Instant) -> &'static str {
+    let head = request(flow(port), acknowledged);
+    let bytes = packet(&head);
+    let actions = endpoint.on_forward(balancer_address(1), &head, &bytes, now);
+    if resets(&actions) > 0 {
+        return "reset";
+    }
+    match &*actions {
+        [Action::ToTarget(_)] => "target",
+        [
+            Action::Send {
+                message: Message::Returned { .. },
+                ..
+            },
+        ] => "returned",
+        other => panic!("{other:?}"),
+    }
+}
+
+fn bounce(endpoint: &mut Endpoint, head: PacketHead, now: Instant) -> Vec<Action<'static>> {
+    let bounced = PacketHead {
+        flags: head.flags.with(PacketFlags::BOUNCED),
+        ..head
+    };
+    let bytes = packet(&head);
+    let actions = endpoint.on_target_packet(&bounced, &bytes, now);
+    actions.into_iter().map(own).collect()
+}
+
+fn own(action: Action<'_>) -> Action<'static> {
+    match action {
+        Action::Send {
+            peer,
+            message: Message::Returned { packet },
+        } => Action::Send {
+            peer,
+            message: Message::Returned {
+                packet: packet.into_owned().into(),
+            },
+        },
+        Action::Send {
+            peer,
+            message: Message::Refused { flow, cause },
+        } => Action::Send {
+            peer,
+            message: Message::Refused { flow, cause },
+        },
+        Action::Reset(reset) => Action::Reset(reset),
+        Action::Record(event) => Action::Record(event),
+        other => panic!("unexpected {other:?}"),
+    }
+}
+
+fn locate(endpoint: &mut Endpoint, port: u16, acknowledged: u32, now: Instant) -> LocateAnswer {
+    let actions = endpoint.on_locate(balancer_address(2), flow(port), acknowledged, now);
+    match sent(&actions)[..] {
+        [(_, Message::Located { answer, .. })] => *answer,
+        ref other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn accepted_flow_is_held() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    assert_eq!(open(&mut endpoint, 1, now), None);
+    accept(&mut endpoint, 1, 5000, now);
+    assert_eq!(forward(&mut endpoint, 1, 5001, now), "target");
+    assert_eq!(locate(&mut endpoint, 1, 5001, now), LocateAnswer::Held);
+    assert_eq!(locate(&mut endpoint, 2, 5001, now), LocateAnswer::NotHeld);
+}
+
+/// Copies of an opening packet may be accepted by two targets; the caller follows one, and the other
+/// must neither get its packets nor claim the flow.
+#[test]
+fn flow_that_follows_another_target_is_not_held() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    open(&mut endpoint, 1, now);
+    accept(&mut endpoint, 1, 5000, now);
+    assert_eq!(forward(&mut endpoint, 1, 900_000, now), "returned");
+    assert_eq!(
+        locate(&mut endpoint, 1, 900_000, now),
+        LocateAnswer::NotHeld
+    );
+}
+
+/// A target that has not accepted a flow bounces its packets; a reset would break the flow at the
+/// target that did (FLOW on cvt-balanceio-grown, trouble-1).
+#[test]
+fn flow_that_is_not_accepted_is_neither_held_nor_reset() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    open(&mut endpoint, 1, now);
+    assert_eq!(forward(&mut endpoint, 1, 5001, now), "returned");
+    assert_eq!(locate(&mut endpoint, 1, 5001, now), LocateAnswer::NotHeld);
+}
+
+#[test]
+fn bounced_opening_is_refused_as_full() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    open(&mut endpoint, 1, now);
+    let actions = bounce(&mut endpoint, opening(flow(1), 0), now);
+    let messages = sent(&actions);
+    let is_full = |m: &Message<'_>| {
+        matches!(
+            m,
+            Message::Refused {
+                cause: RefusalCause::TargetFull,
+                ..
+            }
+        )
+    };
+    assert!(
+        matches!(messages[..], [(_, m)] if is_full(m)),
+        "{messages:?}"
+    );
+    assert_eq!(endpoint.flow_count(), 0);
+}
+
+/// The target has forgotten a flow that it had accepted, so its caller may open another at once.
+#[test]
+fn bounce_of_an_accepted_flow_resets_it() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    open(&mut endpoint, 1, now);
+    accept(&mut endpoint, 1, 5000, now);
+    assert_eq!(forward(&mut endpoint, 1, 5001, now), "target");
+    assert_eq!(
+        resets(&bounce(&mut endpoint, request(flow(1), 5001), now)),
+        1
+    );
+}
+
+/// An agent that started beside a living target passes unknown packets to it: the target knows.
+#[test]
+fn restarted_agent_lets_its_target_decide() {
+    let now = Instant::now();
+    let mut endpoint = endpoint(now);
+    endpoint.on_status(status("i-1", 1, 40), now);
+    assert_eq!(locate(&mut endpoint, 1, 5001, now), LocateAnswer::Unknown);
+    assert_eq!(forward(&mut endpoint, 1, 5001, now), "target");
+    let actions = bounce(&mut endpoint, request(flow(1), 5001), now);
+    assert_eq!(resets(&actions), 0);
+    assert!(matches!(
+        sent(&actions)[..],
+        [(_, Message::Returned { .. })]
+    ));
+
+    let answer = from_target(flow(2), PacketFlags::ACK, 9000, 500);
+    endpoint.on_target_packet(&answer, &packet(&answer), now);
+    assert_eq!(locate(&mut endpoint, 2, 9500, now), LocateAnswer::Held);
+}
+
+/// No flow outlives its longest life, so an agent is sure of all flows after that time.
+#[test]
+fn restarted_agent_is_sure_after_the_life_of_a_flow() {
+    let now = Instant::now();
+    let mut endpoint = endpoint(now);
+    endpoint.on_status(status("i-1", 1, 40), now);
+    let later = now + Duration::from_mins(1);
+    assert_eq!(locate(&mut endpoint, 1, 5001, later), LocateAnswer::NotHeld);
+}
+
+/// A target that starts again under its id holds nothing of before.
+#[test]
+fn flows_of_an_earlier_run_are_reset() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    open(&mut endpoint, 1, now);
+    accept(&mut endpoint, 1, 5000, now);
+    assert_eq!(forward(&mut endpoint, 1, 5001, now), "target");
+    endpoint.on_status(status("i-1", 2, 1), now);
+    assert_eq!(forward(&mut endpoint, 1, 5001, now), "reset");
+    assert_eq!(forward(&mut endpoint, 2, 5001, now), "returned");
+}
+
+/// A report of an earlier run that was delayed must not replace the later run.
+#[test]
+fn late_report_of_an_earlier_run_is_ignored() {
+    let now = Instant::now();
+    let mut endpoint = endpoint(now);
+    endpoint.on_status(status("i-2", 20, 1), now);
+    let late = StatusReport {
+        service: service("tracer"),
+        ..status("i-1", 10, 99)
+    };
+    endpoint.on_status(late, now);
+    assert_eq!(open(&mut endpoint, 1, now), None);
+}
+
+#[test]
+fn report_with_an_old_sequence_is_ignored() {
+    let now = Instant::now();
+    let mut endpoint = endpoint(now);
+    endpoint.on_status(status("i-1", 1, 5), now);
+    let draining = StatusReport {
+        state: TargetState::Draining,
+        ..status("i-1", 1, 4)
+    };
+    endpoint.on_status(draining, now);
+    assert_eq!(open(&mut endpoint, 1, now), None);
+}
+
+/// The agent enforces a drain by itself, whatever balancers still believe.
+#[test]
+fn draining_target_keeps_its_flows_and_gets_no_new_ones() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    open(&mut endpoint, 1, now);
+    accept(&mut endpoint, 1, 5000, now);
+    let draining = StatusReport {
+        state: TargetState::Draining,
+        ..status("i-1", 1, 2)
+    };
+    let actions = endpoint.on_status(draining, now);
+    assert!(matches!(sent(&actions)[..], [(_, Message::Report { .. })]));
+    assert_eq!(open(&mut endpoint, 2, now), Some(RefusalCause::Draining));
+    assert_eq!(forward(&mut endpoint, 1, 5001, now), "target");
+}
+
+/// The address of a target that fell silent may serve another service soon (ROUTE).
+#[test]
+fn silent_target_gets_no_new_flow() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    let later = now + EndpointOptions::default().status_lifetime;
+    assert_eq!(
+        open(&mut endpoint, 1, later),
+        Some(RefusalCause::TargetSilent)
+    );
+}
+
+/// After a loss of power agents start with their targets; the settings name the service until the
+/// first report, but not for longer than an address stays unused.
+#[test]
+fn settings_stand_in_for_the_first_report() {
+    let now = Instant::now();
+    let mut endpoint = endpoint(now);
+    assert_eq!(open(&mut endpoint, 1, now), None);
+    let later = now + EndpointOptions::default().settings_lifetime;
+    assert_eq!(
+        open(&mut endpoint, 2, later),
+        Some(RefusalCause::TargetSilent)
+    );
+}
+
+/// An address that came back under another service takes no flow of the service of before.
+#[test]
+fn flow_for_another_service_is_refused() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    let other = StatusReport {
+        service: service("tracer"),
+        ..status("i-2", 2, 1)
+    };
+    endpoint.on_status(other, now);
+    assert_eq!(
+        open(&mut endpoint, 1, now),
+        Some(RefusalCause::OtherService)
+    );
+}
+
+/// A target that said it is gone exits soon; its callers are told instead of kept waiting.
+#[test]
+fn flows_of_a_gone_target_are_reset_after_its_exit() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    open(&mut endpoint, 1, now);
+    accept(&mut endpoint, 1, 5000, now);
+    endpoint.on_leave("i-1", now);
+    assert_eq!(forward(&mut endpoint, 1, 5001, now), "target");
+    let later = now + EndpointOptions::default().exit_delay;
+    assert_eq!(forward(&mut endpoint, 1, 5001, later), "reset");
+}
+
+/// Of two targets that accepted copies of an opening packet the caller follows one; when the other
+/// starts anew, the flow lives on (found by `open_flows_survive_changes`).
+#[test]
+fn flow_that_follows_another_target_survives_a_restart() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    open(&mut endpoint, 1, now);
+    accept(&mut endpoint, 1, 5000, now);
+    endpoint.on_status(status("i-1", 2, 1), now);
+    assert_eq!(
+        locate(&mut endpoint, 1, 900_000, now),
+        LocateAnswer::NotHeld
+    );
+    assert_eq!(forward(&mut endpoint, 1, 900_000, now), "returned");
+}
+
+#[test]
+fn running_requests_are_counted() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    for port in 1..=3 {
+        open(&mut endpoint, port, now);
+        accept(&mut endpoint, port, 5000, now);
+        forward(&mut endpoint, port, 5001, now);
+        forward(&mut endpoint, port, 5001, now);
+    }
+    assert_eq!(endpoint.running(now), 3);
+    let answer = from_target(flow(1), PacketFlags::ACK, 5001, 500);
+    endpoint.on_target_packet(&answer, &packet(&answer), now);
+    endpoint.on_target_packet(&answer, &packet(&answer), now);
+    assert_eq!(endpoint.running(now), 2);
+}
+
+/// Balancers that opened flows here learn the load several times a second, others that only pass
+/// packets on once a second, and those that are gone not at all.
+#[test]
+fn reports_go_to_balancers_in_use() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    open(&mut endpoint, 1, now);
+    locate(&mut endpoint, 9, 1, now);
+    let mut reports = [0; 3];
+    for tenths in 1..=10 {
+        let actions = endpoint.on_tick(now + Duration::from_millis(tenths * 100));
+        for (peer, _) in sent(&actions) {
+            reports[usize::from(peer.ip().octets()[3])] += 1;
+        }
+    }
+    assert_eq!(reports, [0, 5, 1]);
+    let later = now + Duration::from_secs(11);
+    assert!(sent(&endpoint.on_tick(later)).is_empty());
+}
--- /dev/null
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the decisions about flows, without sockets.
+
+mod dispatcher;
+mod endpoint;
+mod liveness;
+mod placement;
+mod routes;
+mod support;
+mod world;
--- /dev/null
+++ b/crates/cranberrypitch-core/tests/flow/support.rs
@@ -0,0 +1,207 @@
+//! Packets, records and configurations of the tests.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use cranberrypitch_core::flow::{
+    Action, AgentLoad, AgentRecord, Backend, FlowEvent, FlowKey, Message, PacketFlags, PacketHead,
+    Route, RouteConfig, StatusReport,
+};
+use cranberrypitch_core::{
+    FailureDomain, Incarnation, Revision, ServiceName, ServiceTag, Slots, TargetState,
+};
+
+pub(crate) const HEAD_BYTES: usize = 23;
+
+pub(crate) fn service(name: &str) -> ServiceName {
+    ServiceName::try_new(name).unwrap()
+}
+
+pub(crate) fn tag(name: &str) -> ServiceTag {
+    ServiceTag::of(&service(name))
+}
+
+pub(crate) fn domain(name: &str) -> FailureDomain {
+    FailureDomain::try_new(name).unwrap()
+}
+
+pub(crate) fn route_address() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+pub(crate) fn agent_address(index: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 2, 0, index), 8172)
+}
+
+pub(crate) fn balancer_address(index: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, index), 7720)
+}
+
+pub(crate) fn flow(caller_port: u16) -> FlowKey {
+    FlowKey {
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), caller_port),
+        service_address: route_address(),
+    }
+}
+
+pub(crate) fn record(index: u8, service_name: &str, domain_name: &str) -> AgentRecord {
+    AgentRecord {
+        address: agent_address(index),
+        service: service(service_name),
+        failure_domain: domain(domain_name),
+        incarnation: Incarnation::new(1),
+        state: TargetState::Ready,
+        slots: Slots::new(4),
+        warmup_left: Duration::ZERO,
+    }
+}
+
+pub(crate) fn load(running: u16) -> AgentLoad {
+    AgentLoad {
+        running,
+        smoothed_hundredths: running * 100,
+        flows: running,
+    }
+}
+
+pub(crate) fn config(version: u64, services: &[&str]) -> RouteConfig {
+    let backends = services.iter().map(|name| Backend {
+        service: service(name),
+        weight: 1,
+    });
+    RouteConfig {
+        version: Revision::new(version),
+        routes: Box::new([Route {
+            address: route_address(),
+            backends: backends.collect(),
+            is_bulk: false,
+            latency_objective: Duration::from_millis(200),
+        }]),
+        idle_timeout: Duration::from_secs(12),
+    }
+}
+
+pub(crate) fn status(id: &str, started_unix_ms: u64, sequence: u64) -> StatusReport {
+    StatusReport {
+        id: id.into(),
+        started_unix_ms,
+        sequence,
+        service: service("matcher"),
+        state: TargetState::Ready,
+        slots: Slots::new(4),
+        warmup_left: Duration::ZERO,
+    }
+}
+
+/// Writes a packet in the tests' own layout.
+pub(crate) fn packet(head: &PacketHead) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(HEAD_BYTES);
+    for address in [head.source, head.destination] {
+        bytes.extend(address.ip().octets());
+        bytes.extend(address.port().to_be_bytes());
+    }
+    bytes.push(flag_bits(head.flags));
+    bytes.extend(head.sequence.to_be_bytes());
+    bytes.extend(head.acknowledged.to_be_bytes());
+    bytes.extend(head.payload_len.to_be_bytes());
+    bytes
+}
+
+const FLAGS: [PacketFlags; 5] = [
+    PacketFlags::SYN,
+    PacketFlags::ACK,
+    PacketFlags::FIN,
+    PacketFlags::RST,
+    PacketFlags::BOUNCED,
+];
+
+fn flag_bits(flags: PacketFlags) -> u8 {
+    let bits = FLAGS.iter().enumerate();
+    bits.filter(|(_, flag)| flags.contains(**flag))
+        .fold(0, |bits, (index, _)| bits | 1 << index)
+}
+
+/// Reads a packet in the tests' own layout.
+pub(crate) fn head(bytes: &[u8]) -> PacketHead {
+    let u32_at = |at: usize| u32::from_be_bytes(bytes[at..at + 4].try_into().unwrap());
+    let u16_at = |at: usize| u16::from_be_bytes(bytes[at..at + 2].try_into().unwrap());
+    let address = |at| SocketAddrV4::new(Ipv4Addr::from(u32_at(at)), u16_at(at + 4));
+    let set = (0..FLAGS.len()).filter(|index| bytes[12] & 1 << index != 0);
+    PacketHead {
+        source: address(0),
+        destination: address(6),
+        flags: set.fold(PacketFlags::default(), |flags, i| flags.with(FLAGS[i])),
+        sequence: u32_at(13),
+        acknowledged: u32_at(17),
+        payload_len: u16_at(21),
+    }
+}
+
+/// Returns the head of an opening packet; `copies` counts the earlier ones.
+pub(crate) fn opening(flow: FlowKey, copies: u32) -> PacketHead {
+    from_caller(flow, PacketFlags::SYN, copies, 0)
+}
+
+/// Returns the head of a caller's packet with a request.
+pub(crate) fn request(flow: FlowKey, acknowledged: u32) -> PacketHead {
+    from_caller(flow, PacketFlags::ACK, acknowledged, 100)
+}
+
+pub(crate) fn from_caller(
+    flow: FlowKey,
+    flags: PacketFlags,
+    acknowledged: u32,
+    payload_len: u16,
+) -> PacketHead {
+    PacketHead {
+        source: flow.caller,
+        destination: flow.service_address,
+        flags,
+        sequence: 1000,
+        acknowledged,
+        payload_len,
+    }
+}
+
+/// Returns the head of a target's packet.
+pub(crate) fn from_target(
+    flow: FlowKey,
+    flags: PacketFlags,
+    sequence: u32,
+    payload_len: u16,
+) -> PacketHead {
+    PacketHead {
+        source: flow.service_address,
+        destination: flow.caller,
+        flags,
+        sequence,
+        acknowledged: 1000,
+        payload_len,
+    }
+}
+
+pub(crate) fn acceptance(flow: FlowKey, sequence: u32) -> PacketHead {
+    from_target(flow, PacketFlags::SYN.with(PacketFlags::ACK), sequence, 0)
+}
+
+/// Returns the messages among actions with their receivers.
+pub(crate) fn sent<'a>(actions: &'a [Action<'_>]) -> Vec<(SocketAddrV4, &'a Message<'a>)> {
+    let message = |action: &'a Action<'_>| match action {
+        Action::Send { peer, message } => Some((*peer, message)),
+        _ => None,
+    };
+    actions.iter().filter_map(message).collect()
+}
+
+pub(crate) fn resets(actions: &[Action<'_>]) -> usize {
+    let is_reset = |action: &&Action<'_>| matches!(action, Action::Reset(_));
+    actions.iter().filter(is_reset).count()
+}
+
+pub(crate) fn events<'a>(actions: &'a [Action<'_>]) -> Vec<&'a FlowEvent> {
+    let event = |action: &'a Action<'_>| match action {
+        Action::Record(event) => Some(event),
+        _ => None,
+    };
+    actions.iter().filter_map(event).collect()
+}
--- a/crates/cranberrypitch-net/src/store/http.rs
+++ b/crates/cranberrypitch-net/src/store/http.rs
@@ -61,9 +61,7 @@
             _ => self.options.call_timeout,
         };
         let body = serde_json::to_vec(&call).map_err(|e| Error::refused(&e))?;
-        let request = self
-            .request(body.into())
-            .map_err(|e| Error::refused(&e))?;
+        let request = self.request(body.into()).map_err(|e| Error::refused(&e))?;
         match self.client.exchange(request, limit).await {
             Ok((StatusCode::OK, body)) => {
                 Answer::decode(&body).map_err(|e| lost(&call, &format!("malformed answer: {e}")))
@@ -74,7 +72,10 @@
         }
     }
 
-    fn request(&self, body: Bytes) -> std::result::Result<Request<Full<Bytes>>, hyper::http::Error> {
+    fn request(
+        &self,
+        body: Bytes,
+    ) -> std::result::Result<Request<Full<Bytes>>, hyper::http::Error> {
         Request::post(PATH)
             .header(header::HOST, self.options.address.to_string())
             .header(header::CONTENT_TYPE, "application/json")
--- /dev/null
+++ b/crates/cranberrypitch-proto/tests/relay_messages.rs
@@ -0,0 +1,144 @@
+//! Guards against relay messages that change on the way, and against datagrams that are none.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use cranberrypitch_core::flow::{
+    AgentLoad, AgentRecord, FlowKey, LocateAnswer, Message, RefusalCause,
+};
+use cranberrypitch_core::{
+    FailureDomain, Incarnation, ServiceName, ServiceTag, Slots, TargetState,
+};
+use cranberrypitch_proto::{Error, relay};
+use proptest::prelude::*;
+
+fn addresses() -> impl Strategy<Value = SocketAddrV4> {
+    (any::<u32>(), any::<u16>())
+        .prop_map(|(ip, port)| SocketAddrV4::new(Ipv4Addr::from_bits(ip), port))
+}
+
+fn flows() -> impl Strategy<Value = FlowKey> {
+    (addresses(), addresses()).prop_map(|(caller, service_address)| FlowKey {
+        caller,
+        service_address,
+    })
+}
+
+fn packets() -> impl Strategy<Value = std::borrow::Cow<'static, [u8]>> {
+    prop::collection::vec(any::<u8>(), 0..1300).prop_map(Into::into)
+}
+
+fn records() -> impl Strategy<Value = AgentRecord> {
+    let state = prop::sample::select(
+        &[
+            TargetState::Starting,
+            TargetState::Ready,
+            TargetState::Draining,
+            TargetState::Gone,
+        ][..],
+    );
+    let name = "[a-z0-9-]{1,63}";
+    (
+        addresses(),
+        name,
+        name,
+        any::<u64>(),
+        state,
+        any::<u32>(),
+        any::<u32>(),
+    )
+        .prop_map(
+            |(address, service, domain, incarnation, state, slots, warmup_ms)| AgentRecord {
+                address,
+                service: ServiceName::try_new(&service).unwrap(),
+                failure_domain: FailureDomain::try_new(&domain).unwrap(),
+                incarnation: Incarnation::new(incarnation),
+                state,
+                slots: Slots::new(slots),
+                warmup_left: Duration::from_millis(u64::from(warmup_ms)),
+            },
+        )
+}
+
+fn messages() -> impl Strategy<Value = Message<'static>> {
+    let causes = prop::sample::select(
+        &[
+            RefusalCause::OtherService,
+            RefusalCause::Draining,
+            RefusalCause::TargetSilent,
+            RefusalCause::TargetFull,
+        ][..],
+    );
+    let answers = prop::sample::select(
+        &[
+            LocateAnswer::Held,
+            LocateAnswer::NotHeld,
+            LocateAnswer::Unknown,
+        ][..],
+    );
+    let load = (any::<u16>(), any::<u16>(), any::<u16>()).prop_map(
+        |(running, smoothed_hundredths, flows)| AgentLoad {
+            running,
+            smoothed_hundredths,
+            flows,
+        },
+    );
+    prop_oneof![
+        (any::<u32>(), packets()).prop_map(|(tag, packet)| Message::Open {
+            service: ServiceTag::new(tag),
+            packet
+        }),
+        packets().prop_map(|packet| Message::Forward { packet }),
+        (flows(), any::<u32>())
+            .prop_map(|(flow, acknowledged)| Message::Locate { flow, acknowledged }),
+        flows().prop_map(|flow| Message::Accepted { flow }),
+        (flows(), causes).prop_map(|(flow, cause)| Message::Refused { flow, cause }),
+        (flows(), answers).prop_map(|(flow, answer)| Message::Located { flow, answer }),
+        packets().prop_map(|packet| Message::Returned { packet }),
+        (records(), load).prop_map(|(record, load)| Message::Report { record, load }),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn messages_arrive_as_sent(message in messages()) {
+        let mut datagram = vec![9; 5];
+        relay::encode(&message, &mut datagram);
+        prop_assert_eq!(relay::decode(&datagram).unwrap(), message);
+    }
+
+    /// Guards against a panic or a wrong message where a datagram is cut off. Messages that end in a
+    /// packet are checked by the packet's own length.
+    #[test]
+    fn cut_messages_are_refused(message in messages(), cut in any::<prop::sample::Index>()) {
+        let mut datagram = Vec::new();
+        relay::encode(&message, &mut datagram);
+        let cut = cut.index(datagram.len());
+        let decoded = relay::decode(&datagram[..cut]);
+        let ends_in_packet = matches!(
+            message,
+            Message::Open { .. } | Message::Forward { .. } | Message::Returned { .. }
+        );
+        if !ends_in_packet {
+            prop_assert!(decoded.is_err());
+        }
+    }
+
+    #[test]
+    fn any_bytes_are_read_without_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = relay::decode(&bytes);
+    }
+}
+
+#[test]
+fn foreign_datagrams_are_refused() {
+    assert!(matches!(
+        relay::decode(&[]),
+        Err(Error::Truncated { len_bytes: 0 })
+    ));
+    assert!(matches!(relay::decode(&[0x00, 1]), Err(Error::NotTunnel)));
+    assert!(matches!(
+        relay::decode(&[0xd1, 99]),
+        Err(Error::UnknownKind { kind: 99 })
+    ));
+}
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -62,7 +62,13 @@
     let caller_port = settings.datagram_address.port();
     let mut agent = Agent::<P> {
         endpoint,
-        outlet: Outlet::new(Arc::clone(&peers), Arc::clone(&peers), Some(to_target), caller_port, now),
+        outlet: Outlet::new(
+            Arc::clone(&peers),
+            Arc::clone(&peers),
+            Some(to_target),
+            caller_port,
+            now,
+        ),
         clock: Arc::clone(&startup.clock),
         records,
         buffer: vec![0; MAX_DATAGRAM_BYTES],
@@ -196,7 +202,13 @@
             };
             match relay::decode(datagram) {
                 Ok(message) => {
-                    on_message::<P>(&mut self.endpoint, &mut self.outlet, balancer, message, now);
+                    on_message::<P>(
+                        &mut self.endpoint,
+                        &mut self.outlet,
+                        balancer,
+                        &message,
+                        now,
+                    );
                 }
                 Err(error) => {
                     tracing::debug!(target: log::TARGET, %balancer, %error, "message refused");
@@ -209,7 +221,8 @@
         let now = self.clock.now();
         for _ in 0..BATCH {
             let received = receive(socket, &mut self.buffer);
-            let Some((len, sender)) = received.map(|(packet, sender)| (packet.len(), sender)) else {
+            let Some((len, sender)) = received.map(|(packet, sender)| (packet.len(), sender))
+            else {
                 return;
             };
             let packet = &mut self.buffer[..len];
@@ -263,10 +276,10 @@
     endpoint: &mut Endpoint,
     outlet: &mut Outlet,
     balancer: SocketAddrV4,
-    message: Message<'_>,
+    message: &Message<'_>,
     now: Instant,
 ) {
-    let packet = match &message {
+    let packet = match message {
         Message::Open { packet, .. } | Message::Forward { packet } => packet,
         Message::Locate { flow, acknowledged } => {
             let actions = endpoint.on_locate(balancer, *flow, *acknowledged, now);
@@ -284,7 +297,7 @@
             return;
         }
     };
-    let actions: Vec<Action<'_>> = match &message {
+    let actions: Vec<Action<'_>> = match message {
         Message::Open { service, .. } => endpoint.on_open(balancer, *service, &head, packet, now),
         _ => endpoint.on_forward(balancer, &head, packet, now),
     };
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -56,8 +56,14 @@
     let caller_port = settings.datagram_address.port();
     let mut balancer = Balancer::<P> {
         dispatcher: Dispatcher::new(options, domain),
-        outlet: Outlet::new(Arc::clone(&peers), Arc::clone(&callers), None, caller_port, now)
-            .with_list_wanted(list_wanted),
+        outlet: Outlet::new(
+            Arc::clone(&peers),
+            Arc::clone(&callers),
+            None,
+            caller_port,
+            now,
+        )
+        .with_list_wanted(list_wanted),
         clock: Arc::clone(&startup.clock),
         readiness,
         buffer: vec![0; MAX_DATAGRAM_BYTES],
@@ -188,7 +194,9 @@
                     let actions = on_message::<P>(&mut self.dispatcher, peer, message, now);
                     self.outlet.perform::<P>(actions, now);
                 }
-                Err(error) => tracing::debug!(target: log::TARGET, %peer, %error, "message refused"),
+                Err(error) => {
+                    tracing::debug!(target: log::TARGET, %peer, %error, "message refused");
+                }
             }
         }
         true
@@ -199,7 +207,7 @@
         let actions = match update {
             Update::Config(config) => self.dispatcher.on_config(&config),
             Update::Agents(records) => self.dispatcher.on_list(records, now),
-            Update::Registered(record) => self.dispatcher.on_registered(record, now),
+            Update::Registered(record) => self.dispatcher.on_registered(&record, now),
             Update::Unregistered(key) => {
                 if let Some(address) = registration::address_of(&key) {
                     self.dispatcher.on_unregistered(address, now);
@@ -260,7 +268,7 @@
             }
         },
         Message::Report { record, load } if record.address == agent => {
-            dispatcher.on_report(record, load, now)
+            dispatcher.on_report(&record, load, now)
         }
         Message::Open { .. }
         | Message::Forward { .. }
--- a/crates/cranberrypitch-relay/src/errors.rs
+++ b/crates/cranberrypitch-relay/src/errors.rs
@@ -63,5 +63,4 @@
             detail: detail.to_string().into(),
         }
     }
-
 }
--- a/crates/cranberrypitch-relay/src/follow.rs
+++ b/crates/cranberrypitch-relay/src/follow.rs
@@ -19,10 +19,10 @@
 
 /// A watch on the configuration waits at most this long, so that a connection that went silent is
 /// noticed within the time that a change may take.
-const CONFIG_WAIT: Duration = Duration::from_millis(3000);
+const CONFIG_WAIT: Duration = Duration::from_secs(3);
 
 /// The same for the list of agents. A flow whose agent may be missing from the list asks for a read.
-const AGENTS_WAIT: Duration = Duration::from_millis(8000);
+const AGENTS_WAIT: Duration = Duration::from_secs(8);
 
 /// The time between two watches of the list of agents, so that one call tells of many changes.
 const AGENTS_INTERVAL: Duration = Duration::from_millis(500);
@@ -74,10 +74,12 @@
                 .list()
                 .await
                 .map(|entries| entries.iter().filter_map(read).collect()),
-            Some(after) => follower
-                .watch(after, CONFIG_WAIT)
-                .await
-                .map(|changes| changes.iter().filter_map(|c| read(c.entry.as_ref()?)).collect()),
+            Some(after) => follower.watch(after, CONFIG_WAIT).await.map(|changes| {
+                changes
+                    .iter()
+                    .filter_map(|c| read(c.entry.as_ref()?))
+                    .collect()
+            }),
         };
         if !follower.pass_on(changes, &updates).await {
             return Ok(());
@@ -98,18 +100,17 @@
         let wait = next_wait(&follower, &wanted).await;
         let mut as_of = clock.now();
         let changes = match follower.after {
-            None => follower.list().await.map(listed),
+            None => follower.list().await.map(|entries| listed(&entries)),
             Some(after) => {
                 let watched = tokio::select! {
                     watched = follower.watch(after, wait) => Some(watched),
                     () = wanted.notified() => None,
                 };
-                let watched = match watched {
-                    Some(watched) => watched,
-                    None => {
-                        as_of = clock.now();
-                        follower.watch(after, READ_WAIT).await
-                    }
+                let watched = if let Some(watched) = watched {
+                    watched
+                } else {
+                    as_of = clock.now();
+                    follower.watch(after, READ_WAIT).await
                 };
                 watched.map(|changes| changes.into_iter().filter_map(changed).collect())
             }
@@ -136,7 +137,7 @@
     }
 }
 
-fn listed(entries: Vec<Entry>) -> Vec<Update> {
+fn listed(entries: &[Entry]) -> Vec<Update> {
     let records = entries.iter().filter_map(read_record).collect();
     vec![Update::Agents(records)]
 }
@@ -240,11 +241,7 @@
     }
 
     /// Waits after a failed call.
-    pub(crate) async fn wait(
-        &mut self,
-        what: &StoreKey,
-        error: &cranberrypitch_net::store::Error,
-    ) {
+    pub(crate) async fn wait(&mut self, what: &StoreKey, error: &cranberrypitch_net::store::Error) {
         if self.failures == 0 {
             tracing::warn!(target: crate::log::TARGET, event = "StoreLost", %what, %error);
         }
--- a/crates/cranberrypitch-relay/src/log.rs
+++ b/crates/cranberrypitch-relay/src/log.rs
@@ -134,7 +134,8 @@
             version,
             load_age,
         } => {
-            let load_age_ms = load_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+            let load_age_ms =
+                load_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
             tracing::info!(target: TARGET, event = "Placed", %flow, %service, %agent, attempt, %version, load_age_ms);
         }
         FlowEvent::Located {
--- a/crates/cranberrypitch-relay/src/registration.rs
+++ b/crates/cranberrypitch-relay/src/registration.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use cranberrypitch_core::flow::AgentRecord;
-use cranberrypitch_net::store::{Error as StoreError, Expected, LeaseId, Put, Store, StoreKey, Version};
+use cranberrypitch_net::store::{
+    Error as StoreError, Expected, LeaseId, Put, Store, StoreKey, Version,
+};
 use tokio::sync::watch::Receiver;
 use tokio::time::{sleep, timeout};
 
@@ -49,11 +51,7 @@
 
 impl<'a, S: Store> Registration<'a, S> {
     /// Returns the registration of an agent that is not written yet.
-    pub(crate) fn try_new(
-        store: &'a S,
-        record: &AgentRecord,
-        ttl_min: Duration,
-    ) -> Result<Self> {
+    pub(crate) fn try_new(store: &'a S, record: &AgentRecord, ttl_min: Duration) -> Result<Self> {
         Ok(Self {
             store,
             key: key_of(record)?,
@@ -151,7 +149,9 @@
                 }
             }
         }
-        Err(StoreError::unavailable(&"the key changes under another writer"))
+        Err(StoreError::unavailable(
+            &"the key changes under another writer",
+        ))
     }
 
     async fn release(self) {
