--- a/crates/cranberrypitch-core/src/flow/directory.rs
+++ b/crates/cranberrypitch-core/src/flow/directory.rs
@@ -12,18 +12,8 @@
 use super::load::AgentLoad;
 use crate::collections::FastMap;
 use crate::ids::{FailureDomain, Incarnation, ServiceName, ServiceTag};
-use crate::newtype::number_type;
 use crate::target::TargetState;
 use crate::units::Slots;
-use std::str::FromStr;
-
-use crate::errors::{Error, Result};
-
-number_type! {
-    /// The store's number of the write of a registration; a later write has a higher number.
-    RegistrationRevision, u64, "registration revision"
-}
-
 /// What an agent says about itself and its target.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -219,6 +209,18 @@
         self.agents.get(&address)
     }
 
+    /// Returns whether the store lists an agent.
+    pub(crate) fn is_listed(&self, address: SocketAddrV4) -> bool {
+        self.agents
+            .get(&address)
+            .is_some_and(|agent| agent.is_listed)
+    }
+
+    /// Returns the records of all agents.
+    pub fn records(&self) -> Vec<AgentRecord> {
+        self.all().map(|agent| agent.record.clone()).collect()
+    }
+
     /// Returns the number of agents.
     pub fn len(&self) -> usize {
         self.agents.len()
--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -22,6 +22,9 @@
 use super::selection::{Selector, SelectorOptions};
 use crate::ids::FailureDomain;
 
+/// Agents that one message names at most.
+const MAX_INTRODUCED: usize = 16;
+
 /// Settings of a [`Dispatcher`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DispatcherOptions {
@@ -184,14 +187,25 @@
         now: Instant,
     ) -> Vec<Action<'static>> {
         self.on_heard(record.address, now);
-        if !self.directory.on_report(record.clone(), load, now) {
-            return Vec::new();
+        let mut actions: Vec<_> = self.introduction(record.address).into_iter().collect();
+        if self.directory.on_report(record.clone(), load, now) {
+            actions.push(target_changed(record));
+            actions.extend(self.place_waiting(now));
         }
-        let mut actions = vec![target_changed(record)];
-        actions.extend(self.place_waiting(now));
         actions
     }
 
+    /// Returns the answer to an agent that the store does not list: it can't register, as while the
+    /// store is down, and knows few balancers.
+    fn introduction(&self, agent: SocketAddrV4) -> Option<Action<'static>> {
+        if self.directory.is_listed(agent) {
+            return None;
+        }
+        let others = self.directory.all().map(|known| known.record.address);
+        let others = others.filter(|other| *other != agent).take(MAX_INTRODUCED);
+        Some(Action::send(agent, Message::Agents(others.collect())))
+    }
+
     /// Notes that the target of an agent accepted a flow.
     pub fn on_accepted(&mut self, agent: SocketAddrV4, flow: FlowKey, now: Instant) {
         self.on_heard(agent, now);
--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -19,6 +19,15 @@
 use crate::target::TargetState;
 use crate::units::Slots;
 
+/// The time between two reports of an agent that is not registered to its seed balancers.
+const INTRODUCTION_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Agents that are asked for their balancers at most.
+const MAX_ASKED: usize = 16;
+
+/// Balancers that one message names at most.
+const MAX_BALANCERS_TOLD: usize = 64;
+
 /// Settings of an [`Endpoint`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndpointOptions {
@@ -67,6 +76,8 @@
     pub failure_domain: FailureDomain,
     /// The run of the agent.
     pub incarnation: Incarnation,
+    /// Balancers that may be there, for an agent that can't register.
+    pub seed_balancers: Box<[SocketAddrV4]>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -89,6 +100,8 @@
     flows: HostedFlows,
     meter: LoadMeter,
     balancers: FastMap<SocketAddrV4, KnownBalancer>,
+    is_registered: bool,
+    introduced_at: Instant,
     is_leaving: bool,
 }
 
@@ -103,6 +116,8 @@
             flows: HostedFlows::default(),
             meter: LoadMeter::new(now),
             balancers: FastMap::default(),
+            is_registered: false,
+            introduced_at: now,
             is_leaving: false,
         }
     }
@@ -282,6 +297,45 @@
         vec![Action::send(balancer, Message::Located { flow, answer })]
     }
 
+    /// Notes whether the store lists the agent.
+    pub const fn on_registration(&mut self, is_registered: bool) {
+        self.is_registered = is_registered;
+    }
+
+    /// Takes in other agents, and asks them for their balancers.
+    pub fn on_agents(&self, agents: &[SocketAddrV4]) -> Vec<Action<'static>> {
+        let ask = |agent: &SocketAddrV4| Action::send(*agent, Message::AskBalancers);
+        let agents = agents.iter().take(MAX_ASKED);
+        agents.map(ask).collect()
+    }
+
+    /// Answers an agent that asks for balancers.
+    pub fn on_ask_balancers(&self, agent: SocketAddrV4) -> Vec<Action<'static>> {
+        let balancers = self.balancers.keys().copied().take(MAX_BALANCERS_TOLD);
+        vec![Action::send(agent, Message::Balancers(balancers.collect()))]
+    }
+
+    /// Takes in balancers that use another agent, and reports to them.
+    pub fn on_balancers(
+        &mut self,
+        balancers: &[SocketAddrV4],
+        now: Instant,
+    ) -> Vec<Action<'static>> {
+        let unknown: Vec<_> = balancers
+            .iter()
+            .take(MAX_BALANCERS_TOLD)
+            .filter(|balancer| !self.balancers.contains_key(balancer))
+            .copied()
+            .collect();
+        for balancer in &unknown {
+            self.heard(*balancer, now);
+        }
+        unknown
+            .into_iter()
+            .filter_map(|balancer| self.report(balancer, now))
+            .collect()
+    }
+
     /// Takes in a packet that the target sent.
     pub fn on_target_packet<'a>(
         &mut self,
@@ -312,14 +366,31 @@
         let options = self.options;
         self.balancers
             .retain(|_, b| now.saturating_duration_since(b.heard) < options.balancer_lifetime);
+        let mut actions = self.introduce(now);
         let due: Vec<_> = self
             .balancers
             .iter()
             .filter(|(_, balancer)| balancer.is_due(&options, now))
             .map(|(address, _)| *address)
             .collect();
-        due.into_iter()
-            .filter_map(|balancer| self.report(balancer, now))
+        let reports = due.into_iter().filter_map(|b| self.report(b, now));
+        actions.extend(reports);
+        actions
+    }
+
+    /// Reports to the seed balancers from time to time while the store does not list the agent.
+    fn introduce(&mut self, now: Instant) -> Vec<Action<'static>> {
+        let elapsed = now.saturating_duration_since(self.introduced_at);
+        if self.is_registered || self.target.is_none() || elapsed < INTRODUCTION_INTERVAL {
+            return Vec::new();
+        }
+        self.introduced_at = now;
+        let record = self.record(now);
+        let load = self.meter.load(self.flows.open_len(), now);
+        let report = Message::Report { record, load };
+        let seeds = self.identity.seed_balancers.iter();
+        seeds
+            .map(|seed| Action::send(*seed, report.clone()))
             .collect()
     }
 
--- a/crates/cranberrypitch-core/src/flow/message.rs
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -89,6 +89,12 @@
         /// The packet.
         packet: Cow<'a, [u8]>,
     },
+    /// Balancer to an agent that is not registered: other agents, which know more balancers.
+    Agents(Box<[SocketAddrV4]>),
+    /// Agent to agent: which balancers use you?
+    AskBalancers,
+    /// Agent to agent: the balancers that use this one.
+    Balancers(Box<[SocketAddrV4]>),
     /// Agent to balancer: state and load of the target.
     Report {
         /// The target.
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -18,7 +18,7 @@
 mod routes;
 mod selection;
 
-pub use self::directory::{AgentRecord, Directory, DirectoryOptions, RegistrationRevision};
+pub use self::directory::{AgentRecord, Directory, DirectoryOptions};
 pub use self::dispatcher::{Dispatcher, DispatcherOptions};
 pub use self::endpoint::{Endpoint, EndpointOptions, Identity, StatusReport, TargetRun};
 pub use self::event::{DropCause, FlowEvent, ResetCause};
--- a/crates/cranberrypitch-core/tests/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/tests/flow/dispatcher.rs
@@ -314,6 +314,21 @@
     }
 }
 
+/// An agent that the store does not list is told of others, which know more balancers.
+#[test]
+fn unlisted_agent_is_introduced() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(local_records(2), now);
+    let actions = dispatcher.on_report(&record(7, "matcher", "a"), load(0), now);
+    let messages = sent(&actions);
+    assert!(
+        matches!(messages[..], [(a, Message::Agents(others))] if a == agent_address(7) && others.len() == 2),
+        "{messages:?}"
+    );
+    let actions = dispatcher.on_report(&record(1, "matcher", "a"), load(0), now);
+    assert!(sent(&actions).is_empty());
+}
+
 /// The table of flows must not grow for ever.
 #[test]
 fn idle_flows_are_forgotten() {
--- a/crates/cranberrypitch-core/tests/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/tests/flow/endpoint.rs
@@ -19,6 +19,7 @@
         service: service("matcher"),
         failure_domain: domain("a"),
         incarnation: Incarnation::new(1),
+        seed_balancers: Box::new([balancer_address(8), balancer_address(9)]),
     };
     Endpoint::new(EndpointOptions::default(), identity, now)
 }
@@ -343,6 +344,29 @@
     assert_eq!(forward(&mut endpoint, 1, 900_000, now), "returned");
 }
 
+/// While the store is down, a new agent is found by way of seed balancers and the agents that they
+/// know, or its target would stay idle while others are released.
+#[test]
+fn unregistered_agent_introduces_itself() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    let later = now + Duration::from_secs(1);
+    let actions = endpoint.on_tick(later);
+    let receivers: Vec<_> = sent(&actions).iter().map(|(peer, _)| *peer).collect();
+    assert_eq!(receivers, [balancer_address(8), balancer_address(9)]);
+
+    let actions = endpoint.on_agents(&[agent_address(2)]);
+    assert!(matches!(sent(&actions)[..], [(a, Message::AskBalancers)] if a == agent_address(2)));
+    let actions = endpoint.on_balancers(&[balancer_address(3)], later);
+    let messages = sent(&actions);
+    assert!(matches!(messages[..], [(b, Message::Report { .. })] if b == balancer_address(3)));
+
+    endpoint.on_registration(true);
+    let actions = endpoint.on_tick(later + Duration::from_secs(1));
+    let receivers: Vec<_> = sent(&actions).iter().map(|(peer, _)| *peer).collect();
+    assert_eq!(receivers, [balancer_address(3)]);
+}
+
 #[test]
 fn running_requests_are_counted() {
     let now = Instant::now();
@@ -366,6 +390,7 @@
 fn reports_go_to_balancers_in_use() {
     let now = Instant::now();
     let mut endpoint = with_target(now);
+    endpoint.on_registration(true);
     open(&mut endpoint, 1, now);
     locate(&mut endpoint, 9, 1, now);
     let mut reports = [0; 3];
--- a/crates/cranberrypitch-core/tests/flow/world.rs
+++ b/crates/cranberrypitch-core/tests/flow/world.rs
@@ -98,6 +98,7 @@
         service: service("matcher"),
         failure_domain: domain("a"),
         incarnation: Incarnation::new(run),
+        seed_balancers: Box::default(),
     };
     Endpoint::new(EndpointOptions::default(), identity, now)
 }
@@ -119,6 +120,7 @@
         Message::Refused { flow, cause } => Message::Refused { flow, cause },
         Message::Located { flow, answer } => Message::Located { flow, answer },
         Message::Report { record, load } => Message::Report { record, load },
+        other => panic!("{other:?}"),
     }
 }
 
--- a/crates/cranberrypitch-proto/src/relay.rs
+++ b/crates/cranberrypitch-proto/src/relay.rs
@@ -31,6 +31,12 @@
 const LOCATED: u8 = 6;
 const RETURNED: u8 = 7;
 const REPORT: u8 = 8;
+const AGENTS: u8 = 9;
+const ASK_BALANCERS: u8 = 10;
+const BALANCERS: u8 = 11;
+
+/// The bytes of an address.
+const ADDRESS_BYTES: usize = 6;
 
 /// Writes a message over the content of `datagram`.
 pub fn encode(message: &Message<'_>, datagram: &mut Vec<u8>) {
@@ -69,6 +75,15 @@
             datagram.put_u8(RETURNED);
             datagram.put_slice(packet);
         }
+        Message::Agents(addresses) => {
+            datagram.put_u8(AGENTS);
+            put_addresses(datagram, addresses);
+        }
+        Message::AskBalancers => datagram.put_u8(ASK_BALANCERS),
+        Message::Balancers(addresses) => {
+            datagram.put_u8(BALANCERS);
+            put_addresses(datagram, addresses);
+        }
         Message::Report { record, load } => {
             datagram.put_u8(REPORT);
             put_report(datagram, record, *load);
@@ -114,6 +129,9 @@
             packet: reader.rest(),
         },
         REPORT => reader.report()?,
+        AGENTS => Message::Agents(reader.addresses()?),
+        ASK_BALANCERS => Message::AskBalancers,
+        BALANCERS => Message::Balancers(reader.addresses()?),
         kind => return Err(Error::UnknownKind { kind }),
     };
     reader.finish()?;
@@ -125,6 +143,12 @@
     datagram.put_u16(address.port());
 }
 
+fn put_addresses(datagram: &mut Vec<u8>, addresses: &[SocketAddrV4]) {
+    for address in addresses {
+        put_address(datagram, *address);
+    }
+}
+
 fn put_flow(datagram: &mut Vec<u8>, flow: &FlowKey) {
     put_address(datagram, flow.caller);
     put_address(datagram, flow.service_address);
@@ -173,6 +197,12 @@
         Ok(SocketAddrV4::new(ip, self.u16()?))
     }
 
+    /// Returns the addresses that are left.
+    fn addresses(&mut self) -> Result<Box<[SocketAddrV4]>> {
+        let count = self.0.len().div_ceil(ADDRESS_BYTES);
+        (0..count).map(|_| self.address()).collect()
+    }
+
     fn flow(&mut self) -> Result<FlowKey> {
         Ok(FlowKey {
             caller: self.address()?,
--- a/crates/cranberrypitch-proto/tests/relay_messages.rs
+++ b/crates/cranberrypitch-proto/tests/relay_messages.rs
@@ -95,6 +95,9 @@
         (flows(), causes).prop_map(|(flow, cause)| Message::Refused { flow, cause }),
         (flows(), answers).prop_map(|(flow, answer)| Message::Located { flow, answer }),
         packets().prop_map(|packet| Message::Returned { packet }),
+        prop::collection::vec(addresses(), 0..40).prop_map(|a| Message::Agents(a.into())),
+        Just(Message::AskBalancers),
+        prop::collection::vec(addresses(), 0..40).prop_map(|a| Message::Balancers(a.into())),
         (records(), load).prop_map(|(record, load)| Message::Report { record, load }),
     ]
 }
@@ -108,7 +111,7 @@
     }
 
     /// Guards against a panic or a wrong message where a datagram is cut off. Messages that end in a
-    /// packet are checked by the packet's own length.
+    /// packet are checked by the packet's own length, and a shorter list is a list.
     #[test]
     fn cut_messages_are_refused(message in messages(), cut in any::<prop::sample::Index>()) {
         let mut datagram = Vec::new();
@@ -117,7 +120,11 @@
         let decoded = relay::decode(&datagram[..cut]);
         let ends_in_packet = matches!(
             message,
-            Message::Open { .. } | Message::Forward { .. } | Message::Returned { .. }
+            Message::Open { .. }
+                | Message::Forward { .. }
+                | Message::Returned { .. }
+                | Message::Agents(_)
+                | Message::Balancers(_)
         );
         if !ends_in_packet {
             prop_assert!(decoded.is_err());
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -3,6 +3,7 @@
 use std::marker::PhantomData;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -55,9 +56,12 @@
         service: target.service.clone(),
         failure_domain: settings.failure_domain.clone(),
         incarnation: new_incarnation(&*startup.clock),
+        seed_balancers: settings.seed_balancers(),
     };
     let endpoint = Endpoint::new(endpoint_options(settings), identity, now);
-    let (records, registration) = register::<P>(settings, &endpoint.record(now))?;
+    let is_registered = Arc::new(AtomicBool::new(false));
+    let record = endpoint.record(now);
+    let (records, registration) = register::<P>(settings, &record, &is_registered)?;
     let to_target = (Arc::clone(&outbound), target.backend_address);
     let caller_port = settings.datagram_address.port();
     let mut agent = Agent::<P> {
@@ -71,6 +75,7 @@
         ),
         clock: Arc::clone(&startup.clock),
         records,
+        is_registered,
         buffer: vec![0; MAX_DATAGRAM_BYTES],
         platform: PhantomData,
     };
@@ -98,14 +103,16 @@
 fn register<P: Platform>(
     settings: &RelaySettings,
     record: &AgentRecord,
+    is_registered: &Arc<AtomicBool>,
 ) -> Result<(Records, JoinHandle<()>)> {
     let (sender, receiver) = watch::channel(None);
     let store = P::store(settings.store_address);
     let (record, ttl_min) = (record.clone(), settings.lease_min_ms);
+    let is_registered = Arc::clone(is_registered);
     // The key is checked before the task begins.
     crate::registration::key_of(&record)?;
     let task = tokio::spawn(async move {
-        match Registration::try_new(&store, &record, ttl_min) {
+        match Registration::try_new(&store, &record, ttl_min, is_registered) {
             Ok(registration) => registration.run(receiver).await,
             Err(error) => tracing::error!(target: log::TARGET, %error, "not registered"),
         }
@@ -149,6 +156,7 @@
     outlet: Outlet,
     clock: Arc<dyn Clock>,
     records: Records,
+    is_registered: Arc<AtomicBool>,
     buffer: Vec<u8>,
     platform: PhantomData<P>,
 }
@@ -266,6 +274,8 @@
 
     fn on_tick(&mut self) {
         let now = self.clock.now();
+        let is_registered = self.is_registered.load(Ordering::Relaxed);
+        self.endpoint.on_registration(is_registered);
         let actions = self.endpoint.on_tick(now);
         self.outlet.perform::<P>(actions, now);
         self.outlet.summarize(now);
@@ -285,6 +295,16 @@
             let actions = endpoint.on_locate(balancer, *flow, *acknowledged, now);
             return outlet.perform::<P>(actions, now);
         }
+        Message::Agents(agents) => {
+            return outlet.perform::<P>(endpoint.on_agents(agents), now);
+        }
+        Message::AskBalancers => {
+            return outlet.perform::<P>(endpoint.on_ask_balancers(balancer), now);
+        }
+        Message::Balancers(balancers) => {
+            let actions = endpoint.on_balancers(balancers, now);
+            return outlet.perform::<P>(actions, now);
+        }
         _ => {
             tracing::debug!(target: log::TARGET, %balancer, "message not meant for an agent");
             return;
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::Clock;
-use cranberrypitch_core::flow::{Action, Dispatcher, DispatcherOptions, Message};
+use cranberrypitch_core::flow::{Action, Dispatcher, DispatcherOptions, Message, RouteConfig};
 use cranberrypitch_net::daemon::Signal;
 use cranberrypitch_proto::relay;
 use tokio::net::UdpSocket;
@@ -17,6 +17,7 @@
 use crate::log;
 use crate::platform::Platform;
 use crate::registration;
+use crate::snapshot::{self, SharedSnapshot};
 use crate::sockets::{BATCH, MAX_DATAGRAM_BYTES, bind, receive};
 
 /// The time between two ticks while a flow waits for an answer.
@@ -54,7 +55,9 @@
     let options = DispatcherOptions::default();
     let domain = settings.failure_domain.clone();
     let caller_port = settings.datagram_address.port();
+    let snapshot = SharedSnapshot::default();
     let mut balancer = Balancer::<P> {
+        snapshot: snapshot.clone(),
         dispatcher: Dispatcher::new(options, domain),
         outlet: Outlet::new(
             Arc::clone(&peers),
@@ -69,6 +72,9 @@
         buffer: vec![0; MAX_DATAGRAM_BYTES],
         platform: std::marker::PhantomData,
     };
+    if let Some(address) = settings.snapshot_address {
+        snapshot::serve(address, snapshot).await?;
+    }
     balancer.run(startup, &callers, &peers, updates).await;
     Ok(())
 }
@@ -78,6 +84,8 @@
     let store = Arc::new(P::store(startup.settings.store_address));
     let (list_wanted, clock) = (Arc::clone(list_wanted), Arc::clone(&startup.clock));
     let (config_store, config_sender) = (Arc::clone(&store), sender.clone());
+    let (seeds, snapshot_sender) = (startup.settings.seed_addresses.clone(), sender.clone());
+    tokio::spawn(async move { snapshot::fetch(&seeds, snapshot_sender).await });
     tokio::spawn(async move {
         if let Err(error) = follow_config::<P>(&config_store, config_sender).await {
             tracing::error!(target: log::TARGET, %error, "configuration not followed");
@@ -96,6 +104,7 @@
     outlet: Outlet,
     clock: Arc<dyn Clock>,
     readiness: Readiness,
+    snapshot: SharedSnapshot,
     buffer: Vec<u8>,
     platform: std::marker::PhantomData<P>,
 }
@@ -205,8 +214,17 @@
     fn on_update(&mut self, update: Update) {
         let now = self.clock.now();
         let actions = match update {
-            Update::Config(config) => self.dispatcher.on_config(&config),
+            Update::Config(config) => self.on_config(config),
             Update::Agents(records) => self.dispatcher.on_list(records, now),
+            Update::Snapshot(_) if self.dispatcher.is_ready() => Vec::new(),
+            Update::Snapshot(snapshot) => {
+                tracing::info!(target: log::TARGET, event = "SnapshotTaken", agents = snapshot.agents.len());
+                let mut actions = self.on_config(snapshot.config);
+                if !self.dispatcher.directory().is_complete() {
+                    actions.extend(self.dispatcher.on_list(snapshot.agents, now));
+                }
+                actions
+            }
             Update::Registered(record) => self.dispatcher.on_registered(&record, now),
             Update::Unregistered(key) => {
                 if let Some(address) = registration::address_of(&key) {
@@ -222,6 +240,14 @@
         }
     }
 
+    fn on_config(&mut self, config: RouteConfig) -> Vec<Action<'static>> {
+        let actions = self.dispatcher.on_config(&config);
+        if self.dispatcher.routes().version() == Some(config.version) {
+            self.snapshot.set_config(config);
+        }
+        actions
+    }
+
     fn on_packet(&mut self, packet: &[u8], now: Instant) {
         match P::read_head(packet) {
             Ok(head) => {
@@ -244,6 +270,8 @@
         let actions = self.dispatcher.on_tick(now);
         self.outlet.perform::<P>(actions, now);
         self.outlet.summarize(now);
+        self.snapshot
+            .set_agents(|| self.dispatcher.directory().records(), now);
     }
 }
 
@@ -273,6 +301,9 @@
         Message::Open { .. }
         | Message::Forward { .. }
         | Message::Locate { .. }
+        | Message::Agents(_)
+        | Message::AskBalancers
+        | Message::Balancers(_)
         | Message::Report { .. } => {
             tracing::debug!(target: log::TARGET, %agent, "message not meant for a balancer");
             Vec::new()
--- a/crates/cranberrypitch-relay/src/follow.rs
+++ b/crates/cranberrypitch-relay/src/follow.rs
@@ -16,6 +16,7 @@
 use crate::errors::{Error, Result};
 use crate::platform::Platform;
 use crate::registration;
+use crate::snapshot::Snapshot;
 
 /// A watch on the configuration waits at most this long, so that a connection that went silent is
 /// noticed within the time that a change may take.
@@ -44,6 +45,8 @@
 pub(crate) enum Update {
     /// The configuration.
     Config(RouteConfig),
+    /// What another balancer knows.
+    Snapshot(Snapshot),
     /// The whole list of agents.
     Agents(Vec<AgentRecord>),
     /// An agent registered.
--- a/crates/cranberrypitch-relay/src/lib.rs
+++ b/crates/cranberrypitch-relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod platform;
 mod registration;
 mod settings;
+mod snapshot;
 mod sockets;
 
 pub use crate::agent::run_agent;
--- a/crates/cranberrypitch-relay/src/registration.rs
+++ b/crates/cranberrypitch-relay/src/registration.rs
@@ -1,6 +1,8 @@
 //! The registration of an agent in the store, under a lease.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -32,6 +34,8 @@
     store: &'a S,
     key: StoreKey,
     ttl: Duration,
+    /// Whether the store lists the record, as far as is known.
+    is_registered: Arc<AtomicBool>,
     lease: Option<LeaseId>,
     written: Option<(Version, AgentRecord)>,
 }
@@ -51,11 +55,17 @@
 
 impl<'a, S: Store> Registration<'a, S> {
     /// Returns the registration of an agent that is not written yet.
-    pub(crate) fn try_new(store: &'a S, record: &AgentRecord, ttl_min: Duration) -> Result<Self> {
+    pub(crate) fn try_new(
+        store: &'a S,
+        record: &AgentRecord,
+        ttl_min: Duration,
+        is_registered: Arc<AtomicBool>,
+    ) -> Result<Self> {
         Ok(Self {
             store,
             key: key_of(record)?,
             ttl: LEASE_TTL.max(ttl_min),
+            is_registered,
             lease: None,
             written: None,
         })
@@ -73,6 +83,8 @@
                 Some(record) => self.step(record, is_renewal_due).await,
                 None => Ok(()),
             };
+            let is_registered = result.is_ok() && self.written.is_some();
+            self.is_registered.store(is_registered, Ordering::Relaxed);
             match result {
                 Ok(()) => {
                     pause.reset(&self.key);
--- a/crates/cranberrypitch-relay/src/settings.rs
+++ b/crates/cranberrypitch-relay/src/settings.rs
@@ -27,6 +27,10 @@
     pub peer_ports: (u16, u16),
     /// Where the platform's store serves.
     pub store_address: SocketAddrV4,
+    /// Where a balancer tells others what it knows.
+    pub snapshot_address: Option<SocketAddrV4>,
+    /// Snapshot addresses of balancers that may be there, for a start while the store is down.
+    pub seed_addresses: Vec<SocketAddrV4>,
     /// The least time to live of a lease.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub lease_min_ms: Duration,
@@ -87,4 +91,12 @@
     pub const fn balancer_address(&self) -> SocketAddrV4 {
         SocketAddrV4::new(self.ip(), self.peer_ports.0)
     }
+
+    /// Returns where the seed balancers receive messages of agents.
+    pub fn seed_balancers(&self) -> Box<[SocketAddrV4]> {
+        let seeds = self.seed_addresses.iter();
+        seeds
+            .map(|seed| SocketAddrV4::new(*seed.ip(), self.peer_ports.0))
+            .collect()
+    }
 }
--- /dev/null
+++ b/crates/cranberrypitch-relay/src/snapshot.rs
@@ -0,0 +1,145 @@
+//! What a balancer knows, for others that start while the store is down.
+
+use std::net::SocketAddrV4;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cranberrypitch_core::flow::{AgentRecord, RouteConfig};
+use cranberrypitch_net::http_client::{HttpClient, HttpClientOptions};
+use http_body_util::Full;
+use hyper::{Request, StatusCode, header};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc::Sender;
+use tokio::time::sleep;
+
+use crate::errors::{Error, Result};
+use crate::follow::Update;
+use crate::http_server::{self, Call};
+
+const PATH: &str = "/snapshot";
+
+/// How long a balancer that starts waits for the store before it asks others.
+const STORE_PATIENCE: Duration = Duration::from_millis(800);
+
+/// The time between two rounds of questions.
+const ROUND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Rounds of questions at most: an outage that lasts longer finds the other balancers restarted too.
+const ROUNDS: u32 = 40;
+
+/// The time within which a balancer answers.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The longest answer.
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// The time between two copies of the list of agents.
+const COPY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What a balancer knows.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Snapshot {
+    pub(crate) config: RouteConfig,
+    pub(crate) agents: Vec<AgentRecord>,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    config: Option<RouteConfig>,
+    agents: Vec<AgentRecord>,
+    copied_at: Option<Instant>,
+}
+
+/// The latest snapshot of this balancer. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SharedSnapshot(Arc<Mutex<Known>>);
+
+impl SharedSnapshot {
+    pub(crate) fn set_config(&self, config: RouteConfig) {
+        self.lock().config = Some(config);
+    }
+
+    /// Replaces the agents if the last copy is old enough.
+    pub(crate) fn set_agents(&self, agents: impl FnOnce() -> Vec<AgentRecord>, now: Instant) {
+        let mut known = self.lock();
+        let is_old = |at| now.saturating_duration_since(at) >= COPY_INTERVAL;
+        if known.copied_at.is_none_or(is_old) {
+            known.copied_at = Some(now);
+            known.agents = agents();
+        }
+    }
+
+    fn encode(&self) -> Option<Vec<u8>> {
+        let known = self.lock();
+        let snapshot = Snapshot {
+            config: known.config.clone()?,
+            agents: known.agents.clone(),
+        };
+        match serde_json::to_vec(&snapshot) {
+            Ok(body) => Some(body),
+            Err(error) => {
+                tracing::error!(target: crate::log::TARGET, %error, "snapshot not encoded");
+                None
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Known> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Serves the snapshot to other balancers.
+pub(crate) async fn serve(address: SocketAddrV4, snapshot: SharedSnapshot) -> Result<()> {
+    http_server::serve(address, move |call: Call| {
+        let body = (&*call.path == PATH).then(|| snapshot.encode()).flatten();
+        async move {
+            match body {
+                Some(body) => (StatusCode::OK, Bytes::from(body)),
+                None => (StatusCode::NOT_FOUND, Bytes::new()),
+            }
+        }
+    })
+    .await
+}
+
+/// Asks the seeds in turn for their snapshots, until one answers. The receiver ignores a snapshot
+/// that comes after the store's answer.
+pub(crate) async fn fetch(seeds: &[SocketAddrV4], updates: Sender<Update>) {
+    sleep(STORE_PATIENCE).await;
+    for _ in 0..ROUNDS {
+        for seed in seeds {
+            match fetch_from(*seed).await {
+                Ok(snapshot) => {
+                    // The receiver is gone when the balancer stops.
+                    let _ = updates.send(Update::Snapshot(snapshot)).await;
+                    return;
+                }
+                Err(error) => {
+                    tracing::debug!(target: crate::log::TARGET, %seed, %error, "no snapshot");
+                }
+            }
+        }
+        sleep(ROUND_INTERVAL).await;
+    }
+}
+
+async fn fetch_from(seed: SocketAddrV4) -> Result<Snapshot> {
+    let client = HttpClient::new(HttpClientOptions {
+        address: seed,
+        connect_timeout: ANSWER_TIMEOUT,
+        max_body_bytes: MAX_BODY_BYTES,
+    });
+    let request = Request::get(PATH)
+        .header(header::HOST, seed.to_string())
+        .body(Full::default())
+        .map_err(|e| Error::malformed("request", &e))?;
+    let answer = client.exchange(request, ANSWER_TIMEOUT).await;
+    match answer.map_err(|e| Error::malformed("snapshot", &e))? {
+        (StatusCode::OK, body) => {
+            serde_json::from_slice(&body).map_err(|e| Error::malformed("snapshot", &e))
+        }
+        (status, _) => Err(Error::malformed("snapshot", &status)),
+    }
+}
