Ask agents that can't tell stage by stage

Change: packets go to the unsure agents of one stage, four at most, before the next stage is asked; a target that returns nothing is presumed to hold the flow.

--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -238,7 +238,7 @@
                 };
                 vec![Action::send(*holder, message)]
             }
-            Some(FlowState::Locating(_)) => self.on_not_held(agent, flow, now),
+            Some(FlowState::Locating(_)) => self.on_not_held(agent, flow, packet, now),
             _ => self.locate(head, packet, Some(agent), now),
         }
     }
--- a/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
@@ -16,6 +16,9 @@
 use crate::flow::packet::{FlowKey, PacketFlags, PacketHead};
 use crate::flow::rendezvous;
 
+/// How many times as long as for an answer is waited for the target of an agent that can't tell.
+const UNSURE_FACTOR: u32 = 3;
+
 /// Packets of one flow that wait for an answer; a sender has at most 16 in flight.
 const MAX_HELD_PACKETS: usize = 16;
 
@@ -51,8 +54,8 @@
     /// No agent holds the flow. The flow ends once a list that was read after this time shows no
     /// other agent.
     Lost { since: Instant },
-    /// Agents that can't tell get the packets.
-    Unsure,
+    /// Agents of the stage that can't tell got the packets.
+    Unsure { since: Instant },
 }
 
 /// A flow whose target is looked for.
@@ -97,11 +100,20 @@
     }
 
     pub(super) fn is_overdue(&self, timeout: Duration, now: Instant) -> bool {
-        self.progress == Progress::Asking && now.saturating_duration_since(self.asked_at) >= timeout
+        let elapsed = |since: Instant| now.saturating_duration_since(since);
+        match self.progress {
+            Progress::Asking => elapsed(self.asked_at) >= timeout,
+            Progress::Unsure { since } => elapsed(since) >= timeout * UNSURE_FACTOR,
+            Progress::Lost { .. } => false,
+        }
     }
 
     /// Keeps a packet until the target is found.
     fn hold(&mut self, packet: &[u8]) -> bool {
+        // Several agents may return the same packet.
+        if self.held.iter().any(|held| **held == *packet) {
+            return true;
+        }
         let has_room = self.held.len() < MAX_HELD_PACKETS;
         if has_room {
             self.held.push(packet.into());
@@ -161,7 +173,7 @@
             }
             actions.extend(self.ask_pending(flow, now));
             if !self.is_waiting(flow, now) {
-                actions.extend(self.conclude_last(flow, now));
+                actions.extend(self.conclude_stage(flow, now));
             }
             return actions;
         }
@@ -263,54 +275,54 @@
         &mut self,
         agent: SocketAddrV4,
         flow: FlowKey,
+        packet: &[u8],
         now: Instant,
     ) -> Vec<Action<'static>> {
         let Some(locating) = self.locating_mut(flow) else {
             return Vec::new();
         };
         locating.exclude(agent);
-        if locating.progress == Progress::Unsure && locating.unsure.is_empty() {
-            return self.on_lost(flow, now);
+        locating.hold(packet);
+        let is_unsure = matches!(locating.progress, Progress::Unsure { .. });
+        if is_unsure && locating.unsure.is_empty() {
+            return self.ask_next_stage(flow, now);
         }
         self.conclude(flow, now)
     }
 
-    /// Goes on to the next stage once every agent has answered or is unresponsive, and decides what
-    /// becomes of the flow after the last one.
+    /// Goes on once every agent of the stage has answered or is unresponsive.
     pub(super) fn conclude(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'static>> {
         let timeout = self.options.locate_timeout;
         let Some(locating) = self.locating(flow) else {
             return Vec::new();
         };
-        if locating.progress != Progress::Asking {
-            return Vec::new();
-        }
         let is_overdue = locating.is_overdue(timeout, now);
-        let (stage, is_waiting) = (locating.stage, self.is_waiting(flow, now));
-        if is_waiting && !is_overdue {
-            return Vec::new();
-        }
-        match stage.next() {
-            Some(next) => {
-                if let Some(locating) = self.locating_mut(flow) {
-                    locating.stage = next;
+        match locating.progress {
+            Progress::Lost { .. } => Vec::new(),
+            Progress::Unsure { .. } if is_overdue => self.ask_next_stage(flow, now),
+            Progress::Unsure { .. } => Vec::new(),
+            Progress::Asking => {
+                let is_waiting = self.is_waiting(flow, now);
+                if is_waiting && !is_overdue {
+                    return Vec::new();
                 }
-                self.ask_stage(flow, now)
+                if is_waiting && locating.stage.next().is_none() {
+                    return self.ask_pending(flow, now);
+                }
+                self.conclude_stage(flow, now)
             }
-            None if is_waiting => self.ask_pending(flow, now),
-            None => self.conclude_last(flow, now),
         }
     }
 
-    /// Decides what becomes of a flow that no agent claims.
-    fn conclude_last<'a>(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'a>> {
+    /// Passes the packets to the agents of the stage that can't tell, or goes on to the next stage.
+    fn conclude_stage<'a>(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'a>> {
         let Some(locating) = self.locating_mut(flow) else {
             return Vec::new();
         };
         if locating.unsure.is_empty() {
-            return self.on_lost(flow, now);
+            return self.ask_next_stage(flow, now);
         }
-        locating.progress = Progress::Unsure;
+        locating.progress = Progress::Unsure { since: now };
         let held = std::mem::take(&mut locating.held);
         let unsure = &locating.unsure;
         let copies = |packet: Box<[u8]>| {
@@ -320,6 +332,24 @@
         held.into_iter().flat_map(copies).collect()
     }
 
+    fn ask_next_stage<'a>(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'a>> {
+        let Some(locating) = self.locating_mut(flow) else {
+            return Vec::new();
+        };
+        locating.progress = Progress::Asking;
+        match locating.stage.next() {
+            Some(next) => {
+                locating.stage = next;
+                self.ask_stage(flow, now)
+            }
+            None if locating.unsure.is_empty() => self.on_lost(flow, now),
+            None => {
+                locating.progress = Progress::Unsure { since: now };
+                Vec::new()
+            }
+        }
+    }
+
     pub(super) fn on_while_locating<'a>(
         &mut self,
         head: &PacketHead,
@@ -340,7 +370,7 @@
                     dropped(flow, DropCause::WaitingFull)
                 }
             }
-            Progress::Unsure => {
+            Progress::Unsure { .. } => {
                 let message = Message::Forward {
                     packet: Cow::Borrowed(packet),
                 };
--- a/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
@@ -177,11 +177,14 @@
         let (head, is_first_copy) = (opening.head, opening.is_first_copy());
         self.flows.remove(&flow);
         // Another balancer may have opened the flow with an earlier copy.
-        if is_first_copy {
+        let mut actions = if is_first_copy {
             reset(&head, ResetCause::NoTarget)
         } else {
             dropped(flow, DropCause::NotFound)
-        }
+        };
+        // A target may have been added that the list does not show yet.
+        actions.push(Action::ReadList);
+        actions
     }
 
     fn choose(&mut self, flow: FlowKey, now: Instant) -> Option<SocketAddrV4> {
--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -40,6 +40,8 @@
     pub flow_lifetime: Duration,
     /// How long a flow is remembered after its end, for packets that are sent again.
     pub ended_lifetime: Duration,
+    /// The time within which a target returns a packet of a flow that it does not hold.
+    pub return_timeout: Duration,
     /// How long a target that said that it is gone may still send packets.
     pub exit_delay: Duration,
     /// How long a balancer gets reports after its last message.
@@ -57,6 +59,7 @@
             settings_lifetime: Duration::from_millis(1800),
             flow_lifetime: Duration::from_mins(1),
             ended_lifetime: Duration::from_secs(4),
+            return_timeout: Duration::from_millis(50),
             exit_delay: Duration::from_millis(500),
             balancer_lifetime: Duration::from_secs(10),
             report_interval: Duration::from_millis(200),
@@ -265,7 +268,7 @@
     /// opening packet may reach several targets, and the caller follows one of them.
     fn holding(&self, flow: &FlowKey, acknowledged: u32, now: Instant) -> LocateAnswer {
         match self.flows.get(flow) {
-            Some(hosted) if hosted.is_accepted() => {
+            Some(hosted) if hosted.is_held() => {
                 if hosted.may_be_acknowledged(acknowledged) {
                     LocateAnswer::Held
                 } else {
@@ -367,6 +370,7 @@
         self.balancers
             .retain(|_, b| now.saturating_duration_since(b.heard) < options.balancer_lifetime);
         let mut actions = self.introduce(now);
+        actions.extend(self.presume(now));
         let due: Vec<_> = self
             .balancers
             .iter()
@@ -378,6 +382,17 @@
         actions
     }
 
+    /// Tells balancers of flows that the target did not return.
+    fn presume(&mut self, now: Instant) -> Vec<Action<'static>> {
+        let is_alive = |target: &TargetRun| target.heard_within(self.options.status_lifetime, now);
+        if !self.target.as_ref().is_some_and(is_alive) {
+            return Vec::new();
+        }
+        let presumed = self.flows.presume(self.options.return_timeout, now);
+        let accepted = |(flow, balancer)| Action::send(balancer, Message::Accepted { flow });
+        presumed.into_iter().map(accepted).collect()
+    }
+
     /// Reports to the seed balancers from time to time while the store does not list the agent.
     fn introduce(&mut self, now: Instant) -> Vec<Action<'static>> {
         let elapsed = now.saturating_duration_since(self.introduced_at);
--- a/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
@@ -1,5 +1,6 @@
 //! The flows of a target.
 
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,8 @@
     Opening,
     /// A packet was passed on, as the target may hold the flow from before the agent started.
     Expected,
+    /// The target has not returned a packet that it was expected to know.
+    Presumed,
     /// The target accepted the flow or sent packets of it.
     Accepted,
     /// The caller follows this target.
@@ -60,6 +63,11 @@
         matches!(self.state, HostedState::Accepted | HostedState::Confirmed)
     }
 
+    /// Returns whether packets of the flow go to the target without a doubt.
+    pub(super) fn is_held(&self) -> bool {
+        self.is_accepted() || self.state == HostedState::Presumed
+    }
+
     const fn is_ended(&self) -> bool {
         self.caller_finished && self.target_finished
     }
@@ -85,7 +93,9 @@
     ) {
         self.balancer = Some(balancer);
         self.used_at = now;
-        self.state = HostedState::Confirmed;
+        if self.is_accepted() {
+            self.state = HostedState::Confirmed;
+        }
         if head.flags.contains(PacketFlags::RST) {
             self.finish(meter, now);
             self.caller_finished = true;
@@ -151,7 +161,7 @@
 
     fn is_kept(&self, options: &EndpointOptions, now: Instant) -> bool {
         let elapsed = |since: Instant| now.saturating_duration_since(since);
-        let limit = if self.is_accepted() && !self.is_ended() {
+        let limit = if self.is_held() && !self.is_ended() {
             options.flow_lifetime
         } else {
             options.ended_lifetime
@@ -167,6 +177,8 @@
     /// Flows of an earlier run of the target, which are reset at their next packet.
     orphans: FastMap<FlowKey, HostedFlow>,
     orphaned_at: Option<Instant>,
+    /// Flows whose packets the target may return.
+    expected: VecDeque<(Instant, FlowKey)>,
     open_len: usize,
     swept_at: Option<Instant>,
 }
@@ -198,7 +210,33 @@
 
     pub(super) fn expect(&mut self, flow: FlowKey, balancer: SocketAddrV4, now: Instant) {
         let hosted = HostedFlow::new(HostedState::Expected, Some(balancer), now);
-        self.flows.insert(flow, hosted);
+        if self.flows.insert(flow, hosted).is_none() {
+            self.expected.push_back((now, flow));
+        }
+    }
+
+    /// Presumes that the target holds the flows whose packets it has not returned within `limit`.
+    /// Returns them with their balancers.
+    pub(super) fn presume(
+        &mut self,
+        limit: Duration,
+        now: Instant,
+    ) -> Vec<(FlowKey, SocketAddrV4)> {
+        let mut presumed = Vec::new();
+        while let Some((since, flow)) = self.expected.front().copied() {
+            if now.saturating_duration_since(since) < limit {
+                break;
+            }
+            self.expected.pop_front();
+            if let Some(hosted) = self.flows.get_mut(&flow)
+                && hosted.state == HostedState::Expected
+                && let Some(balancer) = hosted.balancer
+            {
+                hosted.state = HostedState::Presumed;
+                presumed.push((flow, balancer));
+            }
+        }
+        presumed
     }
 
     pub(super) fn get_or_adopt(&mut self, flow: FlowKey, now: Instant) -> &mut HostedFlow {
--- a/crates/cranberrypitch-core/tests/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/tests/flow/dispatcher.rs
@@ -152,7 +152,11 @@
     let now = Instant::now();
     let mut dispatcher = dispatcher(local_records(2), now);
     send(&mut dispatcher, flow(1), now);
+    // A copy of the same packet is held once.
     assert!(send(&mut dispatcher, flow(1), now).is_empty());
+    let second = from_caller(flow(1), PacketFlags::ACK, 77, 300);
+    let bytes = packet(&second);
+    assert!(dispatcher.on_packet(&second, &bytes, now).is_empty());
     let holder = agent_address(2);
     let actions = dispatcher.on_located(holder, flow(1), LocateAnswer::Held, now);
     let messages = sent(&actions);
@@ -212,6 +216,37 @@
     assert_eq!(resets(&dispatcher.on_list_read(now, now)), 1);
 }
 
+/// After all daemons were killed no agent can tell; packets went to every agent of the deployment
+/// and filled the links (cvt-balanceio-grown, trouble-3).
+#[test]
+fn packets_go_to_a_few_unsure_agents_at_a_time() {
+    let now = Instant::now();
+    let mut records = local_records(10);
+    records.extend((11..=40).map(|i| record(i, "matcher", "b")));
+    let mut dispatcher = dispatcher(records, now);
+    let first = send(&mut dispatcher, flow(1), now);
+    let mut forwarded = Vec::new();
+    for (agent, _) in first {
+        let actions = dispatcher.on_located(agent, flow(1), LocateAnswer::Unknown, now);
+        forwarded.extend(sent(&actions).iter().map(|(peer, _)| *peer));
+    }
+    assert_eq!(forwarded.len(), 4);
+    let head = request(flow(1), 77);
+    let mut asked = Vec::new();
+    for agent in forwarded {
+        let actions = dispatcher.on_returned(agent, &head, &packet(&head), now);
+        asked.extend(sent(&actions).iter().map(|(peer, m)| (*peer, name(m))));
+    }
+    assert_eq!(asked.len(), 4, "{asked:?}");
+    let holder = asked[0].0;
+    let actions = dispatcher.on_located(holder, flow(1), LocateAnswer::Held, now);
+    let messages = sent(&actions);
+    assert!(
+        matches!(messages[..], [(a, Message::Forward { .. })] if a == holder),
+        "{messages:?}"
+    );
+}
+
 /// A route that went away takes its flows along, and its callers are told at once.
 #[test]
 fn flows_of_a_dropped_route_are_reset() {
--- a/crates/cranberrypitch-core/tests/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/tests/flow/endpoint.rs
@@ -206,6 +206,25 @@
     assert_eq!(locate(&mut endpoint, 2, 9500, now), LocateAnswer::Held);
 }
 
+/// A target that returns nothing holds the flow, even when it has nothing to send. If it returns a
+/// packet after all, that is no end of the flow.
+#[test]
+fn flow_that_is_not_returned_is_presumed_held() {
+    let now = Instant::now();
+    let mut endpoint = endpoint(now);
+    endpoint.on_status(status("i-1", 1, 40), now);
+    assert_eq!(forward(&mut endpoint, 1, 5001, now), "target");
+    let later = now + Duration::from_millis(100);
+    let actions = endpoint.on_tick(later);
+    let accepted = Message::Accepted { flow: flow(1) };
+    assert!(sent(&actions).contains(&(balancer_address(1), &accepted)));
+    assert_eq!(locate(&mut endpoint, 1, 5001, later), LocateAnswer::Held);
+    assert_eq!(
+        resets(&bounce(&mut endpoint, request(flow(1), 5001), later)),
+        0
+    );
+}
+
 /// No flow outlives its longest life, so an agent is sure of all flows after that time.
 #[test]
 fn restarted_agent_is_sure_after_the_life_of_a_flow() {
--- a/crates/cranberrypitch-relay/src/follow.rs
+++ b/crates/cranberrypitch-relay/src/follow.rs
@@ -26,7 +26,8 @@
 const AGENTS_WAIT: Duration = Duration::from_secs(8);
 
 /// The time between two watches of the list of agents, so that one call tells of many changes.
-const AGENTS_INTERVAL: Duration = Duration::from_millis(500);
+/// Agents tell the balancers in use of their own changes, and a new target is slow for this long.
+const AGENTS_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The least time between two watches of the list of agents.
 const AGENTS_INTERVAL_MIN: Duration = Duration::from_millis(50);
