--- a/crates/cranberrypitch-core/src/flow/selection.rs
+++ b/crates/cranberrypitch-core/src/flow/selection.rs
@@ -27,8 +27,9 @@
     pub bulk_remote_penalty: f64,
     /// The load, in requests per slot, that a target counts for while it is slow after its start.
     pub warmup_penalty: f64,
-    /// The load, in requests per slot, that an open flow counts for.
-    pub flow_load: f64,
+    /// The least requests that an open flow is expected to run on average, as before any load was
+    /// reported.
+    pub flow_load_min: f64,
     /// How long a target that left an opening packet unanswered is avoided.
     pub suspect_for: Duration,
     /// How long an own choice counts as a running request if no report shows it.
@@ -44,7 +45,7 @@
             remote_penalty: 0.4,
             bulk_remote_penalty: 3.0,
             warmup_penalty: 0.5,
-            flow_load: 0.005,
+            flow_load_min: 0.02,
             suspect_for: Duration::from_secs(2),
             pick_lifetime: Duration::from_millis(100),
             load_lifetime: Duration::from_secs(3),
@@ -105,12 +106,12 @@
             .filter(|agent| !self.is_suspected(agent.record.address, now))
             .collect();
         let eligible = if trusted.is_empty() { usable } else { trusted };
-        let typical = self.typical_load(&eligible, now);
+        let outlook = self.outlook(&eligible, now);
         let lightest = |is_local: bool| {
             let agents = eligible.iter().copied().filter(|a| a.is_local == is_local);
             let candidates = rendezvous::first(&choice.flow, agents, self.options.candidates);
             let scored = candidates.into_iter().map(|agent| {
-                let score = self.score(agent, typical, now);
+                let score = self.score(agent, &outlook, now);
                 (agent.record.address, score)
             });
             scored.min_by(|a, b| a.1.total_cmp(&b.1))
@@ -166,31 +167,34 @@
             .is_some_and(|at| now.saturating_duration_since(at) < lifetime)
     }
 
-    /// Returns the mean load of the agents that reported lately, in requests per slot.
-    fn typical_load(&self, agents: &[&KnownAgent], now: Instant) -> f64 {
-        let known = agents.iter().filter(|agent| self.is_load_known(agent, now));
-        let (sum, count) = known.fold((0.0, 0_u32), |(sum, count), agent| {
-            (sum + self.reported_load(agent), count + 1)
+    fn outlook(&self, agents: &[&KnownAgent], now: Instant) -> Outlook {
+        let known = || agents.iter().filter(|agent| self.is_load_known(agent, now));
+        let (requests, flows) = known().fold((0.0, 0.0), |(requests, flows), agent| {
+            let load = agent.load;
+            (requests + load.smoothed(), flows + f64::from(load.flows))
         });
-        if count == 0 {
+        let per_flow = if flows > 0.0 { requests / flows } else { 0.0 };
+        let flow_load = per_flow.max(self.options.flow_load_min);
+        let (sum, count) = known().fold((0.0, 0_u32), |(sum, count), agent| {
+            (sum + reported_load(agent, flow_load), count + 1)
+        });
+        let typical_load = if count == 0 {
             0.0
         } else {
             sum / f64::from(count)
+        };
+        Outlook {
+            flow_load,
+            typical_load,
         }
     }
 
-    fn reported_load(&self, agent: &KnownAgent) -> f64 {
-        let AgentLoad { running, flows, .. } = agent.load;
-        let requests = f64::midpoint(f64::from(running), agent.load.smoothed());
-        (requests + f64::from(flows) * self.options.flow_load) / slots(agent)
-    }
-
     /// Returns the expected requests per slot.
-    fn score(&self, agent: &KnownAgent, typical: f64, now: Instant) -> f64 {
+    fn score(&self, agent: &KnownAgent, outlook: &Outlook, now: Instant) -> f64 {
         let load = if self.is_load_known(agent, now) {
-            self.reported_load(agent)
+            reported_load(agent, outlook.flow_load)
         } else {
-            typical
+            outlook.typical_load
         };
         let warmup = if agent.record.warmup_left.is_zero() {
             0.0
@@ -213,6 +217,23 @@
     }
 }
 
+/// What the reports of a service's agents tell together.
+#[derive(Clone, Copy, Debug)]
+struct Outlook {
+    /// The requests that an open flow runs on average.
+    flow_load: f64,
+    /// The mean load of the agents that reported lately, in requests per slot.
+    typical_load: f64,
+}
+
+/// Returns the load that a report tells, in requests per slot: half by the requests that run, half
+/// by the open flows, which stay and run more.
+fn reported_load(agent: &KnownAgent, flow_load: f64) -> f64 {
+    let AgentLoad { running, flows, .. } = agent.load;
+    let requests = f64::midpoint(f64::from(running), agent.load.smoothed());
+    f64::midpoint(requests, f64::from(flows) * flow_load) / slots(agent)
+}
+
 fn slots(agent: &KnownAgent) -> f64 {
     f64::from(agent.record.slots.get().max(1))
 }
--- a/crates/cranberrypitch-core/tests/flow/placement.rs
+++ b/crates/cranberrypitch-core/tests/flow/placement.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::flow::{
-    AgentRecord, Choice, Directory, DirectoryOptions, Selector, SelectorOptions,
+    AgentLoad, AgentRecord, Choice, Directory, DirectoryOptions, Selector, SelectorOptions,
 };
 
 use crate::support::{agent_address, domain, flow, load, record, tag};
@@ -131,6 +131,29 @@
     assert_eq!(chosen, Some(agent_address(2)));
 }
 
+/// Recovery: after a loss of power all callers open long flows at once, before any request runs.
+/// Where they open decides the load of the next minutes, so they are spread by number.
+#[test]
+fn long_flows_are_spread_by_number() {
+    let now = Instant::now();
+    let few = record(1, "matcher", "a");
+    let many = record(2, "matcher", "a");
+    let mut directory = directory(&[few.clone(), many.clone()], now);
+    let with_flows = |flows, running| AgentLoad {
+        running,
+        smoothed_hundredths: running * 100,
+        flows,
+    };
+    directory.on_report(few, with_flows(10, 1), now);
+    directory.on_report(many, with_flows(40, 1), now);
+    let mut selector = Selector::new(SelectorOptions::default());
+    for port in 0..10 {
+        let at = now + Duration::from_millis(200) * u32::from(port);
+        let chosen = selector.choose(&choice(port, false), &directory, at);
+        assert_eq!(chosen, Some(agent_address(1)), "flow {port}");
+    }
+}
+
 /// A target that left an opening packet unanswered is avoided while there are others.
 #[test]
 fn unanswered_target_is_avoided() {
