Limit questions far and wide, and spread openings over few silent agents

Change: a budget of 4000 wide questions a second; the time for an answer to an opening doubles with each agent.

--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -1,5 +1,6 @@
 //! The decisions of a balancer: where each packet of a caller goes.
 
+mod budget;
 mod early;
 mod liveness;
 mod locating;
@@ -10,6 +11,7 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+use self::budget::QuestionBudget;
 use self::early::EarlyPackets;
 use self::liveness::Liveness;
 use self::table::{FlowState, FlowTable};
@@ -32,7 +34,8 @@
     pub directory: DirectoryOptions,
     /// How agents are chosen.
     pub selector: SelectorOptions,
-    /// How long an agent may leave an opening packet unanswered before another one gets it.
+    /// How long an agent may leave an opening packet unanswered before another one gets it; it doubles
+    /// with each agent.
     pub open_timeout: Duration,
     /// How long agents may leave a question for a flow unanswered.
     pub locate_timeout: Duration,
@@ -67,6 +70,7 @@
     selector: Selector,
     flows: FlowTable,
     liveness: Liveness,
+    questions: QuestionBudget,
     early: EarlyPackets,
 }
 
@@ -80,6 +84,7 @@
             selector: Selector::new(options.selector),
             flows: FlowTable::default(),
             liveness: Liveness::default(),
+            questions: QuestionBudget::default(),
             early: EarlyPackets::default(),
         }
     }
--- a/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
@@ -214,7 +214,15 @@
             return Vec::new();
         };
         locating.asked_at = now;
-        let message = Message::locate(&locating.head);
+        let is_wide = matches!(locating.stage, Stage::Service | Stage::All);
+        let (count, message) = (locating.pending.len(), Message::locate(&locating.head));
+        // What may not be asked now is asked once the answers are overdue.
+        if is_wide && !self.questions.take(count, now) {
+            return Vec::new();
+        }
+        let Some(locating) = self.locating(flow) else {
+            return Vec::new();
+        };
         let pending: Vec<_> = locating.pending.iter().copied().collect();
         let ask = |agent| {
             self.liveness.on_asked(agent, timeout, now);
--- a/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
@@ -15,6 +15,9 @@
 /// Opening packets that wait for the first target at most.
 const MAX_WAITING: usize = 512;
 
+/// Doublings of the time for an answer at most.
+const MAX_DOUBLINGS: u32 = 4;
+
 /// An opening packet without an answer yet.
 #[derive(Debug)]
 pub(super) struct Opening {
@@ -31,6 +34,8 @@
 
 impl Opening {
     pub(super) fn is_overdue(&self, timeout: Duration, now: Instant) -> bool {
+        let doublings = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        let timeout = timeout * 2_u32.saturating_pow(doublings.min(MAX_DOUBLINGS));
         now.saturating_duration_since(self.sent_at) >= timeout
     }
 
--- a/crates/cranberrypitch-core/tests/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/tests/flow/dispatcher.rs
@@ -247,6 +247,49 @@
     );
 }
 
+/// After a loss of power no agent holds any flow. Questions to all agents for each of them filled the
+/// links of balancers for 20 s, and answers were lost (cvt-balanceio-grown, a drawn day).
+#[test]
+fn questions_for_many_lost_flows_are_limited() {
+    let now = Instant::now();
+    let mut records = local_records(10);
+    records.extend((11..=60).map(|i| record(i, "matcher", "b")));
+    let mut dispatcher = dispatcher(records, now);
+    let mut questions = 0;
+    for port in 1..=600 {
+        let mut asked = send(&mut dispatcher, flow(port), now);
+        while !asked.is_empty() {
+            questions += asked.len();
+            let mut next = Vec::new();
+            for (agent, _) in asked {
+                let answer = LocateAnswer::NotHeld;
+                let actions = dispatcher.on_located(agent, flow(port), answer, now);
+                next.extend(sent(&actions).into_iter().map(|(peer, m)| (peer, name(m))));
+            }
+            asked = next;
+        }
+    }
+    // Eight each in the first stages, and one burst of wide questions.
+    assert!(questions <= 600 * 8 + 600, "{questions}");
+    let later = now + Duration::from_millis(100);
+    let asked = sent(&dispatcher.on_tick(later)).len();
+    assert!((300..=600).contains(&asked), "{asked} after 100 ms");
+}
+
+/// Agents that seem silent because a link is full must not be sent ever more copies.
+#[test]
+fn unanswered_flow_goes_to_few_agents() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(local_records(20), now);
+    open(&mut dispatcher, flow(1), now);
+    let mut copies = 1;
+    for step in 1..=70 {
+        let actions = dispatcher.on_tick(now + Duration::from_millis(20) * step);
+        copies += sent(&actions).len();
+    }
+    assert!((3..=5).contains(&copies), "{copies}");
+}
+
 /// A route that went away takes its flows along, and its callers are told at once.
 #[test]
 fn flows_of_a_dropped_route_are_reset() {
