Explain a request from the logs, and serve metrics

Agents log the id of each request that they can read, with the flow; the verb explain tells the story of an id or a caller from the logs of several daemons and names the cause. Counters and histograms are served at the metrics address.

--- a/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
@@ -306,9 +306,8 @@
         };
         let is_overdue = locating.is_overdue(timeout, now);
         match locating.progress {
-            Progress::Lost { .. } => Vec::new(),
             Progress::Unsure { .. } if is_overdue => self.ask_next_stage(flow, now),
-            Progress::Unsure { .. } => Vec::new(),
+            Progress::Unsure { .. } | Progress::Lost { .. } => Vec::new(),
             Progress::Asking => {
                 let is_waiting = self.is_waiting(flow, now);
                 if is_waiting && !is_overdue {
--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -251,10 +251,19 @@
         match self.holding(&flow, head.acknowledged, now) {
             LocateAnswer::Held if self.is_target_gone(now) => end_orphan(head),
             LocateAnswer::Held => {
-                if let Some(hosted) = self.flows.get_mut(&flow) {
-                    hosted.on_caller_packet(balancer, head, &mut self.meter, now);
+                let hosted = self.flows.get_mut(&flow);
+                let begins = hosted
+                    .is_some_and(|h| h.on_caller_packet(balancer, head, &mut self.meter, now));
+                let mut actions = vec![Action::ToTarget(packet)];
+                if begins {
+                    let running = self.meter.load(0, now).running;
+                    actions.push(Action::Record(FlowEvent::RequestPassed {
+                        flow,
+                        balancer,
+                        running,
+                    }));
                 }
-                vec![Action::ToTarget(packet)]
+                actions
             }
             LocateAnswer::Unknown => {
                 self.flows.expect(flow, balancer, now);
@@ -350,8 +359,14 @@
             return self.on_bounced(head, packet, now);
         }
         let flow = head.flow_from_target();
-        let mut actions = Vec::with_capacity(2);
+        let mut actions = Vec::with_capacity(3);
         let hosted = self.flows.get_or_adopt(flow, now);
+        if head.payload_len > 0
+            && let Some(elapsed) = hosted.request_age(now)
+        {
+            let event = FlowEvent::RequestAnswered { flow, elapsed };
+            actions.push(Action::Record(event));
+        }
         let is_new = hosted.on_target_packet(head, &mut self.meter, now);
         if is_new && let Some(balancer) = hosted.balancer() {
             actions.push(Action::send(balancer, Message::Accepted { flow }));
--- a/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
@@ -36,7 +36,8 @@
     balancer: Option<SocketAddrV4>,
     /// The first sequence number of the target and the one after its last payload.
     sent: Option<(u32, u32)>,
-    has_request: bool,
+    /// When the request that the target has was passed to it.
+    request_since: Option<Instant>,
     caller_finished: bool,
     target_finished: bool,
     used_at: Instant,
@@ -48,7 +49,7 @@
             state,
             balancer,
             sent: None,
-            has_request: false,
+            request_since: None,
             caller_finished: false,
             target_finished: false,
             used_at: now,
@@ -84,13 +85,14 @@
         }
     }
 
+    /// Takes in a packet of the caller. Returns whether a request begins with it.
     pub(super) fn on_caller_packet(
         &mut self,
         balancer: SocketAddrV4,
         head: &PacketHead,
         meter: &mut LoadMeter,
         now: Instant,
-    ) {
+    ) -> bool {
         self.balancer = Some(balancer);
         self.used_at = now;
         if self.is_accepted() {
@@ -102,10 +104,12 @@
             self.target_finished = true;
         }
         self.caller_finished |= head.flags.contains(PacketFlags::FIN);
-        if head.payload_len > 0 && !self.has_request && !self.is_ended() {
-            self.has_request = true;
+        let begins = head.payload_len > 0 && self.request_since.is_none() && !self.is_ended();
+        if begins {
+            self.request_since = Some(now);
             meter.begin(now);
         }
+        begins
     }
 
     /// Takes in a packet of the target. Returns whether it is the first sign that the target holds
@@ -154,11 +158,17 @@
 
     /// Notes that the target answered the request of the flow, or that it is given up.
     fn finish(&mut self, meter: &mut LoadMeter, now: Instant) {
-        if std::mem::take(&mut self.has_request) {
+        if self.request_since.take().is_some() {
             meter.end(now);
         }
     }
 
+    /// Returns how long the target has had its request, if it has one.
+    pub(super) fn request_age(&self, now: Instant) -> Option<Duration> {
+        let since = self.request_since?;
+        Some(now.saturating_duration_since(since))
+    }
+
     fn is_kept(&self, options: &EndpointOptions, now: Instant) -> bool {
         let elapsed = |since: Instant| now.saturating_duration_since(since);
         let limit = if self.is_held() && !self.is_ended() {
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -99,6 +99,22 @@
         /// The agent.
         agent: SocketAddrV4,
     },
+    /// An agent passed the first packet of a request to its target.
+    RequestPassed {
+        /// The flow.
+        flow: FlowKey,
+        /// The balancer that the packet came from.
+        balancer: SocketAddrV4,
+        /// Requests that the target has, this one included.
+        running: u16,
+    },
+    /// A target sent the first packet of an answer.
+    RequestAnswered {
+        /// The flow.
+        flow: FlowKey,
+        /// The time since the first packet of the request.
+        elapsed: Duration,
+    },
     /// The system reset a flow.
     Reset {
         /// The flow.
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -79,6 +79,7 @@
         buffer: vec![0; MAX_DATAGRAM_BYTES],
         platform: PhantomData,
     };
+    agent.outlet.serve_metrics(settings.metrics_address).await?;
     agent.run(startup, &peers, &outbound, calls, &target).await;
     // The registration ends with the sender of its records.
     drop(agent);
@@ -278,6 +279,9 @@
         self.endpoint.on_registration(is_registered);
         let actions = self.endpoint.on_tick(now);
         self.outlet.perform::<P>(actions, now);
+        let flows = self.endpoint.flow_count();
+        let running = self.endpoint.running(now);
+        self.outlet.metrics.set_agent(flows, running);
         self.outlet.summarize(now);
     }
 }
@@ -321,5 +325,5 @@
         Message::Open { service, .. } => endpoint.on_open(balancer, *service, &head, packet, now),
         _ => endpoint.on_forward(balancer, &head, packet, now),
     };
-    outlet.perform::<P>(actions, now);
+    outlet.perform_for::<P>(packet, actions, now);
 }
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -72,6 +72,10 @@
         buffer: vec![0; MAX_DATAGRAM_BYTES],
         platform: std::marker::PhantomData,
     };
+    balancer
+        .outlet
+        .serve_metrics(settings.metrics_address)
+        .await?;
     if let Some(address) = settings.snapshot_address {
         snapshot::serve(address, snapshot).await?;
     }
@@ -270,6 +274,12 @@
         let actions = self.dispatcher.on_tick(now);
         self.outlet.perform::<P>(actions, now);
         self.outlet.summarize(now);
+        let version = self.dispatcher.routes().version();
+        let (flows, agents) = (
+            self.dispatcher.flow_count(),
+            self.dispatcher.directory().len(),
+        );
+        self.outlet.metrics.set_balancer(flows, agents, version);
         self.snapshot
             .set_agents(|| self.dispatcher.directory().records(), now);
     }
--- a/crates/cranberrypitch-relay/src/daemon.rs
+++ b/crates/cranberrypitch-relay/src/daemon.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use cranberrypitch_core::Clock;
-use cranberrypitch_core::flow::Action;
+use cranberrypitch_core::flow::{Action, FlowEvent};
 use cranberrypitch_net::daemon::{ExitStatus, Signals, thread_runtime};
 use cranberrypitch_proto::relay;
 use derive_more::Display;
@@ -22,6 +22,7 @@
 use crate::errors::{Error, Result};
 use crate::http_server::{self, Call};
 use crate::log::{self, EventLog};
+use crate::metrics::{self, RelayMetrics};
 use crate::platform::Platform;
 use crate::settings::RelaySettings;
 use crate::sockets::MAX_DATAGRAM_BYTES;
@@ -139,6 +140,7 @@
     pub(crate) caller_port: u16,
     /// Asks for the changes of the list of agents.
     list_wanted: Arc<Notify>,
+    pub(crate) metrics: RelayMetrics,
     buffer: Vec<u8>,
     log: EventLog,
     summarized_at: Instant,
@@ -158,6 +160,7 @@
             target,
             caller_port,
             list_wanted: Arc::default(),
+            metrics: RelayMetrics::default(),
             buffer: Vec::with_capacity(MAX_DATAGRAM_BYTES),
             log: EventLog::new(),
             summarized_at: now,
@@ -169,9 +172,27 @@
         self
     }
 
+    /// Carries out the actions that follow from a caller's packet at an agent.
+    pub(crate) fn perform_for<P: Platform>(
+        &mut self,
+        packet: &[u8],
+        actions: Vec<Action<'_>>,
+        now: Instant,
+    ) {
+        for action in &actions {
+            if let Action::Record(event @ FlowEvent::RequestPassed { .. }) = action {
+                self.log.record_request(event, P::request_id(packet), now);
+            }
+        }
+        self.perform::<P>(actions, now);
+    }
+
     pub(crate) fn perform<P: Platform>(&mut self, actions: Vec<Action<'_>>, now: Instant) {
         for action in actions {
+            self.metrics.count(&action);
             match action {
+                // Written with the id of the request.
+                Action::Record(FlowEvent::RequestPassed { .. }) => {}
                 Action::Send { peer, message } => {
                     relay::encode(&message, &mut self.buffer);
                     send(&self.peers, &self.buffer, peer);
@@ -195,11 +216,19 @@
         }
     }
 
+    /// Serves the metrics, if the settings name an address.
+    pub(crate) async fn serve_metrics(&self, address: Option<SocketAddrV4>) -> Result<()> {
+        match address {
+            Some(address) => metrics::serve(address, self.metrics.clone()).await,
+            None => Ok(()),
+        }
+    }
+
     /// Writes what was left out of the log, from time to time.
     pub(crate) fn summarize(&mut self, now: Instant) {
         if now.saturating_duration_since(self.summarized_at) >= SUMMARY_INTERVAL {
             self.summarized_at = now;
-            self.log.summarize();
+            self.metrics.left_out(self.log.summarize());
         }
     }
 }
--- a/crates/cranberrypitch-relay/src/log.rs
+++ b/crates/cranberrypitch-relay/src/log.rs
@@ -108,19 +108,42 @@
         }
     }
 
-    /// Writes how many lines were left out, if any.
-    pub(crate) fn summarize(&mut self) {
+    /// Writes that a request was passed to the target, with its id where it can be read.
+    pub(crate) fn record_request(
+        &mut self,
+        event: &FlowEvent,
+        request_id: Option<&str>,
+        now: Instant,
+    ) {
+        if let FlowEvent::RequestPassed {
+            flow,
+            balancer,
+            running,
+        } = event
+            && self.routine.take(now)
+        {
+            tracing::info!(target: TARGET, event = "RequestPassed", request_id, %flow, %balancer, running);
+        }
+    }
+
+    /// Writes how many lines were left out, if any, and returns the number.
+    pub(crate) fn summarize(&mut self) -> u64 {
         let (routine, notable) = (self.routine.take_left_out(), self.notable.take_left_out());
         if routine + notable > 0 {
             tracing::warn!(target: TARGET, event = "LinesLeftOut", routine, notable);
         }
+        routine + notable
     }
 }
 
 const fn is_routine(event: &FlowEvent) -> bool {
     matches!(
         event,
-        FlowEvent::Placed { .. } | FlowEvent::Located { .. } | FlowEvent::Dropped { .. }
+        FlowEvent::Placed { .. }
+            | FlowEvent::Located { .. }
+            | FlowEvent::Dropped { .. }
+            | FlowEvent::RequestPassed { .. }
+            | FlowEvent::RequestAnswered { .. }
     )
 }
 
@@ -158,6 +181,10 @@
         FlowEvent::Unanswered { flow, agent } => {
             tracing::warn!(target: TARGET, event = "Unanswered", %flow, %agent);
         }
+        FlowEvent::RequestAnswered { flow, elapsed } => {
+            let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+            tracing::info!(target: TARGET, event = "RequestAnswered", %flow, elapsed_ms);
+        }
         FlowEvent::Reset { flow, cause } => {
             tracing::warn!(target: TARGET, event = "Reset", %flow, %cause);
         }
--- a/crates/cranberrypitch-relay/src/platform.rs
+++ b/crates/cranberrypitch-relay/src/platform.rs
@@ -33,6 +33,9 @@
     /// Reads the head of a packet and checks its length.
     fn read_head(packet: &[u8]) -> Result<PacketHead>;
 
+    /// Returns the id of the request that a packet of a caller begins, if it can be read.
+    fn request_id(packet: &[u8]) -> Option<&str>;
+
     /// Makes a returned packet as it was before the backend server returned it.
     fn restore_bounced(packet: &mut [u8]);
 
--- a/crates/cranberrypitch-relay/src/settings.rs
+++ b/crates/cranberrypitch-relay/src/settings.rs
@@ -27,6 +27,9 @@
     pub peer_ports: (u16, u16),
     /// Where the platform's store serves.
     pub store_address: SocketAddrV4,
+    /// Where the daemon serves its metrics.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddrV4>,
     /// Where a balancer tells others what it knows.
     pub snapshot_address: Option<SocketAddrV4>,
     /// Snapshot addresses of balancers that may be there, for a start while the store is down.
--- a/crates/cranberrypitch/src/command.rs
+++ b/crates/cranberrypitch/src/command.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod diff;
 mod errors;
+mod explain;
 mod feed;
 mod order;
 mod output;
@@ -30,6 +31,7 @@
   diff    shows what a configuration text changes
   apply   puts a configuration text in force
   status  shows the configuration in force and the live balancers
+  explain tells the story of a request from the logs of daemons
   feed    prints the readings of a feed
   order   places an order, or asks for the outcome of an earlier one
   upload  uploads a file and prints its confirmed SHA-256
@@ -79,7 +81,7 @@
     run: fn(Arguments) -> Result<Exit>,
 }
 
-const VERBS: [Verb; 9] = [
+const VERBS: [Verb; 10] = [
     Verb {
         name: "demo",
         help: demo::HELP,
@@ -105,6 +107,11 @@
         help: status::HELP,
         run: status::run,
     },
+    Verb {
+        name: "explain",
+        help: explain::HELP,
+        run: explain::run,
+    },
     Verb {
         name: "feed",
         help: feed::HELP,
--- /dev/null
+++ b/crates/cranberrypitch/src/command/explain.rs
@@ -0,0 +1,71 @@
+//! Tells the story of a request from the logs of several daemons.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use cranberrypitch_relay::explain::Logs;
+use pico_args::Arguments;
+
+use super::errors::{Error, Result};
+use super::{Exit, output};
+
+pub(super) const HELP: &str = "\
+Tells the story of a request or flow, in order of time, from the logs of balancers and agents.
+
+Usage: cranberrypitch explain SUBJECT FILE...
+
+SUBJECT is the id of a request, or the address and port of its caller. Lines that can't be read are
+counted and left out.
+
+Options:
+  --help  prints this text
+
+Exit codes:
+  0  the story was told
+  1  no line names the subject
+  2  bad arguments, or a file can't be read
+";
+
+pub(super) fn run(mut arguments: Arguments) -> Result<Exit> {
+    let subject: String = arguments.free_from_str()?;
+    let files = arguments.finish();
+    if files.is_empty() {
+        return Err(Error::Usage {
+            rule: "a FILE is missing",
+        });
+    }
+    let mut logs = Logs::new();
+    for file in files {
+        add(&mut logs, file)?;
+    }
+    let story = logs.explain(&subject);
+    for line in &story.lines {
+        output::print(line)?;
+    }
+    if story.unreadable > 0 {
+        output::note(&format_args!("{} lines can't be read", story.unreadable));
+    }
+    for missing in &story.missing {
+        output::note(&format_args!("missing: {missing}"));
+    }
+    if let Some(cause) = &story.cause {
+        output::print(format_args!("cause: {cause}"))?;
+    }
+    Ok(if story.flows.is_empty() {
+        Exit::Failed
+    } else {
+        Exit::Done
+    })
+}
+
+fn add(logs: &mut Logs, file: OsString) -> Result<()> {
+    let file = PathBuf::from(file);
+    match std::fs::read(&file) {
+        Ok(bytes) => {
+            let source = file.file_stem().unwrap_or_default().to_string_lossy();
+            logs.add(&source, &String::from_utf8_lossy(&bytes));
+            Ok(())
+        }
+        Err(source) => Err(Error::File { file, source }),
+    }
+}
--- a/crates/cranberrypitch/tests/command/arguments.rs
+++ b/crates/cranberrypitch/tests/command/arguments.rs
@@ -103,7 +103,7 @@
 )]
 async fn help_is_a_result() {
     for verb in [
-        "demo", "check", "diff", "apply", "status", "feed", "order", "upload", "proxy",
+        "demo", "check", "diff", "apply", "status", "explain", "feed", "order", "upload", "proxy",
     ] {
         let run = run(&[verb, "--help"]).await;
         run.assert_code(0);
@@ -132,6 +132,7 @@
           diff    shows what a configuration text changes
           apply   puts a configuration text in force
           status  shows the configuration in force and the live balancers
+          explain tells the story of a request from the logs of daemons
           feed    prints the readings of a feed
           order   places an order, or asks for the outcome of an earlier one
           upload  uploads a file and prints its confirmed SHA-256
