--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::Clock;
@@ -89,9 +90,11 @@
     let (list_wanted, clock) = (Arc::clone(list_wanted), Arc::clone(&startup.clock));
     let (config_store, config_sender) = (Arc::clone(&store), sender.clone());
     let (seeds, snapshot_sender) = (startup.settings.seed_addresses.clone(), sender.clone());
-    tokio::spawn(async move { snapshot::fetch(&seeds, snapshot_sender).await });
+    let is_store_lost = Arc::new(AtomicBool::new(false));
+    let watched = Arc::clone(&is_store_lost);
+    tokio::spawn(async move { snapshot::fetch(&seeds, snapshot_sender, &watched).await });
     tokio::spawn(async move {
-        if let Err(error) = follow_config::<P>(&config_store, config_sender).await {
+        if let Err(error) = follow_config::<P>(&config_store, config_sender, is_store_lost).await {
             tracing::error!(target: log::TARGET, %error, "configuration not followed");
         }
     });
--- a/crates/cranberrypitch-relay/src/follow.rs
+++ b/crates/cranberrypitch-relay/src/follow.rs
@@ -1,6 +1,7 @@
 //! Following of the store's configuration and list of agents.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::Clock;
@@ -62,6 +63,7 @@
 pub(crate) async fn follow_config<P: Platform>(
     store: &P::Store,
     updates: Sender<Update>,
+    is_store_lost: Arc<AtomicBool>,
 ) -> Result<()> {
     let key = P::config_key()?;
     let read = |entry: &Entry| match P::read_config(&entry.value) {
@@ -72,6 +74,7 @@
         }
     };
     let mut follower = Follower::new(store, key);
+    follower.is_store_lost = is_store_lost;
     loop {
         let changes = match follower.after {
             None => follower
@@ -172,6 +175,8 @@
     /// The version up to which changes are known, or none before the first list.
     after: Option<Version>,
     pause: Pause,
+    /// Whether the last call failed, for others that ask.
+    is_store_lost: Arc<AtomicBool>,
 }
 
 impl<'a, S: Store> Follower<'a, S> {
@@ -181,6 +186,7 @@
             prefix,
             after: None,
             pause: Pause::default(),
+            is_store_lost: Arc::default(),
         }
     }
 
@@ -212,6 +218,8 @@
         changes: StoreResult<Vec<Update>>,
         updates: &Sender<Update>,
     ) -> bool {
+        self.is_store_lost
+            .store(changes.is_err(), Ordering::Relaxed);
         match changes {
             Ok(changes) => {
                 self.pause.reset(&self.prefix);
--- a/crates/cranberrypitch-relay/src/snapshot.rs
+++ b/crates/cranberrypitch-relay/src/snapshot.rs
@@ -1,6 +1,7 @@
 //! What a balancer knows, for others that start while the store is down.
 
 use std::net::SocketAddrV4;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -9,6 +10,7 @@
 use cranberrypitch_net::http_client::{HttpClient, HttpClientOptions};
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::Sender;
 use tokio::time::sleep;
@@ -22,11 +24,11 @@
 /// How long a balancer that starts waits for the store before it asks others.
 const STORE_PATIENCE: Duration = Duration::from_millis(800);
 
-/// The time between two rounds of questions.
-const ROUND_INTERVAL: Duration = Duration::from_millis(500);
+/// The time between two questions.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Rounds of questions at most: an outage that lasts longer finds the other balancers restarted too.
-const ROUNDS: u32 = 40;
+/// Questions at most, for 20 s: an outage that lasts longer finds the other balancers restarted too.
+const MAX_QUESTIONS: usize = 100;
 
 /// The time within which a balancer answers.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -104,12 +106,18 @@
     .await
 }
 
-/// Asks the seeds in turn for their snapshots, until one answers. The receiver ignores a snapshot
-/// that comes after the store's answer.
-pub(crate) async fn fetch(seeds: &[SocketAddrV4], updates: Sender<Update>) {
+/// Asks a seed after the other for its snapshot, until one answers, while the store is lost. The
+/// receiver ignores a snapshot that comes after the store's answer.
+pub(crate) async fn fetch(
+    seeds: &[SocketAddrV4],
+    updates: Sender<Update>,
+    is_store_lost: &AtomicBool,
+) {
     sleep(STORE_PATIENCE).await;
-    for _ in 0..ROUNDS {
-        for seed in seeds {
+    // Balancers that start together begin with different seeds.
+    let first = rand::rng().random_range(0..seeds.len().max(1));
+    for seed in seeds.iter().cycle().skip(first).take(MAX_QUESTIONS) {
+        if is_store_lost.load(Ordering::Relaxed) {
             match fetch_from(*seed).await {
                 Ok(snapshot) => {
                     // The receiver is gone when the balancer stops.
@@ -121,7 +129,7 @@
                 }
             }
         }
-        sleep(ROUND_INTERVAL).await;
+        sleep(QUESTION_INTERVAL).await;
     }
 }
 
