--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -18,8 +18,8 @@
 use super::directory::{AgentRecord, Directory, DirectoryOptions};
 use super::event::{DropCause, FlowEvent, ResetCause};
 use super::load::AgentLoad;
-use super::message::{Action, Message};
-use super::packet::{FlowKey, PacketFlags, PacketHead, Reset};
+use super::message::{Action, Message, dropped, reset};
+use super::packet::{FlowKey, PacketFlags, PacketHead};
 use super::routes::{RouteConfig, Routes};
 use super::selection::{Selector, SelectorOptions};
 use crate::ids::FailureDomain;
@@ -356,18 +356,6 @@
     vec![Action::send(agent, Message::Forward { packet })]
 }
 
-fn dropped<'a>(flow: FlowKey, cause: DropCause) -> Vec<Action<'a>> {
-    vec![Action::Record(FlowEvent::Dropped { flow, cause })]
-}
-
-fn reset<'a>(head: &PacketHead, cause: ResetCause) -> Vec<Action<'a>> {
-    let flow = head.flow_from_caller();
-    vec![
-        Action::Record(FlowEvent::Reset { flow, cause }),
-        Action::Reset(Reset::answering(head)),
-    ]
-}
-
 fn target_changed<'a>(record: &AgentRecord) -> Action<'a> {
     Action::Record(FlowEvent::TargetChanged {
         agent: record.address,
--- a/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
@@ -7,12 +7,12 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+use super::Dispatcher;
 use super::table::FlowState;
-use super::{Dispatcher, dropped, reset};
 use crate::collections::FastSet;
 use crate::flow::directory::KnownAgent;
 use crate::flow::event::{DropCause, FlowEvent, ResetCause};
-use crate::flow::message::{Action, LocateAnswer, Message};
+use crate::flow::message::{Action, LocateAnswer, Message, dropped, reset};
 use crate::flow::packet::{FlowKey, PacketFlags, PacketHead};
 use crate::flow::rendezvous;
 
--- a/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+use super::Dispatcher;
 use super::table::FlowState;
-use super::{Dispatcher, dropped, reset};
 use crate::flow::event::{DropCause, FlowEvent, ResetCause};
-use crate::flow::message::{Action, Message, RefusalCause};
+use crate::flow::message::{Action, Message, RefusalCause, dropped, reset};
 use crate::flow::packet::{FlowKey, PacketHead};
 use crate::flow::selection::Choice;
 use crate::ids::{ServiceName, ServiceTag};
--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -1,5 +1,6 @@
 //! The decisions of an agent: which packets reach its target, and where the target's packets go.
 
+mod balancers;
 mod hosted;
 mod run;
 
@@ -7,27 +8,19 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+use self::balancers::KnownBalancer;
 use self::hosted::HostedFlows;
 pub use self::run::{StatusReport, TargetRun};
 use super::directory::AgentRecord;
 use super::event::{DropCause, FlowEvent, ResetCause};
 use super::load::LoadMeter;
-use super::message::{Action, LocateAnswer, Message, RefusalCause};
-use super::packet::{FlowKey, PacketFlags, PacketHead, Reset};
+use super::message::{Action, LocateAnswer, Message, RefusalCause, dropped, reset};
+use super::packet::{FlowKey, PacketFlags, PacketHead};
 use crate::collections::FastMap;
 use crate::ids::{FailureDomain, Incarnation, ServiceName, ServiceTag};
 use crate::target::TargetState;
 use crate::units::Slots;
 
-/// The time between two reports of an agent that is not registered to its seed balancers.
-const INTRODUCTION_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Agents that are asked for their balancers at most.
-const MAX_ASKED: usize = 16;
-
-/// Balancers that one message names at most.
-const MAX_BALANCERS_TOLD: usize = 64;
-
 /// Settings of an [`Endpoint`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndpointOptions {
@@ -83,16 +76,6 @@
     pub seed_balancers: Box<[SocketAddrV4]>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct KnownBalancer {
-    /// Its last message.
-    heard: Instant,
-    /// The last flow that it opened here.
-    opened: Option<Instant>,
-    /// The last report to it.
-    reported: Option<Instant>,
-}
-
 /// Decides for the target beside it.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -309,45 +292,6 @@
         vec![Action::send(balancer, Message::Located { flow, answer })]
     }
 
-    /// Notes whether the store lists the agent.
-    pub const fn on_registration(&mut self, is_registered: bool) {
-        self.is_registered = is_registered;
-    }
-
-    /// Takes in other agents, and asks them for their balancers.
-    pub fn on_agents(&self, agents: &[SocketAddrV4]) -> Vec<Action<'static>> {
-        let ask = |agent: &SocketAddrV4| Action::send(*agent, Message::AskBalancers);
-        let agents = agents.iter().take(MAX_ASKED);
-        agents.map(ask).collect()
-    }
-
-    /// Answers an agent that asks for balancers.
-    pub fn on_ask_balancers(&self, agent: SocketAddrV4) -> Vec<Action<'static>> {
-        let balancers = self.balancers.keys().copied().take(MAX_BALANCERS_TOLD);
-        vec![Action::send(agent, Message::Balancers(balancers.collect()))]
-    }
-
-    /// Takes in balancers that use another agent, and reports to them.
-    pub fn on_balancers(
-        &mut self,
-        balancers: &[SocketAddrV4],
-        now: Instant,
-    ) -> Vec<Action<'static>> {
-        let unknown: Vec<_> = balancers
-            .iter()
-            .take(MAX_BALANCERS_TOLD)
-            .filter(|balancer| !self.balancers.contains_key(balancer))
-            .copied()
-            .collect();
-        for balancer in &unknown {
-            self.heard(*balancer, now);
-        }
-        unknown
-            .into_iter()
-            .filter_map(|balancer| self.report(balancer, now))
-            .collect()
-    }
-
     /// Takes in a packet that the target sent.
     pub fn on_target_packet<'a>(
         &mut self,
@@ -408,56 +352,6 @@
         presumed.into_iter().map(accepted).collect()
     }
 
-    /// Reports to the seed balancers from time to time while the store does not list the agent.
-    fn introduce(&mut self, now: Instant) -> Vec<Action<'static>> {
-        let elapsed = now.saturating_duration_since(self.introduced_at);
-        if self.is_registered || self.target.is_none() || elapsed < INTRODUCTION_INTERVAL {
-            return Vec::new();
-        }
-        self.introduced_at = now;
-        let record = self.record(now);
-        let load = self.meter.load(self.flows.open_len(), now);
-        let report = Message::Report { record, load };
-        let seeds = self.identity.seed_balancers.iter();
-        seeds
-            .map(|seed| Action::send(*seed, report.clone()))
-            .collect()
-    }
-
-    /// Reports to all balancers at once, after a change that they should know.
-    fn announce(&mut self, now: Instant) -> Vec<Action<'static>> {
-        let record = self.record(now);
-        let event = FlowEvent::TargetChanged {
-            agent: record.address,
-            service: record.service,
-            incarnation: record.incarnation,
-            state: record.state,
-        };
-        let balancers: Vec<_> = self.balancers.keys().copied().collect();
-        let mut actions = vec![Action::Record(event)];
-        for balancer in balancers {
-            actions.extend(self.report(balancer, now));
-        }
-        actions
-    }
-
-    fn report(&mut self, balancer: SocketAddrV4, now: Instant) -> Option<Action<'static>> {
-        let record = self.record(now);
-        let load = self.meter.load(self.flows.open_len(), now);
-        self.balancers.get_mut(&balancer)?.reported = Some(now);
-        Some(Action::send(balancer, Message::Report { record, load }))
-    }
-
-    fn heard(&mut self, balancer: SocketAddrV4, now: Instant) -> &mut KnownBalancer {
-        let known = self.balancers.entry(balancer).or_insert(KnownBalancer {
-            heard: now,
-            opened: None,
-            reported: None,
-        });
-        known.heard = now;
-        known
-    }
-
     /// Returns why a flow for a service can't be opened, if it can't.
     fn refusal(&self, service: ServiceTag, now: Instant) -> Option<RefusalCause> {
         if self.is_leaving {
@@ -502,7 +396,7 @@
         match balancer {
             Some(balancer) if head.is_opening() => self.refused_by_target(balancer, flow),
             // Only a flow that the target has accepted is known to have ended there.
-            _ if is_accepted => ended(head),
+            _ if is_accepted => reset(head, ResetCause::FlowEnded),
             Some(balancer) => {
                 let packet = Cow::Borrowed(packet);
                 vec![Action::send(balancer, Message::Returned { packet })]
@@ -528,42 +422,14 @@
     }
 }
 
-impl KnownBalancer {
-    fn is_due(&self, options: &EndpointOptions, now: Instant) -> bool {
-        let elapsed = |at: Instant| now.saturating_duration_since(at);
-        let is_opening = self
-            .opened
-            .is_some_and(|at| elapsed(at) < options.idle_report_interval * 2);
-        let interval = if is_opening {
-            options.report_interval
-        } else {
-            options.idle_report_interval
-        };
-        self.reported.is_none_or(|at| elapsed(at) >= interval)
-    }
-}
-
 /// Resets a flow of an earlier run of the target.
 fn end_orphan<'a>(head: &PacketHead) -> Vec<Action<'a>> {
     if head.flags.contains(PacketFlags::RST) {
         return Vec::new();
     }
-    ended(head)
+    reset(head, ResetCause::FlowEnded)
 }
 
 fn refuse<'a>(balancer: SocketAddrV4, flow: FlowKey, cause: RefusalCause) -> Action<'a> {
     Action::send(balancer, Message::Refused { flow, cause })
 }
-
-fn ended<'a>(head: &PacketHead) -> Vec<Action<'a>> {
-    let flow = head.flow_from_caller();
-    let cause = ResetCause::FlowEnded;
-    vec![
-        Action::Record(FlowEvent::Reset { flow, cause }),
-        Action::Reset(Reset::answering(head)),
-    ]
-}
-
-fn dropped<'a>(flow: FlowKey, cause: DropCause) -> Vec<Action<'a>> {
-    vec![Action::Record(FlowEvent::Dropped { flow, cause })]
-}
--- a/crates/cranberrypitch-core/src/flow/message.rs
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -6,7 +6,7 @@
 use derive_more::Display;
 
 use super::directory::AgentRecord;
-use super::event::FlowEvent;
+use super::event::{DropCause, FlowEvent, ResetCause};
 use super::load::AgentLoad;
 use super::packet::{FlowKey, PacketHead, Reset};
 use crate::ids::ServiceTag;
@@ -146,3 +146,17 @@
         Self::Send { peer, message }
     }
 }
+
+/// Returns the actions of a dropped packet.
+pub(super) fn dropped<'a>(flow: FlowKey, cause: DropCause) -> Vec<Action<'a>> {
+    vec![Action::Record(FlowEvent::Dropped { flow, cause })]
+}
+
+/// Returns the actions of a reset that answers a caller's packet.
+pub(super) fn reset<'a>(head: &PacketHead, cause: ResetCause) -> Vec<Action<'a>> {
+    let flow = head.flow_from_caller();
+    vec![
+        Action::Record(FlowEvent::Reset { flow, cause }),
+        Action::Reset(Reset::answering(head)),
+    ]
+}
