Derive the limit of silence from the settings, and serve traffic without metrics

A target that reports each 2.5 s, on a deployment not seen yet, would have been taken for silent between two reports and got no flows; a metrics address in use would have ended the process.

--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -45,6 +45,30 @@
     pub idle_report_interval: Duration,
 }
 
+/// Of the time after which an address may be used again, the part that a target may be silent and
+/// still get new flows.
+const SILENCE_SHARE: f64 = 0.9;
+
+/// The times between two reports that a target may be silent at least, so that a late report is no
+/// silence.
+const SILENT_INTERVALS: f64 = 1.5;
+
+impl EndpointOptions {
+    /// Returns the options with the limits of silence that follow from the time after which an
+    /// address may be used again and the time between two status reports.
+    #[must_use]
+    pub fn with_silence(self, address_reuse: Duration, status_interval: Duration) -> Self {
+        let limit = address_reuse
+            .mul_f64(SILENCE_SHARE)
+            .max(status_interval.mul_f64(SILENT_INTERVALS));
+        Self {
+            status_lifetime: limit,
+            settings_lifetime: limit,
+            ..self
+        }
+    }
+}
+
 impl Default for EndpointOptions {
     fn default() -> Self {
         Self {
--- a/crates/cranberrypitch-core/tests/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/tests/flow/endpoint.rs
@@ -308,6 +308,20 @@
     );
 }
 
+/// A deployment whose targets report rarely must not take them for silent between two reports.
+#[test]
+fn silence_is_longer_than_the_time_between_reports() {
+    let options = EndpointOptions::default();
+    let limit = |reuse_ms, interval_ms| {
+        let reuse = Duration::from_millis(reuse_ms);
+        let options = options.with_silence(reuse, Duration::from_millis(interval_ms));
+        options.status_lifetime.as_millis()
+    };
+    assert_eq!(limit(2000, 770), 1800);
+    assert_eq!(limit(2000, 1200), 1800);
+    assert_eq!(limit(2000, 2500), 3750);
+}
+
 /// After a loss of power agents start with their targets; the settings name the service until the
 /// first report, but not for longer than an address stays unused.
 #[test]
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -34,10 +34,6 @@
 /// Calls of the target that wait to be taken in.
 const CALL_QUEUE: usize = 16;
 
-/// Of the time after which an address may be used again, the part that a target may be silent and
-/// still get new flows.
-const SILENCE_SHARE: f64 = 0.9;
-
 /// Runs an agent until it is asked to stop.
 pub async fn run_agent<P: Platform>(startup: Startup) -> Result<()> {
     let settings = &startup.settings;
@@ -79,7 +75,7 @@
         buffer: vec![0; MAX_DATAGRAM_BYTES],
         platform: PhantomData,
     };
-    agent.outlet.serve_metrics(settings.metrics_address).await?;
+    agent.outlet.serve_metrics(settings.metrics_address).await;
     agent.run(startup, &peers, &outbound, calls, &target).await;
     // The registration ends with the sender of its records.
     drop(agent);
@@ -90,13 +86,11 @@
 }
 
 fn endpoint_options(settings: &RelaySettings) -> EndpointOptions {
-    let silence = settings.address_reuse_s.mul_f64(SILENCE_SHARE);
-    EndpointOptions {
-        status_lifetime: silence,
-        settings_lifetime: silence,
+    let options = EndpointOptions {
         flow_lifetime: settings.flow_lifetime_s,
         ..EndpointOptions::default()
-    }
+    };
+    options.with_silence(settings.address_reuse_s, settings.status_interval_ms)
 }
 
 type Records = watch::Sender<Option<AgentRecord>>;
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -76,7 +76,7 @@
     balancer
         .outlet
         .serve_metrics(settings.metrics_address)
-        .await?;
+        .await;
     if let Some(address) = settings.snapshot_address {
         snapshot::serve(address, snapshot).await?;
     }
--- a/crates/cranberrypitch-relay/src/daemon.rs
+++ b/crates/cranberrypitch-relay/src/daemon.rs
@@ -216,11 +216,11 @@
         }
     }
 
-    /// Serves the metrics, if the settings name an address.
-    pub(crate) async fn serve_metrics(&self, address: Option<SocketAddrV4>) -> Result<()> {
-        match address {
-            Some(address) => metrics::serve(address, self.metrics.clone()).await,
-            None => Ok(()),
+    /// Serves the metrics, if the settings name an address. Traffic goes on without them.
+    pub(crate) async fn serve_metrics(&self, address: Option<SocketAddrV4>) {
+        let Some(address) = address else { return };
+        if let Err(error) = metrics::serve(address, self.metrics.clone()).await {
+            tracing::error!(target: log::TARGET, event = "MetricsNotServed", %error);
         }
     }
 
