--- a/crates/cranberrypitch-relay/src/settings.rs
+++ b/crates/cranberrypitch-relay/src/settings.rs
@@ -6,7 +6,7 @@
 
 use cranberrypitch_core::{FailureDomain, ServiceName, VmId};
 use serde::Deserialize;
-use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
+use serde_with::{DurationMilliSecondsWithFrac, DurationSecondsWithFrac, serde_as};
 
 use crate::errors::{Error, Result};
 
@@ -35,19 +35,19 @@
     /// Snapshot addresses of balancers that may be there, for a start while the store is down.
     pub seed_addresses: Vec<SocketAddrV4>,
     /// The least time to live of a lease.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     pub lease_min_ms: Duration,
     /// The time between the request to stop and the end by force.
-    #[serde_as(as = "DurationSeconds<u64>")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub stop_grace_s: Duration,
     /// The longest life of a flow.
-    #[serde_as(as = "DurationSeconds<u64>")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub flow_lifetime_s: Duration,
     /// The time after which the address of a target that is gone may be that of another.
-    #[serde_as(as = "DurationSeconds<u64>")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub address_reuse_s: Duration,
     /// The time between two status reports of the target.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     pub status_interval_ms: Duration,
     /// What an agent needs beside it.
     pub target: Option<TargetSettings>,
