Keep flows that a target takes before its first report

Cause: a target that starts again under its id takes flows before its first status report reaches the agent. The report made the agent take all flows for those of the earlier run, and it reset them at their next packet.

Change: flows that began no earlier than the last report of the earlier run, less the time that a report may be late, go on to the target, which returns the packets of those that it does not hold. A second acceptance with other numbers replaces those of the earlier run.

Tests: flow_opened_before_the_first_report_of_its_run_lives_on and, with restarts that no report follows at once, open_flows_survive_changes; both failed before. flows_of_an_earlier_run_are_reset took the report of the new run to come at the moment of the acceptance, which is the case that can't be told apart; a report of the earlier run now comes in between.

--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -184,17 +184,28 @@
         if self.target.as_ref().is_some_and(|t| t.is_newer(&report)) {
             return Vec::new();
         }
-        let is_first = self.target.is_none();
         // A target that was there before the agent holds flows that the agent has not seen.
-        let target = TargetRun::new(report, is_first, now);
-        if !is_first {
-            self.flows.orphan_all();
+        let target = TargetRun::new(report, self.target.is_none(), now);
+        if let Some(earlier) = self.target.replace(target) {
             self.meter = LoadMeter::new(now);
+            let until = self.earliest_begin_of_next_run(&earlier, now);
+            self.flows.orphan(until, &mut self.meter, now);
         }
-        self.target = Some(target);
         self.announce(now)
     }
 
+    /// Returns since when flows may be those of the run after `earlier`, whose first report comes now.
+    /// The new run takes flows before that report, and the last report of the earlier one may have
+    /// been late.
+    fn earliest_begin_of_next_run(&self, earlier: &TargetRun, now: Instant) -> Instant {
+        if earlier.service() != self.service() {
+            return now;
+        }
+        let latest_delay = self.options.status_lifetime;
+        let heard_at = earlier.heard_at();
+        heard_at.checked_sub(latest_delay).unwrap_or(heard_at)
+    }
+
     /// Notes that the target said that it is gone.
     pub fn on_leave(&mut self, id: &str, now: Instant) -> Vec<Action<'static>> {
         match &mut self.target {
--- a/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
@@ -40,6 +40,8 @@
     request_since: Option<Instant>,
     caller_finished: bool,
     target_finished: bool,
+    /// When the target accepted the flow, or got its opening packet.
+    begun_at: Instant,
     used_at: Instant,
 }
 
@@ -52,6 +54,7 @@
             request_since: None,
             caller_finished: false,
             target_finished: false,
+            begun_at: now,
             used_at: now,
         }
     }
@@ -125,6 +128,7 @@
         if !head.flags.contains(PacketFlags::RST) {
             if is_first_sign {
                 self.state = HostedState::Accepted;
+                self.begun_at = now;
             }
             self.note_sent(head);
         }
@@ -143,6 +147,10 @@
     fn note_sent(&mut self, head: &PacketHead) {
         let next = head.sequence.wrapping_add(u32::from(head.payload_len));
         match &mut self.sent {
+            // A later run of the target accepted the flow with numbers of its own.
+            Some((first, _)) if head.is_accepting() && *first != head.sequence => {
+                self.sent = Some((head.sequence, next));
+            }
             Some((first, last)) => {
                 let is_further = next.wrapping_sub(*first) > last.wrapping_sub(*first);
                 let is_near = next.wrapping_sub(*first) < u32::MAX / 2;
@@ -262,13 +270,17 @@
         }
     }
 
-    /// Notes that the target started anew and holds none of the flows.
-    pub(super) fn orphan_all(&mut self) {
-        let flows = self.flows.drain();
-        let confirmed = flows.filter(|(_, hosted)| hosted.state == HostedState::Confirmed);
+    /// Notes that the target started anew and holds none of the flows that began before `until`.
+    /// The target returns packets of those later flows that it does not hold.
+    pub(super) fn orphan(&mut self, until: Instant, meter: &mut LoadMeter, now: Instant) {
+        let earlier = self.flows.extract_if(|_, hosted| hosted.begun_at < until);
+        let confirmed = earlier.filter(|(_, hosted)| hosted.state == HostedState::Confirmed);
         self.orphans.extend(confirmed);
         self.orphaned_at = None;
-        self.open_len = 0;
+        self.open_len = self.flows.len();
+        for _ in self.flows.values().filter(|f| f.request_since.is_some()) {
+            meter.begin(now);
+        }
     }
 
     /// Returns whether an earlier run of the target held a flow whose caller acknowledged a number.
--- a/crates/cranberrypitch-core/src/flow/endpoint/run.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/run.rs
@@ -83,6 +83,10 @@
         now.saturating_duration_since(self.heard_at) < limit
     }
 
+    pub(super) const fn heard_at(&self) -> Instant {
+        self.heard_at
+    }
+
     pub(super) fn is_same_run(&self, report: &StatusReport) -> bool {
         self.report.id == report.id && self.report.started_unix_ms == report.started_unix_ms
     }
