Measure the calls to the store by operation and outcome

Cause: calls to the store are priced and lost calls explain many failures, but the metrics of the platform's daemons had neither. Change: an observed store tells a StoreObserver of each call; the monitor of the own deployment is one and the metrics of the relay daemons are another, so there is one copy of the wrapper. Counts by operation and outcome, and a histogram of times without watches, which wait for changes. Result: metrics_are_served finds the counts of a real daemon; the page of metrics lists both.

--- a/crates/cranberrypitch-agent/src/process.rs
+++ b/crates/cranberrypitch-agent/src/process.rs
@@ -123,9 +123,9 @@
 
 /// What an agent learns its configuration and balancers with.
 struct Parts {
-    store: ObservedStore<HttpStore>,
+    store: ObservedStore<HttpStore, StoreMonitor>,
     peers: ControlPeers,
-    keeper: Keeper<ObservedStore<HttpStore>, ControlPeers>,
+    keeper: Keeper<ObservedStore<HttpStore, StoreMonitor>, ControlPeers>,
     source: ConfigSource,
 }
 
@@ -162,7 +162,7 @@
 
 /// Finds the live balancers: in the store, or through a balancer while the store is down.
 struct BalancerFinder {
-    store: ObservedStore<HttpStore>,
+    store: ObservedStore<HttpStore, StoreMonitor>,
     peers: ControlPeers,
 }
 
--- a/crates/cranberrypitch-net/src/store/mod.rs
+++ b/crates/cranberrypitch-net/src/store/mod.rs
@@ -28,7 +28,7 @@
 pub use http::{HttpStore, HttpStoreOptions};
 pub use key::StoreKey;
 pub use memory::MemoryStore;
-pub use observed::{ObservedStore, StoreMonitor};
+pub use observed::{ObservedStore, StoreMonitor, StoreObserver};
 
 /// The longest value.
 pub const MAX_VALUE_BYTES: usize = 1_000_000;
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -12,6 +12,7 @@
     Action, AgentRecord, Endpoint, EndpointOptions, Identity, Message, PacketFlags,
 };
 use cranberrypitch_net::daemon::{Signal, new_incarnation};
+use cranberrypitch_net::store::ObservedStore;
 use cranberrypitch_proto::relay;
 use hyper::StatusCode;
 use tokio::net::UdpSocket;
@@ -23,6 +24,7 @@
 use crate::errors::{Error, Result};
 use crate::http_server::{self, Call};
 use crate::log;
+use crate::metrics::RelayMetrics;
 use crate::platform::{AgentCall, Platform};
 use crate::registration::Registration;
 use crate::settings::{RelaySettings, TargetSettings};
@@ -57,7 +59,9 @@
     let endpoint = Endpoint::new(endpoint_options(settings), identity, now);
     let is_registered = Arc::new(AtomicBool::new(false));
     let record = endpoint.record(now);
-    let (records, registration) = register::<P>(settings, &record, &is_registered)?;
+    let metrics = RelayMetrics::default();
+    let (records, registration) =
+        register::<P>(settings, &record, &is_registered, metrics.clone())?;
     let to_target = (Arc::clone(&outbound), target.backend_address);
     let caller_port = settings.datagram_address.port();
     let mut agent = Agent::<P> {
@@ -68,7 +72,8 @@
             Some(to_target),
             caller_port,
             now,
-        ),
+        )
+        .with_metrics(metrics),
         clock: Arc::clone(&startup.clock),
         records,
         is_registered,
@@ -99,9 +104,10 @@
     settings: &RelaySettings,
     record: &AgentRecord,
     is_registered: &Arc<AtomicBool>,
+    metrics: RelayMetrics,
 ) -> Result<(Records, JoinHandle<()>)> {
     let (sender, receiver) = watch::channel(None);
-    let store = P::store(settings.store_address);
+    let store = ObservedStore::new(P::store(settings.store_address), metrics);
     let (record, ttl_min) = (record.clone(), settings.lease_min_ms);
     let is_registered = Arc::clone(is_registered);
     // The key is checked before the task begins.
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -8,6 +8,7 @@
 use cranberrypitch_core::Clock;
 use cranberrypitch_core::flow::{Action, Dispatcher, DispatcherOptions, Message, RouteConfig};
 use cranberrypitch_net::daemon::Signal;
+use cranberrypitch_net::store::ObservedStore;
 use cranberrypitch_proto::relay;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc};
@@ -16,6 +17,7 @@
 use crate::errors::Result;
 use crate::follow::{Update, follow_agents, follow_config};
 use crate::log;
+use crate::metrics::RelayMetrics;
 use crate::platform::Platform;
 use crate::registration;
 use crate::snapshot::{self, SharedSnapshot};
@@ -51,7 +53,8 @@
     let readiness = Readiness::default();
     readiness.serve::<P>(settings.readiness_address).await?;
     let list_wanted = Arc::new(Notify::new());
-    let updates = follow::<P>(&startup, &list_wanted);
+    let metrics = RelayMetrics::default();
+    let updates = follow::<P>(&startup, &list_wanted, metrics.clone());
     let now = startup.clock.now();
     let options = DispatcherOptions::default();
     let domain = settings.failure_domain.clone();
@@ -67,6 +70,7 @@
             caller_port,
             now,
         )
+        .with_metrics(metrics)
         .with_list_wanted(list_wanted),
         clock: Arc::clone(&startup.clock),
         readiness,
@@ -84,9 +88,14 @@
     Ok(())
 }
 
-fn follow<P: Platform>(startup: &Startup, list_wanted: &Arc<Notify>) -> mpsc::Receiver<Update> {
+fn follow<P: Platform>(
+    startup: &Startup,
+    list_wanted: &Arc<Notify>,
+    metrics: RelayMetrics,
+) -> mpsc::Receiver<Update> {
     let (sender, receiver) = mpsc::channel(UPDATE_QUEUE);
-    let store = Arc::new(P::store(startup.settings.store_address));
+    let store = P::store(startup.settings.store_address);
+    let store = Arc::new(ObservedStore::new(store, metrics));
     let (list_wanted, clock) = (Arc::clone(list_wanted), Arc::clone(&startup.clock));
     let (config_store, config_sender) = (Arc::clone(&store), sender.clone());
     let (seeds, snapshot_sender) = (startup.settings.seed_addresses.clone(), sender.clone());
@@ -94,7 +103,9 @@
     let watched = Arc::clone(&is_store_lost);
     tokio::spawn(async move { snapshot::fetch(&seeds, snapshot_sender, &watched).await });
     tokio::spawn(async move {
-        if let Err(error) = follow_config::<P>(&config_store, config_sender, is_store_lost).await {
+        if let Err(error) =
+            follow_config::<P, _>(&*config_store, config_sender, is_store_lost).await
+        {
             tracing::error!(target: log::TARGET, %error, "configuration not followed");
         }
     });
--- a/crates/cranberrypitch-relay/src/daemon.rs
+++ b/crates/cranberrypitch-relay/src/daemon.rs
@@ -167,6 +167,11 @@
         }
     }
 
+    pub(crate) fn with_metrics(mut self, metrics: RelayMetrics) -> Self {
+        self.metrics = metrics;
+        self
+    }
+
     pub(crate) fn with_list_wanted(mut self, list_wanted: Arc<Notify>) -> Self {
         self.list_wanted = list_wanted;
         self
--- a/crates/cranberrypitch-relay/src/follow.rs
+++ b/crates/cranberrypitch-relay/src/follow.rs
@@ -60,8 +60,8 @@
 }
 
 /// Follows the configuration until the receiver is gone.
-pub(crate) async fn follow_config<P: Platform>(
-    store: &P::Store,
+pub(crate) async fn follow_config<P: Platform, S: Store>(
+    store: &S,
     updates: Sender<Update>,
     is_store_lost: Arc<AtomicBool>,
 ) -> Result<()> {
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -2,18 +2,21 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cranberrypitch_core::Revision;
 use cranberrypitch_core::flow::{Action, FlowEvent, Message};
+use cranberrypitch_net::store::{Error as StoreError, Operation, StoreObserver};
 use hyper::StatusCode;
+use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
-use crate::errors::Result;
 use crate::http_server::{self, Call};
 
 const PATH: &str = "/metrics";
@@ -24,10 +27,35 @@
 /// Upper bounds of the buckets of times, in seconds; latency objectives lie between 0.1 and 1 s.
 const TIME_BUCKETS_S: [f64; 10] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
 
+/// What tells the counts of calls to the store apart.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoreCall {
+    operation: String,
+    outcome: &'static str,
+}
+
+impl StoreCall {
+    fn new(operation: Operation, outcome: Result<(), &StoreError>) -> Self {
+        let outcome = match outcome {
+            Ok(()) => "ok",
+            Err(StoreError::Unavailable { .. }) => "unavailable",
+            Err(StoreError::OutcomeUnknown { .. }) => "unknown",
+            Err(StoreError::Conflict { .. }) => "conflict",
+            Err(StoreError::LeaseLapsed { .. }) => "lapsed",
+            Err(_) => "refused",
+        };
+        Self {
+            operation: operation.to_string().to_lowercase(),
+            outcome,
+        }
+    }
+}
+
 /// The metrics of a daemon. Clones share the values.
 #[derive(Clone, Debug)]
 pub(crate) struct RelayMetrics {
     registry: Arc<Registry>,
+    store_calls: Family<StoreCall, Counter>,
     placed: Counter,
     refused: Counter,
     unanswered: Counter,
@@ -48,6 +76,7 @@
     locate_time: Histogram,
     answer_time: Histogram,
     load_age: Histogram,
+    store_time: Histogram,
 }
 
 impl Default for RelayMetrics {
@@ -94,8 +123,13 @@
             "Time from a request to the first packet back",
         );
         let load_age = histogram("load_age", "Age of the load report that placed a flow");
+        let store_time = histogram("store_call_time", "Time of a call to the store but a watch");
+        let store_calls = Family::default();
+        let help = "Calls to the store by operation and outcome";
+        registry.register("store_calls", help, store_calls.clone());
         Self {
             registry: Arc::new(registry),
+            store_calls,
             placed,
             refused,
             unanswered,
@@ -116,6 +150,7 @@
             locate_time,
             answer_time,
             load_age,
+            store_time,
         }
     }
 }
@@ -213,10 +248,24 @@
     }
 }
 
+impl StoreObserver for RelayMetrics {
+    fn on_call(&self, operation: Operation, outcome: Result<(), &StoreError>, elapsed: Duration) {
+        // A watch takes as long as nothing changes.
+        if operation != Operation::Watch {
+            self.store_time.observe(elapsed.as_secs_f64());
+        }
+        let call = StoreCall::new(operation, outcome);
+        self.store_calls.get_or_create(&call).inc();
+    }
+}
+
 /// Returns the names of all metrics with their help, as the page `docs/relay-metrics.md` lists them.
 pub fn metrics_page() -> String {
     let mut page = String::from(PAGE_HEAD);
-    let text = RelayMetrics::default().text().unwrap_or_default();
+    let metrics = RelayMetrics::default();
+    // Counts by label are written once there is one.
+    metrics.on_call(Operation::List, Ok(()), Duration::ZERO);
+    let text = metrics.text().unwrap_or_default();
     for line in text.lines() {
         if let Some((name, help)) = line.strip_prefix("# HELP ").and_then(|l| l.split_once(' ')) {
             let kind = text
@@ -243,7 +292,7 @@
 ";
 
 /// Serves the metrics.
-pub(crate) async fn serve(address: SocketAddrV4, metrics: RelayMetrics) -> Result<()> {
+pub(crate) async fn serve(address: SocketAddrV4, metrics: RelayMetrics) -> crate::Result<()> {
     http_server::serve(address, move |call: Call| {
         let text = (&*call.path == PATH).then(|| metrics.text()).flatten();
         async move {
