--- a/crates/cranberrypitch-relay/src/errors.rs
+++ b/crates/cranberrypitch-relay/src/errors.rs
@@ -21,6 +21,20 @@
         /// What the operating system reported.
         source: io::Error,
     },
+    /// A file can't be read.
+    #[display("{}: {source}", file.display())]
+    File {
+        /// The file.
+        file: Box<Path>,
+        /// What the operating system reported.
+        source: io::Error,
+    },
+    /// A daemon does not tell its status.
+    #[display("no answer: {detail}")]
+    NoAnswer {
+        /// What happened instead.
+        detail: Box<str>,
+    },
     /// The settings are refused.
     #[display("settings: {detail}")]
     Settings {
@@ -56,6 +70,13 @@
         }
     }
 
+    /// Returns an error of a daemon that does not tell its status.
+    pub fn no_answer(detail: &impl ToString) -> Self {
+        Self::NoAnswer {
+            detail: detail.to_string().into(),
+        }
+    }
+
     /// Returns a malformed-content error.
     pub fn malformed(kind: &'static str, detail: &impl ToString) -> Self {
         Self::Malformed {
--- /dev/null
+++ b/crates/cranberrypitch-relay/src/inspect.rs
@@ -0,0 +1,200 @@
+//! What operators ask of files and of running daemons.
+
+use std::fmt;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::time::Duration;
+
+use cranberrypitch_core::FastSet;
+use cranberrypitch_net::daemon::thread_runtime;
+use cranberrypitch_net::http_client::{HttpClient, HttpClientOptions};
+use http_body_util::Full;
+use hyper::{Request, StatusCode, header};
+
+use crate::errors::{Error, Result};
+use crate::metrics::{PATH, PREFIX};
+use crate::platform::Platform;
+use crate::settings::RelaySettings;
+
+/// The time within which a daemon answers.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The longest text of metrics.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+
+/// Reads a settings file and returns what it says of the daemon.
+///
+/// # Errors
+///
+/// Returns the first field that is missing or wrong.
+pub fn check_settings(file: &Path) -> Result<String> {
+    let settings = RelaySettings::read(file)?;
+    let role = match &settings.target {
+        Some(target) => format!("an agent of service {}", target.service),
+        None => "a balancer".to_string(),
+    };
+    let (vm, domain) = (&settings.vm, &settings.failure_domain);
+    Ok(format!(
+        "settings of {role}, VM {vm}, failure domain {domain}"
+    ))
+}
+
+/// Reads an operators' configuration from a file and returns a summary.
+///
+/// # Errors
+///
+/// Returns the first entry that is missing or wrong.
+pub fn check_config<P: Platform>(file: &Path) -> Result<String> {
+    let text = std::fs::read(file).map_err(|source| Error::File {
+        file: file.into(),
+        source,
+    })?;
+    let config = P::read_config(&text)?;
+    let backends = config.routes.iter().flat_map(|route| &route.backends);
+    let services: FastSet<_> = backends.map(|backend| &backend.service).collect();
+    Ok(format!(
+        "configuration {}: {} routes to {} services, flows idle for {} ms may end",
+        config.version,
+        config.routes.len(),
+        services.len(),
+        config.idle_timeout.as_millis()
+    ))
+}
+
+/// What a daemon's metrics say.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DaemonStatus {
+    /// The version of the configuration in force; 0 at agents.
+    pub version: u64,
+    /// The agents that a balancer knows; 0 at agents.
+    pub agents: u64,
+    /// The flows in the table.
+    pub flows: u64,
+    /// The requests that the target has; 0 at balancers.
+    pub running: u64,
+    /// Flows that the daemon reset.
+    pub resets: u64,
+    /// Openings that an agent refused.
+    pub refused: u64,
+    /// Calls to the store.
+    pub store_calls: u64,
+    /// Calls to the store that had no good outcome.
+    pub store_failures: u64,
+}
+
+impl DaemonStatus {
+    /// Reads the text of a daemon's metrics. Metrics that are not known are left out.
+    pub fn parse(text: &str) -> Self {
+        let mut status = Self::default();
+        for line in text.lines() {
+            let Some((name, value)) = line.rsplit_once(' ') else {
+                continue;
+            };
+            let Some(name) = name.strip_prefix(PREFIX).and_then(|n| n.strip_prefix('_')) else {
+                continue;
+            };
+            if let Ok(value) = value.parse() {
+                status.take_in(name, value);
+            }
+        }
+        status
+    }
+
+    fn take_in(&mut self, name: &str, value: u64) {
+        match name {
+            "configuration_version" => self.version = value,
+            "agents" => self.agents = value,
+            "flows" => self.flows = value,
+            "requests_running" => self.running = value,
+            "flows_reset_total" => self.resets = value,
+            "flows_refused_total" => self.refused = value,
+            _ => {
+                if let Some(labels) = name.strip_prefix("store_calls_total") {
+                    self.store_calls += value;
+                    if !labels.contains(r#"outcome="ok""#) {
+                        self.store_failures += value;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// The daemons that were asked, each with its status or why there is none.
+#[derive(Debug)]
+pub struct StatusTable(Vec<(SocketAddrV4, Result<DaemonStatus>)>);
+
+impl StatusTable {
+    /// Asks daemons for their metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no runtime can be had; a daemon that does not answer is a row.
+    pub fn ask(addresses: &[SocketAddrV4]) -> Result<Self> {
+        let runtime = thread_runtime().map_err(|e| Error::settings(&e))?;
+        let mut rows = Vec::with_capacity(addresses.len());
+        for &address in addresses {
+            rows.push((address, runtime.block_on(ask(address))));
+        }
+        Ok(Self(rows))
+    }
+
+    /// Returns whether all daemons answered.
+    pub fn is_complete(&self) -> bool {
+        self.0.iter().all(|(_, status)| status.is_ok())
+    }
+}
+
+impl fmt::Display for StatusTable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:<21} {:>7} {:>6} {:>7} {:>7} {:>7} {:>7} {:>11} {:>14}",
+            "address",
+            "version",
+            "agents",
+            "flows",
+            "running",
+            "resets",
+            "refused",
+            "store calls",
+            "store failures"
+        )?;
+        for (address, status) in &self.0 {
+            match status {
+                Ok(s) => write!(
+                    f,
+                    "\n{:<21} {:>7} {:>6} {:>7} {:>7} {:>7} {:>7} {:>11} {:>14}",
+                    address.to_string(),
+                    s.version,
+                    s.agents,
+                    s.flows,
+                    s.running,
+                    s.resets,
+                    s.refused,
+                    s.store_calls,
+                    s.store_failures
+                )?,
+                Err(error) => write!(f, "\n{:<21} {error}", address.to_string())?,
+            }
+        }
+        Ok(())
+    }
+}
+
+async fn ask(address: SocketAddrV4) -> Result<DaemonStatus> {
+    let client = HttpClient::new(HttpClientOptions {
+        address,
+        connect_timeout: ANSWER_TIMEOUT,
+        max_body_bytes: MAX_BODY_BYTES,
+    });
+    let request = Request::get(PATH)
+        .header(header::HOST, address.to_string())
+        .body(Full::default())
+        .map_err(|e| Error::malformed("request", &e))?;
+    let answer = client.exchange(request, ANSWER_TIMEOUT).await;
+    match answer.map_err(|e| Error::no_answer(&e))? {
+        (StatusCode::OK, body) => Ok(DaemonStatus::parse(&String::from_utf8_lossy(&body))),
+        (status, _) => Err(Error::no_answer(&status)),
+    }
+}
--- a/crates/cranberrypitch-relay/src/lib.rs
+++ b/crates/cranberrypitch-relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod explain;
 mod follow;
 mod http_server;
+pub mod inspect;
 mod log;
 mod metrics;
 mod platform;
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -19,10 +19,11 @@
 
 use crate::http_server::{self, Call};
 
-const PATH: &str = "/metrics";
+/// The path of the metrics.
+pub(crate) const PATH: &str = "/metrics";
 
 /// The prefix of all names.
-const PREFIX: &str = "cranberrypitch";
+pub(crate) const PREFIX: &str = "cranberrypitch";
 
 /// Upper bounds of the buckets of times, in seconds; latency objectives lie between 0.1 and 1 s.
 const TIME_BUCKETS_S: [f64; 10] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
--- /dev/null
+++ b/crates/cranberrypitch-relay/tests/inspect.rs
@@ -0,0 +1,35 @@
+//! What operators read of running daemons.
+
+use cranberrypitch_relay::inspect::{DaemonStatus, StatusTable};
+
+/// The outcomes of calls to the store are summed up, and lines of others are left out.
+#[test]
+fn status_is_read_from_metrics() {
+    let text = "# HELP cranberrypitch_flows Flows in the table.
+# TYPE cranberrypitch_flows gauge
+cranberrypitch_flows 12
+cranberrypitch_flows_reset_total 3
+cranberrypitch_store_calls_total{operation=\"list\",outcome=\"ok\"} 5
+cranberrypitch_store_calls_total{operation=\"watch\",outcome=\"unavailable\"} 2
+cranberrypitch_locate_time_seconds_sum 0.5
+other_flows 99
+# EOF
+";
+    let expected = DaemonStatus {
+        flows: 12,
+        resets: 3,
+        store_calls: 7,
+        store_failures: 2,
+        ..DaemonStatus::default()
+    };
+    assert_eq!(DaemonStatus::parse(text), expected);
+}
+
+/// A daemon that is down is a row with the reason, and the table says that it is not complete.
+#[test]
+fn silent_daemon_is_shown() {
+    let table = StatusTable::ask(&["127.0.0.1:1".parse().unwrap()]).unwrap();
+    assert!(!table.is_complete());
+    assert!(table.to_string().contains("127.0.0.1:1"), "{table}");
+    assert!(table.to_string().contains("no answer"), "{table}");
+}
