Share the event loop of the measure simulations

Change: Timeline::next yields the next tick or event; the simulations and the admission desk have files of their own.

--- /dev/null
+++ b/crates/cranberrypitch-measure/src/admission/desk.rs
@@ -0,0 +1,62 @@
+//! The admission policies behind one interface.
+
+use std::time::Instant;
+
+use cranberrypitch_core::admission::{Action, Admission, AdmissionOptions, ColdStart, Event};
+use cranberrypitch_core::{ConnectionLimit, Result, Slots};
+
+use super::fifo::Fifo;
+use super::{AdmissionMeasureOptions, Policy, RAMP, Scenario};
+
+const CONNECTION_LIMIT: ConnectionLimit = ConnectionLimit::new(2000);
+const QUEUE_LEN: u32 = 512;
+const TENANT_QUEUE_LEN: u32 = 32;
+
+#[derive(Debug)]
+pub(super) enum Desk {
+    TenantQueues(Box<Admission>),
+    Fifo(Fifo),
+}
+
+impl Desk {
+    /// Returns the desk of a policy.
+    pub(super) fn try_new(
+        options: &AdmissionMeasureOptions,
+        scenario: Scenario,
+        policy: Policy,
+        start: Instant,
+    ) -> Result<Self> {
+        let slots = Slots::new(options.slots);
+        let is_cold = scenario == Scenario::ColdStart;
+        let cold_start = ColdStart {
+            first_slots: if is_cold { Slots::new(1) } else { slots },
+            ramp: RAMP,
+        };
+        Ok(match policy {
+            Policy::TenantQueues => {
+                let admission_options = AdmissionOptions::builder(slots, CONNECTION_LIMIT)
+                    .tenant_queue_len(TENANT_QUEUE_LEN)
+                    .queue_len(QUEUE_LEN)
+                    .cold_start(cold_start)
+                    .build()?;
+                Self::TenantQueues(Box::new(Admission::new(admission_options, start)))
+            }
+            Policy::Fifo => Self::Fifo(Fifo::new(options.slots, QUEUE_LEN, false)),
+            Policy::FifoWithDeadline => Self::Fifo(Fifo::new(options.slots, QUEUE_LEN, true)),
+        })
+    }
+
+    pub(super) fn handle(&mut self, event: Event, now: Instant) -> Vec<Action> {
+        match self {
+            Self::TenantQueues(admission) => admission.handle(event, now),
+            Self::Fifo(fifo) => fifo.handle(event, now),
+        }
+    }
+
+    pub(super) fn next_tick(&self, now: Instant) -> Option<Instant> {
+        match self {
+            Self::TenantQueues(admission) => admission.next_tick(now),
+            Self::Fifo(fifo) => fifo.next_tick(),
+        }
+    }
+}
--- a/crates/cranberrypitch-measure/src/drain/simulation.rs
+++ b/crates/cranberrypitch-measure/src/drain/simulation.rs
@@ -18,7 +18,7 @@
 
 use super::feeds::{Feed, Flow};
 use super::{DrainFigures, DrainMeasureOptions, Policy, Scenario};
-use crate::timeline::{Timeline, exponential, rounded};
+use crate::timeline::{Next, Timeline, exponential, rounded};
 
 const CONNECTION_LIMIT: ConnectionLimit = ConnectionLimit::new(2000);
 
@@ -159,30 +159,28 @@
     pub(super) fn run(mut self) -> DrainFigures {
         let end = self.start + self.options.duration;
         let mut now = self.start;
-        loop {
-            let ticks = self.targets.iter().map(|target| target.next_tick(now));
-            let tick = ticks.flatten().min();
-            let step = self.timeline.next_time();
-            let Some(next) = step
-                .into_iter()
-                .chain(tick)
-                .min()
-                .filter(|next| *next < end)
-            else {
-                break;
-            };
-            now = next;
-            if tick == Some(next) {
-                for target in 0..self.targets.len() {
-                    self.handle(target, Event::Tick, now);
+        while let Some(next) = self.timeline.next(self.next_tick(now), end) {
+            match next {
+                Next::Tick(at) => {
+                    now = at;
+                    for target in 0..self.targets.len() {
+                        self.handle(target, Event::Tick, now);
+                    }
+                }
+                Next::Event(at, step) => {
+                    now = at;
+                    self.step(step, now);
                 }
-            } else if let Some((_, step)) = self.timeline.pop() {
-                self.step(step, now);
             }
         }
         self.finish_figures()
     }
 
+    fn next_tick(&self, now: Instant) -> Option<Instant> {
+        let ticks = self.targets.iter().map(|target| target.next_tick(now));
+        ticks.flatten().min()
+    }
+
     fn step(&mut self, step: Step, now: Instant) {
         match step {
             Step::Arrive { service } => self.arrive(service, now),
--- a/crates/cranberrypitch-measure/src/timeline.rs
+++ b/crates/cranberrypitch-measure/src/timeline.rs
@@ -9,6 +9,15 @@
 /// More than this demand takes long and shows nothing new.
 const MAX_LOAD: f64 = 100.0;
 
+/// What happens next in a simulation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Next<E> {
+    /// A decision asked to be told of this time.
+    Tick(Instant),
+    /// An event is due.
+    Event(Instant, E),
+}
+
 /// Events in the order of their times; events of one time keep the order of their entry.
 #[derive(Debug)]
 pub(crate) struct Timeline<E> {
@@ -29,11 +38,22 @@
         self.entered += 1;
     }
 
-    pub(crate) fn next_time(&self) -> Option<Instant> {
+    /// Returns what comes next before `end`. A tick comes before the events of its time.
+    pub(crate) fn next(&mut self, tick: Option<Instant>, end: Instant) -> Option<Next<E>> {
+        let event = self.next_time();
+        let next = event.into_iter().chain(tick).min();
+        let next = next.filter(|next| *next < end)?;
+        if tick == Some(next) {
+            return Some(Next::Tick(next));
+        }
+        self.pop().map(|(at, event)| Next::Event(at, event))
+    }
+
+    fn next_time(&self) -> Option<Instant> {
         self.events.first_key_value().map(|((at, _), _)| *at)
     }
 
-    pub(crate) fn pop(&mut self) -> Option<(Instant, E)> {
+    fn pop(&mut self) -> Option<(Instant, E)> {
         self.events.pop_first().map(|((at, _), event)| (at, event))
     }
 }
