Break three circles of imports

Change: ShardCount, the events of target changes, and the cause of a failure of the HTTP library stand in modules that both sides use.

--- a/crates/cranberrypitch-agent/src/backend/errors.rs
+++ b/crates/cranberrypitch-agent/src/backend/errors.rs
@@ -97,3 +97,14 @@
         found: u64,
     },
 }
+
+impl From<&hyper::Error> for Cause {
+    /// Returns what a failure of the HTTP library says about the answer.
+    fn from(error: &hyper::Error) -> Self {
+        if error.is_parse() {
+            Self::Malformed
+        } else {
+            Self::Cut
+        }
+    }
+}
--- a/crates/cranberrypitch-agent/src/backend/feed.rs
+++ b/crates/cranberrypitch-agent/src/backend/feed.rs
@@ -5,10 +5,10 @@
 use hyper::body::Incoming;
 use serde::Deserialize;
 
+use super::FeedSource;
 use super::errors::{BackendError, Cause, Result};
 use super::pool::Exchange;
 use super::request::Reading;
-use super::{FeedSource, http};
 
 /// A longer reading is refused; a frame to the caller has 64 KiB.
 const MAX_LINE_BYTES: usize = 60 * 1024;
@@ -86,7 +86,7 @@
                         self.buffer.extend_from_slice(&data);
                     }
                 }
-                Some(Err(error)) => return Err(broken(http::cause_of(&error))),
+                Some(Err(error)) => return Err(broken(Cause::from(&error))),
                 None if self.buffer.is_empty() => return Ok(None),
                 None => return Err(broken(Cause::Cut)),
             }
--- a/crates/cranberrypitch-agent/src/backend/http.rs
+++ b/crates/cranberrypitch-agent/src/backend/http.rs
@@ -331,7 +331,7 @@
     let answer = exchange.connection.sender.send_request(request);
     match timeout_at(deadlines.answer, answer).await {
         Ok(Ok(response)) => Ok((exchange, response)),
-        Ok(Err(error)) => Err(exchange.fail(cause_of(&error))),
+        Ok(Err(error)) => Err(exchange.fail(Cause::from(&error))),
         Err(_elapsed) => Err(exchange.fail(Cause::Deadline)),
     }
 }
@@ -406,7 +406,7 @@
 async fn read_whole(mut body: Incoming, limit_bytes: usize) -> std::result::Result<Bytes, Cause> {
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| cause_of(&error))?;
+        let frame = frame.map_err(|error| Cause::from(&error))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
@@ -452,12 +452,3 @@
         Err(_) => BackendError::Unknown { cause },
     }
 }
-
-/// Returns what a failure of the HTTP library says about the answer.
-pub(crate) fn cause_of(error: &hyper::Error) -> Cause {
-    if error.is_parse() {
-        Cause::Malformed
-    } else {
-        Cause::Cut
-    }
-}
--- a/crates/cranberrypitch-balancer/src/lib.rs
+++ b/crates/cranberrypitch-balancer/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod process;
 pub mod route;
 mod routing;
+mod target_events;
 mod traffic;
 
 pub use crate::counters::Counters;
--- a/crates/cranberrypitch-balancer/src/members.rs
+++ b/crates/cranberrypitch-balancer/src/members.rs
@@ -23,9 +23,9 @@
 use rand::seq::IndexedRandom;
 use tokio::sync::watch;
 
-use crate::observe::event_of;
 use crate::options::BalancerIdentity;
 use crate::routing::{PathObservation, ServiceView, ServiceViews};
+use crate::target_events::event_of;
 use crate::traffic::ControlDatagram;
 
 /// The time between judgements of silence.
--- a/crates/cranberrypitch-balancer/src/observe.rs
+++ b/crates/cranberrypitch-balancer/src/observe.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use cranberrypitch_core::membership::Change;
-use cranberrypitch_net::Event;
 use cranberrypitch_net::control::ControlServer;
 use cranberrypitch_net::keeper::ConfigSource;
 use cranberrypitch_net::metrics::{Counter, Gauge, Metrics, Sampler};
@@ -79,50 +77,3 @@
         metrics.gauge(Gauge::ConfigurationRevision, revision);
     }
 }
-
-/// Returns the event of a change of the known targets.
-pub(crate) fn event_of(change: Change) -> Option<Event> {
-    Some(match change {
-        Change::Joined {
-            vm,
-            service,
-            address: agent,
-            incarnation,
-        } => Event::TargetJoined {
-            vm,
-            service,
-            agent,
-            incarnation,
-        },
-        Change::Restarted {
-            vm,
-            service,
-            incarnation,
-        } => Event::TargetRestarted {
-            vm,
-            service,
-            incarnation,
-        },
-        Change::Left { vm, service } => Event::TargetLeft { vm, service },
-        Change::Silent {
-            vm,
-            service,
-            silent_for: silent_ms,
-        } => Event::TargetSilent {
-            vm,
-            service,
-            silent_ms,
-        },
-        Change::Back { vm, service } => Event::TargetBack { vm, service },
-        Change::Kept {
-            service,
-            silent,
-            total,
-        } => Event::TargetsKept {
-            service,
-            silent,
-            total,
-        },
-        _ => return None,
-    })
-}
--- a/crates/cranberrypitch-core/src/config/head.rs
+++ b/crates/cranberrypitch-core/src/config/head.rs
@@ -5,7 +5,7 @@
 use serde_with::serde_as;
 
 use crate::config::digest::Digest;
-use crate::config::shard::ShardCount;
+use crate::config::shard_count::ShardCount;
 use crate::config::text::Deployment;
 use crate::errors::{Error, Result};
 use crate::ids::{EditId, Revision};
--- a/crates/cranberrypitch-core/src/config/mod.rs
+++ b/crates/cranberrypitch-core/src/config/mod.rs
@@ -11,6 +11,7 @@
 mod reader;
 mod rules;
 mod shard;
+mod shard_count;
 mod text;
 
 pub use diff::{Change, diff};
@@ -18,5 +19,6 @@
 pub use edit::Edit;
 pub use head::{ConfigHead, MAX_PREVIOUS_EDITS};
 pub use problem::{Problem, Problems, Rule};
-pub use shard::{MAX_SHARD_BYTES, SHARD_TARGET_BYTES, Shard, ShardCount, assemble, split};
+pub use shard::{MAX_SHARD_BYTES, Shard, assemble, split};
+pub use shard_count::{SHARD_TARGET_BYTES, ShardCount};
 pub use text::{ClassLimits, Deployment, Service, ServiceText};
