Measure the selection of targets against simple policies

Change: measure selection plays five patterns (usual load, one failure domain with three times the callers, twice the load, slow targets in one domain, a restart of all targets) under the selection, its own domain only, hash, random, round robin, least open flows, and one shared queue. Aims and tests: tests/selection.rs.

--- a/crates/cranberrypitch-measure/src/lib.rs
+++ b/crates/cranberrypitch-measure/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod placement;
 pub mod process;
 pub mod retry;
+pub mod selection;
 pub(crate) mod timeline;
 pub mod upload;
 mod verbs;
@@ -31,7 +32,7 @@
 }
 
 /// All verbs.
-pub const VERBS: [Verb; 8] = [
+pub const VERBS: [Verb; 9] = [
     Verb {
         name: "placement",
         summary: "waits and imbalance of each placement policy",
@@ -47,6 +48,11 @@
         summary: "load added by retries, with and without a budget",
         run: verbs::retry,
     },
+    Verb {
+        name: "selection",
+        summary: "who waits and where work goes on the relayed path, against simple policies",
+        run: verbs::selection,
+    },
     Verb {
         name: "drain",
         summary: "work that a leaving target still gets, and what is cut",
--- a/crates/cranberrypitch-measure/src/verbs.rs
+++ b/crates/cranberrypitch-measure/src/verbs.rs
@@ -11,6 +11,7 @@
 use crate::drain::{self, DrainMeasureOptions};
 use crate::errors::Result;
 use crate::retry::{self, RetryMeasureOptions};
+use crate::selection::{self, SelectionMeasureOptions};
 
 const DEFAULT_SEED: u64 = 1;
 
@@ -33,6 +34,14 @@
     print(arguments, &retry::run(&options, seed)?)
 }
 
+pub(crate) fn selection(arguments: &mut Arguments) -> Result<String> {
+    let mut options = SelectionMeasureOptions::default();
+    take(arguments, "--slots", &mut options.slots)?;
+    take(arguments, "--load", &mut options.load)?;
+    let seed = seed(arguments)?;
+    print(arguments, &selection::run(&options, seed)?)
+}
+
 pub(crate) fn drain(arguments: &mut Arguments) -> Result<String> {
     let mut options = DrainMeasureOptions::default();
     take(arguments, "--targets", &mut options.targets)?;
--- /dev/null
+++ b/crates/cranberrypitch-measure/tests/selection.rs
@@ -0,0 +1,71 @@
+//! The aims of the selection of targets on the relayed path; docs/platform.md states them.
+
+use cranberrypitch_measure::selection::{
+    Pattern, Policy, SelectionFigures, SelectionMeasureOptions, run,
+};
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+/// Of what one shared queue serves in time, the part that the selection serves.
+const SHARE_OF_BOUND: f64 = 0.95;
+
+/// How much better a simple policy may be in a pattern.
+const SIMPLE_POLICY_MARGIN: f64 = 0.01;
+
+fn figures(seed: u64) -> Vec<SelectionFigures> {
+    let report = run(&SelectionMeasureOptions::default(), seed).unwrap();
+    report.figures
+}
+
+fn find(figures: &[SelectionFigures], pattern: Pattern, policy: Policy) -> &SelectionFigures {
+    let mut found = figures.iter();
+    found
+        .find(|f| (f.pattern, f.policy) == (pattern, policy))
+        .unwrap()
+}
+
+/// Overload of one failure domain and of all, slow targets and a restart of everything: the selection
+/// comes near one shared queue in front of all slots.
+#[test]
+fn selection_serves_nearly_what_one_queue_does() {
+    for seed in SEEDS {
+        let figures = figures(seed);
+        for pattern in Pattern::ALL {
+            let bound = find(&figures, pattern, Policy::SharedQueue).in_time;
+            let selection = find(&figures, pattern, Policy::Selection);
+            let aim = bound * SHARE_OF_BOUND;
+            assert!(
+                selection.in_time >= aim,
+                "seed {seed}: {selection:?}, aim {aim}"
+            );
+        }
+    }
+}
+
+/// No simple policy serves callers better, and each sends more work to other failure domains, but
+/// the one that keeps all work in its own.
+#[test]
+fn no_simple_policy_is_better() {
+    for seed in SEEDS {
+        let figures = figures(seed);
+        for pattern in Pattern::ALL {
+            let selection = find(&figures, pattern, Policy::Selection);
+            for policy in Policy::ALL {
+                let other = find(&figures, pattern, policy);
+                if matches!(policy, Policy::Selection | Policy::SharedQueue) {
+                    continue;
+                }
+                let best = other.in_time - SIMPLE_POLICY_MARGIN;
+                assert!(selection.in_time >= best, "{selection:?} {other:?}");
+                let is_local = policy == Policy::OwnDomain;
+                assert!(is_local || selection.remote < other.remote, "{other:?}");
+            }
+        }
+    }
+}
+
+/// The same seed gives the same figures.
+#[test]
+fn figures_depend_on_the_seed_alone() {
+    assert_eq!(figures(7), figures(7));
+}
