Prefer targets whose answers don't fail

The share rides on the load report, one byte more, and counts in the selection for up to four requests per slot. Where all targets fail alike, no choice changes.

--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -1,5 +1,6 @@
 //! The decisions of an agent: which packets reach its target, and where the target's packets go.
 
+mod answers;
 mod balancers;
 mod hosted;
 mod run;
@@ -8,12 +9,13 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+use self::answers::AnswerMeter;
 use self::balancers::KnownBalancer;
 use self::hosted::HostedFlows;
 pub use self::run::{StatusReport, TargetRun};
 use super::directory::AgentRecord;
 use super::event::{DropCause, FlowEvent, ResetCause};
-use super::load::LoadMeter;
+use super::load::{AgentLoad, LoadMeter};
 use super::message::{Action, LocateAnswer, Message, RefusalCause, dropped, reset};
 use super::packet::{FlowKey, PacketFlags, PacketHead};
 use crate::collections::FastMap;
@@ -109,6 +111,7 @@
     target: Option<TargetRun>,
     flows: HostedFlows,
     meter: LoadMeter,
+    answers: AnswerMeter,
     balancers: FastMap<SocketAddrV4, KnownBalancer>,
     is_registered: bool,
     introduced_at: Instant,
@@ -125,6 +128,7 @@
             target: None,
             flows: HostedFlows::default(),
             meter: LoadMeter::new(now),
+            answers: AnswerMeter::new(now),
             balancers: FastMap::default(),
             is_registered: false,
             introduced_at: now,
@@ -151,6 +155,19 @@
         self.flows.open_len()
     }
 
+    /// Returns the load of the target.
+    fn load(&mut self, now: Instant) -> AgentLoad {
+        AgentLoad {
+            failed_percent: self.answers.failed_percent(now),
+            ..self.meter.load(self.flows.open_len(), now)
+        }
+    }
+
+    /// Notes whether an answer of the target says that it failed. Balancers prefer other targets.
+    pub fn on_answer(&mut self, is_failed: bool, now: Instant) {
+        self.answers.note(is_failed, now);
+    }
+
     /// Returns the requests that the target has and has not answered.
     pub fn running(&mut self, now: Instant) -> u16 {
         self.meter.load(0, now).running
@@ -188,6 +205,7 @@
         let target = TargetRun::new(report, self.target.is_none(), now);
         if let Some(earlier) = self.target.replace(target) {
             self.meter = LoadMeter::new(now);
+            self.answers.note_restart(now);
             let until = self.earliest_begin_of_next_run(&earlier, now);
             self.flows.orphan(until, &mut self.meter, now);
         }
@@ -340,6 +358,9 @@
         let flow = head.flow_from_target();
         let mut actions = Vec::with_capacity(3);
         let hosted = self.flows.get_or_adopt(flow, now);
+        if head.flags.contains(PacketFlags::RST) && hosted.request_age(now).is_some() {
+            self.answers.note(true, now);
+        }
         if head.payload_len > 0
             && let Some(elapsed) = hosted.request_age(now)
         {
--- a/crates/cranberrypitch-core/src/flow/endpoint/balancers.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/balancers.rs
@@ -89,7 +89,7 @@
         }
         self.introduced_at = now;
         let record = self.record(now);
-        let load = self.meter.load(self.flows.open_len(), now);
+        let load = self.load(now);
         let report = Message::Report { record, load };
         let seeds = self.identity.seed_balancers.iter();
         seeds
@@ -120,7 +120,7 @@
         now: Instant,
     ) -> Option<Action<'static>> {
         let record = self.record(now);
-        let load = self.meter.load(self.flows.open_len(), now);
+        let load = self.load(now);
         self.balancers.get_mut(&balancer)?.reported = Some(now);
         Some(Action::send(balancer, Message::Report { record, load }))
     }
--- a/crates/cranberrypitch-core/src/flow/load.rs
+++ b/crates/cranberrypitch-core/src/flow/load.rs
@@ -17,9 +17,16 @@
     pub smoothed_hundredths: u16,
     /// Flows that are open or opening.
     pub flows: u16,
+    /// The part of the target's latest answers that failed, in hundredths.
+    pub failed_percent: u8,
 }
 
 impl AgentLoad {
+    /// Returns the part of the target's latest answers that failed, from 0 to 1.
+    pub fn failed_share(&self) -> f64 {
+        f64::from(self.failed_percent) / HUNDREDTHS
+    }
+
     /// Returns the mean number of running requests.
     pub fn smoothed(&self) -> f64 {
         f64::from(self.smoothed_hundredths) / HUNDREDTHS
@@ -56,7 +63,7 @@
         self.running = self.running.saturating_sub(1);
     }
 
-    /// Returns the load with a number of open flows.
+    /// Returns the load with a number of open flows, as if no answer had failed.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
@@ -69,6 +76,7 @@
             running: self.running,
             smoothed_hundredths: hundredths as u16,
             flows: u16::try_from(flows).unwrap_or(u16::MAX),
+            failed_percent: 0,
         }
     }
 
--- a/crates/cranberrypitch-core/src/flow/selection.rs
+++ b/crates/cranberrypitch-core/src/flow/selection.rs
@@ -27,6 +27,9 @@
     pub bulk_remote_penalty: f64,
     /// The load, in requests per slot, that a target counts for while it is slow after its start.
     pub warmup_penalty: f64,
+    /// The load, in requests per slot, that a target whose answers all fail counts for. Where all
+    /// targets fail alike, no choice changes.
+    pub failure_penalty: f64,
     /// The least requests that an open flow is expected to run on average, as before any load was
     /// reported.
     pub flow_load_min: f64,
@@ -45,6 +48,7 @@
             remote_penalty: 0.4,
             bulk_remote_penalty: 3.0,
             warmup_penalty: 0.5,
+            failure_penalty: 4.0,
             flow_load_min: 0.02,
             suspect_for: Duration::from_secs(2),
             pick_lifetime: Duration::from_millis(100),
@@ -193,6 +197,7 @@
     fn score(&self, agent: &KnownAgent, outlook: &Outlook, now: Instant) -> f64 {
         let load = if self.is_load_known(agent, now) {
             reported_load(agent, outlook.flow_load)
+                + agent.load.failed_share() * self.options.failure_penalty
         } else {
             outlook.typical_load
         };
--- a/crates/cranberrypitch-core/tests/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/tests/flow/endpoint.rs
@@ -493,3 +493,46 @@
     let later = now + Duration::from_secs(11);
     assert!(sent(&endpoint.on_tick(later)).is_empty());
 }
+
+/// Returns the part of failed answers in the report to a balancer that opens flows here.
+fn reported_failures(endpoint: &mut Endpoint, now: Instant) -> u8 {
+    open(endpoint, 99, now);
+    let actions = endpoint.on_tick(now + Duration::from_secs(2));
+    let failed = sent(&actions)
+        .iter()
+        .find_map(|(_, message)| match message {
+            Message::Report { load, .. } => Some(load.failed_percent),
+            _ => None,
+        });
+    failed.expect("a report is due")
+}
+
+/// A target whose health check is good and whose answers fail would get flows for as long as it fails.
+#[test]
+fn failed_answers_are_reported() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    for _ in 0..10 {
+        endpoint.on_answer(false, now);
+    }
+    assert_eq!(reported_failures(&mut endpoint, now), 0);
+    let later = now + Duration::from_secs(3);
+    for _ in 0..40 {
+        endpoint.on_answer(true, later);
+    }
+    let failed = reported_failures(&mut endpoint, later);
+    assert!(failed >= 80, "{failed}");
+}
+
+/// A target that starts again and again cuts its flows each time (`srv_flap`), so a new start counts as
+/// failures for a while.
+#[test]
+fn restarted_target_is_reported_as_failing() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    endpoint.on_status(status("i-1", 2, 1), now);
+    assert!(reported_failures(&mut endpoint, now) > 50);
+    let later = now + Duration::from_secs(20);
+    endpoint.on_status(status("i-1", 2, 2), later);
+    assert!(reported_failures(&mut endpoint, later) < 10);
+}
--- a/crates/cranberrypitch-core/tests/flow/placement.rs
+++ b/crates/cranberrypitch-core/tests/flow/placement.rs
@@ -142,6 +142,7 @@
     let with_flows = |flows, running| AgentLoad {
         running,
         smoothed_hundredths: running * 100,
+        failed_percent: 0,
         flows,
     };
     directory.on_report(few, with_flows(10, 1), now);
@@ -173,3 +174,37 @@
             .is_some()
     );
 }
+
+fn failing(percent: u8) -> AgentLoad {
+    AgentLoad {
+        failed_percent: percent,
+        ..load(1)
+    }
+}
+
+/// A target that answers its health checks and fails its requests (`srv_lying_health`): it looks idle
+/// because failures are fast, and gets no flows while others do better.
+#[test]
+fn failing_target_is_avoided() {
+    let now = Instant::now();
+    let mut directory = two_domains(3, 3, now);
+    directory.on_report(record(1, "matcher", "a"), failing(90), now);
+    for port in 0..1000 {
+        // Own choices of a moment before do not count.
+        let mut selector = Selector::new(SelectorOptions::default());
+        let agent = selector.choose(&choice(port, false), &directory, now);
+        assert_ne!(agent, Some(agent_address(1)));
+    }
+}
+
+/// A service whose requests fail everywhere, as after a bad release: no target is better, and the
+/// placement stays as it is.
+#[test]
+fn failures_everywhere_change_nothing() {
+    let now = Instant::now();
+    let mut directory = two_domains(1, 1, now);
+    for record in directory.records() {
+        directory.on_report(record, failing(90), now);
+    }
+    assert_eq!(local_share(&directory, false, now), 1000);
+}
--- a/crates/cranberrypitch-core/tests/flow/support.rs
+++ b/crates/cranberrypitch-core/tests/flow/support.rs
@@ -60,6 +60,7 @@
     AgentLoad {
         running,
         smoothed_hundredths: running * 100,
+        failed_percent: 0,
         flows: running,
     }
 }
--- a/crates/cranberrypitch-proto/src/relay.rs
+++ b/crates/cranberrypitch-proto/src/relay.rs
@@ -168,6 +168,7 @@
     datagram.put_u32(u32::try_from(record.warmup_left.as_millis()).unwrap_or(u32::MAX));
     datagram.put_u16(load.running);
     datagram.put_u16(load.smoothed_hundredths);
+    datagram.put_u8(load.failed_percent);
     datagram.put_u16(load.flows);
     put_name(datagram, record.service.as_str());
     put_name(datagram, record.failure_domain.as_str());
@@ -243,6 +244,7 @@
         let load = AgentLoad {
             running: self.u16()?,
             smoothed_hundredths: self.u16()?,
+            failed_percent: self.u8()?,
             flows: self.u16()?,
         };
         let record = AgentRecord {
--- a/crates/cranberrypitch-proto/tests/relay_messages.rs
+++ b/crates/cranberrypitch-proto/tests/relay_messages.rs
@@ -76,11 +76,12 @@
             LocateAnswer::Unknown,
         ][..],
     );
-    let load = (any::<u16>(), any::<u16>(), any::<u16>()).prop_map(
-        |(running, smoothed_hundredths, flows)| AgentLoad {
+    let load = (any::<u16>(), any::<u16>(), any::<u16>(), any::<u8>()).prop_map(
+        |(running, smoothed_hundredths, flows, failed_percent)| AgentLoad {
             running,
             smoothed_hundredths,
             flows,
+            failed_percent,
         },
     );
     prop_oneof![
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -244,6 +244,9 @@
                     if head.flags.contains(PacketFlags::BOUNCED) {
                         P::restore_bounced(packet);
                     }
+                    if let Some(is_failed) = P::is_failed_answer(packet) {
+                        self.endpoint.on_answer(is_failed, now);
+                    }
                     let actions = self.endpoint.on_target_packet(&head, packet, now);
                     self.outlet.perform::<P>(actions, now);
                 }
--- a/crates/cranberrypitch-relay/src/platform.rs
+++ b/crates/cranberrypitch-relay/src/platform.rs
@@ -36,6 +36,10 @@
     /// Returns the id of the request that a packet of a caller begins, if it can be read.
     fn request_id(packet: &[u8]) -> Option<&str>;
 
+    /// Returns whether an answer that a packet of a target begins says that the request failed, if
+    /// the packet begins an answer.
+    fn is_failed_answer(packet: &[u8]) -> Option<bool>;
+
     /// Makes a returned packet as it was before the backend server returned it.
     fn restore_bounced(packet: &mut [u8]);
 
