--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -155,10 +155,15 @@
         self.flows.open_len()
     }
 
-    /// Returns the load of the target.
+    /// Returns the load of the target. One that is silent looks idle, but refuses all flows.
     fn load(&mut self, now: Instant) -> AgentLoad {
+        let failed_percent = if self.is_target_silent(now) {
+            100
+        } else {
+            self.answers.failed_percent(now)
+        };
         AgentLoad {
-            failed_percent: self.answers.failed_percent(now),
+            failed_percent,
             ..self.meter.load(self.flows.open_len(), now)
         }
     }
@@ -416,16 +421,21 @@
         if ServiceTag::of(self.service()) != service {
             return Some(RefusalCause::OtherService);
         }
-        let Some(target) = &self.target else {
-            let age = now.saturating_duration_since(self.started_at);
-            let is_trusted = age < self.options.settings_lifetime;
-            return (!is_trusted).then_some(RefusalCause::TargetSilent);
-        };
-        if target.state() != TargetState::Ready {
+        let is_ready = |target: &TargetRun| target.state() == TargetState::Ready;
+        if !self.target.as_ref().is_none_or(is_ready) {
             return Some(RefusalCause::Draining);
         }
-        let is_fresh = target.heard_within(self.options.status_lifetime, now);
-        (!is_fresh).then_some(RefusalCause::TargetSilent)
+        self.is_target_silent(now)
+            .then_some(RefusalCause::TargetSilent)
+    }
+
+    /// Returns whether the target has not reported for too long, its start included.
+    fn is_target_silent(&self, now: Instant) -> bool {
+        let options = &self.options;
+        match &self.target {
+            Some(target) => !target.heard_within(options.status_lifetime, now),
+            None => now.saturating_duration_since(self.started_at) >= options.settings_lifetime,
+        }
     }
 
     /// Returns whether the target may hold flows from before the agent started.
--- a/crates/cranberrypitch-core/tests/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/tests/flow/endpoint.rs
@@ -496,8 +496,8 @@
 
 /// Returns the part of failed answers in the report to a balancer that opens flows here.
 fn reported_failures(endpoint: &mut Endpoint, now: Instant) -> u8 {
-    open(endpoint, 99, now);
-    let actions = endpoint.on_tick(now + Duration::from_secs(2));
+    endpoint.on_locate(balancer_address(1), flow(99), 1, now);
+    let actions = endpoint.on_tick(now + Duration::from_secs(1));
     let failed = sent(&actions)
         .iter()
         .find_map(|(_, message)| match message {
@@ -536,3 +536,13 @@
     endpoint.on_status(status("i-1", 2, 2), later);
     assert!(reported_failures(&mut endpoint, later) < 10);
 }
+
+/// A target that no longer reports refuses all flows and looks idle; balancers that ask it first lose
+/// the time of a refusal for each flow (incident inc-b83e).
+#[test]
+fn silent_target_is_reported_as_failing() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    let silent_at = now + Duration::from_secs(5);
+    assert_eq!(reported_failures(&mut endpoint, silent_at), 100);
+}
