--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use self::answers::AnswerMeter;
+use self::answers::{AnswerMeter, is_failure};
 use self::balancers::KnownBalancer;
 use self::hosted::HostedFlows;
 pub use self::run::{StatusReport, TargetRun};
@@ -168,9 +168,9 @@
         }
     }
 
-    /// Notes whether an answer of the target says that it failed. Balancers prefer other targets.
-    pub fn on_answer(&mut self, is_failed: bool, now: Instant) {
-        self.answers.note(is_failed, now);
+    /// Notes the HTTP status of an answer. Balancers prefer targets whose answers do not fail.
+    pub fn on_answer(&mut self, status: u16, now: Instant) {
+        self.answers.note(is_failure(status), now);
     }
 
     /// Returns the requests that the target has and has not answered.
--- a/crates/cranberrypitch-core/src/flow/endpoint/answers.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/answers.rs
@@ -12,6 +12,15 @@
 /// Good answers that are presumed, so that a single failure says little.
 const PRESUMED_GOOD: f64 = 1.0;
 
+/// The HTTP statuses of a target that fails. One that is busy or leaves (503) says so by other means,
+/// and a mistake of a caller is not the target's.
+const FAILURE_STATUSES: [u16; 3] = [500, 502, 504];
+
+/// Returns whether an answer with a status says that the target failed.
+pub(super) fn is_failure(status: u16) -> bool {
+    FAILURE_STATUSES.contains(&status)
+}
+
 /// Counts answers, old ones less.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct AnswerMeter {
--- a/crates/cranberrypitch-core/tests/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/tests/flow/endpoint.rs
@@ -508,17 +508,20 @@
 }
 
 /// A target whose health check is good and whose answers fail would get flows for as long as it fails.
+/// One that is busy refuses by other means, and a caller's mistake is not the target's.
 #[test]
 fn failed_answers_are_reported() {
     let now = Instant::now();
     let mut endpoint = with_target(now);
     for _ in 0..10 {
-        endpoint.on_answer(false, now);
+        endpoint.on_answer(200, now);
+        endpoint.on_answer(404, now);
+        endpoint.on_answer(503, now);
     }
     assert_eq!(reported_failures(&mut endpoint, now), 0);
     let later = now + Duration::from_secs(3);
-    for _ in 0..40 {
-        endpoint.on_answer(true, later);
+    for _ in 0..120 {
+        endpoint.on_answer(500, later);
     }
     let failed = reported_failures(&mut endpoint, later);
     assert!(failed >= 80, "{failed}");
--- a/crates/cranberrypitch-measure/src/admission/simulation.rs
+++ b/crates/cranberrypitch-measure/src/admission/simulation.rs
@@ -9,12 +9,14 @@
 
 use super::desk::Desk;
 use super::{AdmissionFigures, AdmissionMeasureOptions, Policy, RAMP, Scenario};
-use crate::timeline::{Next, Timeline, count, exponential, jain_index, percentile_s, ratio};
+use crate::timeline::{
+    Simulated, Timeline, count, exponential, jain_index, percentile_s, play, ratio,
+};
 
 const HEAVY_TENANT_FACTOR: f64 = 10.0;
 
 #[derive(Debug)]
-enum Step {
+pub(super) enum Step {
     Arrive { tenant: usize, service: Duration },
     Finish(RequestId),
 }
@@ -119,35 +121,11 @@
 
     pub(super) fn run(mut self) -> AdmissionFigures {
         let end = self.start + self.options.duration;
-        let mut now = self.start;
-        while let Some(next) = self.timeline.next(self.desk.next_tick(now), end) {
-            match next {
-                Next::Tick(at) => {
-                    now = at;
-                    let actions = self.desk.handle(Event::Tick, now);
-                    self.act(&actions, None, now);
-                }
-                Next::Event(at, step) => {
-                    now = at;
-                    self.step(&step, now);
-                }
-            }
-        }
+        let start = self.start;
+        play(&mut self, start, end);
         self.figures()
     }
 
-    fn step(&mut self, step: &Step, now: Instant) {
-        match *step {
-            Step::Arrive { tenant, service } => self.arrive(tenant, service, now),
-            Step::Finish(request) => {
-                self.running -= 1;
-                let result = FinishResult::Ran;
-                let actions = self.desk.handle(Event::Finish { request, result }, now);
-                self.act(&actions, None, now);
-            }
-        }
-    }
-
     fn arrive(&mut self, tenant: usize, service: Duration, now: Instant) {
         let request = RequestId::new(self.requests.len() as u64);
         self.requests.push(Request {
@@ -276,3 +254,32 @@
         ratio(f64::from(served), count(arrived.count()))
     }
 }
+
+impl Simulated for Simulation {
+    type Step = Step;
+
+    fn timeline(&mut self) -> &mut Timeline<Step> {
+        &mut self.timeline
+    }
+
+    fn next_tick(&self, now: Instant) -> Option<Instant> {
+        self.desk.next_tick(now)
+    }
+
+    fn tick(&mut self, now: Instant) {
+        let actions = self.desk.handle(Event::Tick, now);
+        self.act(&actions, None, now);
+    }
+
+    fn step(&mut self, step: Step, now: Instant) {
+        match step {
+            Step::Arrive { tenant, service } => self.arrive(tenant, service, now),
+            Step::Finish(request) => {
+                self.running -= 1;
+                let result = FinishResult::Ran;
+                let actions = self.desk.handle(Event::Finish { request, result }, now);
+                self.act(&actions, None, now);
+            }
+        }
+    }
+}
--- a/crates/cranberrypitch-measure/src/drain/simulation.rs
+++ b/crates/cranberrypitch-measure/src/drain/simulation.rs
@@ -18,7 +18,7 @@
 
 use super::feeds::{Feed, Flow};
 use super::{DrainFigures, DrainMeasureOptions, Policy, Scenario};
-use crate::timeline::{Next, Timeline, exponential, rounded};
+use crate::timeline::{Simulated, Timeline, exponential, play, rounded};
 
 const CONNECTION_LIMIT: ConnectionLimit = ConnectionLimit::new(2000);
 
@@ -38,7 +38,7 @@
 const FEED_REST: Duration = Duration::from_secs(10);
 
 #[derive(Clone, Copy, Debug)]
-enum Step {
+pub(super) enum Step {
     Arrive { service: Duration },
     Attempt { order: usize },
     AtTarget { work: usize, target: usize },
@@ -158,54 +158,11 @@
 
     pub(super) fn run(mut self) -> DrainFigures {
         let end = self.start + self.options.duration;
-        let mut now = self.start;
-        while let Some(next) = self.timeline.next(self.next_tick(now), end) {
-            match next {
-                Next::Tick(at) => {
-                    now = at;
-                    for target in 0..self.targets.len() {
-                        self.handle(target, Event::Tick, now);
-                    }
-                }
-                Next::Event(at, step) => {
-                    now = at;
-                    self.step(step, now);
-                }
-            }
-        }
+        let start = self.start;
+        play(&mut self, start, end);
         self.finish_figures()
     }
 
-    fn next_tick(&self, now: Instant) -> Option<Instant> {
-        let ticks = self.targets.iter().map(|target| target.next_tick(now));
-        ticks.flatten().min()
-    }
-
-    fn step(&mut self, step: Step, now: Instant) {
-        match step {
-            Step::Arrive { service } => self.arrive(service, now),
-            Step::Attempt { order } => self.attempt(order, now),
-            Step::AtTarget { work, target } => self.at_target(work, target, now),
-            Step::Finish { work, target } => self.finish(work, target, now),
-            Step::OpenFeed { feed } => self.open_feed(feed, now),
-            Step::FeedOpened { flow } => self.feed_opened(flow, now),
-            Step::Reading { flow, sequence } => {
-                let feed = self.flows[flow].feed;
-                self.feeds[feed].receive(sequence);
-            }
-            Step::Move { flow } => {
-                let feed = self.flows[flow].feed;
-                if self.feeds[feed].can_move {
-                    self.open_feed(feed, now);
-                }
-            }
-            Step::Close { work, target } => self.close(work, target, now),
-            Step::Readings => self.produce_readings(now),
-            Step::Drain => self.drain(now),
-            Step::TryStop => self.try_stop(now),
-        }
-    }
-
     fn delay(&mut self) -> Duration {
         let delay = self.options.delay;
         delay + delay.mul_f64(self.rng.random::<f64>())
@@ -471,3 +428,47 @@
     let port = u16::try_from(target).unwrap_or(u16::MAX);
     SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
 }
+
+impl Simulated for Simulation {
+    type Step = Step;
+
+    fn timeline(&mut self) -> &mut Timeline<Step> {
+        &mut self.timeline
+    }
+
+    fn next_tick(&self, now: Instant) -> Option<Instant> {
+        let ticks = self.targets.iter().map(|target| target.next_tick(now));
+        ticks.flatten().min()
+    }
+
+    fn tick(&mut self, now: Instant) {
+        for target in 0..self.targets.len() {
+            self.handle(target, Event::Tick, now);
+        }
+    }
+
+    fn step(&mut self, step: Step, now: Instant) {
+        match step {
+            Step::Arrive { service } => self.arrive(service, now),
+            Step::Attempt { order } => self.attempt(order, now),
+            Step::AtTarget { work, target } => self.at_target(work, target, now),
+            Step::Finish { work, target } => self.finish(work, target, now),
+            Step::OpenFeed { feed } => self.open_feed(feed, now),
+            Step::FeedOpened { flow } => self.feed_opened(flow, now),
+            Step::Reading { flow, sequence } => {
+                let feed = self.flows[flow].feed;
+                self.feeds[feed].receive(sequence);
+            }
+            Step::Move { flow } => {
+                let feed = self.flows[flow].feed;
+                if self.feeds[feed].can_move {
+                    self.open_feed(feed, now);
+                }
+            }
+            Step::Close { work, target } => self.close(work, target, now),
+            Step::Readings => self.produce_readings(now),
+            Step::Drain => self.drain(now),
+            Step::TryStop => self.try_stop(now),
+        }
+    }
+}
--- a/crates/cranberrypitch-measure/src/retry/simulation.rs
+++ b/crates/cranberrypitch-measure/src/retry/simulation.rs
@@ -13,7 +13,7 @@
 use rand_pcg::Pcg64;
 
 use super::{Policy, RetryFigures, RetryMeasureOptions, Scenario};
-use crate::timeline::{Next, Timeline, count, exponential, ratio};
+use crate::timeline::{Simulated, Timeline, count, exponential, play, ratio};
 
 const CONNECTION_LIMIT: ConnectionLimit = ConnectionLimit::new(2000);
 
@@ -21,7 +21,7 @@
 const FAILURE_LATENCY: Duration = Duration::from_millis(5);
 
 #[derive(Clone, Copy, Debug)]
-enum Step {
+pub(super) enum Step {
     Arrive { caller: usize, service: Duration },
     Attempt(usize),
     Finish { target: usize, request: usize },
@@ -118,51 +118,11 @@
 
     pub(super) fn run(mut self) -> RetryFigures {
         let end = self.start + self.options.duration;
-        let mut now = self.start;
-        while let Some(next) = self.timeline.next(self.next_tick(now), end) {
-            match next {
-                Next::Tick(at) => {
-                    now = at;
-                    self.tick(now);
-                }
-                Next::Event(at, step) => {
-                    now = at;
-                    self.step(step, now);
-                }
-            }
-        }
+        let start = self.start;
+        play(&mut self, start, end);
         self.figures()
     }
 
-    fn next_tick(&self, now: Instant) -> Option<Instant> {
-        let ticks = self.targets.iter().map(|target| target.next_tick(now));
-        ticks.flatten().min()
-    }
-
-    fn tick(&mut self, now: Instant) {
-        for target in 0..self.targets.len() {
-            self.observe(target, Observation::Tick, now);
-            self.handle(target, Event::Tick, now);
-        }
-    }
-
-    fn step(&mut self, step: Step, now: Instant) {
-        match step {
-            Step::Arrive { caller, service } => {
-                let deadline = now + self.options.deadline;
-                self.requests.push(Request {
-                    caller,
-                    service,
-                    deadline,
-                    retry: RetryState::new(self.policy.options(), true, deadline),
-                });
-                self.attempt(self.requests.len() - 1, now);
-            }
-            Step::Attempt(request) => self.attempt(request, now),
-            Step::Finish { target, request } => self.finish(target, request, now),
-        }
-    }
-
     /// Sends a request to a random target that it has not tried, as a balancer without news would.
     fn attempt(&mut self, request: usize, now: Instant) {
         let tried = self.requests[request].retry.tried();
@@ -284,6 +244,43 @@
     }
 }
 
+impl Simulated for Simulation {
+    type Step = Step;
+
+    fn timeline(&mut self) -> &mut Timeline<Step> {
+        &mut self.timeline
+    }
+
+    fn next_tick(&self, now: Instant) -> Option<Instant> {
+        let ticks = self.targets.iter().map(|target| target.next_tick(now));
+        ticks.flatten().min()
+    }
+
+    fn tick(&mut self, now: Instant) {
+        for target in 0..self.targets.len() {
+            self.observe(target, Observation::Tick, now);
+            self.handle(target, Event::Tick, now);
+        }
+    }
+
+    fn step(&mut self, step: Step, now: Instant) {
+        match step {
+            Step::Arrive { caller, service } => {
+                let deadline = now + self.options.deadline;
+                self.requests.push(Request {
+                    caller,
+                    service,
+                    deadline,
+                    retry: RetryState::new(self.policy.options(), true, deadline),
+                });
+                self.attempt(self.requests.len() - 1, now);
+            }
+            Step::Attempt(request) => self.attempt(request, now),
+            Step::Finish { target, request } => self.finish(target, request, now),
+        }
+    }
+}
+
 impl Target {
     fn next_tick(&self, now: Instant) -> Option<Instant> {
         let admission = self.admission.next_tick(now);
--- a/crates/cranberrypitch-measure/src/selection/simulation.rs
+++ b/crates/cranberrypitch-measure/src/selection/simulation.rs
@@ -11,7 +11,7 @@
 use super::choice::Chooser;
 use super::target::{Arrival, Target};
 use super::{COLD_FACTOR, Pattern, Policy, SelectionFigures, SelectionMeasureOptions};
-use crate::timeline::{Next, Timeline, count, exponential, percentile_s, ratio};
+use crate::timeline::{Simulated, Timeline, count, exponential, percentile_s, play, ratio};
 
 /// The mean time between two requests of a feed.
 const FEED_INTERVAL: Duration = Duration::from_secs(1);
@@ -31,7 +31,7 @@
 const WINDOW: Duration = Duration::from_secs(2);
 
 #[derive(Clone, Copy, Debug)]
-enum Step {
+pub(super) enum Step {
     Order { domain: usize },
     Feed { feed: usize, flow: u32 },
     Finish { target: usize, request: usize },
@@ -155,29 +155,11 @@
 
     pub(super) fn run(mut self) -> SelectionFigures {
         let end = self.start + self.options.duration;
-        while let Some(next) = self.timeline.next(None, end) {
-            if let Next::Event(now, step) = next {
-                self.step(step, now);
-            }
-        }
+        let start = self.start;
+        play(&mut self, start, end);
         self.figures()
     }
 
-    fn step(&mut self, step: Step, now: Instant) {
-        match step {
-            Step::Order { domain } => {
-                let target = self.place(domain, now);
-                self.request(domain, target, true, now);
-                self.enter_order(domain, now);
-            }
-            Step::Feed { feed, flow } if self.feeds[feed].flow == flow => self.feed(feed, now),
-            Step::Feed { .. } => {}
-            Step::Finish { target, request } => self.finish(target, request, now),
-            Step::Report => self.report(now),
-            Step::Restart => self.restart(now),
-        }
-    }
-
     /// Sends a request of a feed, which opens a flow if it has none.
     fn feed(&mut self, feed: usize, now: Instant) {
         let domain = self.feeds[feed].domain;
@@ -351,6 +333,35 @@
     }
 }
 
+impl Simulated for Simulation<'_> {
+    type Step = Step;
+
+    fn timeline(&mut self) -> &mut Timeline<Step> {
+        &mut self.timeline
+    }
+
+    fn next_tick(&self, _now: Instant) -> Option<Instant> {
+        None
+    }
+
+    fn tick(&mut self, _now: Instant) {}
+
+    fn step(&mut self, step: Step, now: Instant) {
+        match step {
+            Step::Order { domain } => {
+                let target = self.place(domain, now);
+                self.request(domain, target, true, now);
+                self.enter_order(domain, now);
+            }
+            Step::Feed { feed, flow } if self.feeds[feed].flow == flow => self.feed(feed, now),
+            Step::Feed { .. } => {}
+            Step::Finish { target, request } => self.finish(target, request, now),
+            Step::Report => self.report(now),
+            Step::Restart => self.restart(now),
+        }
+    }
+}
+
 /// Returns the targets, or one with all slots and queues for the shared queue.
 fn targets(
     options: &SelectionMeasureOptions,
--- a/crates/cranberrypitch-measure/src/timeline.rs
+++ b/crates/cranberrypitch-measure/src/timeline.rs
@@ -9,13 +9,41 @@
 /// More than this demand takes long and shows nothing new.
 const MAX_LOAD: f64 = 100.0;
 
-/// What happens next in a simulation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Next<E> {
-    /// A decision asked to be told of this time.
-    Tick(Instant),
-    /// An event is due.
-    Event(Instant, E),
+/// A simulation of decisions that are told of events and of the times that they ask for.
+pub(crate) trait Simulated {
+    /// What happens at a time.
+    type Step;
+
+    /// Returns the events to come.
+    fn timeline(&mut self) -> &mut Timeline<Self::Step>;
+
+    /// Returns the next time that a decision asks to be told of.
+    fn next_tick(&self, now: Instant) -> Option<Instant>;
+
+    /// Tells the decisions of a time that they asked for.
+    fn tick(&mut self, now: Instant);
+
+    /// Carries out an event.
+    fn step(&mut self, step: Self::Step, now: Instant);
+}
+
+/// Plays a simulation from `start` to `end`. A tick comes before the events of its time.
+pub(crate) fn play(simulation: &mut impl Simulated, start: Instant, end: Instant) {
+    let mut now = start;
+    loop {
+        let tick = simulation.next_tick(now);
+        let event = simulation.timeline().next_time();
+        let next = event.into_iter().chain(tick).min();
+        let Some(next) = next.filter(|next| *next < end) else {
+            return;
+        };
+        now = next;
+        if tick == Some(next) {
+            simulation.tick(now);
+        } else if let Some((_, step)) = simulation.timeline().pop() {
+            simulation.step(step, now);
+        }
+    }
 }
 
 /// Events in the order of their times; events of one time keep the order of their entry.
@@ -38,17 +66,6 @@
         self.entered += 1;
     }
 
-    /// Returns what comes next before `end`. A tick comes before the events of its time.
-    pub(crate) fn next(&mut self, tick: Option<Instant>, end: Instant) -> Option<Next<E>> {
-        let event = self.next_time();
-        let next = event.into_iter().chain(tick).min();
-        let next = next.filter(|next| *next < end)?;
-        if tick == Some(next) {
-            return Some(Next::Tick(next));
-        }
-        self.pop().map(|(at, event)| Next::Event(at, event))
-    }
-
     fn next_time(&self) -> Option<Instant> {
         self.events.first_key_value().map(|((at, _), _)| *at)
     }
--- a/crates/cranberrypitch-net/src/store/errors.rs
+++ b/crates/cranberrypitch-net/src/store/errors.rs
@@ -81,6 +81,15 @@
         }
     }
 
+    /// Returns the error of a call without a usable answer. A read took no effect.
+    pub fn without_answer(is_write: bool, detail: &impl ToString) -> Self {
+        if is_write {
+            Self::outcome_unknown(detail)
+        } else {
+            Self::unavailable(detail)
+        }
+    }
+
     /// Returns whether the call is known to have taken no effect, now and later.
     pub const fn is_not_done(&self) -> bool {
         !matches!(self, Self::OutcomeUnknown { .. })
--- a/crates/cranberrypitch-net/src/store/http.rs
+++ b/crates/cranberrypitch-net/src/store/http.rs
@@ -85,11 +85,7 @@
 
 /// Returns the error of a call without an answer.
 fn lost(call: &Call, detail: &str) -> Error {
-    if call.operation().is_write() {
-        Error::outcome_unknown(&detail)
-    } else {
-        Error::unavailable(&detail)
-    }
+    Error::without_answer(call.operation().is_write(), &detail)
 }
 
 fn read_error(call: &Call, status: StatusCode, body: &[u8]) -> Error {
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -25,7 +25,7 @@
 use crate::http_server::{self, Call};
 use crate::log;
 use crate::metrics::RelayMetrics;
-use crate::platform::{AgentCall, Platform};
+use crate::platform::{AgentCall, Platform, StoreOptions};
 use crate::registration::Registration;
 use crate::settings::{RelaySettings, TargetSettings};
 use crate::sockets::{BATCH, MAX_DATAGRAM_BYTES, bind, receive};
@@ -107,7 +107,7 @@
     metrics: RelayMetrics,
 ) -> Result<(Records, JoinHandle<()>)> {
     let (sender, receiver) = watch::channel(None);
-    let store = ObservedStore::new(P::store(settings.store_address), metrics);
+    let store = ObservedStore::new(P::store(StoreOptions::new(settings.store_address)), metrics);
     let (record, ttl_min) = (record.clone(), settings.lease_min_ms);
     let is_registered = Arc::clone(is_registered);
     // The key is checked before the task begins.
@@ -244,8 +244,8 @@
                     if head.flags.contains(PacketFlags::BOUNCED) {
                         P::restore_bounced(packet);
                     }
-                    if let Some(is_failed) = P::is_failed_answer(packet) {
-                        self.endpoint.on_answer(is_failed, now);
+                    if let Some(status) = P::answer_status(packet) {
+                        self.endpoint.on_answer(status, now);
                     }
                     let actions = self.endpoint.on_target_packet(&head, packet, now);
                     self.outlet.perform::<P>(actions, now);
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -18,7 +18,7 @@
 use crate::follow::{Update, follow_agents, follow_config};
 use crate::log;
 use crate::metrics::RelayMetrics;
-use crate::platform::Platform;
+use crate::platform::{Platform, StoreOptions};
 use crate::registration;
 use crate::snapshot::{self, SharedSnapshot};
 use crate::sockets::{BATCH, MAX_DATAGRAM_BYTES, bind, receive};
@@ -94,7 +94,7 @@
     metrics: RelayMetrics,
 ) -> mpsc::Receiver<Update> {
     let (sender, receiver) = mpsc::channel(UPDATE_QUEUE);
-    let store = P::store(startup.settings.store_address);
+    let store = P::store(StoreOptions::new(startup.settings.store_address));
     let store = Arc::new(ObservedStore::new(store, metrics));
     let (list_wanted, clock) = (Arc::clone(list_wanted), Arc::clone(&startup.clock));
     let (config_store, config_sender) = (Arc::clone(&store), sender.clone());
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -15,7 +15,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
-use prometheus_client::registry::{Registry, Unit};
+use prometheus_client::registry::{Metric, Registry, Unit};
 
 use crate::http_server::{self, Call};
 
@@ -83,11 +83,7 @@
 impl Default for RelayMetrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix(PREFIX);
-        let mut counter = |name: &str, help: &str| {
-            let counter = Counter::default();
-            registry.register(name, help, counter.clone());
-            counter
-        };
+        let mut counter = |name, help| register::<Counter>(&mut registry, name, help);
         let placed = counter("flows_placed", "Opening packets sent to an agent");
         let refused = counter("flows_refused", "Openings that an agent refused");
         let unanswered = counter("openings_unanswered", "Openings without an answer in time");
@@ -101,11 +97,7 @@
         let to_caller = counter("packets_to_caller", "Packets passed to callers");
         let requests = counter("requests_passed", "Requests that were passed to the target");
         let lines_left_out = counter("log_lines_left_out", "Log lines over their budget");
-        let mut gauge = |name: &str, help: &str| {
-            let gauge = Gauge::default();
-            registry.register(name, help, gauge.clone());
-            gauge
-        };
+        let mut gauge = |name, help| register::<Gauge>(&mut registry, name, help);
         let flows = gauge("flows", "Flows in the table");
         let agents = gauge("agents", "Agents that the balancer knows");
         let running = gauge("requests_running", "Requests that the target has");
@@ -125,9 +117,8 @@
         );
         let load_age = histogram("load_age", "Age of the load report that placed a flow");
         let store_time = histogram("store_call_time", "Time of a call to the store but a watch");
-        let store_calls = Family::default();
         let help = "Calls to the store by operation and outcome";
-        registry.register("store_calls", help, store_calls.clone());
+        let store_calls = register(&mut registry, "store_calls", help);
         Self {
             registry: Arc::new(registry),
             store_calls,
@@ -156,6 +147,13 @@
     }
 }
 
+/// Registers a metric that begins at zero.
+fn register<M: Metric + Clone + Default>(registry: &mut Registry, name: &str, help: &str) -> M {
+    let metric = M::default();
+    registry.register(name, help, metric.clone());
+    metric
+}
+
 impl RelayMetrics {
     /// Counts an action.
     pub(crate) fn count(&self, action: &Action<'_>) {
--- a/crates/cranberrypitch-relay/src/platform.rs
+++ b/crates/cranberrypitch-relay/src/platform.rs
@@ -1,6 +1,7 @@
 //! What the daemons need to have translated.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use cranberrypitch_core::flow::{PacketHead, Reset, RouteConfig, StatusReport};
 use cranberrypitch_net::store::{Store, StoreKey};
@@ -16,13 +17,44 @@
     Leave(Box<str>),
 }
 
+/// The limits of calls to the platform's store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreOptions {
+    /// The address of the store.
+    pub address: SocketAddrV4,
+    /// The time within which a connection is set up; the store is milliseconds away.
+    pub connect_timeout: Duration,
+    /// The time within which a call is answered. A slow store takes some hundred milliseconds.
+    pub call_timeout: Duration,
+    /// The time that the answer to a watch may take beyond its wait.
+    pub watch_margin: Duration,
+    /// The longest answer: a page of a listing, or one value in base64.
+    pub max_body_bytes: usize,
+}
+
+impl StoreOptions {
+    /// Returns the options with the usual limits.
+    pub const fn new(address: SocketAddrV4) -> Self {
+        Self {
+            address,
+            connect_timeout: Duration::from_millis(400),
+            call_timeout: Duration::from_millis(1200),
+            watch_margin: Duration::from_millis(500),
+            max_body_bytes: 4 * 1024 * 1024,
+        }
+    }
+}
+
 /// Translates between the platform around the system and the types of the system.
 pub trait Platform: Send + Sync + 'static {
     /// The platform's key-value service.
     type Store: Store;
 
-    /// Returns the store behind an address.
-    fn store(address: SocketAddrV4) -> Self::Store;
+    /// The variable of the environment with the path of the settings file.
+    const SETTINGS_VARIABLE: &'static str;
+
+    /// Returns the store.
+    fn store(options: StoreOptions) -> Self::Store;
 
     /// Returns the key of the operators' configuration.
     fn config_key() -> Result<StoreKey>;
@@ -36,9 +68,8 @@
     /// Returns the id of the request that a packet of a caller begins, if it can be read.
     fn request_id(packet: &[u8]) -> Option<&str>;
 
-    /// Returns whether an answer that a packet of a target begins says that the request failed, if
-    /// the packet begins an answer.
-    fn is_failed_answer(packet: &[u8]) -> Option<bool>;
+    /// Returns the HTTP status of the answer that a packet of a target begins, if it begins one.
+    fn answer_status(packet: &[u8]) -> Option<u16>;
 
     /// Makes a returned packet as it was before the backend server returned it.
     fn restore_bounced(packet: &mut [u8]);
