Count a request as ended when its flow closes

Cause: after a loss of power callers give up hundreds of requests. The target closes those flows without an answer, and the agent counted their requests as running until it forgot the flow, 4 s later. A copy of a request that crosses its answer began another one in the same way. Change: a target's FIN ends the request, and only payload beyond the earlier one begins a request. Result: request_that_was_given_up_runs_no_longer_once_its_flow_closes and late_copy_of_an_answered_request_does_not_run failed before.

--- a/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
@@ -36,6 +36,8 @@
     balancer: Option<SocketAddrV4>,
     /// The first sequence number of the target and the one after its last payload.
     sent: Option<(u32, u32)>,
+    /// The caller's sequence number after its last payload.
+    caller_next: Option<u32>,
     /// When the request that the target has was passed to it.
     request_since: Option<Instant>,
     caller_finished: bool,
@@ -51,6 +53,7 @@
             state,
             balancer,
             sent: None,
+            caller_next: None,
             request_since: None,
             caller_finished: false,
             target_finished: false,
@@ -107,7 +110,8 @@
             self.target_finished = true;
         }
         self.caller_finished |= head.flags.contains(PacketFlags::FIN);
-        let begins = head.payload_len > 0 && self.request_since.is_none() && !self.is_ended();
+        let is_new = self.note_received(head);
+        let begins = is_new && self.request_since.is_none() && !self.is_ended();
         if begins {
             self.request_since = Some(now);
             meter.begin(now);
@@ -115,6 +119,20 @@
         begins
     }
 
+    /// Notes the payload of a caller's packet. Returns whether it reaches beyond the earlier ones: a
+    /// copy of a request may cross its answer, and is no other request.
+    fn note_received(&mut self, head: &PacketHead) -> bool {
+        let next = head.sequence.wrapping_add(u32::from(head.payload_len));
+        let is_new = head.payload_len > 0
+            && self
+                .caller_next
+                .is_none_or(|last| (1..u32::MAX / 2).contains(&next.wrapping_sub(last)));
+        if is_new {
+            self.caller_next = Some(next);
+        }
+        is_new
+    }
+
     /// Takes in a packet of the target. Returns whether it is the first sign that the target holds
     /// the flow, or a copy of its acceptance.
     pub(super) fn on_target_packet(
@@ -132,15 +150,14 @@
             }
             self.note_sent(head);
         }
-        if head.payload_len > 0 {
+        let closes =
+            head.flags.contains(PacketFlags::FIN) || head.flags.contains(PacketFlags::RST);
+        // A target that closes the flow of a request that was given up sends no answer.
+        if head.payload_len > 0 || closes {
             self.finish(meter, now);
         }
-        if head.flags.contains(PacketFlags::RST) {
-            self.finish(meter, now);
-            self.caller_finished = true;
-            self.target_finished = true;
-        }
-        self.target_finished |= head.flags.contains(PacketFlags::FIN);
+        self.caller_finished |= head.flags.contains(PacketFlags::RST);
+        self.target_finished |= closes;
         is_first_sign || head.is_accepting()
     }
 
--- a/crates/cranberrypitch-core/tests/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/tests/flow/endpoint.rs
@@ -473,6 +473,45 @@
     assert_eq!(endpoint.running(now), 2);
 }
 
+/// After a loss of power callers give up hundreds of requests. Each one counted as running for seconds
+/// after its flow had closed, so idle targets looked overloaded and others got their flows.
+#[test]
+fn request_that_was_given_up_runs_no_longer_once_its_flow_closes() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    open(&mut endpoint, 1, now);
+    accept(&mut endpoint, 1, 5000, now);
+    forward(&mut endpoint, 1, 5001, now);
+    let mut end = request(flow(1), 5001);
+    end.sequence += u32::from(end.payload_len);
+    end.payload_len = 0;
+    end.flags = PacketFlags::ACK.with(PacketFlags::FIN);
+    endpoint.on_forward(balancer_address(1), &end, &packet(&end), now);
+    assert_eq!(endpoint.running(now), 1, "the target may still work on it");
+    let closing = from_target(flow(1), PacketFlags::ACK.with(PacketFlags::FIN), 5001, 0);
+    endpoint.on_target_packet(&closing, &packet(&closing), now);
+    assert_eq!(endpoint.running(now), 0);
+}
+
+/// A caller sends a request again when its answer takes longer than 200 ms. A copy that crosses the
+/// answer counted as another request, which ended with the next answer of the flow or never.
+#[test]
+fn late_copy_of_an_answered_request_does_not_run() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    open(&mut endpoint, 1, now);
+    accept(&mut endpoint, 1, 5000, now);
+    forward(&mut endpoint, 1, 5001, now);
+    let answer = from_target(flow(1), PacketFlags::ACK, 5001, 500);
+    endpoint.on_target_packet(&answer, &packet(&answer), now);
+    forward(&mut endpoint, 1, 5001, now);
+    assert_eq!(endpoint.running(now), 0);
+    let mut next = request(flow(1), 5501);
+    next.sequence += u32::from(next.payload_len);
+    endpoint.on_forward(balancer_address(1), &next, &packet(&next), now);
+    assert_eq!(endpoint.running(now), 1);
+}
+
 /// Balancers that opened flows here learn the load several times a second, others that only pass
 /// packets on once a second, and those that are gone not at all.
 #[test]
