Let agents decline openings when their target is busier than expected

Cause: agents report their load five times a second, and all balancers of a failure domain see one low report and open all flows there until the next. Change: an opening says how many requests the balancer expects there. An agent whose target runs at least its slots more, openings on their way included, reports and declines, and the balancer chooses again by the fresh report, at most twice. measure selection has the sizes of a grown deployment with six balancers a failure domain, and the selection without declines as a policy. The messages have a new format byte. Result: openings_on_an_old_report_are_declined and declined_flow_goes_to_the_least_loaded_agent cover it.

--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -14,6 +14,7 @@
 use self::budget::QuestionBudget;
 use self::early::EarlyPackets;
 use self::liveness::Liveness;
+pub use self::opening::MAX_DECLINES;
 use self::table::{FlowState, FlowTable};
 use super::directory::{AgentRecord, Directory, DirectoryOptions};
 use super::event::{DropCause, FlowEvent, ResetCause};
--- a/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
@@ -9,12 +9,16 @@
 use crate::flow::event::{DropCause, FlowEvent, ResetCause};
 use crate::flow::message::{Action, Message, RefusalCause, dropped, reset};
 use crate::flow::packet::{FlowKey, PacketHead};
-use crate::flow::selection::Choice;
+use crate::flow::selection::{Choice, Pick};
 use crate::ids::{ServiceName, ServiceTag};
 
 /// Opening packets that wait for the first target at most.
 const MAX_WAITING: usize = 512;
 
+/// How often a flow may be declined for load. Each time the balancer chooses again by a fresh report,
+/// so more rarely find a better target.
+pub const MAX_DECLINES: u32 = 2;
+
 /// Doublings of the time for an answer at most.
 const MAX_DOUBLINGS: u32 = 4;
 
@@ -28,6 +32,8 @@
     /// The agent that has the packet, or none while no target is known.
     pub(super) target: Option<SocketAddrV4>,
     tried: Vec<SocketAddrV4>,
+    /// How many agents declined for load.
+    declines: u32,
     began_at: Instant,
     sent_at: Instant,
 }
@@ -39,6 +45,15 @@
         now.saturating_duration_since(self.sent_at) >= timeout
     }
 
+    /// Returns the number of the agent that gets the packet next, from 1.
+    fn attempt(&self) -> usize {
+        self.tried.len() + usize::try_from(self.declines).unwrap_or(usize::MAX) + 1
+    }
+
+    const fn may_be_declined(&self) -> bool {
+        self.declines < MAX_DECLINES
+    }
+
     /// Returns whether this balancer had the caller's first packet of the flow, so that no other
     /// balancer can have opened it before.
     const fn is_first_copy(&self) -> bool {
@@ -82,7 +97,9 @@
             && let FlowState::Opening(opening) = &mut entry.state
         {
             let is_current = opening.target == Some(agent);
-            if !opening.tried.contains(&agent) {
+            if cause == RefusalCause::Busier {
+                opening.declines += 1;
+            } else if !opening.tried.contains(&agent) {
                 opening.tried.push(agent);
             }
             if is_current {
@@ -115,8 +132,8 @@
         opening.tried.push(agent);
         self.selector.on_unanswered(agent, now);
         let mut actions = vec![Action::Record(FlowEvent::Unanswered { flow, agent })];
-        if let Some(next) = self.choose(flow, now) {
-            actions.extend(self.open_at(next, flow, now));
+        if let Some(pick) = self.choose(flow, now) {
+            actions.extend(self.open_at(pick, flow, now));
         }
         actions
     }
@@ -128,9 +145,9 @@
             if let Some(entry) = self.flows.get(&flow)
                 && let FlowState::Opening(opening) = &entry.state
                 && opening.target.is_none()
-                && let Some(agent) = self.choose(flow, now)
+                && let Some(pick) = self.choose(flow, now)
             {
-                actions.extend(self.open_at(agent, flow, now));
+                actions.extend(self.open_at(pick, flow, now));
             }
         }
         actions
@@ -154,6 +171,7 @@
             is_bulk: route.is_bulk,
             target: None,
             tried: Vec::new(),
+            declines: 0,
             began_at: now,
             sent_at: now,
         };
@@ -165,8 +183,8 @@
     /// Chooses an agent for a flow that opens. Without one the flow waits while the list of agents
     /// is not complete, and is reset afterwards.
     fn place(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'static>> {
-        if let Some(agent) = self.choose(flow, now) {
-            return self.open_at(agent, flow, now);
+        if let Some(pick) = self.choose(flow, now) {
+            return self.open_at(pick, flow, now);
         }
         let may_wait = !self.directory.is_complete() && self.flows.unsettled_len() <= MAX_WAITING;
         let Some(entry) = self.flows.get_mut(&flow) else {
@@ -192,7 +210,7 @@
         actions
     }
 
-    fn choose(&mut self, flow: FlowKey, now: Instant) -> Option<SocketAddrV4> {
+    fn choose(&mut self, flow: FlowKey, now: Instant) -> Option<Pick> {
         let FlowState::Opening(opening) = &self.flows.get(&flow)?.state else {
             return None;
         };
@@ -205,12 +223,8 @@
         self.selector.choose(&choice, &self.directory, now)
     }
 
-    fn open_at(
-        &mut self,
-        agent: SocketAddrV4,
-        flow: FlowKey,
-        now: Instant,
-    ) -> Vec<Action<'static>> {
+    fn open_at(&mut self, pick: Pick, flow: FlowKey, now: Instant) -> Vec<Action<'static>> {
+        let agent = pick.address;
         let load_at = self.directory.agent(agent).and_then(|known| known.load_at);
         let version = self.routes.version().unwrap_or_default();
         let Some(entry) = self.flows.get_mut(&flow) else {
@@ -225,12 +239,13 @@
             flow,
             service: opening.service.clone(),
             agent,
-            attempt: opening.tried.len() + 1,
+            attempt: opening.attempt(),
             version,
             load_age: load_at.map(|at| now.saturating_duration_since(at)),
         };
         let message = Message::Open {
             service: ServiceTag::of(&opening.service),
+            expected_requests: opening.may_be_declined().then_some(pick.expected_requests),
             packet: Cow::Owned(opening.packet.to_vec()),
         };
         vec![Action::Record(event), Action::send(agent, message)]
@@ -249,7 +264,11 @@
         let Some(service) = known.or_else(routed) else {
             return Vec::new();
         };
-        let packet = Cow::Borrowed(packet);
-        vec![Action::send(agent, Message::Open { service, packet })]
+        let message = Message::Open {
+            service,
+            expected_requests: None,
+            packet: Cow::Borrowed(packet),
+        };
+        vec![Action::send(agent, message)]
     }
 }
--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -145,7 +145,7 @@
             failure_domain: self.identity.failure_domain.clone(),
             incarnation: self.identity.incarnation,
             state: self.state(),
-            slots: target.map_or(Slots::new(1), TargetRun::slots),
+            slots: self.slots(),
             warmup_left: target.map_or(Duration::ZERO, |t| t.warmup_left(now)),
         }
     }
@@ -163,11 +163,28 @@
             self.answers.failed_percent(now)
         };
         AgentLoad {
+            running: self.requests(now),
             failed_percent,
             ..self.meter.load(self.flows.open_len(), now)
         }
     }
 
+    /// Returns the requests that the target has and has not answered, and those on their way to it.
+    fn requests(&mut self, now: Instant) -> u16 {
+        let on_the_way = u16::try_from(self.flows.requests_on_the_way(now)).unwrap_or(u16::MAX);
+        self.running(now).saturating_add(on_the_way)
+    }
+
+    fn is_busier_than(&mut self, expected: u16, now: Instant) -> bool {
+        let slots = self.slots();
+        self.load(now).is_busier_than(expected, slots)
+    }
+
+    fn slots(&self) -> Slots {
+        let target = self.target.as_ref();
+        target.map_or(Slots::new(1), TargetRun::slots)
+    }
+
     /// Notes the HTTP status of an answer. Balancers prefer targets whose answers do not fail.
     pub fn on_answer(&mut self, status: u16, now: Instant) {
         self.answers.note(is_failure(status), now);
@@ -249,6 +266,7 @@
         &mut self,
         balancer: SocketAddrV4,
         service: ServiceTag,
+        expected_requests: Option<u16>,
         head: &PacketHead,
         packet: &'a [u8],
         now: Instant,
@@ -258,14 +276,17 @@
         if !head.is_opening() {
             return dropped(flow, DropCause::NotAllowed);
         }
-        if let Some(cause) = self.refusal(service, now) {
-            let record = Action::Record(FlowEvent::Refused {
-                flow,
-                agent: self.identity.address,
-                cause,
-            });
-            let mut actions = vec![record, refuse(balancer, flow, cause)];
+        // A copy of the opening packet of a flow that is here belongs here.
+        let declined = |endpoint: &mut Self| {
+            let expected = expected_requests.filter(|_| endpoint.flows.get(&flow).is_none())?;
+            let is_busier = endpoint.is_busier_than(expected, now);
+            is_busier.then_some(RefusalCause::Busier)
+        };
+        if let Some(cause) = self.refusal(service, now).or_else(|| declined(self)) {
+            // The report goes first, so that the balancer chooses again by it.
+            let mut actions = vec![self.refused(flow, cause)];
             actions.extend(self.report(balancer, now));
+            actions.push(refuse(balancer, flow, cause));
             return actions;
         }
         self.flows.open(flow, balancer, now);
@@ -481,11 +502,12 @@
 
     fn refused_by_target(&self, balancer: SocketAddrV4, flow: FlowKey) -> Vec<Action<'static>> {
         let cause = RefusalCause::TargetFull;
+        vec![self.refused(flow, cause), refuse(balancer, flow, cause)]
+    }
+
+    const fn refused<'a>(&self, flow: FlowKey, cause: RefusalCause) -> Action<'a> {
         let agent = self.identity.address;
-        vec![
-            Action::Record(FlowEvent::Refused { flow, agent, cause }),
-            refuse(balancer, flow, cause),
-        ]
+        Action::Record(FlowEvent::Refused { flow, agent, cause })
     }
 
     /// Returns whether the target said long enough ago that it is gone.
--- a/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
@@ -13,6 +13,10 @@
 /// count as one.
 const FLAG_SEQUENCE_NUMBERS: u32 = 4;
 
+/// How long a flow that opens counts as a request on its way; a caller follows the acceptance with its
+/// request within a round trip.
+const REQUEST_DELAY: Duration = Duration::from_millis(100);
+
 /// The time between two searches for old flows.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -150,8 +154,7 @@
             }
             self.note_sent(head);
         }
-        let closes =
-            head.flags.contains(PacketFlags::FIN) || head.flags.contains(PacketFlags::RST);
+        let closes = head.flags.contains(PacketFlags::FIN) || head.flags.contains(PacketFlags::RST);
         // A target that closes the flow of a request that was given up sends no answer.
         if head.payload_len > 0 || closes {
             self.finish(meter, now);
@@ -214,6 +217,8 @@
     orphaned_at: Option<Instant>,
     /// Flows whose packets the target may return.
     expected: VecDeque<(Instant, FlowKey)>,
+    /// Flows that were opened lately.
+    opened: VecDeque<(Instant, FlowKey)>,
     open_len: usize,
     swept_at: Option<Instant>,
 }
@@ -237,12 +242,23 @@
         let open_len = &mut self.open_len;
         let hosted = self.flows.entry(flow).or_insert_with(|| {
             *open_len += 1;
+            self.opened.push_back((now, flow));
             HostedFlow::new(HostedState::Opening, Some(balancer), now)
         });
         hosted.balancer = Some(balancer);
         hosted.used_at = now;
     }
 
+    /// Returns the flows that were opened lately and whose first request is still on its way.
+    pub(super) fn requests_on_the_way(&mut self, now: Instant) -> usize {
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= REQUEST_DELAY;
+        while self.opened.front().is_some_and(|(at, _)| is_old(*at)) {
+            self.opened.pop_front();
+        }
+        let awaits = |flow: &FlowKey| self.get(flow).is_some_and(|h| h.caller_next.is_none());
+        self.opened.iter().filter(|(_, flow)| awaits(flow)).count()
+    }
+
     pub(super) fn expect(&mut self, flow: FlowKey, balancer: SocketAddrV4, now: Instant) {
         let hosted = HostedFlow::new(HostedState::Expected, Some(balancer), now);
         if self.flows.insert(flow, hosted).is_none() {
--- a/crates/cranberrypitch-core/src/flow/load.rs
+++ b/crates/cranberrypitch-core/src/flow/load.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::units::Slots;
+
 /// The time over which the number of running requests is averaged.
 const SMOOTHING: Duration = Duration::from_secs(1);
 
@@ -27,6 +29,13 @@
         f64::from(self.failed_percent) / HUNDREDTHS
     }
 
+    /// Returns whether the target runs so many more requests than a balancer expects that one more
+    /// waits for a request that the balancer does not know of.
+    pub fn is_busier_than(&self, expected: u16, slots: Slots) -> bool {
+        let running = u32::from(self.running);
+        running >= slots.get().max(1).saturating_add(u32::from(expected))
+    }
+
     /// Returns the mean number of running requests.
     pub fn smoothed(&self) -> f64 {
         f64::from(self.smoothed_hundredths) / HUNDREDTHS
--- a/crates/cranberrypitch-core/src/flow/message.rs
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -26,6 +26,9 @@
     /// The target returned the packet.
     #[display("target full")]
     TargetFull,
+    /// The target runs more requests than the balancer expected.
+    #[display("busier than expected")]
+    Busier,
 }
 
 /// What an agent knows of a flow that a balancer looks for.
@@ -49,6 +52,9 @@
     Open {
         /// The service that the flow is meant for.
         service: ServiceTag,
+        /// The requests that the balancer expects the target to run. An agent whose target runs clearly
+        /// more declines; without a number it takes the flow whatever its load is.
+        expected_requests: Option<u16>,
         /// The opening packet.
         packet: Cow<'a, [u8]>,
     },
--- a/crates/cranberrypitch-core/src/flow/selection.rs
+++ b/crates/cranberrypitch-core/src/flow/selection.rs
@@ -70,6 +70,15 @@
     pub tried: &'a [SocketAddrV4],
 }
 
+/// A chosen agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// Where the agent receives messages.
+    pub address: SocketAddrV4,
+    /// The requests that its target runs as far as is known, own choices included.
+    pub expected_requests: u16,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Tracked {
     picks: Vec<Instant>,
@@ -98,7 +107,7 @@
         choice: &Choice<'_>,
         directory: &Directory,
         now: Instant,
-    ) -> Option<SocketAddrV4> {
+    ) -> Option<Pick> {
         let usable: Vec<_> = directory
             .of_service(choice.service)
             .filter(|agent| agent.record.state == TargetState::Ready)
@@ -116,7 +125,7 @@
             let candidates = rendezvous::first(&choice.flow, agents, self.options.candidates);
             let scored = candidates.into_iter().map(|agent| {
                 let score = self.score(agent, &outlook, now);
-                (agent.record.address, score)
+                (agent, score)
             });
             scored.min_by(|a, b| a.1.total_cmp(&b.1))
         };
@@ -125,13 +134,17 @@
         } else {
             self.options.remote_penalty
         };
-        let (address, _) = match (lightest(true), lightest(false)) {
+        let (agent, _) = match (lightest(true), lightest(false)) {
             (Some(local), Some(remote)) if remote.1 + penalty < local.1 => remote,
             (Some(local), _) => local,
             (None, remote) => remote?,
         };
-        self.note_pick(address, now);
-        Some(address)
+        let pick = Pick {
+            address: agent.record.address,
+            expected_requests: self.expected_requests(agent, &outlook, now),
+        };
+        self.note_pick(pick.address, now);
+        Some(pick)
     }
 
     /// Notes that an agent left an opening packet unanswered.
@@ -209,6 +222,22 @@
         load + f64::from(self.recent_picks(agent, now)) / slots(agent) + warmup
     }
 
+    /// Returns the requests that a target runs as far as is known.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the value is clamped to the range"
+    )]
+    fn expected_requests(&self, agent: &KnownAgent, outlook: &Outlook, now: Instant) -> u16 {
+        let reported = if self.is_load_known(agent, now) {
+            f64::from(agent.load.running)
+        } else {
+            outlook.typical_load * slots(agent)
+        };
+        let expected = reported + f64::from(self.recent_picks(agent, now));
+        expected.clamp(0.0, f64::from(u16::MAX)) as u16
+    }
+
     /// Returns the own choices that the last report can't include.
     fn recent_picks(&self, agent: &KnownAgent, now: Instant) -> u32 {
         let Some(tracked) = self.tracked.get(&agent.record.address) else {
--- a/crates/cranberrypitch-core/tests/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/tests/flow/dispatcher.rs
@@ -107,6 +107,41 @@
     assert!(events(&actions).contains(&&reset));
 }
 
+/// Recovery: an agent that is busier than expected declines and reports first, and the flow goes to the
+/// agent that is best by what is known then, which has to take it after two declines.
+#[test]
+fn declined_flow_goes_to_the_least_loaded_agent() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(local_records(3), now);
+    for record in local_records(3) {
+        dispatcher.on_report(&record, load(1), now);
+    }
+    let first = open(&mut dispatcher, flow(1), now);
+    let decline = |dispatcher: &mut Dispatcher, agent: SocketAddrV4, running| {
+        let number = agent.ip().octets()[3];
+        dispatcher.on_report(&record(number, "matcher", "a"), load(running), now);
+        let actions = dispatcher.on_refused(agent, flow(1), RefusalCause::Busier, now);
+        assert_eq!(resets(&actions), 0);
+        match sent(&actions)[..] {
+            [
+                (
+                    agent,
+                    Message::Open {
+                        expected_requests, ..
+                    },
+                ),
+            ] => (agent, *expected_requests),
+            ref other => panic!("not opened: {other:?}"),
+        }
+    };
+    let (second, expected) = decline(&mut dispatcher, first, 9);
+    assert_ne!(second, first);
+    assert_eq!(expected, Some(1));
+    let (third, expected) = decline(&mut dispatcher, second, 9);
+    assert!(third != first && third != second);
+    assert_eq!(expected, None, "no more declines");
+}
+
 /// Another balancer may have opened the flow with the first copy, so a later one is no ground for a
 /// reset.
 #[test]
--- a/crates/cranberrypitch-core/tests/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/tests/flow/endpoint.rs
@@ -31,9 +31,25 @@
 }
 
 fn open(endpoint: &mut Endpoint, port: u16, now: Instant) -> Option<RefusalCause> {
+    open_expecting(endpoint, port, None, now)
+}
+
+fn open_expecting(
+    endpoint: &mut Endpoint,
+    port: u16,
+    expected: Option<u16>,
+    now: Instant,
+) -> Option<RefusalCause> {
     let head = opening(flow(port), 0);
     let bytes = packet(&head);
-    let actions = endpoint.on_open(balancer_address(1), tag("matcher"), &head, &bytes, now);
+    let actions = endpoint.on_open(
+        balancer_address(1),
+        tag("matcher"),
+        expected,
+        &head,
+        &bytes,
+        now,
+    );
     let refused = sent(&actions)
         .iter()
         .find_map(|(_, message)| match message {
@@ -512,6 +528,35 @@
     assert_eq!(endpoint.running(now), 1);
 }
 
+/// Recovery: after a loss of power several balancers see one low report and all open flows there, 30 to
+/// 60 in the 200 ms until the next one. The agent declines what comes on top of what each expects.
+#[test]
+fn openings_on_an_old_report_are_declined() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    // Flows on their way count: their requests follow within a round trip.
+    let expected = Some(1);
+    let taken =
+        (1..=40).filter(|port| open_expecting(&mut endpoint, *port, expected, now).is_none());
+    assert_eq!(
+        taken.count(),
+        5,
+        "4 slots more than the one that is expected"
+    );
+    assert_eq!(open_expecting(&mut endpoint, 50, Some(4), now), None);
+    assert_eq!(
+        open_expecting(&mut endpoint, 51, None, now),
+        None,
+        "no agent is better"
+    );
+    let cause = open_expecting(&mut endpoint, 52, Some(2), now);
+    assert_eq!(cause, Some(RefusalCause::Busier));
+    // A copy of a packet that opened a flow here is no new flow.
+    assert_eq!(open_expecting(&mut endpoint, 1, expected, now), None);
+    let later = now + Duration::from_millis(100);
+    assert_eq!(open_expecting(&mut endpoint, 60, expected, later), None);
+}
+
 /// Balancers that opened flows here learn the load several times a second, others that only pass
 /// packets on once a second, and those that are gone not at all.
 #[test]
--- a/crates/cranberrypitch-core/tests/flow/placement.rs
+++ b/crates/cranberrypitch-core/tests/flow/placement.rs
@@ -2,6 +2,7 @@
 //!
 //! Each test names the pattern of load that it answers.
 
+use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::flow::{
@@ -25,12 +26,23 @@
     }
 }
 
+/// Returns where a chosen agent receives messages.
+fn pick(
+    selector: &mut Selector,
+    choice: &Choice<'_>,
+    directory: &Directory,
+    now: Instant,
+) -> Option<SocketAddrV4> {
+    let pick = selector.choose(choice, directory, now);
+    pick.map(|pick| pick.address)
+}
+
 /// Returns how many of 1,000 flows go to the agents of the own failure domain.
 fn local_share(directory: &Directory, is_bulk: bool, now: Instant) -> usize {
     // A new selector for each flow: own choices of a moment before do not count.
     let is_local = |port| {
         let mut selector = Selector::new(SelectorOptions::default());
-        let agent = selector.choose(&choice(port, is_bulk), directory, now);
+        let agent = pick(&mut selector, &choice(port, is_bulk), directory, now);
         agent.is_some_and(|agent| agent.ip().octets()[3] < 10)
     };
     (0..1000).filter(|port| is_local(*port)).count()
@@ -104,7 +116,7 @@
     let mut selector = Selector::new(SelectorOptions::default());
     let mut counts = [0_u32; 4];
     for port in 0..60 {
-        let agent = selector.choose(&choice(port, false), &directory, now);
+        let agent = pick(&mut selector, &choice(port, false), &directory, now);
         counts[usize::from(agent.unwrap().ip().octets()[3])] += 1;
     }
     assert_eq!(counts, [0, 20, 20, 20]);
@@ -123,11 +135,11 @@
     directory.on_report(warm.clone(), load(1), now);
     directory.on_report(cold.clone(), load(0), now);
     let mut selector = Selector::new(SelectorOptions::default());
-    let chosen = selector.choose(&choice(1, false), &directory, now);
+    let chosen = pick(&mut selector, &choice(1, false), &directory, now);
     assert_eq!(chosen, Some(agent_address(1)));
     directory.on_report(warm, load(4), now);
     let later = now + Duration::from_millis(200);
-    let chosen = selector.choose(&choice(1, false), &directory, later);
+    let chosen = pick(&mut selector, &choice(1, false), &directory, later);
     assert_eq!(chosen, Some(agent_address(2)));
 }
 
@@ -150,7 +162,7 @@
     let mut selector = Selector::new(SelectorOptions::default());
     for port in 0..10 {
         let at = now + Duration::from_millis(200) * u32::from(port);
-        let chosen = selector.choose(&choice(port, false), &directory, at);
+        let chosen = pick(&mut selector, &choice(port, false), &directory, at);
         assert_eq!(chosen, Some(agent_address(1)), "flow {port}");
     }
 }
@@ -164,15 +176,11 @@
     let mut selector = Selector::new(SelectorOptions::default());
     selector.on_unanswered(agent_address(1), now);
     for port in 0..100 {
-        let chosen = selector.choose(&choice(port, false), &directory, now);
+        let chosen = pick(&mut selector, &choice(port, false), &directory, now);
         assert_eq!(chosen, Some(agent_address(2)));
     }
     selector.on_unanswered(agent_address(2), now);
-    assert!(
-        selector
-            .choose(&choice(1, false), &directory, now)
-            .is_some()
-    );
+    assert!(pick(&mut selector, &choice(1, false), &directory, now).is_some());
 }
 
 fn failing(percent: u8) -> AgentLoad {
@@ -192,7 +200,7 @@
     for port in 0..1000 {
         // Own choices of a moment before do not count.
         let mut selector = Selector::new(SelectorOptions::default());
-        let agent = selector.choose(&choice(port, false), &directory, now);
+        let agent = pick(&mut selector, &choice(port, false), &directory, now);
         assert_ne!(agent, Some(agent_address(1)));
     }
 }
--- a/crates/cranberrypitch-core/tests/flow/world.rs
+++ b/crates/cranberrypitch-core/tests/flow/world.rs
@@ -105,8 +105,13 @@
 
 fn own(message: Message<'_>) -> Message<'static> {
     match message {
-        Message::Open { service, packet } => Message::Open {
+        Message::Open {
             service,
+            expected_requests,
+            packet,
+        } => Message::Open {
+            service,
+            expected_requests,
             packet: packet.into_owned().into(),
         },
         Message::Forward { packet } => Message::Forward {
@@ -293,9 +298,18 @@
         let now = self.now;
         let endpoint = &mut self.agents.get_mut(&index).unwrap().endpoint;
         let actions = match message {
-            Message::Open { service, packet } => {
-                endpoint.on_open(from, *service, &head(packet), packet, now)
-            }
+            Message::Open {
+                service,
+                expected_requests,
+                packet,
+            } => endpoint.on_open(
+                from,
+                *service,
+                *expected_requests,
+                &head(packet),
+                packet,
+                now,
+            ),
             Message::Forward { packet } => endpoint.on_forward(from, &head(packet), packet, now),
             Message::Locate { flow, acknowledged } => {
                 endpoint.on_locate(from, *flow, *acknowledged, now)
--- a/crates/cranberrypitch-measure/src/selection.rs
+++ b/crates/cranberrypitch-measure/src/selection.rs
@@ -1,7 +1,7 @@
 //! `measure selection`: who waits, who is refused and where work goes when new flows are placed by
 //! the balancers of the relayed path, against simple policies and one shared queue.
 //!
-//! The model has the sizes of a small deployment: failure domains with a balancer each, targets with
+//! The model has the sizes of a small deployment: failure domains with balancers, targets with
 //! slots and a queue, long feeds that send a request a second and orders with a flow each.
 
 mod choice;
@@ -21,6 +21,8 @@
 pub struct SelectionMeasureOptions {
     /// The targets of each failure domain.
     pub targets: Vec<usize>,
+    /// The balancers of each failure domain, which learn of each other's choices by reports only.
+    pub balancers: usize,
     /// The slots of each target.
     pub slots: u32,
     /// The requests that wait at a target at most; others are refused.
@@ -48,10 +50,29 @@
 /// The factor on the service time of a cold target.
 pub const COLD_FACTOR: f64 = 1.6;
 
+impl SelectionMeasureOptions {
+    /// Returns the sizes of a grown deployment: several balancers in each failure domain, targets with
+    /// few slots.
+    #[must_use]
+    pub fn grown() -> Self {
+        Self {
+            targets: vec![12, 12, 11, 11],
+            balancers: 6,
+            slots: 2,
+            queue_len: 8,
+            feeds: 285,
+            orders_per_second: 81.0,
+            objective: Duration::from_millis(300),
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for SelectionMeasureOptions {
     fn default() -> Self {
         Self {
             targets: vec![2, 2, 2, 1],
+            balancers: 1,
             slots: 4,
             queue_len: 16,
             feeds: 74,
@@ -102,6 +123,8 @@
     SharedQueue,
     /// The balancer's selection.
     Selection,
+    /// The balancer's selection, when agents take each flow whatever their load is.
+    Undeclined,
     /// The balancer's selection without targets of other failure domains.
     OwnDomain,
     /// By a hash of the flow.
@@ -116,9 +139,10 @@
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::SharedQueue,
         Self::Selection,
+        Self::Undeclined,
         Self::OwnDomain,
         Self::Hash,
         Self::Random,
@@ -172,6 +196,7 @@
     let sizes = [
         ("targets", options.targets.iter().sum::<usize>() >= 2),
         ("slots", options.slots >= 1),
+        ("balancers", options.balancers >= 1),
     ];
     check_sizes(options.load, &sizes)?;
     let mut figures = Vec::new();
--- a/crates/cranberrypitch-measure/src/selection/choice.rs
+++ b/crates/cranberrypitch-measure/src/selection/choice.rs
@@ -34,10 +34,10 @@
 }
 
 impl Chooser {
-    /// Returns the chooser of the balancer of a failure domain. `domains` has that of each target.
+    /// Returns the chooser of a balancer in a failure domain. `domains` has that of each target.
     pub(super) fn try_new(
         policy: Policy,
-        domain: usize,
+        (balancer, domain): (usize, usize),
         domains: &[usize],
         slots: u32,
         seed: u64,
@@ -59,8 +59,8 @@
             service: ServiceTag::of(&ServiceName::try_new(SERVICE)?),
             reported_flows: vec![0; records.len()],
             records,
-            turn: domain,
-            rng: Pcg64::seed_from_u64(seed ^ (domain as u64 + 1)),
+            turn: balancer,
+            rng: Pcg64::seed_from_u64(seed ^ (balancer as u64 + 1)),
         })
     }
 
@@ -78,11 +78,22 @@
         self.directory.on_report(record, load, now);
     }
 
-    pub(super) fn choose(&mut self, flow: FlowKey, now: Instant) -> usize {
+    /// Chooses a target for a flow, with the requests that it is expected to run if it may decline.
+    pub(super) fn choose(&mut self, flow: FlowKey, now: Instant) -> (usize, Option<u16>) {
+        match self.policy {
+            Policy::Selection | Policy::OwnDomain => {
+                let (target, expected) = self.select(flow, now);
+                (target, Some(expected))
+            }
+            Policy::Undeclined => (self.select(flow, now).0, None),
+            _ => (self.choose_simply(flow), None),
+        }
+    }
+
+    fn choose_simply(&mut self, flow: FlowKey) -> usize {
         let targets = self.records.len();
         match self.policy {
-            Policy::SharedQueue => 0,
-            Policy::Selection | Policy::OwnDomain => self.select(flow, now),
+            Policy::SharedQueue | Policy::Selection | Policy::Undeclined | Policy::OwnDomain => 0,
             Policy::Hash => {
                 // The same in each run, unlike hashers with random keys.
                 let mut hasher = DefaultHasher::new();
@@ -103,16 +114,19 @@
         }
     }
 
-    fn select(&mut self, flow: FlowKey, now: Instant) -> usize {
+    fn select(&mut self, flow: FlowKey, now: Instant) -> (usize, u16) {
         let choice = Choice {
             flow,
             service: self.service,
             is_bulk: false,
             tried: &[],
         };
-        let address = self.selector.choose(&choice, &self.directory, now);
-        let index = self.records.iter().position(|r| Some(r.address) == address);
-        index.unwrap_or(0)
+        let Some(pick) = self.selector.choose(&choice, &self.directory, now) else {
+            return (0, 0);
+        };
+        let is_picked = |record: &AgentRecord| record.address == pick.address;
+        let index = self.records.iter().position(is_picked);
+        (index.unwrap_or(0), pick.expected_requests)
     }
 }
 
--- a/crates/cranberrypitch-measure/src/selection/simulation.rs
+++ b/crates/cranberrypitch-measure/src/selection/simulation.rs
@@ -3,8 +3,8 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
-use cranberrypitch_core::Result;
-use cranberrypitch_core::flow::FlowKey;
+use cranberrypitch_core::flow::{FlowKey, MAX_DECLINES};
+use cranberrypitch_core::{Result, Slots};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -89,8 +89,11 @@
         let domains: Vec<usize> = per_domain
             .flat_map(|(domain, targets)| std::iter::repeat_n(domain, *targets))
             .collect();
-        let choosers = (0..options.targets.len())
-            .map(|domain| Chooser::try_new(policy, domain, &domains, options.slots, seed, start))
+        let choosers = (0..options.targets.len() * options.balancers)
+            .map(|balancer| {
+                let place = (balancer, balancer / options.balancers);
+                Chooser::try_new(policy, place, &domains, options.slots, seed, start)
+            })
             .collect::<Result<Vec<_>>>()?;
         let mut simulation = Self {
             options,
@@ -189,7 +192,21 @@
             caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, number, 1), self.next_port),
             service_address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
         };
-        self.choosers[domain].choose(flow, now)
+        let turn = usize::from(self.next_port) % self.options.balancers;
+        let balancer = domain * self.options.balancers + turn;
+        for _ in 0..MAX_DECLINES {
+            let (target, expected) = self.choosers[balancer].choose(flow, now);
+            let Some(expected) = expected else {
+                return target;
+            };
+            let load = self.targets[target].load(now);
+            if !load.is_busier_than(expected, Slots::new(self.options.slots)) {
+                return target;
+            }
+            let warmup_left = self.warmup_left(target, now);
+            self.choosers[balancer].on_report(target, load, warmup_left, now);
+        }
+        self.choosers[balancer].choose(flow, now).0
     }
 
     fn request(&mut self, domain: usize, target: usize, is_order: bool, now: Instant) {
--- a/crates/cranberrypitch-measure/src/verbs.rs
+++ b/crates/cranberrypitch-measure/src/verbs.rs
@@ -35,7 +35,11 @@
 }
 
 pub(crate) fn selection(arguments: &mut Arguments) -> Result<String> {
-    let mut options = SelectionMeasureOptions::default();
+    let mut options = if arguments.contains("--grown") {
+        SelectionMeasureOptions::grown()
+    } else {
+        SelectionMeasureOptions::default()
+    };
     take(arguments, "--slots", &mut options.slots)?;
     take(arguments, "--load", &mut options.load)?;
     let seed = seed(arguments)?;
--- a/crates/cranberrypitch-proto/src/relay.rs
+++ b/crates/cranberrypitch-proto/src/relay.rs
@@ -18,10 +18,10 @@
 use crate::errors::{Error, Result};
 
 /// The first byte of each datagram: the magic number and the version of the format.
-const FORMAT: u8 = 0xd1;
+const FORMAT: u8 = 0xd2;
 
 /// The bytes before the payload of [`Message::Open`], the longest head before a packet.
-pub const MAX_HEAD_BYTES: usize = 6;
+pub const MAX_HEAD_BYTES: usize = 8;
 
 const OPEN: u8 = 1;
 const FORWARD: u8 = 2;
@@ -35,6 +35,9 @@
 const ASK_BALANCERS: u8 = 10;
 const BALANCERS: u8 = 11;
 
+/// The number of expected requests that stands for any number.
+const ANY_REQUESTS: u16 = u16::MAX;
+
 /// The bytes of an address.
 const ADDRESS_BYTES: usize = 6;
 
@@ -43,9 +46,14 @@
     datagram.clear();
     datagram.put_u8(FORMAT);
     match message {
-        Message::Open { service, packet } => {
+        Message::Open {
+            service,
+            expected_requests,
+            packet,
+        } => {
             datagram.put_u8(OPEN);
             datagram.put_u32(service.get());
+            datagram.put_u16(expected_requests.unwrap_or(ANY_REQUESTS));
             datagram.put_slice(packet);
         }
         Message::Forward { packet } => {
@@ -105,6 +113,7 @@
     let message = match *kind {
         OPEN => Message::Open {
             service: ServiceTag::new(reader.u32()?),
+            expected_requests: Some(reader.u16()?).filter(|number| *number != ANY_REQUESTS),
             packet: reader.rest(),
         },
         FORWARD => Message::Forward {
@@ -270,6 +279,7 @@
         RefusalCause::Draining => 2,
         RefusalCause::TargetSilent => 3,
         RefusalCause::TargetFull => 4,
+        RefusalCause::Busier => 5,
     }
 }
 
@@ -279,6 +289,7 @@
         2 => RefusalCause::Draining,
         3 => RefusalCause::TargetSilent,
         4 => RefusalCause::TargetFull,
+        5 => RefusalCause::Busier,
         _ => return Err(malformed(&format!("refusal cause {code}"))),
     })
 }
--- a/crates/cranberrypitch-proto/tests/relay_messages.rs
+++ b/crates/cranberrypitch-proto/tests/relay_messages.rs
@@ -67,6 +67,7 @@
             RefusalCause::Draining,
             RefusalCause::TargetSilent,
             RefusalCause::TargetFull,
+            RefusalCause::Busier,
         ][..],
     );
     let answers = prop::sample::select(
@@ -84,10 +85,14 @@
             failed_percent,
         },
     );
+    let expected = proptest::option::of(0..u16::MAX);
     prop_oneof![
-        (any::<u32>(), packets()).prop_map(|(tag, packet)| Message::Open {
-            service: ServiceTag::new(tag),
-            packet
+        (any::<u32>(), expected, packets()).prop_map(|(tag, expected_requests, packet)| {
+            Message::Open {
+                service: ServiceTag::new(tag),
+                expected_requests,
+                packet,
+            }
         }),
         packets().prop_map(|packet| Message::Forward { packet }),
         (flows(), any::<u32>())
@@ -146,7 +151,7 @@
     ));
     assert!(matches!(relay::decode(&[0x00, 1]), Err(Error::NotTunnel)));
     assert!(matches!(
-        relay::decode(&[0xd1, 99]),
+        relay::decode(&[0xd2, 99]),
         Err(Error::UnknownKind { kind: 99 })
     ));
 }
