Read the list of agents while a flow is looked for

An agent takes flows only after it is listed, so a list that was read after the search began has the agent of a flow that is open. Change: the read is asked for when the search goes wide, and one after its begin is enough. Agents that turn up meanwhile are still asked first. Result: list_is_read_while_agents_are_asked failed before.

--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -73,6 +73,8 @@
     liveness: Liveness,
     questions: QuestionBudget,
     early: EarlyPackets,
+    /// All changes of the list of agents before this time are taken in.
+    list_as_of: Option<Instant>,
 }
 
 impl Dispatcher {
@@ -87,6 +89,7 @@
             liveness: Liveness::default(),
             questions: QuestionBudget::default(),
             early: EarlyPackets::default(),
+            list_as_of: None,
         }
     }
 
--- a/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
@@ -44,6 +44,11 @@
             Self::All => None,
         }
     }
+
+    /// Returns whether all agents of the stage are asked, however many there are.
+    const fn is_wide(self) -> bool {
+        matches!(self, Self::Service | Self::All)
+    }
 }
 
 /// How far a search is.
@@ -51,8 +56,8 @@
 enum Progress {
     /// Answers are awaited.
     Asking,
-    /// No agent holds the flow. The flow ends once a list that was read after this time shows no
-    /// other agent.
+    /// No agent holds the flow. The flow ends once a list that was read after the search began shows
+    /// no other agent.
     Lost { since: Instant },
     /// Agents of the stage that can't tell got the packets.
     Unsure { since: Instant },
@@ -172,6 +177,9 @@
                 continue;
             }
             actions.extend(self.ask_pending(flow, now));
+            if stage.is_wide() && !self.is_list_current(flow) {
+                actions.push(Action::ReadList);
+            }
             if !self.is_waiting(flow, now) {
                 actions.extend(self.conclude_stage(flow, now));
             }
@@ -214,7 +222,7 @@
             return Vec::new();
         };
         locating.asked_at = now;
-        let is_wide = matches!(locating.stage, Stage::Service | Stage::All);
+        let is_wide = locating.stage.is_wide();
         let (count, message) = (locating.pending.len(), Message::locate(&locating.head));
         // What may not be asked now is asked once the answers are overdue.
         if is_wide && !self.questions.take(count, now) {
@@ -393,8 +401,14 @@
         }
     }
 
-    /// Notes that no agent holds a flow. A list that is read from now on tells whether an agent was
-    /// missed.
+    /// Returns whether the list of agents was read after the search for a flow began. An agent takes
+    /// flows only after it was listed, so such a list has the agent of a flow that is open.
+    fn is_list_current(&self, flow: FlowKey) -> bool {
+        let locating = self.locating(flow);
+        locating.is_some_and(|locating| self.list_as_of >= Some(locating.began_at))
+    }
+
+    /// Notes that no agent holds a flow, which ends if no agent can have been missed.
     fn on_lost<'a>(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'a>> {
         let Some(locating) = self.locating_mut(flow) else {
             return Vec::new();
@@ -405,39 +419,49 @@
             asked: locating.asked.len(),
             silent: locating.pending.len(),
         };
-        vec![Action::Record(event), Action::ReadList]
+        let mut actions = vec![Action::Record(event)];
+        if self.is_list_current(flow) {
+            actions.extend(self.end_unless_missed(flow, now));
+        } else {
+            actions.push(Action::ReadList);
+        }
+        actions
     }
 
-    /// Notes that all changes of the list of agents before `as_of` are taken in. Flows that were
-    /// lost before are reset, so that their callers open others at once; those for which another
+    /// Notes that all changes of the list of agents before `as_of` are taken in. Lost flows whose
+    /// search began before are reset, so that their callers open others at once; those for which another
     /// agent turned up are looked for there.
     pub fn on_list_read(&mut self, as_of: Instant, now: Instant) -> Vec<Action<'static>> {
+        self.list_as_of = self.list_as_of.max(Some(as_of));
         let mut actions = Vec::new();
         for flow in self.flows.unsettled() {
             let Some(locating) = self.locating(flow) else {
                 continue;
             };
-            let Progress::Lost { since } = locating.progress else {
-                continue;
-            };
-            if since > as_of {
+            if !matches!(locating.progress, Progress::Lost { .. }) || locating.began_at > as_of {
                 continue;
             }
-            let is_missed = |agent: &KnownAgent| !locating.asked.contains(&agent.record.address);
-            let has_missed = self.directory.all().any(is_missed);
-            if has_missed {
-                if let Some(locating) = self.locating_mut(flow) {
-                    locating.progress = Progress::Asking;
-                }
-                actions.extend(self.ask_stage(flow, now));
-            } else {
-                actions.extend(self.end(flow));
-            }
+            actions.extend(self.end_unless_missed(flow, now));
         }
         actions
     }
 
-    fn end(&mut self, flow: FlowKey) -> Vec<Action<'static>> {
+    /// Ends a lost flow, or goes on with its search if agents turned up that were not asked.
+    fn end_unless_missed<'a>(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'a>> {
+        let Some(locating) = self.locating(flow) else {
+            return Vec::new();
+        };
+        let is_missed = |agent: &KnownAgent| !locating.asked.contains(&agent.record.address);
+        if !self.directory.all().any(is_missed) {
+            return self.end(flow);
+        }
+        if let Some(locating) = self.locating_mut(flow) {
+            locating.progress = Progress::Asking;
+        }
+        self.ask_stage(flow, now)
+    }
+
+    fn end<'a>(&mut self, flow: FlowKey) -> Vec<Action<'a>> {
         let Some(FlowState::Locating(locating)) = self.flows.remove(&flow) else {
             return Vec::new();
         };
--- a/crates/cranberrypitch-core/tests/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/tests/flow/dispatcher.rs
@@ -222,6 +222,30 @@
     assert_eq!(resets(&actions), 1);
 }
 
+/// Recovery: after a loss of power callers of hundreds of ended flows wait for a reset. The list is read
+/// while agents are still asked; it was read only after them, which took another 60 to 160 ms.
+#[test]
+fn list_is_read_while_agents_are_asked() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(local_records(6), now);
+    send(&mut dispatcher, flow(1), now);
+    let disown = |dispatcher: &mut Dispatcher, number| {
+        let agent = agent_address(number);
+        dispatcher.on_located(agent, flow(1), LocateAnswer::NotHeld, now)
+    };
+    let mut reads = 0;
+    for number in 1..=6 {
+        reads += usize::from(disown(&mut dispatcher, number).contains(&Action::ReadList));
+    }
+    assert_eq!(
+        reads, 1,
+        "the first four agents of the order are asked before all others"
+    );
+    assert_eq!(resets(&dispatcher.on_list_read(now, now)), 0);
+    let ended: usize = (1..=6).map(|n| resets(&disown(&mut dispatcher, n))).sum();
+    assert_eq!(ended, 1);
+}
+
 /// An agent that turns up in the list is asked before the flow ends.
 #[test]
 fn new_agent_is_asked_before_a_reset() {
