Tell by a target's start whether it is older than its agent

Cause: when power returns, targets start 20 to 50 ms before their agents, and their first report that arrives is the second or third. An agent that was killed within 1.5 s of its target's start made the opposite mistake. Change: the target's own start is compared with the agent's, with a margin of 250 ms. The tests of restarted agents, which used a high report number for an older target, now start the agent 10 s after it. Result: target_that_started_with_its_agent_holds_no_unknown_flow and target_that_is_older_by_a_second_may_hold_unknown_flows failed before.

--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -98,6 +98,8 @@
     pub failure_domain: FailureDomain,
     /// The run of the agent.
     pub incarnation: Incarnation,
+    /// When the agent started, in milliseconds of Unix time, by the clock of the VM.
+    pub started_unix_ms: u64,
     /// Balancers that may be there, for an agent that can't register.
     pub seed_balancers: Box<[SocketAddrV4]>,
 }
@@ -224,7 +226,9 @@
             return Vec::new();
         }
         // A target that was there before the agent holds flows that the agent has not seen.
-        let target = TargetRun::new(report, self.target.is_none(), now);
+        let is_first = self.target.is_none();
+        let agent_started = is_first.then_some(self.identity.started_unix_ms);
+        let target = TargetRun::new(report, agent_started, now);
         if let Some(earlier) = self.target.replace(target) {
             self.meter = LoadMeter::new(now);
             self.answers.note_restart(now);
--- a/crates/cranberrypitch-core/src/flow/endpoint/run.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/run.rs
@@ -6,8 +6,9 @@
 use crate::target::TargetState;
 use crate::units::Slots;
 
-/// Reports with a number up to this come from a target that has just started.
-const FIRST_REPORTS: u64 = 2;
+/// The time by which a target that started with its VM may be ahead of its agent. An agent that is
+/// killed is back later than this, so no earlier run of it can have opened flows there.
+const START_MARGIN_MS: u64 = 250;
 
 /// A status report of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,11 +39,16 @@
 }
 
 impl TargetRun {
-    /// Returns the run that a first report tells of. `may_be_older` says whether the target may have
-    /// started before its agent.
-    pub(super) fn new(report: StatusReport, may_be_older: bool, now: Instant) -> Self {
+    /// Returns the run that a first report tells of. `agent_started_unix_ms` is when its agent started,
+    /// if that may be later.
+    pub(super) fn new(
+        report: StatusReport,
+        agent_started_unix_ms: Option<u64>,
+        now: Instant,
+    ) -> Self {
+        let latest_start = report.started_unix_ms.saturating_add(START_MARGIN_MS);
         Self {
-            is_inherited: may_be_older && report.sequence > FIRST_REPORTS,
+            is_inherited: agent_started_unix_ms.is_some_and(|started| latest_start < started),
             report,
             heard_at: now,
             gone_at: None,
--- a/crates/cranberrypitch-core/tests/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/tests/flow/endpoint.rs
@@ -14,11 +14,21 @@
 };
 
 pub(crate) fn endpoint(now: Instant) -> Endpoint {
+    endpoint_started(0, now)
+}
+
+/// Returns the endpoint of an agent that starts 10 s after `status("i-1", 1, ..)`.
+fn restarted_endpoint(now: Instant) -> Endpoint {
+    endpoint_started(10_000, now)
+}
+
+fn endpoint_started(started_unix_ms: u64, now: Instant) -> Endpoint {
     let identity = Identity {
         address: agent_address(1),
         service: service("matcher"),
         failure_domain: domain("a"),
         incarnation: Incarnation::new(1),
+        started_unix_ms,
         seed_balancers: Box::new([balancer_address(8), balancer_address(9)]),
     };
     Endpoint::new(EndpointOptions::default(), identity, now)
@@ -206,11 +216,32 @@
     );
 }
 
+/// Recovery: targets start some 20 to 50 ms before their agents when power returns, and their first
+/// report that arrives is the second or third. Agents took such targets for older ones, and packets of
+/// all ended flows went to 23 of 57 targets, which returned them.
+#[test]
+fn target_that_started_with_its_agent_holds_no_unknown_flow() {
+    let now = Instant::now();
+    let mut endpoint = restarted_endpoint(now);
+    endpoint.on_status(status("i-1", 9_952, 3), now);
+    assert_eq!(locate(&mut endpoint, 1, 5001, now), LocateAnswer::NotHeld);
+}
+
+/// An agent that is killed soon after its target started gets an early report as its first one, and the
+/// target holds flows from before.
+#[test]
+fn target_that_is_older_by_a_second_may_hold_unknown_flows() {
+    let now = Instant::now();
+    let mut endpoint = restarted_endpoint(now);
+    endpoint.on_status(status("i-1", 9_000, 2), now);
+    assert_eq!(locate(&mut endpoint, 1, 5001, now), LocateAnswer::Unknown);
+}
+
 /// An agent that started beside a living target passes unknown packets to it: the target knows.
 #[test]
 fn restarted_agent_lets_its_target_decide() {
     let now = Instant::now();
-    let mut endpoint = endpoint(now);
+    let mut endpoint = restarted_endpoint(now);
     endpoint.on_status(status("i-1", 1, 40), now);
     assert_eq!(locate(&mut endpoint, 1, 5001, now), LocateAnswer::Unknown);
     assert_eq!(forward(&mut endpoint, 1, 5001, now), "target");
@@ -231,7 +262,7 @@
 #[test]
 fn flow_that_is_not_returned_is_presumed_held() {
     let now = Instant::now();
-    let mut endpoint = endpoint(now);
+    let mut endpoint = restarted_endpoint(now);
     endpoint.on_status(status("i-1", 1, 40), now);
     assert_eq!(forward(&mut endpoint, 1, 5001, now), "target");
     let later = now + Duration::from_millis(100);
@@ -249,7 +280,7 @@
 #[test]
 fn restarted_agent_is_sure_after_the_life_of_a_flow() {
     let now = Instant::now();
-    let mut endpoint = endpoint(now);
+    let mut endpoint = restarted_endpoint(now);
     endpoint.on_status(status("i-1", 1, 40), now);
     let later = now + Duration::from_mins(1);
     assert_eq!(locate(&mut endpoint, 1, 5001, later), LocateAnswer::NotHeld);
@@ -640,7 +671,7 @@
 #[test]
 fn returned_packet_for_another_target_is_no_end() {
     let now = Instant::now();
-    let mut endpoint = endpoint(now);
+    let mut endpoint = restarted_endpoint(now);
     endpoint.on_status(status("i-1", 1, 40), now);
     open(&mut endpoint, 1, now);
     assert_eq!(forward(&mut endpoint, 1, 900_000, now), "target");
--- a/crates/cranberrypitch-core/tests/flow/world.rs
+++ b/crates/cranberrypitch-core/tests/flow/world.rs
@@ -92,12 +92,16 @@
     runs: u64,
 }
 
+/// The time between two starts of agents or targets, in milliseconds.
+const RUN_MS: u64 = 1000;
+
 fn endpoint(index: u8, run: u64, now: Instant) -> Endpoint {
     let identity = Identity {
         address: agent_address(index),
         service: service("matcher"),
         failure_domain: domain("a"),
         incarnation: Incarnation::new(run),
+        started_unix_ms: run * RUN_MS,
         seed_balancers: Box::default(),
     };
     Endpoint::new(EndpointOptions::default(), identity, now)
@@ -196,7 +200,7 @@
     fn report_status(&mut self, index: u8) {
         let agent = self.agents.get_mut(&index).unwrap();
         agent.target.sequence += 1;
-        let report = status("i-1", agent.target.run, agent.target.sequence);
+        let report = status("i-1", agent.target.run * RUN_MS, agent.target.sequence);
         let actions = agent.endpoint.on_status(report, self.now);
         self.perform(agent_address(index), actions);
     }
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use bytes::Bytes;
 use cranberrypitch_core::Clock;
@@ -54,6 +54,7 @@
         service: target.service.clone(),
         failure_domain: settings.failure_domain.clone(),
         incarnation: new_incarnation(&*startup.clock),
+        started_unix_ms: unix_ms(&*startup.clock),
         seed_balancers: settings.seed_balancers(),
     };
     let endpoint = Endpoint::new(endpoint_options(settings), identity, now);
@@ -325,8 +326,18 @@
         }
     };
     let actions: Vec<Action<'_>> = match message {
-        Message::Open { service, .. } => endpoint.on_open(balancer, *service, &head, packet, now),
+        Message::Open {
+            service,
+            expected_requests,
+            ..
+        } => endpoint.on_open(balancer, *service, *expected_requests, &head, packet, now),
         _ => endpoint.on_forward(balancer, &head, packet, now),
     };
     outlet.perform_for::<P>(packet, actions, now);
 }
+
+/// Returns the time of day in milliseconds of Unix time, as targets report their starts.
+fn unix_ms(clock: &dyn Clock) -> u64 {
+    let elapsed = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
