Gather wide questions for lost flows into one message an agent

Cause: after a loss of power every packet of a caller is for a flow that no agent holds, and a balancer asked each of 57 agents in a datagram of its own, up to 600 at once. The agents of other services were asked after those of the own one had answered. Change: wide questions are gathered until the next tick, 20 ms at most, and an agent gets those for several flows in one message and answers in one. Agents of other services are asked together with those of the own; what they can't tell counts only in their stage, as before. The limit is 12,000 questions of 16 bytes a second in place of 4,000 of 46.

--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -263,6 +263,7 @@
         for flow in self.flows.unsettled() {
             actions.extend(self.on_unsettled(flow, now));
         }
+        actions.extend(self.ask_gathered(now));
         let lifetime = self.options.flow_lifetime.max(self.routes.idle_timeout());
         self.flows.sweep(lifetime, now);
         actions
--- a/crates/cranberrypitch-core/src/flow/dispatcher/budget.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/budget.rs
@@ -1,20 +1,26 @@
 //! The questions that a balancer may ask far and wide.
 
+use std::net::SocketAddrV4;
 use std::time::Instant;
 
-/// Questions a second. A question and its answer take about 150 bytes on the wire, so they use up to
-/// half of a link of 10 Mbit/s, the slowest in use.
-const PER_SECOND: f64 = 4000.0;
+use crate::collections::FastMap;
+use crate::flow::message::LocateQuestion;
 
-/// Questions that may be asked at once.
-const BURST: f64 = 600.0;
+/// Questions a second. A gathered question takes 16 bytes and its answer 13, so they use up to a fifth
+/// of a link of 10 Mbit/s, the slowest in use.
+const PER_SECOND: f64 = 12_000.0;
 
-/// Limits the questions for flows that are at none of the first agents of their order. After a loss
-/// of power every flow is such a flow, and questions without a limit filled the links of balancers.
+/// Questions that may be asked at once; they hold up other packets on such a link for 20 ms.
+const BURST: f64 = 1500.0;
+
+/// Limits and gathers the questions for flows that are at none of the first agents of their order. After
+/// a loss of power every flow is such a flow. Questions without a limit filled the links of balancers,
+/// and a datagram for each took most of their processor time.
 #[derive(Debug)]
 pub(super) struct QuestionBudget {
     available: f64,
     filled_at: Option<Instant>,
+    gathered: FastMap<SocketAddrV4, Vec<LocateQuestion>>,
 }
 
 impl Default for QuestionBudget {
@@ -22,6 +28,7 @@
         Self {
             available: BURST,
             filled_at: None,
+            gathered: FastMap::default(),
         }
     }
 }
@@ -42,4 +49,18 @@
         }
         may_ask
     }
+
+    /// Notes a question to several agents, to be asked with others.
+    pub(super) fn gather(&mut self, agents: &[SocketAddrV4], question: LocateQuestion) {
+        for agent in agents {
+            self.gathered.entry(*agent).or_default().push(question);
+        }
+    }
+
+    /// Returns the gathered questions by agent.
+    pub(super) fn take_gathered(
+        &mut self,
+    ) -> impl Iterator<Item = (SocketAddrV4, Vec<LocateQuestion>)> + use<> {
+        std::mem::take(&mut self.gathered).into_iter()
+    }
 }
--- a/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/locating.rs
@@ -12,7 +12,7 @@
 use crate::collections::FastSet;
 use crate::flow::directory::KnownAgent;
 use crate::flow::event::{DropCause, FlowEvent, ResetCause};
-use crate::flow::message::{Action, LocateAnswer, Message, dropped, reset};
+use crate::flow::message::{Action, LocateAnswer, LocateQuestion, Message, dropped, reset};
 use crate::flow::packet::{FlowKey, PacketFlags, PacketHead};
 use crate::flow::rendezvous;
 
@@ -26,6 +26,9 @@
 /// as an agent may have been added since.
 const FIRST_AGENTS: usize = 4;
 
+/// Questions in one message at most, which fit a datagram of 1,200 bytes.
+const MAX_QUESTIONS: usize = 64;
+
 /// Which agents are asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -76,6 +79,8 @@
     pending: FastSet<SocketAddrV4>,
     /// Agents that can't tell, and get the packets until their target returns one.
     unsure: Vec<SocketAddrV4>,
+    /// Agents that were asked ahead of their stage, as an answer takes as long as the stage before.
+    ahead: FastSet<SocketAddrV4>,
     began_at: Instant,
     asked_at: Instant,
     progress: Progress,
@@ -90,6 +95,7 @@
             asked: FastSet::default(),
             pending: FastSet::default(),
             unsure: Vec::new(),
+            ahead: FastSet::default(),
             began_at: now,
             asked_at: now,
             progress: Progress::Asking,
@@ -126,6 +132,25 @@
         has_room
     }
 
+    /// Adds the agents of a stage to those that are asked. Returns whether one is new.
+    fn begin_stage(&mut self, agents: &[SocketAddrV4]) -> bool {
+        let mut has_new = false;
+        for agent in agents {
+            self.ahead.remove(agent);
+            if self.asked.insert(*agent) {
+                self.pending.insert(*agent);
+                has_new = true;
+            }
+        }
+        has_new
+    }
+
+    /// Returns the agents that can't tell, without those of a later stage.
+    fn unsure_of_stage(&self) -> Vec<SocketAddrV4> {
+        let unsure = self.unsure.iter().copied();
+        unsure.filter(|agent| !self.ahead.contains(agent)).collect()
+    }
+
     fn exclude(&mut self, agent: SocketAddrV4) {
         self.pending.remove(&agent);
         self.unsure.retain(|unsure| *unsure != agent);
@@ -163,11 +188,7 @@
             let Some(locating) = self.locating_mut(flow) else {
                 return actions;
             };
-            for agent in agents {
-                if locating.asked.insert(agent) {
-                    locating.pending.insert(agent);
-                }
-            }
+            let has_new = locating.begin_stage(&agents);
             let next = stage.next();
             if !self.is_waiting(flow, now)
                 && let Some(next) = next
@@ -176,7 +197,16 @@
                 locating.stage = next;
                 continue;
             }
-            actions.extend(self.ask_pending(flow, now));
+            if stage == Stage::Service {
+                self.add_ahead(flow);
+            }
+            // Agents that were asked ahead need no second question yet.
+            let is_due = |locating: &Locating| {
+                locating.is_overdue(self.options.locate_timeout, now) || stage != Stage::All
+            };
+            if has_new || self.locating(flow).is_some_and(is_due) {
+                actions.extend(self.ask_pending(flow, now));
+            }
             if stage.is_wide() && !self.is_list_current(flow) {
                 actions.push(Action::ReadList);
             }
@@ -192,8 +222,23 @@
         let timeout = self.options.locate_timeout;
         let is_awaited =
             |agent: &SocketAddrV4| !self.liveness.is_unresponsive(*agent, timeout, now);
-        let locating = self.locating(flow);
-        locating.is_some_and(|locating| locating.pending.iter().any(is_awaited))
+        self.locating(flow).is_some_and(|locating| {
+            let mut of_stage = locating.pending.difference(&locating.ahead);
+            of_stage.any(is_awaited)
+        })
+    }
+
+    /// Adds the agents of the last stage to those that are asked.
+    fn add_ahead(&mut self, flow: FlowKey) {
+        let agents = self.agents_of(Stage::All, &flow);
+        if let Some(locating) = self.locating_mut(flow) {
+            for agent in agents {
+                if locating.asked.insert(agent) {
+                    locating.pending.insert(agent);
+                    locating.ahead.insert(agent);
+                }
+            }
+        }
     }
 
     fn agents_of(&self, stage: Stage, flow: &FlowKey) -> Vec<SocketAddrV4> {
@@ -223,15 +268,17 @@
         };
         locating.asked_at = now;
         let is_wide = locating.stage.is_wide();
-        let (count, message) = (locating.pending.len(), Message::locate(&locating.head));
-        // What may not be asked now is asked once the answers are overdue.
-        if is_wide && !self.questions.take(count, now) {
+        let message = Message::locate(&locating.head);
+        let acknowledged = locating.head.acknowledged;
+        let pending: Vec<_> = locating.pending.iter().copied().collect();
+        if is_wide {
+            // What may not be asked now is asked once the answers are overdue.
+            if self.questions.take(pending.len(), now) {
+                let question = LocateQuestion { flow, acknowledged };
+                self.questions.gather(&pending, question);
+            }
             return Vec::new();
         }
-        let Some(locating) = self.locating(flow) else {
-            return Vec::new();
-        };
-        let pending: Vec<_> = locating.pending.iter().copied().collect();
         let ask = |agent| {
             self.liveness.on_asked(agent, timeout, now);
             Action::send(agent, message.clone())
@@ -239,6 +286,19 @@
         pending.into_iter().map(ask).collect()
     }
 
+    /// Asks the questions that were gathered, those to one agent in one message.
+    pub(super) fn ask_gathered(&mut self, now: Instant) -> Vec<Action<'static>> {
+        let timeout = self.options.locate_timeout;
+        let mut actions = Vec::new();
+        for (agent, questions) in self.questions.take_gathered() {
+            self.liveness.on_asked(agent, timeout, now);
+            let messages = questions.chunks(MAX_QUESTIONS);
+            let ask = |questions: &[_]| Action::send(agent, Message::LocateAll(questions.into()));
+            actions.extend(messages.map(ask));
+        }
+        actions
+    }
+
     /// Takes in an agent's answer to a question for a flow.
     pub fn on_located(
         &mut self,
@@ -300,7 +360,7 @@
         locating.exclude(agent);
         locating.hold(packet);
         let is_unsure = matches!(locating.progress, Progress::Unsure { .. });
-        if is_unsure && locating.unsure.is_empty() {
+        if is_unsure && locating.unsure_of_stage().is_empty() {
             return self.ask_next_stage(flow, now);
         }
         self.conclude(flow, now)
@@ -334,12 +394,12 @@
         let Some(locating) = self.locating_mut(flow) else {
             return Vec::new();
         };
-        if locating.unsure.is_empty() {
+        let unsure = locating.unsure_of_stage();
+        if unsure.is_empty() {
             return self.ask_next_stage(flow, now);
         }
         locating.progress = Progress::Unsure { since: now };
         let held = std::mem::take(&mut locating.held);
-        let unsure = &locating.unsure;
         let copies = |packet: Box<[u8]>| {
             let to_agent = move |agent: &SocketAddrV4| forward_held(*agent, packet.clone());
             unsure.iter().map(to_agent)
@@ -389,8 +449,9 @@
                 let message = Message::Forward {
                     packet: Cow::Borrowed(packet),
                 };
-                let unsure = locating.unsure.iter();
+                let unsure = locating.unsure_of_stage();
                 unsure
+                    .iter()
                     .map(|agent| Action::send(*agent, message.clone()))
                     .collect()
             }
--- a/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
@@ -19,6 +19,10 @@
 /// so more rarely find a better target.
 pub const MAX_DECLINES: u32 = 2;
 
+/// How long an agent that keeps an opening packet may leave it without a further answer; agents answer
+/// within half of this.
+const WAITING_TIME: Duration = Duration::from_millis(800);
+
 /// Doublings of the time for an answer at most.
 const MAX_DOUBLINGS: u32 = 4;
 
@@ -83,6 +87,17 @@
         }
     }
 
+    /// Notes that a flow waits for a slot at its agent, which says what becomes of it.
+    pub fn on_waiting(&mut self, agent: SocketAddrV4, flow: FlowKey, now: Instant) {
+        self.on_heard(agent, now);
+        if let Some(entry) = self.flows.get_mut(&flow)
+            && let FlowState::Opening(opening) = &mut entry.state
+            && opening.target == Some(agent)
+        {
+            opening.sent_at = now + WAITING_TIME;
+        }
+    }
+
     /// Notes that an agent did not open a flow, and tries the next one.
     pub fn on_refused(
         &mut self,
@@ -99,6 +114,9 @@
             let is_current = opening.target == Some(agent);
             if cause == RefusalCause::Busier {
                 opening.declines += 1;
+            } else if cause == RefusalCause::Overloaded {
+                actions.extend(self.give_up(flow, ResetCause::Overloaded));
+                return actions;
             } else if !opening.tried.contains(&agent) {
                 opening.tried.push(agent);
             }
@@ -197,19 +215,23 @@
             opening.target = None;
             return Vec::new();
         }
-        let (head, is_first_copy) = (opening.head, opening.is_first_copy());
-        self.flows.remove(&flow);
-        // Another balancer may have opened the flow with an earlier copy.
-        let mut actions = if is_first_copy {
-            reset(&head, ResetCause::NoTarget)
-        } else {
-            dropped(flow, DropCause::NotFound)
-        };
+        let mut actions = self.give_up(flow, ResetCause::NoTarget);
         // A target may have been added that the list does not show yet.
         actions.push(Action::ReadList);
         actions
     }
 
+    /// Tells the caller of a flow that opens to come back, if no other balancer can have opened it with
+    /// an earlier copy of the packet.
+    fn give_up(&mut self, flow: FlowKey, cause: ResetCause) -> Vec<Action<'static>> {
+        match self.flows.remove(&flow) {
+            Some(FlowState::Opening(opening)) if opening.is_first_copy() => {
+                reset(&opening.head, cause)
+            }
+            _ => dropped(flow, DropCause::NotFound),
+        }
+    }
+
     fn choose(&mut self, flow: FlowKey, now: Instant) -> Option<Pick> {
         let FlowState::Opening(opening) = &self.flows.get(&flow)?.state else {
             return None;
--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -366,13 +366,35 @@
         now: Instant,
     ) -> Vec<Action<'static>> {
         self.heard(balancer, now);
+        let answer = self.located(&flow, acknowledged, now);
+        vec![Action::send(balancer, Message::Located { flow, answer })]
+    }
+
+    /// Answers a balancer that looks for several flows.
+    pub fn on_locate_all(
+        &mut self,
+        balancer: SocketAddrV4,
+        questions: &[LocateQuestion],
+        now: Instant,
+    ) -> Vec<Action<'static>> {
+        self.heard(balancer, now);
+        let answers = questions
+            .iter()
+            .map(|question| {
+                let answer = self.located(&question.flow, question.acknowledged, now);
+                (question.flow, answer)
+            })
+            .collect();
+        vec![Action::send(balancer, Message::LocatedAll(answers))]
+    }
+
+    fn located(&self, flow: &FlowKey, acknowledged: u32, now: Instant) -> LocateAnswer {
         // The agent resets a flow of an earlier run of the target at its next packet.
-        let answer = if self.flows.is_orphan(&flow, acknowledged) {
+        if self.flows.is_orphan(flow, acknowledged) {
             LocateAnswer::Held
         } else {
-            self.holding(&flow, acknowledged, now)
-        };
-        vec![Action::send(balancer, Message::Located { flow, answer })]
+            self.holding(flow, acknowledged, now)
+        }
     }
 
     /// Takes in a packet that the target sent.
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -19,6 +19,9 @@
     /// No target takes the new flow.
     #[display("no target")]
     NoTarget,
+    /// The targets have too much to do.
+    #[display("overloaded")]
+    Overloaded,
     /// The target of the flow is gone.
     #[display("target gone")]
     TargetGone,
--- a/crates/cranberrypitch-core/src/flow/message.rs
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -29,6 +29,9 @@
     /// The target runs more requests than the balancer expected.
     #[display("busier than expected")]
     Busier,
+    /// The opening packet waited too long for a slot of the target.
+    #[display("overloaded")]
+    Overloaded,
 }
 
 /// What an agent knows of a flow that a balancer looks for.
@@ -45,6 +48,15 @@
     Unknown,
 }
 
+/// The question whether a target holds a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LocateQuestion {
+    /// The flow.
+    pub flow: FlowKey,
+    /// The sequence number that the caller acknowledged.
+    pub acknowledged: u32,
+}
+
 /// A message between a balancer and an agent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Message<'a> {
@@ -71,11 +83,20 @@
         /// from one that another target accepted.
         acknowledged: u32,
     },
+    /// Balancer to agent: which of these flows does the target hold?
+    LocateAll(Box<[LocateQuestion]>),
+    /// Agent to balancer: the answers to a [`Message::LocateAll`].
+    LocatedAll(Box<[(FlowKey, LocateAnswer)]>),
     /// Agent to balancer: the target accepted the flow.
     Accepted {
         /// The flow.
         flow: FlowKey,
     },
+    /// Agent to balancer: the opening packet waits for a slot of the target.
+    Waiting {
+        /// The flow.
+        flow: FlowKey,
+    },
     /// Agent to balancer: the flow was not opened.
     Refused {
         /// The flow.
--- a/crates/cranberrypitch-core/tests/flow/world.rs
+++ b/crates/cranberrypitch-core/tests/flow/world.rs
@@ -125,6 +125,9 @@
             packet: packet.into_owned().into(),
         },
         Message::Locate { flow, acknowledged } => Message::Locate { flow, acknowledged },
+        Message::LocateAll(questions) => Message::LocateAll(questions),
+        Message::LocatedAll(answers) => Message::LocatedAll(answers),
+        Message::Waiting { flow } => Message::Waiting { flow },
         Message::Accepted { flow } => Message::Accepted { flow },
         Message::Refused { flow, cause } => Message::Refused { flow, cause },
         Message::Located { flow, answer } => Message::Located { flow, answer },
@@ -287,6 +290,14 @@
                 dispatcher.on_accepted(from, flow, now);
                 Vec::new()
             }
+            Message::Waiting { flow } => {
+                dispatcher.on_waiting(from, flow, now);
+                Vec::new()
+            }
+            Message::LocatedAll(answers) => answers
+                .iter()
+                .flat_map(|(flow, answer)| dispatcher.on_located(from, *flow, *answer, now))
+                .collect(),
             Message::Refused { flow, cause } => dispatcher.on_refused(from, flow, cause, now),
             Message::Located { flow, answer } => dispatcher.on_located(from, flow, answer, now),
             Message::Returned { packet } => {
@@ -318,6 +329,7 @@
             Message::Locate { flow, acknowledged } => {
                 endpoint.on_locate(from, *flow, *acknowledged, now)
             }
+            Message::LocateAll(questions) => endpoint.on_locate_all(from, questions, now),
             other => panic!("{other:?}"),
         };
         self.perform(agent_address(index), actions);
--- a/crates/cranberrypitch-proto/src/relay.rs
+++ b/crates/cranberrypitch-proto/src/relay.rs
@@ -9,7 +9,7 @@
 
 use bytes::{Buf, BufMut};
 use cranberrypitch_core::flow::{
-    AgentLoad, AgentRecord, FlowKey, LocateAnswer, Message, RefusalCause,
+    AgentLoad, AgentRecord, FlowKey, LocateAnswer, LocateQuestion, Message, RefusalCause,
 };
 use cranberrypitch_core::{
     FailureDomain, Incarnation, ServiceName, ServiceTag, Slots, TargetState,
@@ -34,13 +34,13 @@
 const AGENTS: u8 = 9;
 const ASK_BALANCERS: u8 = 10;
 const BALANCERS: u8 = 11;
+const WAITING: u8 = 12;
+const LOCATE_ALL: u8 = 13;
+const LOCATED_ALL: u8 = 14;
 
 /// The number of expected requests that stands for any number.
 const ANY_REQUESTS: u16 = u16::MAX;
 
-/// The bytes of an address.
-const ADDRESS_BYTES: usize = 6;
-
 /// Writes a message over the content of `datagram`.
 pub fn encode(message: &Message<'_>, datagram: &mut Vec<u8>) {
     datagram.clear();
@@ -65,10 +65,28 @@
             put_flow(datagram, flow);
             datagram.put_u32(*acknowledged);
         }
+        Message::LocateAll(questions) => {
+            datagram.put_u8(LOCATE_ALL);
+            for question in questions {
+                put_flow(datagram, &question.flow);
+                datagram.put_u32(question.acknowledged);
+            }
+        }
+        Message::LocatedAll(answers) => {
+            datagram.put_u8(LOCATED_ALL);
+            for (flow, answer) in answers {
+                put_flow(datagram, flow);
+                datagram.put_u8(answer_code(*answer));
+            }
+        }
         Message::Accepted { flow } => {
             datagram.put_u8(ACCEPTED);
             put_flow(datagram, flow);
         }
+        Message::Waiting { flow } => {
+            datagram.put_u8(WAITING);
+            put_flow(datagram, flow);
+        }
         Message::Refused { flow, cause } => {
             datagram.put_u8(REFUSED);
             put_flow(datagram, flow);
@@ -123,9 +141,21 @@
             flow: reader.flow()?,
             acknowledged: reader.u32()?,
         },
+        LOCATE_ALL => Message::LocateAll(reader.all(|reader| {
+            Ok(LocateQuestion {
+                flow: reader.flow()?,
+                acknowledged: reader.u32()?,
+            })
+        })?),
+        LOCATED_ALL => Message::LocatedAll(
+            reader.all(|reader| Ok((reader.flow()?, locate_answer(reader.u8()?)?)))?,
+        ),
         ACCEPTED => Message::Accepted {
             flow: reader.flow()?,
         },
+        WAITING => Message::Waiting {
+            flow: reader.flow()?,
+        },
         REFUSED => Message::Refused {
             flow: reader.flow()?,
             cause: refusal_cause(reader.u8()?)?,
@@ -138,9 +168,9 @@
             packet: reader.rest(),
         },
         REPORT => reader.report()?,
-        AGENTS => Message::Agents(reader.addresses()?),
+        AGENTS => Message::Agents(reader.all(Reader::address)?),
         ASK_BALANCERS => Message::AskBalancers,
-        BALANCERS => Message::Balancers(reader.addresses()?),
+        BALANCERS => Message::Balancers(reader.all(Reader::address)?),
         kind => return Err(Error::UnknownKind { kind }),
     };
     reader.finish()?;
@@ -207,10 +237,13 @@
         Ok(SocketAddrV4::new(ip, self.u16()?))
     }
 
-    /// Returns the addresses that are left.
-    fn addresses(&mut self) -> Result<Box<[SocketAddrV4]>> {
-        let count = self.0.len().div_ceil(ADDRESS_BYTES);
-        (0..count).map(|_| self.address()).collect()
+    /// Reads items until nothing is left.
+    fn all<T>(&mut self, read: impl Fn(&mut Self) -> Result<T>) -> Result<Box<[T]>> {
+        let mut items = Vec::new();
+        while !self.0.is_empty() {
+            items.push(read(self)?);
+        }
+        Ok(items.into())
     }
 
     fn flow(&mut self) -> Result<FlowKey> {
@@ -280,6 +313,7 @@
         RefusalCause::TargetSilent => 3,
         RefusalCause::TargetFull => 4,
         RefusalCause::Busier => 5,
+        RefusalCause::Overloaded => 6,
     }
 }
 
@@ -290,6 +324,7 @@
         3 => RefusalCause::TargetSilent,
         4 => RefusalCause::TargetFull,
         5 => RefusalCause::Busier,
+        6 => RefusalCause::Overloaded,
         _ => return Err(malformed(&format!("refusal cause {code}"))),
     })
 }
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -303,6 +303,10 @@
             let actions = endpoint.on_locate(balancer, *flow, *acknowledged, now);
             return outlet.perform::<P>(actions, now);
         }
+        Message::LocateAll(questions) => {
+            let actions = endpoint.on_locate_all(balancer, questions, now);
+            return outlet.perform::<P>(actions, now);
+        }
         Message::Agents(agents) => {
             return outlet.perform::<P>(endpoint.on_agents(agents), now);
         }
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -310,8 +310,16 @@
             dispatcher.on_accepted(agent, flow, now);
             Vec::new()
         }
+        Message::Waiting { flow } => {
+            dispatcher.on_waiting(agent, flow, now);
+            Vec::new()
+        }
         Message::Refused { flow, cause } => dispatcher.on_refused(agent, flow, cause, now),
         Message::Located { flow, answer } => dispatcher.on_located(agent, flow, answer, now),
+        Message::LocatedAll(answers) => answers
+            .iter()
+            .flat_map(|(flow, answer)| dispatcher.on_located(agent, *flow, *answer, now))
+            .collect(),
         Message::Returned { packet } => match P::read_head(&packet) {
             Ok(head) => dispatcher.on_returned(agent, &head, &packet, now),
             Err(error) => {
@@ -325,6 +333,7 @@
         Message::Open { .. }
         | Message::Forward { .. }
         | Message::Locate { .. }
+        | Message::LocateAll(_)
         | Message::Agents(_)
         | Message::AskBalancers
         | Message::Balancers(_)
