--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -73,6 +73,8 @@
     liveness: Liveness,
     questions: QuestionBudget,
     early: EarlyPackets,
+    /// Whether the store's list of agents was read, at least once.
+    has_list: bool,
     /// All changes of the list of agents before this time are taken in.
     list_as_of: Option<Instant>,
 }
@@ -89,6 +91,7 @@
             liveness: Liveness::default(),
             questions: QuestionBudget::default(),
             early: EarlyPackets::default(),
+            has_list: false,
             list_as_of: None,
         }
     }
@@ -167,12 +170,37 @@
 
     /// Takes in the store's whole list of agents.
     pub fn on_list(&mut self, records: Vec<AgentRecord>, now: Instant) -> Vec<Action<'static>> {
+        self.has_list = true;
+        self.take_list(records, now)
+    }
+
+    fn take_list(&mut self, records: Vec<AgentRecord>, now: Instant) -> Vec<Action<'static>> {
         let changed = self.directory.on_list(records, now);
         let mut actions: Vec<_> = changed.iter().map(target_changed).collect();
         actions.extend(self.place_waiting(now));
         actions
     }
 
+    /// Takes in the agents that another balancer knows, while the store does not answer. Agents that are
+    /// known stay as they are, as the other balancer may know less of them.
+    pub fn on_snapshot(&mut self, records: Vec<AgentRecord>, now: Instant) -> Vec<Action<'static>> {
+        if !self.directory.is_complete() {
+            return self.take_list(records, now);
+        }
+        let is_unknown = |record: &AgentRecord| self.directory.agent(record.address).is_none();
+        let unknown: Vec<_> = records.into_iter().filter(is_unknown).collect();
+        unknown
+            .iter()
+            .flat_map(|record| self.on_registered(record, now))
+            .collect()
+    }
+
+    /// Returns the agents for a balancer that starts while the store does not answer, or nothing while
+    /// this one does not know them itself.
+    pub fn snapshot(&self) -> Option<Vec<AgentRecord>> {
+        self.is_ready().then(|| self.directory.records())
+    }
+
     /// Takes in one registration of the store.
     pub fn on_registered(&mut self, record: &AgentRecord, now: Instant) -> Vec<Action<'static>> {
         if !self.directory.on_registered(record.clone(), now) {
--- a/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
@@ -204,7 +204,8 @@
         if let Some(pick) = self.choose(flow, now) {
             return self.open_at(pick, flow, now);
         }
-        let may_wait = !self.directory.is_complete() && self.flows.unsettled_len() <= MAX_WAITING;
+        // Before the store's list was read, targets may be there that no other balancer told of.
+        let may_wait = !self.has_list && self.flows.unsettled_len() <= MAX_WAITING;
         let Some(entry) = self.flows.get_mut(&flow) else {
             return Vec::new();
         };
--- a/crates/cranberrypitch-core/tests/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/tests/flow/dispatcher.rs
@@ -500,3 +500,40 @@
     dispatcher.on_tick(now + Duration::from_secs(30));
     assert_eq!(dispatcher.flow_count(), 0);
 }
+
+/// After all daemons were killed while the store refused some VMs, a seed that had just started gave a
+/// snapshot without agents, and balancers reset all new flows for 7 s (knapp-drift-grown, trouble-3).
+#[test]
+fn snapshot_is_given_once_agents_are_known() {
+    let now = Instant::now();
+    let mut dispatcher = Dispatcher::new(DispatcherOptions::default(), domain("a"));
+    dispatcher.on_config(&config(1, &["matcher"]));
+    dispatcher.on_report(&record(1, "matcher", "a"), load(0), now);
+    assert_eq!(dispatcher.snapshot(), None);
+    dispatcher.on_list(local_records(2), now);
+    let mut records = dispatcher.snapshot().unwrap();
+    records.sort_by_key(|record| record.address);
+    assert_eq!(records, local_records(2));
+}
+
+/// Agents start while a balancer has only what a seed told: it learns them from later snapshots, and new
+/// flows wait for them.
+#[test]
+fn opening_waits_for_agents_of_a_later_snapshot() {
+    let now = Instant::now();
+    let mut dispatcher = Dispatcher::new(DispatcherOptions::default(), domain("a"));
+    dispatcher.on_config(&config(1, &["matcher"]));
+    dispatcher.on_snapshot(vec![record(7, "tracer", "a")], now);
+    let head = opening(flow(1), 0);
+    let bytes = packet(&head);
+    let actions = dispatcher.on_packet(&head, &bytes, now);
+    assert_eq!(resets(&actions), 0);
+    let actions = dispatcher.on_snapshot(local_records(1), now);
+    assert!(matches!(sent(&actions)[..], [(a, Message::Open { .. })] if a == agent_address(1)));
+    // What is known of an agent is not replaced by what another balancer knew.
+    let older = AgentRecord {
+        state: TargetState::Draining,
+        ..record(1, "matcher", "a")
+    };
+    assert!(dispatcher.on_snapshot(vec![older], now).is_empty());
+}
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -234,13 +234,12 @@
         let actions = match update {
             Update::Config(config) => self.on_config(config),
             Update::Agents(records) => self.dispatcher.on_list(records, now),
-            Update::Snapshot(_) if self.dispatcher.is_ready() => Vec::new(),
             Update::Snapshot(snapshot) => {
-                tracing::info!(target: log::TARGET, event = "SnapshotTaken", agents = snapshot.agents.len());
-                let mut actions = self.on_config(snapshot.config);
-                if !self.dispatcher.directory().is_complete() {
-                    actions.extend(self.dispatcher.on_list(snapshot.agents, now));
+                if !self.dispatcher.is_ready() {
+                    tracing::info!(target: log::TARGET, event = "SnapshotTaken", agents = snapshot.agents.len());
                 }
+                let mut actions = self.on_config(snapshot.config);
+                actions.extend(self.dispatcher.on_snapshot(snapshot.agents, now));
                 actions
             }
             Update::Registered(record) => self.dispatcher.on_registered(&record, now),
@@ -294,8 +293,7 @@
             self.dispatcher.directory().len(),
         );
         self.outlet.metrics.set_balancer(flows, agents, version);
-        self.snapshot
-            .set_agents(|| self.dispatcher.directory().records(), now);
+        self.snapshot.set_agents(|| self.dispatcher.snapshot(), now);
     }
 }
 
--- a/crates/cranberrypitch-relay/src/snapshot.rs
+++ b/crates/cranberrypitch-relay/src/snapshot.rs
@@ -24,11 +24,11 @@
 /// How long a balancer that starts waits for the store before it asks others.
 const STORE_PATIENCE: Duration = Duration::from_millis(800);
 
-/// The time between two questions.
+/// The time between two questions that no balancer answered.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Questions at most, for 20 s: an outage that lasts longer finds the other balancers restarted too.
-const MAX_QUESTIONS: usize = 100;
+/// The time after an answer until the next question, for agents that started since.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The time within which a balancer answers.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -49,7 +49,7 @@
 #[derive(Debug, Default)]
 struct Known {
     config: Option<RouteConfig>,
-    agents: Vec<AgentRecord>,
+    agents: Option<Vec<AgentRecord>>,
     copied_at: Option<Instant>,
 }
 
@@ -62,11 +62,16 @@
         self.lock().config = Some(config);
     }
 
-    /// Replaces the agents if the last copy is old enough.
-    pub(crate) fn set_agents(&self, agents: impl FnOnce() -> Vec<AgentRecord>, now: Instant) {
+    /// Replaces the agents if the last copy is old enough. `agents` returns nothing while they are not
+    /// known.
+    pub(crate) fn set_agents(
+        &self,
+        agents: impl FnOnce() -> Option<Vec<AgentRecord>>,
+        now: Instant,
+    ) {
         let mut known = self.lock();
         let is_old = |at| now.saturating_duration_since(at) >= COPY_INTERVAL;
-        if known.copied_at.is_none_or(is_old) {
+        if known.agents.is_none() || known.copied_at.is_none_or(is_old) {
             known.copied_at = Some(now);
             known.agents = agents();
         }
@@ -76,7 +81,7 @@
         let known = self.lock();
         let snapshot = Snapshot {
             config: known.config.clone()?,
-            agents: known.agents.clone(),
+            agents: known.agents.clone()?,
         };
         match serde_json::to_vec(&snapshot) {
             Ok(body) => Some(body),
@@ -106,8 +111,7 @@
     .await
 }
 
-/// Asks a seed after the other for its snapshot, until one answers, while the store is lost. The
-/// receiver ignores a snapshot that comes after the store's answer.
+/// Asks a seed after the other for its snapshot while the store is lost, until the receiver is gone.
 pub(crate) async fn fetch(
     seeds: &[SocketAddrV4],
     updates: Sender<Update>,
@@ -116,20 +120,23 @@
     sleep(STORE_PATIENCE).await;
     // Balancers that start together begin with different seeds.
     let first = rand::rng().random_range(0..seeds.len().max(1));
-    for seed in seeds.iter().cycle().skip(first).take(MAX_QUESTIONS) {
-        if is_store_lost.load(Ordering::Relaxed) {
-            match fetch_from(*seed).await {
-                Ok(snapshot) => {
-                    // The receiver is gone when the balancer stops.
-                    let _ = updates.send(Update::Snapshot(snapshot)).await;
+    for seed in seeds.iter().cycle().skip(first) {
+        if !is_store_lost.load(Ordering::Relaxed) {
+            sleep(REFRESH_INTERVAL).await;
+            continue;
+        }
+        match fetch_from(*seed).await {
+            Ok(snapshot) => {
+                if updates.send(Update::Snapshot(snapshot)).await.is_err() {
                     return;
                 }
-                Err(error) => {
-                    tracing::debug!(target: crate::log::TARGET, %seed, %error, "no snapshot");
-                }
+                sleep(REFRESH_INTERVAL).await;
+            }
+            Err(error) => {
+                tracing::debug!(target: crate::log::TARGET, %seed, %error, "no snapshot");
+                sleep(QUESTION_INTERVAL).await;
             }
         }
-        sleep(QUESTION_INTERVAL).await;
     }
 }
 
