Keep openings at agents while their target is busy, most urgent first

Change: a target gets two requests a slot, running ones included. Further opening packets wait at its agent, which tells the balancer so that it does not try others. When a request ends, the most urgent opening goes next by the priority that the operator gives the route, and of those the newest, whose caller can still be answered in time. One that waits for 400 ms is refused and its caller told to come back. Requests of open flows go to the target as before.

--- a/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/opening.rs
@@ -7,7 +7,7 @@
 use super::Dispatcher;
 use super::table::FlowState;
 use crate::flow::event::{DropCause, FlowEvent, ResetCause};
-use crate::flow::message::{Action, Message, RefusalCause, dropped, reset};
+use crate::flow::message::{Action, Message, OpeningTerms, RefusalCause, dropped, reset};
 use crate::flow::packet::{FlowKey, PacketHead};
 use crate::flow::selection::{Choice, Pick};
 use crate::ids::{ServiceName, ServiceTag};
@@ -33,6 +33,7 @@
     packet: Box<[u8]>,
     service: ServiceName,
     is_bulk: bool,
+    priority: u8,
     /// The agent that has the packet, or none while no target is known.
     pub(super) target: Option<SocketAddrV4>,
     tried: Vec<SocketAddrV4>,
@@ -187,6 +188,7 @@
             packet: packet.into(),
             service: service.clone(),
             is_bulk: route.is_bulk,
+            priority: route.priority,
             target: None,
             tried: Vec::new(),
             declines: 0,
@@ -266,9 +268,13 @@
             version,
             load_age: load_at.map(|at| now.saturating_duration_since(at)),
         };
-        let message = Message::Open {
+        let terms = OpeningTerms {
             service: ServiceTag::of(&opening.service),
+            priority: opening.priority,
             expected_requests: opening.may_be_declined().then_some(pick.expected_requests),
+        };
+        let message = Message::Open {
+            terms,
             packet: Cow::Owned(opening.packet.to_vec()),
         };
         vec![Action::Record(event), Action::send(agent, message)]
@@ -287,9 +293,13 @@
         let Some(service) = known.or_else(routed) else {
             return Vec::new();
         };
-        let message = Message::Open {
+        let terms = OpeningTerms {
             service,
+            priority: route.map_or(u8::MAX, |route| route.priority),
             expected_requests: None,
+        };
+        let message = Message::Open {
+            terms,
             packet: Cow::Borrowed(packet),
         };
         vec![Action::send(agent, message)]
--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -4,6 +4,7 @@
 mod balancers;
 mod hosted;
 mod run;
+mod waiting;
 
 use std::borrow::Cow;
 use std::net::SocketAddrV4;
@@ -13,10 +14,14 @@
 use self::balancers::KnownBalancer;
 use self::hosted::HostedFlows;
 pub use self::run::{StatusReport, TargetRun};
+pub use self::waiting::{REQUESTS_PER_SLOT, next_opening};
+use self::waiting::{WaitingOpening, WaitingOpenings};
 use super::directory::AgentRecord;
 use super::event::{DropCause, FlowEvent, ResetCause};
 use super::load::{AgentLoad, LoadMeter};
-use super::message::{Action, LocateAnswer, Message, RefusalCause, dropped, reset};
+use super::message::{
+    Action, LocateAnswer, LocateQuestion, Message, OpeningTerms, RefusalCause, dropped, reset,
+};
 use super::packet::{FlowKey, PacketFlags, PacketHead};
 use crate::collections::FastMap;
 use crate::ids::{FailureDomain, Incarnation, ServiceName, ServiceTag};
@@ -37,6 +42,8 @@
     pub ended_lifetime: Duration,
     /// The time within which a target returns a packet of a flow that it does not hold.
     pub return_timeout: Duration,
+    /// How long an opening packet waits for a slot before its caller is told to come back.
+    pub opening_wait: Duration,
     /// How long a target that said that it is gone may still send packets.
     pub exit_delay: Duration,
     /// How long a balancer gets reports after its last message.
@@ -79,6 +86,7 @@
             flow_lifetime: Duration::from_mins(1),
             ended_lifetime: Duration::from_secs(4),
             return_timeout: Duration::from_millis(50),
+            opening_wait: Duration::from_millis(400),
             exit_delay: Duration::from_millis(500),
             balancer_lifetime: Duration::from_secs(10),
             report_interval: Duration::from_millis(200),
@@ -112,6 +120,7 @@
     started_at: Instant,
     target: Option<TargetRun>,
     flows: HostedFlows,
+    waiting: WaitingOpenings,
     meter: LoadMeter,
     answers: AnswerMeter,
     balancers: FastMap<SocketAddrV4, KnownBalancer>,
@@ -129,6 +138,7 @@
             started_at: now,
             target: None,
             flows: HostedFlows::default(),
+            waiting: WaitingOpenings::default(),
             meter: LoadMeter::new(now),
             answers: AnswerMeter::new(now),
             balancers: FastMap::default(),
@@ -164,8 +174,9 @@
         } else {
             self.answers.failed_percent(now)
         };
+        let waiting = u16::try_from(self.waiting.len()).unwrap_or(u16::MAX);
         AgentLoad {
-            running: self.requests(now),
+            running: self.requests(now).saturating_add(waiting),
             failed_percent,
             ..self.meter.load(self.flows.open_len(), now)
         }
@@ -262,15 +273,16 @@
     /// Notes that the agent stops, which its balancers are told.
     pub fn on_stop(&mut self, now: Instant) -> Vec<Action<'static>> {
         self.is_leaving = true;
-        self.announce(now)
+        let mut actions = self.refuse_openings(RefusalCause::Draining);
+        actions.extend(self.announce(now));
+        actions
     }
 
     /// Takes in an opening packet from a balancer.
     pub fn on_open<'a>(
         &mut self,
         balancer: SocketAddrV4,
-        service: ServiceTag,
-        expected_requests: Option<u16>,
+        terms: OpeningTerms,
         head: &PacketHead,
         packet: &'a [u8],
         now: Instant,
@@ -282,17 +294,29 @@
         }
         // A copy of the opening packet of a flow that is here belongs here.
         let declined = |endpoint: &mut Self| {
-            let expected = expected_requests.filter(|_| endpoint.flows.get(&flow).is_none())?;
+            let expected = terms
+                .expected_requests
+                .filter(|_| endpoint.flows.get(&flow).is_none())?;
             let is_busier = endpoint.is_busier_than(expected, now);
             is_busier.then_some(RefusalCause::Busier)
         };
-        if let Some(cause) = self.refusal(service, now).or_else(|| declined(self)) {
+        if let Some(cause) = self.refusal(terms.service, now).or_else(|| declined(self)) {
             // The report goes first, so that the balancer chooses again by it.
             let mut actions = vec![self.refused(flow, cause)];
             actions.extend(self.report(balancer, now));
             actions.push(refuse(balancer, flow, cause));
             return actions;
         }
+        let opening = WaitingOpening {
+            flow,
+            balancer,
+            terms,
+            packet: packet.into(),
+            since: now,
+        };
+        if let Some(actions) = self.hold_opening(opening) {
+            return actions;
+        }
         self.flows.open(flow, balancer, now);
         vec![Action::ToTarget(Cow::Borrowed(packet))]
     }
@@ -427,6 +451,7 @@
             caller: flow.caller,
             packet: Cow::Borrowed(packet),
         });
+        actions.extend(self.admit_openings(now));
         actions
     }
 
@@ -437,6 +462,7 @@
         self.balancers
             .retain(|_, b| now.saturating_duration_since(b.heard) < options.balancer_lifetime);
         let mut actions = self.introduce(now);
+        actions.extend(self.admit_openings(now));
         actions.extend(self.presume(now));
         let due: Vec<_> = self
             .balancers
--- a/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
@@ -15,7 +15,7 @@
 
 /// How long a flow that opens counts as a request on its way; a caller follows the acceptance with its
 /// request within a round trip.
-const REQUEST_DELAY: Duration = Duration::from_millis(100);
+const REQUEST_DELAY: Duration = Duration::from_millis(50);
 
 /// The time between two searches for old flows.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/cranberrypitch-core/src/flow/message.rs
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -48,6 +48,18 @@
     Unknown,
 }
 
+/// What a flow that opens is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpeningTerms {
+    /// The service that the flow is meant for.
+    pub service: ServiceTag,
+    /// How urgent it is when targets are overloaded; 0 is the most urgent.
+    pub priority: u8,
+    /// The requests that the balancer expects the target to run. An agent whose target runs clearly
+    /// more declines; without a number it takes the flow whatever its load is.
+    pub expected_requests: Option<u16>,
+}
+
 /// The question whether a target holds a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LocateQuestion {
@@ -62,11 +74,8 @@
 pub enum Message<'a> {
     /// Balancer to agent: open a flow.
     Open {
-        /// The service that the flow is meant for.
-        service: ServiceTag,
-        /// The requests that the balancer expects the target to run. An agent whose target runs clearly
-        /// more declines; without a number it takes the flow whatever its load is.
-        expected_requests: Option<u16>,
+        /// What the flow is for.
+        terms: OpeningTerms,
         /// The opening packet.
         packet: Cow<'a, [u8]>,
     },
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -20,10 +20,14 @@
 
 pub use self::directory::{AgentRecord, Directory, DirectoryOptions};
 pub use self::dispatcher::{Dispatcher, DispatcherOptions, MAX_DECLINES};
-pub use self::endpoint::{Endpoint, EndpointOptions, Identity, StatusReport, TargetRun};
+pub use self::endpoint::{
+    Endpoint, EndpointOptions, Identity, REQUESTS_PER_SLOT, StatusReport, TargetRun, next_opening,
+};
 pub use self::event::{DropCause, FlowEvent, ResetCause};
 pub use self::load::{AgentLoad, LoadMeter};
-pub use self::message::{Action, LocateAnswer, LocateQuestion, Message, RefusalCause};
+pub use self::message::{
+    Action, LocateAnswer, LocateQuestion, Message, OpeningTerms, RefusalCause,
+};
 pub use self::packet::{FlowKey, PacketFlags, PacketHead, Reset};
 pub use self::routes::{Backend, Route, RouteConfig, Routes};
 pub use self::selection::{Choice, Pick, Selector, SelectorOptions};
--- a/crates/cranberrypitch-core/src/flow/routes.rs
+++ b/crates/cranberrypitch-core/src/flow/routes.rs
@@ -31,6 +31,8 @@
     pub backends: Box<[Backend]>,
     /// Whether requests carry large bodies, so that a remote target is costly.
     pub is_bulk: bool,
+    /// How urgent requests are when targets are overloaded; 0 is the most urgent.
+    pub priority: u8,
     /// The time within which a request is answered at best.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "latency_objective_ms")]
--- a/crates/cranberrypitch-proto/src/relay.rs
+++ b/crates/cranberrypitch-proto/src/relay.rs
@@ -9,7 +9,8 @@
 
 use bytes::{Buf, BufMut};
 use cranberrypitch_core::flow::{
-    AgentLoad, AgentRecord, FlowKey, LocateAnswer, LocateQuestion, Message, RefusalCause,
+    AgentLoad, AgentRecord, FlowKey, LocateAnswer, LocateQuestion, Message, OpeningTerms,
+    RefusalCause,
 };
 use cranberrypitch_core::{
     FailureDomain, Incarnation, ServiceName, ServiceTag, Slots, TargetState,
@@ -21,7 +22,7 @@
 const FORMAT: u8 = 0xd2;
 
 /// The bytes before the payload of [`Message::Open`], the longest head before a packet.
-pub const MAX_HEAD_BYTES: usize = 8;
+pub const MAX_HEAD_BYTES: usize = 9;
 
 const OPEN: u8 = 1;
 const FORWARD: u8 = 2;
@@ -46,14 +47,11 @@
     datagram.clear();
     datagram.put_u8(FORMAT);
     match message {
-        Message::Open {
-            service,
-            expected_requests,
-            packet,
-        } => {
+        Message::Open { terms, packet } => {
             datagram.put_u8(OPEN);
-            datagram.put_u32(service.get());
-            datagram.put_u16(expected_requests.unwrap_or(ANY_REQUESTS));
+            datagram.put_u32(terms.service.get());
+            datagram.put_u8(terms.priority);
+            datagram.put_u16(terms.expected_requests.unwrap_or(ANY_REQUESTS));
             datagram.put_slice(packet);
         }
         Message::Forward { packet } => {
@@ -130,8 +128,11 @@
     let mut reader = Reader(body);
     let message = match *kind {
         OPEN => Message::Open {
-            service: ServiceTag::new(reader.u32()?),
-            expected_requests: Some(reader.u16()?).filter(|number| *number != ANY_REQUESTS),
+            terms: OpeningTerms {
+                service: ServiceTag::new(reader.u32()?),
+                priority: reader.u8()?,
+                expected_requests: Some(reader.u16()?).filter(|number| *number != ANY_REQUESTS),
+            },
             packet: reader.rest(),
         },
         FORWARD => Message::Forward {
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -330,11 +330,7 @@
         }
     };
     let actions: Vec<Action<'_>> = match message {
-        Message::Open {
-            service,
-            expected_requests,
-            ..
-        } => endpoint.on_open(balancer, *service, *expected_requests, &head, packet, now),
+        Message::Open { terms, .. } => endpoint.on_open(balancer, *terms, &head, packet, now),
         _ => endpoint.on_forward(balancer, &head, packet, now),
     };
     outlet.perform_for::<P>(packet, actions, now);
