Count a request without an answer for ten seconds at most

Cause: found when the diff was read. A target that leaves requests without an answer has them counted as running for as long as their flows live, up to 60 s. Since openings wait while a target has two requests a slot, four such requests would keep new flows from a target of two slots that is idle again. Change: a request counts as running for 10 s at most. One function writes the actions of a refusal. Result: request_without_an_answer_occupies_its_target_for_a_limited_time fails without the limit.

--- a/crates/cranberrypitch-core/src/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint.rs
@@ -42,6 +42,9 @@
     pub ended_lifetime: Duration,
     /// The time within which a target returns a packet of a flow that it does not hold.
     pub return_timeout: Duration,
+    /// A request without an answer counts as running for this long at most. Callers have given it up
+    /// by then, and a target that never answers must not look busy for ever.
+    pub request_lifetime: Duration,
     /// How long an opening packet waits for a slot before its caller is told to come back.
     pub opening_wait: Duration,
     /// How long a target that said that it is gone may still send packets.
@@ -86,6 +89,7 @@
             flow_lifetime: Duration::from_mins(1),
             ended_lifetime: Duration::from_secs(4),
             return_timeout: Duration::from_millis(50),
+            request_lifetime: Duration::from_secs(10),
             opening_wait: Duration::from_millis(400),
             exit_delay: Duration::from_millis(500),
             balancer_lifetime: Duration::from_secs(10),
--- a/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/hosted.rs
@@ -329,6 +329,9 @@
         }
         self.swept_at = Some(now);
         self.flows.retain(|_, hosted| {
+            if hosted.request_age(now) >= Some(options.request_lifetime) {
+                hosted.finish(meter, now);
+            }
             let is_kept = hosted.is_kept(options, now);
             if !is_kept {
                 hosted.finish(meter, now);
--- a/crates/cranberrypitch-core/src/flow/endpoint/waiting.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/waiting.rs
@@ -9,8 +9,7 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use super::Endpoint;
-use crate::flow::event::FlowEvent;
+use super::{Endpoint, refuse};
 use crate::flow::message::{Action, Message, OpeningTerms, RefusalCause};
 use crate::flow::packet::FlowKey;
 
@@ -118,11 +117,10 @@
         opening: &WaitingOpening,
         cause: RefusalCause,
     ) -> Vec<Action<'static>> {
-        let (flow, agent) = (opening.flow, self.identity.address);
-        let message = Message::Refused { flow, cause };
+        let flow = opening.flow;
         vec![
-            Action::Record(FlowEvent::Refused { flow, agent, cause }),
-            Action::send(opening.balancer, message),
+            self.refused(flow, cause),
+            refuse(opening.balancer, flow, cause),
         ]
     }
 
--- a/crates/cranberrypitch-core/tests/flow/endpoint.rs
+++ b/crates/cranberrypitch-core/tests/flow/endpoint.rs
@@ -799,3 +799,17 @@
     };
     assert!(sent(&actions).contains(&(balancer_address(1), &refused)));
 }
+
+/// A target that leaves requests without an answer (`srv_grey`, mute) looked busy for as long as their
+/// flows lived, and openings waited there while it was idle again.
+#[test]
+fn request_without_an_answer_occupies_its_target_for_a_limited_time() {
+    let now = Instant::now();
+    let mut endpoint = with_target(now);
+    occupy(&mut endpoint, now);
+    let later = now + Duration::from_secs(10);
+    endpoint.on_status(status("i-1", 1, 2), later);
+    endpoint.on_tick(later);
+    assert_eq!(endpoint.running(later), 0);
+    assert_eq!(open(&mut endpoint, 30, later), None);
+}
