--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -6,4 +6,5 @@
 mod placement;
 mod routes;
 mod support;
+mod waiting;
 mod world;
