--- a/crates/cranberrypitch-core/src/flow/endpoint/options.rs
+++ b/crates/cranberrypitch-core/src/flow/endpoint/options.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-/// Settings of an [`Endpoint`].
+/// Settings of an [`Endpoint`](super::Endpoint).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndpointOptions {
     /// A target without a status report for longer than this gets no new flows, as its address may
