--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -3,6 +3,7 @@
 mod dispatcher;
 mod endpoint;
 mod liveness;
+mod load;
 mod placement;
 mod routes;
 mod support;
