Let starting daemons retry the store within 150 ms

Change: until its first successful call a daemon waits at most 150 ms, for 25 calls; the wait is a function of the core. An agent without a record to write no longer counts as one whose call succeeded.

--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -18,6 +18,7 @@
 mod rendezvous;
 mod routes;
 mod selection;
+mod store_retry;
 
 pub use self::agent::{
     AgentIdentity, FlowAgent, FlowAgentOptions, MAX_REQUESTS_PER_SLOT, StatusReport, TargetProcess,
@@ -31,3 +32,4 @@
 pub use self::packet::{FlowKey, PacketFlags, PacketHeader, Reset};
 pub use self::routes::{Backend, Route, RouteConfig, RouteTable};
 pub use self::selection::{AgentSelector, AgentSelectorOptions, SelectedAgent, SelectionRequest};
+pub use self::store_retry::retry_wait;
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -7,5 +7,6 @@
 mod load;
 mod routes;
 mod selection;
+mod store_retry;
 mod support;
 mod world;
--- a/crates/cranberrypitch-relay/src/lib.rs
+++ b/crates/cranberrypitch-relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! the configuration format and the protocols of the surrounding platform.
 
 mod agent;
+mod backoff;
 mod balancer;
 mod clock;
 mod command;
--- a/crates/cranberrypitch-relay/src/registration.rs
+++ b/crates/cranberrypitch-relay/src/registration.rs
@@ -13,8 +13,8 @@
 use tokio::sync::watch::Receiver;
 use tokio::time::{sleep, timeout};
 
+use crate::backoff::Backoff;
 use crate::errors::{Error, Result};
-use crate::store_watch::Backoff;
 
 /// The prefix of the agents' keys in the store.
 pub(crate) const PREFIX: &str = "agents/";
@@ -84,11 +84,13 @@
         // The check precedes each call, so that a stop of the agent ends the loop also while the store
         // is unavailable.
         while records.has_changed().is_ok() {
-            let record = records.borrow_and_update().clone();
-            let result = match record {
-                Some(record) => self.update(record, is_renewal_due).await,
-                None => Ok(()),
+            let Some(record) = records.borrow_and_update().clone() else {
+                if records.changed().await.is_err() {
+                    break;
+                }
+                continue;
             };
+            let result = self.update(record, is_renewal_due).await;
             let is_registered = result.is_ok() && self.written.is_some();
             self.is_registered.store(is_registered, Ordering::Relaxed);
             match result {
--- a/crates/cranberrypitch-relay/src/store_watch.rs
+++ b/crates/cranberrypitch-relay/src/store_watch.rs
@@ -9,11 +9,11 @@
 use cranberrypitch_net::store::{
     Entry, KeyChange, Result as StoreResult, Store, StoreKey, Version, WatchOutcome,
 };
-use rand::RngExt;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::Sender;
 use tokio::time::sleep;
 
+use crate::backoff::Backoff;
 use crate::errors::{Error, Result};
 use crate::platform::Platform;
 use crate::registration;
@@ -38,12 +38,6 @@
 /// The wait of a watch that returns the changes so far at once.
 const POLL_WAIT: Duration = Duration::from_millis(1);
 
-/// The backoff after the first failed call; it doubles with each further failure.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
-
-/// The upper bound of the backoff.
-const MAX_BACKOFF: Duration = Duration::from_millis(800);
-
 /// A change of a balancer's state, received from the store or from another balancer.
 #[derive(Debug)]
 pub(crate) enum StateUpdate {
@@ -250,31 +244,3 @@
         }
     }
 }
-
-/// Exponential backoff after failed calls to the store, with jitter so that the daemons do not all
-/// retry at the same time.
-#[derive(Debug, Default)]
-pub(crate) struct Backoff {
-    consecutive_failures: u32,
-}
-
-impl Backoff {
-    /// Resets the backoff after a successful call on `what`, a key or a prefix.
-    pub(crate) fn reset(&mut self, what: &StoreKey) {
-        if std::mem::take(&mut self.consecutive_failures) > 0 {
-            tracing::info!(target: crate::log::TARGET, event = "StoreRegained", %what);
-        }
-    }
-
-    /// Waits after a failed call on `what`, a key or a prefix.
-    pub(crate) async fn wait(&mut self, what: &StoreKey, error: &cranberrypitch_net::store::Error) {
-        if self.consecutive_failures == 0 {
-            tracing::warn!(target: crate::log::TARGET, event = "StoreLost", %what, %error);
-        }
-        let factor = 1_u32 << self.consecutive_failures.min(8);
-        self.consecutive_failures = self.consecutive_failures.saturating_add(1);
-        let max_wait = (INITIAL_BACKOFF * factor).min(MAX_BACKOFF);
-        let jitter = rand::rng().random_range(0.5..=1.0);
-        sleep(max_wait.mul_f64(jitter)).await;
-    }
-}
