Let balancers share their checks of the configuration

Change: a balancer that has read the store announces version and age of its check through three agents of each failure domain, which relay it once; the others read only after a newer version or when the last check is 1.5 to 1.9 s old, and in any case after 30 s. The decision is core::flow::ConfigReadSchedule, without I/O. New agents announce themselves to the seeds, also registered ones, so the list of agents is read every 8 s.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -60,8 +60,13 @@
     load_meter: LoadMeter,
     response_meter: ResponseMeter,
     balancers: FastMap<SocketAddrV4, BalancerEntry>,
+    /// The balancers that have sent checks of the configuration, with the time of the last one.
+    config_checkers: FastMap<SocketAddrV4, Instant>,
     is_registered: bool,
-    seeds_reported_at: Instant,
+    /// The time of the last report to the seed balancers.
+    seeds_reported_at: Option<Instant>,
+    /// The time of the first report to the seed balancers.
+    announced_since: Option<Instant>,
     is_stopping: bool,
 }
 
@@ -78,8 +83,10 @@
             load_meter: LoadMeter::new(now),
             response_meter: ResponseMeter::new(now),
             balancers: FastMap::default(),
+            config_checkers: FastMap::default(),
             is_registered: false,
-            seeds_reported_at: now,
+            seeds_reported_at: None,
+            announced_since: None,
             is_stopping: false,
         }
     }
@@ -408,9 +415,7 @@
     pub fn on_tick(&mut self, now: Instant) -> Vec<Action<'static>> {
         self.flows.sweep(&self.options, &mut self.load_meter, now);
         let options = self.options;
-        self.balancers.retain(|_, b| {
-            now.saturating_duration_since(b.last_message) < options.balancer_lifetime
-        });
+        self.remove_silent_balancers(now);
         let mut actions = self.report_to_seeds(now);
         actions.extend(self.admit_queued_syns(now));
         actions.extend(self.presume_held(now));
--- a/crates/cranberrypitch-core/src/flow/agent/balancers.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/balancers.rs
@@ -4,12 +4,18 @@
 use std::time::{Duration, Instant};
 
 use super::{FlowAgent, FlowAgentOptions};
+use crate::collections::FastSet;
+use crate::flow::config_reads::ConfigCheck;
 use crate::flow::event::FlowEvent;
 use crate::flow::message::{Action, Message};
 
 /// The time between two reports of an unregistered agent to its seed balancers.
 const SEED_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The time for which a new agent reports to its seed balancers although it is registered. It allows
+/// for lost reports.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_millis(1500);
+
 /// The maximum number of agents that are queried for balancers at once.
 const MAX_QUERIED_AGENTS: usize = 16;
 
@@ -85,14 +91,53 @@
             .collect()
     }
 
+    /// Relays a balancer's check of the configuration to all other balancers that the agent knows. A
+    /// balancer that only sends checks gets those of others, but no reports.
+    pub fn on_config_check(
+        &mut self,
+        balancer: SocketAddrV4,
+        check: &ConfigCheck,
+        now: Instant,
+    ) -> Vec<Action<'static>> {
+        // A check is relayed once: balancers must not receive it later with the age that it had here.
+        if check.checked_by != balancer {
+            return Vec::new();
+        }
+        self.config_checkers.insert(balancer, now);
+        let checkers = self.config_checkers.keys();
+        let receivers: FastSet<_> = self.balancers.keys().chain(checkers).copied().collect();
+        let relay = |receiver| Action::send(receiver, Message::ConfigCheck(*check));
+        let others = receivers.into_iter().filter(|other| *other != balancer);
+        others.map(relay).collect()
+    }
+
+    /// Removes the balancers that have sent nothing for the lifetime of a balancer.
+    pub(super) fn remove_silent_balancers(&mut self, now: Instant) {
+        let lifetime = self.options.balancer_lifetime;
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < lifetime;
+        self.balancers
+            .retain(|_, balancer| is_recent(balancer.last_message));
+        self.config_checkers
+            .retain(|_, checked_at| is_recent(*checked_at));
+    }
+
     /// Reports to the seed balancers at [`SEED_REPORT_INTERVAL`] while the store does not list the
-    /// agent.
+    /// agent, and after the start of the target. A seed balancer that does not know the agent replies
+    /// with agents whose balancers use the same targets, so that new targets get flows before balancers
+    /// read the list of agents again.
     pub(super) fn report_to_seeds(&mut self, now: Instant) -> Vec<Action<'static>> {
-        let elapsed = now.saturating_duration_since(self.seeds_reported_at);
-        if self.is_registered || self.target.is_none() || elapsed < SEED_REPORT_INTERVAL {
+        let elapsed = |since: Instant| now.saturating_duration_since(since);
+        let is_new = self
+            .announced_since
+            .is_none_or(|since| elapsed(since) < ANNOUNCEMENT_TIME);
+        let is_due = self
+            .seeds_reported_at
+            .is_none_or(|at| elapsed(at) >= SEED_REPORT_INTERVAL);
+        if self.target.is_none() || !is_due || (self.is_registered && !is_new) {
             return Vec::new();
         }
-        self.seeds_reported_at = now;
+        self.announced_since.get_or_insert(now);
+        self.seeds_reported_at = Some(now);
         let record = self.record(now);
         let load = self.load(now);
         let report = Message::Report { record, load };
--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -1,6 +1,7 @@
 //! The state machine of a balancer, which forwards each packet of a caller to an agent.
 
 mod budget;
+mod config_checks;
 mod early_packets;
 mod liveness;
 mod lookup;
@@ -16,7 +17,7 @@
 use self::liveness::Liveness;
 pub use self::pending_open::MAX_DECLINES;
 use self::table::{FlowState, FlowTable};
-use super::directory::{AgentDirectory, AgentDirectoryOptions, AgentRecord};
+use super::directory::{AgentDirectory, AgentDirectoryOptions, AgentEntry, AgentRecord};
 use super::event::{DropCause, FlowEvent, ResetCause};
 use super::load::AgentLoad;
 use super::message::{Action, Message, dropped, reset};
@@ -79,6 +80,8 @@
     has_store_list: bool,
     /// The time up to which all changes of the agent list are applied.
     agent_list_as_of: Option<Instant>,
+    /// The number of configuration checks that were announced, which selects the relaying agents.
+    announced_checks: usize,
 }
 
 impl Dispatcher {
@@ -95,6 +98,7 @@
             early_packets: EarlyPacketBuffer::default(),
             has_store_list: false,
             agent_list_as_of: None,
+            announced_checks: 0,
         }
     }
 
@@ -237,10 +241,7 @@
         now: Instant,
     ) -> Vec<Action<'static>> {
         self.on_agent_message(record.address, now);
-        let mut actions: Vec<_> = self
-            .agent_list_message(record.address)
-            .into_iter()
-            .collect();
+        let mut actions: Vec<_> = self.agent_list_message(record).into_iter().collect();
         if self.directory.on_report(record.clone(), load, now) {
             actions.push(target_changed_event(record));
             actions.extend(self.place_pending_flows(now));
@@ -248,17 +249,20 @@
         actions
     }
 
-    /// Returns a message with other agents if the store does not list the agent. Such an agent can't
-    /// register, for example during an outage of the store, and discovers balancers through the others.
-    fn agent_list_message(&self, agent: SocketAddrV4) -> Option<Action<'static>> {
-        if self.directory.is_listed(agent) {
+    /// Returns a message with other agents if the store does not list the agent. Such an agent is new
+    /// or can't register, for example during an outage of the store, and discovers balancers through
+    /// the others. Those of its failure domain come first, as their balancers prefer its target.
+    fn agent_list_message(&self, agent: &AgentRecord) -> Option<Action<'static>> {
+        if self.directory.is_listed(agent.address) {
             return None;
         }
-        let others = self.directory.agents().map(|entry| entry.record.address);
-        let others = others
-            .filter(|other| *other != agent)
-            .take(MAX_LISTED_AGENTS);
-        Some(Action::send(agent, Message::AgentList(others.collect())))
+        let is_other = |entry: &&AgentEntry| entry.record.address != agent.address;
+        let others = self.directory.agents().filter(is_other);
+        let (near, far): (Vec<_>, Vec<_>) =
+            others.partition(|entry| entry.record.failure_domain == agent.failure_domain);
+        let addresses = near.iter().chain(&far).map(|entry| entry.record.address);
+        let others = addresses.take(MAX_LISTED_AGENTS).collect();
+        Some(Action::send(agent.address, Message::AgentList(others)))
     }
 
     /// Records that the target of an agent accepted a flow.
--- a/crates/cranberrypitch-core/src/flow/message.rs
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -5,6 +5,7 @@
 
 use derive_more::Display;
 
+use super::config_reads::ConfigCheck;
 use super::directory::AgentRecord;
 use super::event::{DropCause, FlowEvent, ResetCause};
 use super::load::AgentLoad;
@@ -140,6 +141,9 @@
         /// The load of the target.
         load: AgentLoad,
     },
+    /// Balancer to agent to the other balancers that the agent knows: a check of the configuration in
+    /// the store.
+    ConfigCheck(ConfigCheck),
 }
 
 impl Message<'_> {
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -9,6 +9,7 @@
 //! I/O: they take typed events with the current time and return typed actions.
 
 mod agent;
+mod config_reads;
 mod directory;
 mod dispatcher;
 mod event;
@@ -24,6 +25,7 @@
     AgentIdentity, FlowAgent, FlowAgentOptions, MAX_REQUESTS_PER_SLOT, StatusReport, TargetProcess,
     next_queued_syn,
 };
+pub use self::config_reads::{ConfigCheck, ConfigRead, ConfigReadOptions, ConfigReadSchedule};
 pub use self::directory::{AgentDirectory, AgentDirectoryOptions, AgentRecord};
 pub use self::dispatcher::{Dispatcher, DispatcherOptions, MAX_DECLINES};
 pub use self::event::{DropCause, FlowEvent, ResetCause};
--- a/crates/cranberrypitch-core/tests/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/tests/flow/dispatcher.rs
@@ -515,6 +515,24 @@
     assert!(sent_messages(&actions).is_empty());
 }
 
+/// Guards against a new target that stays unknown in its failure domain: in a large fleet the agents
+/// that fit into a message would be arbitrary ones, whose balancers are elsewhere.
+#[test]
+fn unlisted_agent_gets_agents_of_its_failure_domain_first() {
+    let now = Instant::now();
+    let far = (1..=40).map(|index| record(index, "matcher", "a"));
+    let near = (41..=44).map(|index| record(index, "matcher", "b"));
+    let mut dispatcher = dispatcher(far.chain(near).collect(), now);
+    let actions = dispatcher.on_report(&record(50, "matcher", "b"), load(0), now);
+    let messages = sent_messages(&actions);
+    let [(_, Message::AgentList(others))] = &*messages else {
+        panic!("{messages:?}");
+    };
+    for index in 41..=44 {
+        assert!(others.contains(&agent_address(index)), "{others:?}");
+    }
+}
+
 /// The flow table must not grow without limit.
 #[test]
 fn idle_flows_are_removed() {
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod backlog;
+mod config_reads;
 mod dispatcher;
 mod liveness;
 mod load;
--- a/crates/cranberrypitch-proto/src/relay.rs
+++ b/crates/cranberrypitch-proto/src/relay.rs
@@ -11,10 +11,11 @@
 
 use bytes::{Buf, BufMut};
 use cranberrypitch_core::flow::{
-    AgentLoad, AgentRecord, FlowKey, LookupAnswer, LookupQuery, Message, OpenParams, RefusalCause,
+    AgentLoad, AgentRecord, ConfigCheck, FlowKey, LookupAnswer, LookupQuery, Message, OpenParams,
+    RefusalCause,
 };
 use cranberrypitch_core::{
-    FailureDomain, Incarnation, ServiceName, ServiceTag, Slots, TargetState,
+    FailureDomain, Incarnation, Revision, ServiceName, ServiceTag, Slots, TargetState,
 };
 
 use crate::errors::{Error, Result};
@@ -40,6 +41,7 @@
 const OPEN_QUEUED: u8 = 12;
 const LOOKUP_BATCH: u8 = 13;
 const LOOKUP_BATCH_REPLY: u8 = 14;
+const CONFIG_CHECK: u8 = 15;
 
 /// The wire value of [`OpenParams::expected_requests`] for `None`.
 const NO_EXPECTED_REQUESTS: u16 = u16::MAX;
@@ -114,6 +116,12 @@
             datagram.put_u8(REPORT);
             put_report(datagram, record, *load);
         }
+        Message::ConfigCheck(check) => {
+            datagram.put_u8(CONFIG_CHECK);
+            datagram.put_u64(check.version.get());
+            put_millis(datagram, check.age);
+            put_address(datagram, check.checked_by);
+        }
     }
 }
 
@@ -176,6 +184,11 @@
             packet: reader.rest(),
         },
         REPORT => reader.report()?,
+        CONFIG_CHECK => Message::ConfigCheck(ConfigCheck {
+            version: Revision::new(reader.u64()?),
+            age: reader.millis()?,
+            checked_by: reader.address()?,
+        }),
         AGENT_LIST => Message::AgentList(reader.read_all(Reader::address)?),
         BALANCER_QUERY => Message::BalancerQuery,
         BALANCER_LIST => Message::BalancerList(reader.read_all(Reader::address)?),
@@ -190,6 +203,11 @@
     datagram.put_u16(address.port());
 }
 
+/// Writes a duration in whole milliseconds, at most 49 days.
+fn put_millis(datagram: &mut Vec<u8>, duration: Duration) {
+    datagram.put_u32(u32::try_from(duration.as_millis()).unwrap_or(u32::MAX));
+}
+
 fn put_addresses(datagram: &mut Vec<u8>, addresses: &[SocketAddrV4]) {
     for address in addresses {
         put_address(datagram, *address);
@@ -212,7 +230,7 @@
     datagram.put_u64(record.incarnation.get());
     datagram.put_u8(target_state_code(record.state));
     datagram.put_u32(record.slots.get());
-    datagram.put_u32(u32::try_from(record.warmup_left.as_millis()).unwrap_or(u32::MAX));
+    put_millis(datagram, record.warmup_left);
     datagram.put_u16(load.running_requests);
     datagram.put_u16(load.mean_requests_hundredths);
     datagram.put_u8(load.failed_responses_percent);
@@ -241,6 +259,10 @@
         self.0.try_get_u64().map_err(|e| malformed(&e))
     }
 
+    fn millis(&mut self) -> Result<Duration> {
+        Ok(Duration::from_millis(u64::from(self.u32()?)))
+    }
+
     fn address(&mut self) -> Result<SocketAddrV4> {
         let ip = Ipv4Addr::from(self.u32()?);
         Ok(SocketAddrV4::new(ip, self.u16()?))
@@ -292,7 +314,7 @@
         let incarnation = Incarnation::new(self.u64()?);
         let state = target_state(self.u8()?)?;
         let slots = Slots::new(self.u32()?);
-        let warmup_left = Duration::from_millis(u64::from(self.u32()?));
+        let warmup_left = self.millis()?;
         let load = AgentLoad {
             running_requests: self.u16()?,
             mean_requests_hundredths: self.u16()?,
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::Clock;
@@ -11,17 +10,18 @@
 use cranberrypitch_net::store::ObservedStore;
 use cranberrypitch_proto::relay;
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 
+use crate::config_watch::{ConfigNotice, ConfigWatchOptions, watch_config};
 use crate::daemon::{ActionExecutor, DaemonContext, Readiness, check_settings_file};
 use crate::errors::Result;
 use crate::log;
 use crate::metrics::RelayMetrics;
 use crate::platform::{Platform, StoreOptions};
 use crate::registration;
-use crate::snapshot::{self, SharedSnapshot};
+use crate::snapshot::{self, MissingState, SharedSnapshot};
 use crate::sockets::{MAX_BATCH_DATAGRAMS, MAX_DATAGRAM_BYTES, bind, receive};
-use crate::store_watch::{StateUpdate, watch_agents, watch_config};
+use crate::store_watch::{StateUpdate, watch_agents};
 
 /// The tick interval while a flow waits for the answer of an agent.
 const PENDING_TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -45,6 +45,10 @@
 /// The capacity of the channel for state updates, in messages.
 const UPDATE_QUEUE_LEN: usize = 16;
 
+/// The capacity of the channel for notices to the watch on the configuration, in messages. Further ones
+/// are dropped, as the next check of another balancer replaces them.
+const NOTICE_QUEUE_LEN: usize = 16;
+
 /// Runs a balancer until a signal stops it and packets of callers no longer arrive.
 ///
 /// # Errors
@@ -58,12 +62,23 @@
     readiness.serve::<P>(settings.readiness_address).await?;
     let agents_refresh = Arc::new(Notify::new());
     let metrics = RelayMetrics::default();
-    let updates = spawn_watches::<P>(&context, &agents_refresh, metrics.clone());
+    let (notice_sender, notices) = mpsc::channel(NOTICE_QUEUE_LEN);
     let now = context.clock.now();
     let options = DispatcherOptions::default();
     let domain = settings.failure_domain.clone();
     let caller_port = settings.datagram_address.port();
     let snapshot = SharedSnapshot::default();
+    let store = ObservedStore::new(
+        P::new_store(StoreOptions::new(settings.store_address)),
+        metrics.clone(),
+    );
+    let watches = WatchInputs {
+        store: Arc::new(store),
+        agents_refresh: Arc::clone(&agents_refresh),
+        notices,
+        snapshot: snapshot.clone(),
+    };
+    let updates = spawn_watches::<P>(&context, watches);
     let mut balancer = Balancer::<P> {
         snapshot: snapshot.clone(),
         dispatcher: Dispatcher::new(options, domain),
@@ -78,6 +93,7 @@
         .with_agents_refresh(agents_refresh),
         clock: Arc::clone(&context.clock),
         readiness,
+        config_notices: notice_sender,
         buffer: vec![0; MAX_DATAGRAM_BYTES],
         platform: std::marker::PhantomData,
     };
@@ -94,30 +110,42 @@
     Ok(())
 }
 
+/// The inputs of the tasks that watch the store and fetch snapshots.
+struct WatchInputs<S> {
+    store: Arc<ObservedStore<S, RelayMetrics>>,
+    agents_refresh: Arc<Notify>,
+    notices: mpsc::Receiver<ConfigNotice>,
+    snapshot: SharedSnapshot,
+}
+
 /// Spawns the tasks that watch the store and fetch snapshots. Returns the receiver of their updates.
 fn spawn_watches<P: Platform>(
     context: &DaemonContext,
-    agents_refresh: &Arc<Notify>,
-    metrics: RelayMetrics,
+    inputs: WatchInputs<P::Store>,
 ) -> mpsc::Receiver<StateUpdate> {
     let (sender, receiver) = mpsc::channel(UPDATE_QUEUE_LEN);
-    let store = P::new_store(StoreOptions::new(context.settings.store_address));
-    let store = Arc::new(ObservedStore::new(store, metrics));
-    let (agents_refresh, clock) = (Arc::clone(agents_refresh), Arc::clone(&context.clock));
-    let (config_store, config_sender) = (Arc::clone(&store), sender.clone());
+    let (missing_sender, missing) = watch::channel(MissingState::default());
     let (seeds, snapshot_sender) = (context.settings.seed_addresses.clone(), sender.clone());
-    let is_store_unavailable = Arc::new(AtomicBool::new(false));
-    let is_fetch_needed = Arc::clone(&is_store_unavailable);
-    tokio::spawn(async move { snapshot::fetch(&seeds, snapshot_sender, &is_fetch_needed).await });
     tokio::spawn(async move {
-        if let Err(error) =
-            watch_config::<P, _>(&*config_store, config_sender, is_store_unavailable).await
-        {
+        snapshot::fetch(&seeds, inputs.snapshot, snapshot_sender, missing).await;
+    });
+    let config_store = Arc::clone(&inputs.store);
+    let options = ConfigWatchOptions {
+        balancer: context.settings.balancer_address(),
+        notices: inputs.notices,
+        updates: sender.clone(),
+        missing: missing_sender,
+        clock: Arc::clone(&context.clock),
+    };
+    tokio::spawn(async move {
+        if let Err(error) = watch_config::<P, _>(&*config_store, options).await {
             tracing::error!(target: log::TARGET, %error, "watch on the configuration not started");
         }
     });
+    let (store, refresh) = (inputs.store, inputs.agents_refresh);
+    let clock = Arc::clone(&context.clock);
     tokio::spawn(async move {
-        if let Err(error) = watch_agents(&*store, sender, agents_refresh, clock).await {
+        if let Err(error) = watch_agents(&*store, sender, refresh, clock).await {
             tracing::error!(target: log::TARGET, %error, "watch on the list of agents not started");
         }
     });
@@ -130,6 +158,8 @@
     clock: Arc<dyn Clock>,
     readiness: Readiness,
     snapshot: SharedSnapshot,
+    /// Passes notices to the watch on the configuration.
+    config_notices: mpsc::Sender<ConfigNotice>,
     buffer: Vec<u8>,
     platform: std::marker::PhantomData<P>,
 }
@@ -229,6 +259,9 @@
                 return false;
             };
             match relay::decode(datagram) {
+                Ok(Message::ConfigCheck(check)) => {
+                    self.notify_config_watch(ConfigNotice::Checked(check));
+                }
                 Ok(message) => {
                     let actions = on_message::<P>(&mut self.dispatcher, peer, message, now);
                     self.executor.execute::<P>(actions, now);
@@ -245,15 +278,20 @@
         let now = self.clock.now();
         let actions = match update {
             StateUpdate::Config(config) => self.on_config(config),
+            StateUpdate::ConfigChecked(check) => self.dispatcher.announce_config_check(check),
             StateUpdate::Agents(records) => self.dispatcher.on_agent_list(records, now),
             StateUpdate::Snapshot(snapshot) => {
                 if !self.dispatcher.is_ready() {
                     tracing::info!(target: log::TARGET, event = "SnapshotTaken", agents = snapshot.agents.len());
                 }
                 let mut actions = self.on_config(snapshot.config);
+                if let Some(version) = self.dispatcher.routes().version() {
+                    self.notify_config_watch(ConfigNotice::InForce(version));
+                }
                 actions.extend(self.dispatcher.on_snapshot(snapshot.agents, now));
                 actions
             }
+            StateUpdate::AgentsOfBalancer(records) => self.dispatcher.on_snapshot(records, now),
             StateUpdate::AgentRegistered(record) => self.dispatcher.on_registered(&record, now),
             StateUpdate::AgentUnregistered(key) => {
                 if let Some(address) = registration::agent_address(&key) {
@@ -271,6 +309,12 @@
         }
     }
 
+    fn notify_config_watch(&self, notice: ConfigNotice) {
+        if let Err(error) = self.config_notices.try_send(notice) {
+            tracing::debug!(target: log::TARGET, %error, "notice to the watch on the configuration dropped");
+        }
+    }
+
     fn on_config(&mut self, config: RouteConfig) -> Vec<Action<'static>> {
         let actions = self.dispatcher.on_config(&config);
         if self.dispatcher.routes().version() == Some(config.version) {
@@ -353,6 +397,7 @@
         | Message::AgentList(_)
         | Message::BalancerQuery
         | Message::BalancerList(_)
+        | Message::ConfigCheck(_)
         | Message::Report { .. } => {
             tracing::debug!(target: log::TARGET, %agent, "message that balancers do not accept dropped");
             Vec::new()
--- /dev/null
+++ b/crates/cranberrypitch-relay/src/config_watch.rs
@@ -0,0 +1,227 @@
+//! Reads of the operators' configuration from the store.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::flow::{
+    ConfigCheck, ConfigRead, ConfigReadOptions, ConfigReadSchedule, RouteConfig,
+};
+use cranberrypitch_core::{Clock, Revision};
+use cranberrypitch_net::store::{Entry, KeyChange, Result as StoreResult, Store};
+use rand::RngExt;
+use tokio::sync::mpsc::{Receiver, Sender};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::errors::Result;
+use crate::log;
+use crate::platform::Platform;
+use crate::snapshot::MissingState;
+use crate::store_watch::{POLL_WAIT, PrefixWatcher, StateUpdate};
+
+/// The upper bound of the random time by which balancers differ in the maximum age of a check.
+const MAX_JITTER: Duration = Duration::from_millis(400);
+
+/// What the watch of a balancer learns from others.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum ConfigNotice {
+    /// Another balancer has read the store.
+    Checked(ConfigCheck),
+    /// A configuration from the snapshot of another balancer is in force.
+    InForce(Revision),
+}
+
+/// The inputs of [`watch_config`].
+#[derive(Debug)]
+pub(crate) struct ConfigWatchOptions {
+    /// The address at which agents know this balancer.
+    pub(crate) balancer: SocketAddrV4,
+    pub(crate) notices: Receiver<ConfigNotice>,
+    /// Receives the configurations and the checks of this balancer.
+    pub(crate) updates: Sender<StateUpdate>,
+    /// Tells the task that fetches snapshots what this balancer lacks.
+    pub(crate) missing: watch::Sender<MissingState>,
+    pub(crate) clock: Arc<dyn Clock>,
+}
+
+/// Sends each version of the configuration until the receiver is dropped.
+///
+/// # Errors
+///
+/// Returns an error if the platform's configuration key is invalid.
+pub(crate) async fn watch_config<P: Platform, S: Store>(
+    store: &S,
+    options: ConfigWatchOptions,
+) -> Result<()> {
+    let watcher = PrefixWatcher::new(store, P::config_key()?);
+    let jitter = MAX_JITTER.mul_f64(rand::rng().random_range(0.0..=1.0));
+    let schedule = ConfigReadSchedule::new(ConfigReadOptions::default(), options.balancer, jitter);
+    let mut watch = ConfigWatch {
+        watcher,
+        schedule,
+        notices: options.notices,
+        updates: options.updates,
+        missing: options.missing,
+        clock: options.clock,
+    };
+    while watch.step::<P>().await {}
+    Ok(())
+}
+
+struct ConfigWatch<'a, S> {
+    watcher: PrefixWatcher<'a, S>,
+    schedule: ConfigReadSchedule,
+    notices: Receiver<ConfigNotice>,
+    updates: Sender<StateUpdate>,
+    missing: watch::Sender<MissingState>,
+    clock: Arc<dyn Clock>,
+}
+
+/// The result of a successful read of the store.
+struct ConfigAnswer {
+    configs: Vec<RouteConfig>,
+    /// The time at which the store had no newer configuration.
+    checked_at: Instant,
+}
+
+impl<S: Store> ConfigWatch<'_, S> {
+    /// Performs the next step of the schedule. Returns whether the receiver of updates still exists.
+    async fn step<P: Platform>(&mut self) -> bool {
+        while let Ok(notice) = self.notices.try_recv() {
+            self.on_notice(notice);
+        }
+        match self.schedule.next(self.clock.now()) {
+            ConfigRead::Now => self.read::<P>(POLL_WAIT).await,
+            ConfigRead::Watch { wait } => self.read::<P>(wait).await,
+            ConfigRead::WaitUntil(at) => {
+                let wait = at.saturating_duration_since(self.clock.now());
+                tokio::select! {
+                    Some(notice) = self.notices.recv() => self.on_notice(notice),
+                    () = sleep(wait) => {}
+                }
+                !self.updates.is_closed()
+            }
+        }
+    }
+
+    fn on_notice(&mut self, notice: ConfigNotice) {
+        let now = self.clock.now();
+        apply(&mut self.schedule, notice, now);
+        let state = self.missing_state(now);
+        // Nothing is missing while the own reads succeed.
+        self.missing.send_if_modified(|missing| {
+            let is_modified = *missing != MissingState::Nothing && *missing != state;
+            if is_modified {
+                *missing = state;
+            }
+            is_modified
+        });
+    }
+
+    /// Returns what the balancer lacks after a failed read.
+    fn missing_state(&self, now: Instant) -> MissingState {
+        if self.schedule.is_outdated() {
+            MissingState::Config
+        } else if self.schedule.is_current(now) {
+            MissingState::Nothing
+        } else {
+            MissingState::Agents
+        }
+    }
+
+    /// Reads the store and sends what it returned. Returns whether the receiver still exists.
+    async fn read<P: Platform>(&mut self, wait: Duration) -> bool {
+        let Some(answer) = self.call::<P>(wait).await else {
+            return true;
+        };
+        let updates = match answer {
+            Ok(answer) => {
+                self.missing.send_replace(MissingState::Nothing);
+                let version = answer.configs.iter().map(|config| config.version).max();
+                let updates = answer.configs.into_iter().map(StateUpdate::Config);
+                let mut updates: Vec<_> = updates.collect();
+                updates.extend(self.on_read(version, answer.checked_at));
+                Ok(updates)
+            }
+            Err(error) => {
+                self.schedule.on_failure();
+                let state = self.missing_state(self.clock.now());
+                self.missing.send_replace(state);
+                Err(error)
+            }
+        };
+        self.watcher.send_updates(updates, &self.updates).await
+    }
+
+    fn on_read(&mut self, version: Option<Revision>, checked_at: Instant) -> Option<StateUpdate> {
+        let check = self
+            .schedule
+            .on_read(version, checked_at, self.clock.now())?;
+        Some(StateUpdate::ConfigChecked(check))
+    }
+
+    /// Calls the store: lists the configuration before the first watch, and watches it afterwards.
+    /// Returns nothing if the history was lost, or if another balancer announces a newer version during
+    /// the watch.
+    async fn call<P: Platform>(&mut self, wait: Duration) -> Option<StoreResult<ConfigAnswer>> {
+        let started_at = self.clock.now();
+        let is_watch = wait > POLL_WAIT;
+        let Some(after) = self.watcher.after else {
+            let answer = self.watcher.list().await.map(|entries| ConfigAnswer {
+                configs: entries.iter().filter_map(parse::<P>).collect(),
+                checked_at: started_at,
+            });
+            return Some(answer);
+        };
+        let changes = {
+            let watch = self.watcher.watch(after, wait);
+            tokio::pin!(watch);
+            loop {
+                tokio::select! {
+                    changes = &mut watch => break changes,
+                    Some(notice) = self.notices.recv() => {
+                        apply(&mut self.schedule, notice, self.clock.now());
+                        if is_watch && self.schedule.is_outdated() {
+                            return None;
+                        }
+                    }
+                }
+            }
+        };
+        // Without a version, the history was lost, and the next call lists the configuration.
+        self.watcher.after?;
+        let checked_at = |changes: &[KeyChange]| match changes {
+            [] => started_at + wait,
+            _ => self.clock.now(),
+        };
+        Some(changes.map(|changes| {
+            ConfigAnswer {
+                checked_at: checked_at(&changes),
+                configs: changes
+                    .iter()
+                    .filter_map(|change| parse::<P>(change.entry.as_ref()?))
+                    .collect(),
+            }
+        }))
+    }
+}
+
+fn apply(schedule: &mut ConfigReadSchedule, notice: ConfigNotice, now: Instant) {
+    match notice {
+        ConfigNotice::Checked(check) => {
+            schedule.on_check(&check, now);
+        }
+        ConfigNotice::InForce(version) => schedule.on_config(version),
+    }
+}
+
+fn parse<P: Platform>(entry: &Entry) -> Option<RouteConfig> {
+    match P::parse_config(&entry.value) {
+        Ok(config) => Some(config),
+        Err(error) => {
+            tracing::error!(target: log::TARGET, event = "ConfigurationRefused", %error);
+            None
+        }
+    }
+}
--- a/crates/cranberrypitch-relay/src/lib.rs
+++ b/crates/cranberrypitch-relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod balancer;
 mod clock;
 mod command;
+mod config_watch;
 mod daemon;
 mod errors;
 pub mod explain;
--- a/crates/cranberrypitch-relay/src/snapshot.rs
+++ b/crates/cranberrypitch-relay/src/snapshot.rs
@@ -2,7 +2,6 @@
 //! down.
 
 use std::net::SocketAddrV4;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -12,16 +11,22 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
 use rand::RngExt;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::Sender;
-use tokio::time::sleep;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
 
 use crate::errors::{Error, Result};
 use crate::http_server::{self, Call};
 use crate::store_watch::StateUpdate;
 
+/// The path of the whole snapshot.
 const PATH: &str = "/snapshot";
 
+/// The path of the list of agents alone. A configuration can be many times as long.
+const AGENTS_PATH: &str = "/agents";
+
 /// The time for which a starting balancer waits for the store before it fetches a snapshot.
 const STORE_WAIT: Duration = Duration::from_millis(800);
 
@@ -31,6 +36,10 @@
 /// The time between two fetches while the store stays down, for agents that started in between.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The time without the store after which a balancer that has a list of agents fetches that of
+/// another. New agents announce themselves to the seed balancers, so shorter outages need no fetch.
+const AGENTS_FETCH_DELAY: Duration = Duration::from_secs(3);
+
 /// The timeout of connection setup and of a fetch.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -40,6 +49,18 @@
 /// The minimum time between two copies of the agent list.
 const COPY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// What a balancer lacks because it can't read the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum MissingState {
+    /// The last read succeeded, or the configuration is current by the check of another balancer.
+    #[default]
+    Nothing,
+    /// Agents may have registered.
+    Agents,
+    /// There is no configuration, or another balancer has read a newer one.
+    Config,
+}
+
 /// The configuration in force at a balancer and its list of agents.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct Snapshot {
@@ -78,30 +99,44 @@
         }
     }
 
-    fn encode(&self) -> Option<Vec<u8>> {
+    /// Returns the body of the answer to a call, or nothing if there is none.
+    fn body(&self, path: &str) -> Option<Vec<u8>> {
         let parts = self.lock();
-        let snapshot = Snapshot {
-            config: parts.config.clone()?,
-            agents: parts.agents.clone()?,
-        };
-        match serde_json::to_vec(&snapshot) {
-            Ok(body) => Some(body),
-            Err(error) => {
-                tracing::error!(target: crate::log::TARGET, %error, "snapshot not encoded");
-                None
-            }
+        match path {
+            PATH => encode(&Snapshot {
+                config: parts.config.clone()?,
+                agents: parts.agents.clone()?,
+            }),
+            AGENTS_PATH => encode(parts.agents.as_ref()?),
+            _ => None,
         }
     }
 
+    /// Returns whether the balancer has a configuration and a list of agents.
+    fn is_complete(&self) -> bool {
+        let parts = self.lock();
+        parts.config.is_some() && parts.agents.is_some()
+    }
+
     fn lock(&self) -> MutexGuard<'_, SnapshotParts> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+fn encode(content: &impl Serialize) -> Option<Vec<u8>> {
+    match serde_json::to_vec(content) {
+        Ok(body) => Some(body),
+        Err(error) => {
+            tracing::error!(target: crate::log::TARGET, %error, "snapshot not encoded");
+            None
+        }
+    }
+}
+
 /// Serves the snapshot to other balancers.
 pub(crate) async fn serve(address: SocketAddrV4, snapshot: SharedSnapshot) -> Result<()> {
     http_server::serve(address, move |call: Call| {
-        let body = (&*call.path == PATH).then(|| snapshot.encode()).flatten();
+        let body = snapshot.body(&call.path);
         async move {
             match body {
                 Some(body) => (StatusCode::OK, Bytes::from(body)),
@@ -112,24 +147,30 @@
     .await
 }
 
-/// Fetches snapshots from one seed balancer after the other while the store is unavailable, until
-/// the receiver is dropped.
+/// Fetches what is missing from one seed balancer after the other, until the receiver is dropped.
+/// `own` is the snapshot of this balancer.
 pub(crate) async fn fetch(
     seeds: &[SocketAddrV4],
+    own: SharedSnapshot,
     updates: Sender<StateUpdate>,
-    is_store_unavailable: &AtomicBool,
+    mut missing: watch::Receiver<MissingState>,
 ) {
     sleep(STORE_WAIT).await;
     // Balancers that start at the same time begin with different seeds.
     let first = rand::rng().random_range(0..seeds.len().max(1));
     for seed in seeds.iter().cycle().skip(first) {
-        if !is_store_unavailable.load(Ordering::Relaxed) {
-            sleep(REFRESH_INTERVAL).await;
-            continue;
-        }
-        match fetch_from(*seed).await {
-            Ok(snapshot) => {
-                if updates.send(StateUpdate::Snapshot(snapshot)).await.is_err() {
+        let Ok(state) = wait_until_missing(&own, &mut missing).await else {
+            return;
+        };
+        let result = match state {
+            MissingState::Config => fetch_from(*seed, PATH).await.map(StateUpdate::Snapshot),
+            _ => fetch_from(*seed, AGENTS_PATH)
+                .await
+                .map(StateUpdate::AgentsOfBalancer),
+        };
+        match result {
+            Ok(update) => {
+                if updates.send(update).await.is_err() {
                     return;
                 }
                 sleep(REFRESH_INTERVAL).await;
@@ -142,13 +183,34 @@
     }
 }
 
-async fn fetch_from(seed: SocketAddrV4) -> Result<Snapshot> {
+/// Waits until something is missing that another balancer may have, and returns it. A list of agents
+/// is fetched only after [`AGENTS_FETCH_DELAY`].
+async fn wait_until_missing(
+    own: &SharedSnapshot,
+    missing: &mut watch::Receiver<MissingState>,
+) -> std::result::Result<MissingState, watch::error::RecvError> {
+    loop {
+        let state = *missing.wait_for(|s| *s != MissingState::Nothing).await?;
+        if state == MissingState::Config || !own.is_complete() {
+            return Ok(MissingState::Config);
+        }
+        let other = missing.wait_for(|s| *s != MissingState::Agents);
+        match timeout(AGENTS_FETCH_DELAY, other).await {
+            Ok(changed) => {
+                changed?;
+            }
+            Err(_) => return Ok(MissingState::Agents),
+        }
+    }
+}
+
+async fn fetch_from<T: DeserializeOwned>(seed: SocketAddrV4, path: &str) -> Result<T> {
     let client = HttpClient::new(HttpClientOptions {
         address: seed,
         connect_timeout: ANSWER_TIMEOUT,
         max_body_bytes: MAX_BODY_BYTES,
     });
-    let request = Request::get(PATH)
+    let request = Request::get(path)
         .header(header::HOST, seed.to_string())
         .body(Full::default())
         .map_err(|e| Error::malformed("request", &e))?;
--- a/crates/cranberrypitch-relay/src/store_watch.rs
+++ b/crates/cranberrypitch-relay/src/store_watch.rs
@@ -1,11 +1,10 @@
-//! Watches on the configuration and the list of agents in the store.
+//! Watches on a prefix of the store, and on the list of agents.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::Clock;
-use cranberrypitch_core::flow::{AgentRecord, RouteConfig};
+use cranberrypitch_core::flow::{AgentRecord, ConfigCheck, RouteConfig};
 use cranberrypitch_net::store::{
     Entry, KeyChange, Result as StoreResult, Store, StoreKey, Version, WatchOutcome,
 };
@@ -15,36 +14,39 @@
 
 use crate::backoff::Backoff;
 use crate::errors::{Error, Result};
-use crate::platform::Platform;
 use crate::registration;
 use crate::snapshot::Snapshot;
 
-/// The maximum wait of a watch on the configuration. It bounds the time until a dead connection is
-/// detected, and with it the delay of a configuration change.
-const CONFIG_WAIT: Duration = Duration::from_secs(3);
-
-/// The maximum wait of a watch on the list of agents. It may be longer than [`CONFIG_WAIT`], as a
-/// flow whose agent may be missing from the list triggers an immediate read.
-const AGENTS_WAIT: Duration = Duration::from_secs(8);
+/// The maximum wait of a watch on the list of agents. It may be longer than that of a watch on the
+/// configuration, as a flow whose agent may be missing from the list triggers an immediate read.
+const AGENTS_WAIT: Duration = Duration::from_secs(20);
 
 /// The time between two watches on the list of agents, so that one call returns many changes. The
-/// delay does no harm: agents report their changes to the balancers in use directly, and a new
-/// target is still warming up.
-const AGENTS_INTERVAL: Duration = Duration::from_secs(2);
+/// delay does no harm: agents report their changes to the balancers in use directly, and a new agent
+/// announces itself to the balancers of its failure domain.
+const AGENTS_INTERVAL: Duration = Duration::from_secs(8);
+
+/// The time between the first list of agents and the first watch. When a whole deployment starts, agents
+/// register within it, after the first list.
+const FIRST_AGENTS_INTERVAL: Duration = Duration::from_millis(1500);
 
 /// The minimum time between two watches on the list of agents.
 const AGENTS_INTERVAL_MIN: Duration = Duration::from_millis(50);
 
 /// The wait of a watch that returns the changes so far at once.
-const POLL_WAIT: Duration = Duration::from_millis(1);
+pub(crate) const POLL_WAIT: Duration = Duration::from_millis(1);
 
 /// A change of a balancer's state, received from the store or from another balancer.
 #[derive(Debug)]
 pub(crate) enum StateUpdate {
     /// A configuration from the store.
     Config(RouteConfig),
+    /// A check of the configuration in the store, for the other balancers.
+    ConfigChecked(ConfigCheck),
     /// The snapshot of another balancer.
     Snapshot(Snapshot),
+    /// The list of agents of another balancer.
+    AgentsOfBalancer(Vec<AgentRecord>),
     /// The complete list of agents.
     Agents(Vec<AgentRecord>),
     /// The new or changed record of an agent.
@@ -55,45 +57,6 @@
     AgentsReadUpTo(Instant),
 }
 
-/// Sends each version of the configuration until the receiver is dropped.
-///
-/// # Errors
-///
-/// Returns an error if the platform's configuration key is invalid.
-pub(crate) async fn watch_config<P: Platform, S: Store>(
-    store: &S,
-    updates: Sender<StateUpdate>,
-    is_store_unavailable: Arc<AtomicBool>,
-) -> Result<()> {
-    let key = P::config_key()?;
-    let parse = |entry: &Entry| match P::parse_config(&entry.value) {
-        Ok(config) => Some(StateUpdate::Config(config)),
-        Err(error) => {
-            tracing::error!(target: crate::log::TARGET, event = "ConfigurationRefused", %error);
-            None
-        }
-    };
-    let mut watcher = PrefixWatcher::new(store, key);
-    watcher.is_store_unavailable = is_store_unavailable;
-    loop {
-        let changes = match watcher.after {
-            None => watcher
-                .list()
-                .await
-                .map(|entries| entries.iter().filter_map(parse).collect()),
-            Some(after) => watcher.watch(after, CONFIG_WAIT).await.map(|changes| {
-                changes
-                    .iter()
-                    .filter_map(|c| parse(c.entry.as_ref()?))
-                    .collect()
-            }),
-        };
-        if !watcher.send_updates(changes, &updates).await {
-            return Ok(());
-        }
-    }
-}
-
 /// Sends the list of agents and then its changes until the receiver is dropped. `refresh` triggers
 /// an immediate read of the changes.
 ///
@@ -108,8 +71,12 @@
 ) -> Result<()> {
     let prefix = StoreKey::try_new(registration::PREFIX).map_err(Error::Store)?;
     let mut watcher = PrefixWatcher::new(store, prefix);
+    let mut interval = FIRST_AGENTS_INTERVAL;
     loop {
-        let wait = next_wait(&watcher, &refresh).await;
+        let wait = next_wait(&watcher, interval, &refresh).await;
+        if watcher.after.is_some() {
+            interval = AGENTS_INTERVAL;
+        }
         let mut read_started_at = clock.now();
         let changes = match watcher.after {
             None => watcher.list().await.map(|entries| list_updates(&entries)),
@@ -138,13 +105,17 @@
 }
 
 /// Waits until the next watch on the list of agents is due, and returns the wait of that watch.
-async fn next_wait<S: Store>(watcher: &PrefixWatcher<'_, S>, refresh: &Notify) -> Duration {
+async fn next_wait<S: Store>(
+    watcher: &PrefixWatcher<'_, S>,
+    interval: Duration,
+    refresh: &Notify,
+) -> Duration {
     if watcher.after.is_none() {
         return POLL_WAIT;
     }
     sleep(AGENTS_INTERVAL_MIN).await;
     tokio::select! {
-        () = sleep(AGENTS_INTERVAL) => AGENTS_WAIT,
+        () = sleep(interval) => AGENTS_WAIT,
         () = refresh.notified() => POLL_WAIT,
     }
 }
@@ -175,28 +146,25 @@
 /// A watch on the keys of a prefix. It lists the prefix before the first watch and after a loss of
 /// history.
 #[derive(Debug)]
-struct PrefixWatcher<'a, S> {
+pub(crate) struct PrefixWatcher<'a, S> {
     store: &'a S,
     prefix: StoreKey,
     /// The version up to which changes have been received; none if the prefix must be listed.
-    after: Option<Version>,
+    pub(crate) after: Option<Version>,
     backoff: Backoff,
-    /// Whether the last call failed. Shared with the task that fetches snapshots.
-    is_store_unavailable: Arc<AtomicBool>,
 }
 
 impl<'a, S: Store> PrefixWatcher<'a, S> {
-    fn new(store: &'a S, prefix: StoreKey) -> Self {
+    pub(crate) fn new(store: &'a S, prefix: StoreKey) -> Self {
         Self {
             store,
             prefix,
             after: None,
             backoff: Backoff::default(),
-            is_store_unavailable: Arc::default(),
         }
     }
 
-    async fn list(&mut self) -> StoreResult<Vec<Entry>> {
+    pub(crate) async fn list(&mut self) -> StoreResult<Vec<Entry>> {
         let listing = self.store.list(&self.prefix).await?;
         self.after = Some(listing.version);
         Ok(listing.entries)
@@ -204,7 +172,11 @@
 
     /// Returns the changes after a version. If the store no longer has the history of that version,
     /// returns none and marks the prefix to be listed.
-    async fn watch(&mut self, after: Version, wait: Duration) -> StoreResult<Vec<KeyChange>> {
+    pub(crate) async fn watch(
+        &mut self,
+        after: Version,
+        wait: Duration,
+    ) -> StoreResult<Vec<KeyChange>> {
         match self.store.watch(&self.prefix, after, wait).await? {
             WatchOutcome::Unchanged => Ok(Vec::new()),
             WatchOutcome::Changed { version, changes } => {
@@ -220,13 +192,11 @@
 
     /// Sends the updates of a successful call, or waits after a failed one. Returns whether the
     /// receiver still exists.
-    async fn send_updates(
+    pub(crate) async fn send_updates(
         &mut self,
         changes: StoreResult<Vec<StateUpdate>>,
         updates: &Sender<StateUpdate>,
     ) -> bool {
-        self.is_store_unavailable
-            .store(changes.is_err(), Ordering::Relaxed);
         match changes {
             Ok(changes) => {
                 self.backoff.reset(&self.prefix);
