Add the measurement of how a configuration change spreads

measure dissemination runs the schedule of the core for a fleet, with loss, delays and failing watchers, against a watch by each balancer.

--- a/crates/cranberrypitch-measure/src/lib.rs
+++ b/crates/cranberrypitch-measure/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod capacity;
 pub mod config;
 pub(crate) mod discrete_event;
+pub mod dissemination;
 pub mod drain;
 pub mod errors;
 pub mod forward;
@@ -32,7 +33,7 @@
 }
 
 /// All verbs of the `measure` command.
-pub const VERBS: [Verb; 9] = [
+pub const VERBS: [Verb; 10] = [
     Verb {
         name: "placement",
         summary: "waits and imbalance of each placement policy",
@@ -63,6 +64,11 @@
         summary: "bytes and time of a change, and its spread to all processes",
         run: verbs::config,
     },
+    Verb {
+        name: "dissemination",
+        summary: "calls to the store and time until all balancers have a change, by size of the fleet",
+        run: verbs::dissemination,
+    },
     Verb {
         name: "forward",
         summary: "packets per second of a balancer against a bare relay, and growth with flows",
--- a/crates/cranberrypitch-measure/src/verbs.rs
+++ b/crates/cranberrypitch-measure/src/verbs.rs
@@ -2,12 +2,14 @@
 
 use std::fmt::Display;
 use std::str::FromStr;
+use std::time::Duration;
 
 use pico_args::Arguments;
 use serde::Serialize;
 
 use crate::admission::{self, AdmissionMeasureOptions};
 use crate::config;
+use crate::dissemination::{self, DisseminationOptions};
 use crate::drain::{self, DrainMeasureOptions};
 use crate::errors::Result;
 use crate::retry::{self, RetryMeasureOptions};
@@ -64,6 +66,18 @@
     format_report(arguments, &config::run(&options, seed)?)
 }
 
+pub(crate) fn dissemination(arguments: &mut Arguments) -> Result<String> {
+    let mut options = DisseminationOptions::default();
+    parse_option(arguments, "--machines", &mut options.vms)?;
+    parse_option(arguments, "--failure-domains", &mut options.failure_domains)?;
+    parse_option(arguments, "--changes-per-s", &mut options.changes_per_s)?;
+    if let Some(interval_s) = arguments.opt_value_from_str::<_, u64>("--failure-interval-s")? {
+        options.failure_interval = Some(Duration::from_secs(interval_s));
+    }
+    let seed = parse_seed(arguments)?;
+    format_report(arguments, &dissemination::run(&options, seed)?)
+}
+
 fn parse_seed(arguments: &mut Arguments) -> Result<u64> {
     Ok(arguments
         .opt_value_from_str("--seed")?
