Shorten lookups while agents are gone or datagrams are lost

Each agent that left made the next lookup of every balancer wait for three timeouts of 80 ms, and half of the others lost one of 326 datagrams and waited for one. Change: unanswered queries are repeated once after 25 ms; agents whose target exited 0.6 s ago are not queried; agents that are neither registered nor reporting are awaited for one timeout. An agent that stops beside a living target reports it as draining and not as gone, as the target still holds its flows.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -160,7 +160,11 @@
 
     fn state(&self) -> TargetState {
         match &self.target {
-            _ if self.is_stopping => TargetState::Gone,
+            // The target may outlive its agent, and then still holds its flows.
+            Some(target) if self.is_stopping && target.state() != TargetState::Gone => {
+                TargetState::Draining
+            }
+            None if self.is_stopping => TargetState::Gone,
             Some(target) => target.state(),
             None => TargetState::Ready,
         }
--- a/crates/cranberrypitch-core/src/flow/directory.rs
+++ b/crates/cranberrypitch-core/src/flow/directory.rs
@@ -58,6 +58,10 @@
     }
 }
 
+/// The time after the announced exit of a target from which on none of its flows is open. Until then its
+/// agent still passes packets to it.
+const EXIT_TIME: Duration = Duration::from_millis(600);
+
 /// An agent in the directory.
 #[derive(Clone, Debug)]
 pub(crate) struct AgentEntry {
@@ -71,9 +75,26 @@
     /// Whether the store lists the agent.
     is_listed: bool,
     unlisted_at: Instant,
+    /// The time since which the target is known to have exited, if it has.
+    gone_since: Option<Instant>,
 }
 
 impl AgentEntry {
+    /// Returns whether the target may hold open flows.
+    pub(crate) fn may_hold_flows(&self, now: Instant) -> bool {
+        let has_exited = |since| now.saturating_duration_since(since) >= EXIT_TIME;
+        !self.gone_since.is_some_and(has_exited)
+    }
+
+    /// Replaces the record by a newer one.
+    fn set_record(&mut self, record: AgentRecord, now: Instant) {
+        self.gone_since = match record.state {
+            TargetState::Gone => self.gone_since.or(Some(now)),
+            _ => None,
+        };
+        self.record = record;
+    }
+
     fn is_kept(&self, options: &AgentDirectoryOptions, now: Instant) -> bool {
         let is_within = |at: Instant, limit: Duration| now.saturating_duration_since(at) < limit;
         let has_recent_report = self
@@ -177,7 +198,7 @@
             && entry.record.service == record.service
         {
             let is_changed = entry.record.state != record.state;
-            entry.record = record;
+            entry.set_record(record, now);
             entry.load = load;
             entry.reported_at = Some(now);
             return is_changed;
@@ -229,6 +250,16 @@
             .is_some_and(|agent| agent.is_listed)
     }
 
+    /// Returns whether an agent was last heard of long ago: the store does not list it, and it has sent
+    /// no report recently.
+    pub(crate) fn has_lapsed(&self, address: SocketAddrV4, now: Instant) -> bool {
+        let limit = self.options.report_lifetime;
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < limit;
+        self.agents
+            .get(&address)
+            .is_none_or(|agent| !agent.is_listed && !agent.reported_at.is_some_and(is_recent))
+    }
+
     /// Returns the records of all agents, in no particular order.
     pub fn records(&self) -> Vec<AgentRecord> {
         self.agents().map(|agent| agent.record.clone()).collect()
@@ -264,6 +295,7 @@
             reported_at: load.map(|_| now),
             is_listed: previous.is_some_and(|previous| previous.is_listed),
             unlisted_at: now,
+            gone_since: (record.state == TargetState::Gone).then_some(now),
             record,
         };
         self.agents.insert(address, agent);
--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -14,7 +14,7 @@
 
 use self::budget::QueryBudget;
 use self::early_packets::EarlyPacketBuffer;
-use self::liveness::Liveness;
+use self::liveness::{Liveness, MAX_UNANSWERED_QUERIES, MAX_UNANSWERED_QUERIES_LAPSED};
 pub use self::pending_open::MAX_DECLINES;
 use self::table::{FlowState, FlowTable};
 use super::directory::{AgentDirectory, AgentDirectoryOptions, AgentEntry, AgentRecord};
@@ -337,6 +337,9 @@
                 if lookup.is_timed_out(self.options.lookup_timeout, now) {
                     return self.advance_lookup(flow, now);
                 }
+                if lookup.is_repeat_due(now) {
+                    return self.repeat_queries(flow, now);
+                }
                 if lookup.is_expired(self.options.syn_lifetime, now) {
                     self.flows.remove(&flow);
                 }
@@ -346,6 +349,18 @@
         Vec::new()
     }
 
+    /// Returns whether an agent has left so many queries unanswered that no answer is expected.
+    fn is_unresponsive(&self, agent: SocketAddrV4, now: Instant) -> bool {
+        let max_unanswered = if self.directory.has_lapsed(agent, now) {
+            MAX_UNANSWERED_QUERIES_LAPSED
+        } else {
+            MAX_UNANSWERED_QUERIES
+        };
+        let timeout = self.options.lookup_timeout;
+        self.liveness
+            .is_unresponsive(agent, max_unanswered, timeout, now)
+    }
+
     /// Records that an agent is responsive.
     fn on_agent_message(&mut self, agent: SocketAddrV4, now: Instant) {
         self.selector.on_reply(agent);
@@ -362,9 +377,7 @@
         now: Instant,
     ) -> Vec<Action<'a>> {
         let timeout = self.options.lookup_timeout;
-        if self.directory.agent(agent).is_none()
-            || self.liveness.is_unresponsive(agent, timeout, now)
-        {
+        if self.directory.agent(agent).is_none() || self.is_unresponsive(agent, now) {
             self.selector.on_open_timeout(agent, now);
             return self.start_lookup(header, packet, Some(agent), now);
         }
--- a/crates/cranberrypitch-core/src/flow/dispatcher/liveness.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/liveness.rs
@@ -14,7 +14,10 @@
 
 /// The number of unanswered queries after which an agent is unresponsive. At a packet loss of 1 in
 /// 300, as on a healthy network, three in a row are lost once in 27 million.
-const MAX_UNANSWERED_QUERIES: u32 = 3;
+pub(super) const MAX_UNANSWERED_QUERIES: u32 = 3;
+
+/// The same number for an agent whose registration ended and that sends no reports.
+pub(super) const MAX_UNANSWERED_QUERIES_LAPSED: u32 = 1;
 
 /// The latest messages from and queries to an agent.
 #[derive(Clone, Copy, Debug)]
@@ -75,17 +78,18 @@
                 .is_none_or(|at| elapsed(at) >= timeout)
     }
 
-    /// Returns whether the last [`MAX_UNANSWERED_QUERIES`] queries to an agent timed out.
+    /// Returns whether the last `max_unanswered` queries to an agent timed out.
     pub(super) fn is_unresponsive(
         &self,
         agent: SocketAddrV4,
+        max_unanswered: u32,
         timeout: Duration,
         now: Instant,
     ) -> bool {
         self.0.get(&agent).is_some_and(|activity| {
             let has_timed_out = |at| now.saturating_duration_since(at) >= timeout;
-            activity.unanswered_queries > MAX_UNANSWERED_QUERIES
-                || activity.unanswered_queries == MAX_UNANSWERED_QUERIES
+            activity.unanswered_queries > max_unanswered
+                || activity.unanswered_queries == max_unanswered
                     && activity.last_query_at.is_some_and(has_timed_out)
         })
     }
--- a/crates/cranberrypitch-core/src/flow/dispatcher/lookup.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/lookup.rs
@@ -28,6 +28,10 @@
 /// as an agent may have been added since the flow was opened.
 const TOP_RANKED_AGENTS: usize = 4;
 
+/// The time after which a query without an answer is repeated once, as part of the lookup timeout. A
+/// lookup queries all agents of the deployment, so one of its datagrams is often lost.
+const REPEAT_DELAY: Duration = Duration::from_millis(25);
+
 /// The maximum number of queries in a message, which fit a datagram of 1,200 bytes.
 const MAX_BATCH_QUERIES: usize = 64;
 
@@ -92,6 +96,8 @@
     queried_ahead: FastSet<SocketAddrV4>,
     started_at: Instant,
     queried_at: Instant,
+    /// Whether the queries since `queried_at` were repeated.
+    is_repeated: bool,
     progress: Progress,
 }
 
@@ -107,10 +113,18 @@
             queried_ahead: FastSet::default(),
             started_at: now,
             queried_at: now,
+            is_repeated: false,
             progress: Progress::Querying,
         }
     }
 
+    /// Returns whether queries that have no answer should be repeated.
+    pub(super) fn is_repeat_due(&self, now: Instant) -> bool {
+        self.progress == Progress::Querying
+            && !self.is_repeated
+            && now.saturating_duration_since(self.queried_at) >= REPEAT_DELAY
+    }
+
     /// Returns whether the lookup failed and its result has been kept for the lifetime.
     pub(super) fn is_expired(&self, lifetime: Duration, now: Instant) -> bool {
         match self.progress {
@@ -202,7 +216,7 @@
                 return actions;
             };
             let stage = lookup.stage;
-            let agents = self.agents_of_stage(stage, &flow);
+            let agents = self.agents_of_stage(stage, &flow, now);
             let Some(lookup) = self.lookup_mut(flow) else {
                 return actions;
             };
@@ -216,7 +230,7 @@
                 continue;
             }
             if stage == Stage::Service {
-                self.query_last_stage_ahead(flow);
+                self.query_last_stage_ahead(flow, now);
             }
             // Agents that were queried ahead of this stage need no second query yet.
             let is_due = |lookup: &FlowLookup| {
@@ -237,9 +251,7 @@
 
     /// Returns whether a responsive agent of the stage has not replied yet.
     fn is_awaiting_reply(&self, flow: FlowKey, now: Instant) -> bool {
-        let timeout = self.options.lookup_timeout;
-        let is_responsive =
-            |agent: &SocketAddrV4| !self.liveness.is_unresponsive(*agent, timeout, now);
+        let is_responsive = |agent: &SocketAddrV4| !self.is_unresponsive(*agent, now);
         self.lookup(flow).is_some_and(|lookup| {
             let mut of_stage = lookup.unanswered.difference(&lookup.queried_ahead);
             of_stage.any(is_responsive)
@@ -247,8 +259,8 @@
     }
 
     /// Adds the agents of the last stage to the queried ones, ahead of that stage.
-    fn query_last_stage_ahead(&mut self, flow: FlowKey) {
-        let agents = self.agents_of_stage(Stage::All, &flow);
+    fn query_last_stage_ahead(&mut self, flow: FlowKey, now: Instant) {
+        let agents = self.agents_of_stage(Stage::All, &flow, now);
         if let Some(lookup) = self.lookup_mut(flow) {
             for agent in agents {
                 if lookup.queried.insert(agent) {
@@ -259,12 +271,12 @@
         }
     }
 
-    fn agents_of_stage(&self, stage: Stage, flow: &FlowKey) -> Vec<SocketAddrV4> {
+    /// Returns the agents of a stage whose targets may hold the flow.
+    fn agents_of_stage(&self, stage: Stage, flow: &FlowKey, now: Instant) -> Vec<SocketAddrV4> {
         let address = flow.service_address;
-        let routed = || {
-            let agents = self.directory.agents();
-            agents.filter(move |agent| self.routes.was_routed_to(address, agent.service_tag))
-        };
+        let holders = || self.directory.agents().filter(|a| a.may_hold_flows(now));
+        let routed =
+            || holders().filter(move |a| self.routes.was_routed_to(address, a.service_tag));
         let top_ranked = |is_local: bool| {
             let agents = routed().filter(move |agent| agent.is_local == is_local);
             rendezvous::top_ranked(flow, agents, TOP_RANKED_AGENTS)
@@ -273,7 +285,7 @@
             Stage::Local => top_ranked(true),
             Stage::Remote => top_ranked(false),
             Stage::Service => routed().collect(),
-            Stage::All => self.directory.agents().collect(),
+            Stage::All => holders().collect(),
         };
         agents.into_iter().map(|a| a.record.address).collect()
     }
@@ -281,20 +293,46 @@
     /// Queries the agents that have not replied. Queries of unbounded stages are batched, and are left
     /// to a later timeout if they exceed the budget.
     fn query_unanswered<'a>(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'a>> {
-        let timeout = self.options.lookup_timeout;
         let Some(lookup) = self.lookup_mut(flow) else {
             return Vec::new();
         };
         lookup.queried_at = now;
+        lookup.is_repeated = false;
+        let unanswered: Vec<_> = lookup.unanswered.iter().copied().collect();
+        self.query(flow, unanswered, now)
+    }
+
+    /// Repeats the queries to agents that have not replied but are expected to.
+    pub(super) fn repeat_queries<'a>(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'a>> {
+        let Some(lookup) = self.lookup_mut(flow) else {
+            return Vec::new();
+        };
+        lookup.is_repeated = true;
+        let unanswered: Vec<_> = lookup.unanswered.iter().copied().collect();
+        let responsive = unanswered.into_iter();
+        let responsive = responsive.filter(|agent| !self.is_unresponsive(*agent, now));
+        let responsive = responsive.collect();
+        self.query(flow, responsive, now)
+    }
+
+    fn query<'a>(
+        &mut self,
+        flow: FlowKey,
+        agents: Vec<SocketAddrV4>,
+        now: Instant,
+    ) -> Vec<Action<'a>> {
+        let timeout = self.options.lookup_timeout;
+        let Some(lookup) = self.lookup_mut(flow) else {
+            return Vec::new();
+        };
         let is_unbounded = lookup.stage.is_unbounded();
         let message = Message::lookup(&lookup.header);
         let ack_number = lookup.header.ack_number;
-        let unanswered: Vec<_> = lookup.unanswered.iter().copied().collect();
         if is_unbounded {
             // Queries over the budget are sent after the next timeout.
-            if self.query_budget.try_take(unanswered.len(), now) {
+            if self.query_budget.try_take(agents.len(), now) {
                 let query = LookupQuery { flow, ack_number };
-                self.query_budget.add_to_batches(&unanswered, query);
+                self.query_budget.add_to_batches(&agents, query);
             }
             return Vec::new();
         }
@@ -302,7 +340,7 @@
             self.liveness.on_query(agent, timeout, now);
             Action::send(agent, message.clone())
         };
-        unanswered.into_iter().map(query).collect()
+        agents.into_iter().map(query).collect()
     }
 
     /// Sends the batched queries, up to [`MAX_BATCH_QUERIES`] to an agent in one message.
@@ -506,6 +544,7 @@
             flow,
             queried_agents: lookup.queried.len(),
             unresponsive_agents: lookup.unanswered.len(),
+            elapsed: now.saturating_duration_since(lookup.started_at),
         };
         let mut actions = vec![Action::RecordEvent(event)];
         if self.is_agent_list_current(flow) {
@@ -540,7 +579,9 @@
         let Some(lookup) = self.lookup(flow) else {
             return Vec::new();
         };
-        let is_new = |agent: &AgentEntry| !lookup.queried.contains(&agent.record.address);
+        let is_new = |agent: &AgentEntry| {
+            agent.may_hold_flows(now) && !lookup.queried.contains(&agent.record.address)
+        };
         if !self.directory.agents().any(is_new) {
             return self.reset_not_found(flow);
         }
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -87,6 +87,8 @@
         queried_agents: usize,
         /// The number of queried agents that did not reply in time.
         unresponsive_agents: usize,
+        /// The time since the lookup began.
+        elapsed: Duration,
     },
     /// An agent refused to open a flow.
     Refused {
--- /dev/null
+++ b/crates/cranberrypitch-core/tests/flow/lookup.rs
@@ -0,0 +1,201 @@
+//! Lookups while agents are gone or datagrams are lost.
+//!
+//! Load pattern: all VMs lose power while targets are being replaced. Callers of many lost flows return
+//! over the next seconds, and each lookup queries all agents, some of which no longer exist.
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::TargetState;
+use cranberrypitch_core::flow::{
+    Action, AgentRecord, Dispatcher, FlowAgent, FlowEvent, LookupAnswer, Message,
+};
+
+use crate::agent::{agent, with_target};
+use crate::dispatcher::dispatcher;
+use crate::support::{
+    agent_address, balancer_address, encode, events, flow, load, record, request, reset_count,
+    sent_messages,
+};
+
+/// The time between two ticks of a balancer while a lookup is in progress.
+const TICK: Duration = Duration::from_millis(20);
+
+fn records(count: u8) -> Vec<AgentRecord> {
+    (1..=count).map(|i| record(i, "matcher", "a")).collect()
+}
+
+/// A balancer that looks up a flow which no agent holds.
+struct Lookup {
+    dispatcher: Dispatcher,
+    started_at: Instant,
+    now: Instant,
+}
+
+impl Lookup {
+    fn start(dispatcher: Dispatcher, now: Instant) -> (Self, Vec<SocketAddrV4>) {
+        let mut lookup = Self {
+            dispatcher,
+            started_at: now,
+            now,
+        };
+        let header = request(flow(1), 77);
+        let packet = encode(&header);
+        let actions = lookup.dispatcher.on_packet(&header, &packet, now);
+        let queried = queried(&actions);
+        (lookup, queried)
+    }
+
+    fn answer_not_held(&mut self, agent: u8) -> Vec<Action<'static>> {
+        let agent = agent_address(agent);
+        self.dispatcher
+            .on_lookup_reply(agent, flow(1), LookupAnswer::NotHeld, self.now)
+    }
+
+    /// Advances the clock until the flow is reset, while the agent list is up to date. Returns the time
+    /// since the start of the lookup.
+    fn time_to_reset(&mut self) -> Duration {
+        for _ in 0..100 {
+            self.now += TICK;
+            let now = self.now;
+            let resets = reset_count(&self.dispatcher.on_tick(now))
+                + reset_count(&self.dispatcher.on_agents_refreshed(now, now));
+            if resets > 0 {
+                return now - self.started_at;
+            }
+        }
+        panic!("the flow was not reset");
+    }
+}
+
+fn queried(actions: &[Action<'_>]) -> Vec<SocketAddrV4> {
+    let sent = sent_messages(actions).into_iter();
+    let queries = sent
+        .filter(|(_, message)| matches!(message, Message::Lookup { .. } | Message::LookupBatch(_)));
+    let mut agents: Vec<_> = queries.map(|(agent, _)| agent).collect();
+    agents.sort_unstable();
+    agents
+}
+
+/// Guards against a lookup that waits for the whole timeout because one of several hundred datagrams was
+/// lost: the query is repeated once before.
+#[test]
+fn unanswered_query_is_repeated_before_the_timeout() {
+    let now = Instant::now();
+    let (mut lookup, first) = Lookup::start(dispatcher(records(2), now), now);
+    assert_eq!(first, [agent_address(1), agent_address(2)]);
+    lookup.answer_not_held(1);
+    let mut repeated = Vec::new();
+    for _ in 0..3 {
+        lookup.now += TICK;
+        repeated.extend(queried(&lookup.dispatcher.on_tick(lookup.now)));
+    }
+    assert_eq!(repeated, [agent_address(2)], "once, to the silent agent");
+}
+
+/// Guards against lookups that wait for the agent of a target that has exited.
+#[test]
+fn agent_of_an_exited_target_is_not_queried() {
+    let start = Instant::now();
+    let mut dispatcher = dispatcher(records(2), start);
+    let gone = AgentRecord {
+        state: TargetState::Gone,
+        ..record(2, "matcher", "a")
+    };
+    dispatcher.on_report(&gone, load(0), start);
+    let now = start + Duration::from_secs(1);
+    let (mut lookup, queried) = Lookup::start(dispatcher, now);
+    assert_eq!(queried, [agent_address(1)]);
+    lookup.answer_not_held(1);
+    assert!(lookup.time_to_reset() <= TICK);
+}
+
+/// Guards against the reset of a flow whose target still lives: it serves its flows for a moment after it
+/// announced its exit.
+#[test]
+fn agent_of_an_exiting_target_is_queried() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(records(2), now);
+    let gone = AgentRecord {
+        state: TargetState::Gone,
+        ..record(2, "matcher", "a")
+    };
+    dispatcher.on_report(&gone, load(0), now);
+    let (_, queried) = Lookup::start(dispatcher, now + Duration::from_millis(300));
+    assert_eq!(queried, [agent_address(1), agent_address(2)]);
+}
+
+/// Guards against lookups that wait for three timeouts of an agent whose registration ended.
+#[test]
+fn agent_that_is_no_longer_registered_is_awaited_for_one_timeout() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(records(2), now);
+    dispatcher.on_unregistered(agent_address(2), now);
+    let (mut lookup, _) = Lookup::start(dispatcher, now);
+    lookup.answer_not_held(1);
+    let elapsed = lookup.time_to_reset();
+    assert!(elapsed <= Duration::from_millis(120), "{elapsed:?}");
+}
+
+/// Guards against the reset of a flow that a slow agent holds: one that is registered is awaited for three
+/// timeouts.
+#[test]
+fn registered_agent_is_awaited_for_three_timeouts() {
+    let now = Instant::now();
+    let (mut lookup, _) = Lookup::start(dispatcher(records(2), now), now);
+    lookup.answer_not_held(1);
+    let elapsed = lookup.time_to_reset();
+    assert!(elapsed >= Duration::from_millis(240), "{elapsed:?}");
+}
+
+/// Guards against the reset of a flow whose agent could not renew its registration, but reports.
+#[test]
+fn reporting_agent_without_registration_is_awaited_for_three_timeouts() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(records(2), now);
+    dispatcher.on_report(&record(2, "matcher", "a"), load(0), now);
+    dispatcher.on_unregistered(agent_address(2), now);
+    let (mut lookup, _) = Lookup::start(dispatcher, now);
+    lookup.answer_not_held(1);
+    let elapsed = lookup.time_to_reset();
+    assert!(elapsed >= Duration::from_millis(240), "{elapsed:?}");
+}
+
+fn state_reported_at_stop(mut agent: FlowAgent, now: Instant) -> Option<TargetState> {
+    agent.on_lookup(balancer_address(1), flow(1), 1, now);
+    let actions = agent.on_stop(now);
+    sent_messages(&actions)
+        .into_iter()
+        .find_map(|(_, message)| match message {
+            Message::Report { record, .. } => Some(record.state),
+            _ => None,
+        })
+}
+
+/// Guards against balancers that take the flows of a living target for lost because its agent is stopped
+/// and started again.
+#[test]
+fn stopping_agent_reports_its_target_as_gone_only_if_it_is() {
+    let now = Instant::now();
+    let living = state_reported_at_stop(with_target(now), now);
+    assert_eq!(living, Some(TargetState::Draining));
+    let mut exited = with_target(now);
+    exited.on_target_exit("i-1", now);
+    assert_eq!(state_reported_at_stop(exited, now), Some(TargetState::Gone));
+    let never_started = state_reported_at_stop(agent(now), now);
+    assert_eq!(never_started, Some(TargetState::Gone));
+}
+
+/// Guards against a log that shows that a lookup failed, but not how long its caller waited.
+#[test]
+fn failed_lookup_records_its_duration() {
+    let now = Instant::now();
+    let (mut lookup, _) = Lookup::start(dispatcher(records(1), now), now);
+    lookup.now += Duration::from_millis(7);
+    let actions = lookup.answer_not_held(1);
+    let elapsed = events(&actions).into_iter().find_map(|event| match event {
+        FlowEvent::NotLocated { elapsed, .. } => Some(*elapsed),
+        _ => None,
+    });
+    assert_eq!(elapsed, Some(Duration::from_millis(7)));
+}
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -6,6 +6,7 @@
 mod dispatcher;
 mod liveness;
 mod load;
+mod lookup;
 mod routes;
 mod selection;
 mod store_retry;
--- a/crates/cranberrypitch-relay/src/log.rs
+++ b/crates/cranberrypitch-relay/src/log.rs
@@ -179,8 +179,10 @@
             flow,
             queried_agents,
             unresponsive_agents,
+            elapsed,
         } => {
-            tracing::warn!(target: TARGET, event = "NotLocated", %flow, asked = queried_agents, silent = unresponsive_agents);
+            let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+            tracing::warn!(target: TARGET, event = "NotLocated", %flow, asked = queried_agents, silent = unresponsive_agents, elapsed_ms);
         }
         FlowEvent::Refused { flow, agent, cause } => {
             tracing::info!(target: TARGET, event = "Refused", %flow, %agent, %cause);
