--- a/crates/cranberrypitch-measure/src/dissemination.rs
+++ b/crates/cranberrypitch-measure/src/dissemination.rs
@@ -46,7 +46,7 @@
             known_balancers: 0.95,
             loss: 0.002,
             failure_interval: None,
-            duration: Duration::from_secs(60),
+            duration: Duration::from_mins(1),
         }
     }
 }
