Show the checks of the configuration in metrics and log; split lookup and its tests

Metrics: checks sent and received, age of the last check, whether the balancer watches, age of the list of agents; questions counts batches too. Log event ConfigurationWatch.

--- a/crates/cranberrypitch-core/src/flow/config_reads.rs
+++ b/crates/cranberrypitch-core/src/flow/config_reads.rs
@@ -152,6 +152,17 @@
         check_due_at.min(read_at + self.options.max_read_age)
     }
 
+    /// Returns whether this balancer watches the store for the others.
+    pub const fn is_watching(&self) -> bool {
+        self.is_watching
+    }
+
+    /// Returns the time since the store is known to have had no newer version, if it is known.
+    pub fn check_age(&self, now: Instant) -> Option<Duration> {
+        let checked_at = self.checked_at?;
+        Some(now.saturating_duration_since(checked_at))
+    }
+
     /// Returns whether another balancer has read a version that this one has not. A watch in progress
     /// should then be replaced by a read.
     pub fn is_outdated(&self) -> bool {
--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -112,6 +112,12 @@
         &self.directory
     }
 
+    /// Returns the time since the agent list was read from the store, if it was.
+    pub fn agent_list_age(&self, now: Instant) -> Option<Duration> {
+        let as_of = self.agent_list_as_of?;
+        Some(now.saturating_duration_since(as_of))
+    }
+
     /// Returns the number of flows in the table, including those that are not established.
     pub fn flow_count(&self) -> usize {
         self.flows.len()
--- a/crates/cranberrypitch-core/src/flow/dispatcher/lookup.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/lookup.rs
@@ -4,190 +4,29 @@
 //! domain, those that rank highest in other failure domains, all agents of the services that the
 //! address is or was routed to, and all remaining agents.
 
+mod state;
+
 use std::borrow::Cow;
 use std::net::SocketAddrV4;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
+pub(super) use self::state::FlowLookup;
+use self::state::{Progress, Stage};
 use super::Dispatcher;
 use super::table::FlowState;
-use crate::collections::FastSet;
 use crate::flow::directory::AgentEntry;
 use crate::flow::event::{DropCause, FlowEvent, ResetCause};
 use crate::flow::message::{Action, LookupAnswer, LookupQuery, Message, dropped, reset};
 use crate::flow::packet::{FlowKey, PacketFlags, PacketHeader};
 use crate::flow::rendezvous;
 
-/// The time that possible holders have to return a forwarded packet, as a multiple of the lookup
-/// timeout.
-const PROBE_TIMEOUT_FACTOR: u32 = 3;
-
-/// The maximum number of packets that are buffered during a lookup; a sender has at most 16 in flight.
-const MAX_BUFFERED_PACKETS: usize = 16;
-
 /// The number of agents in each of the first two stages: one more than the candidates for a new flow,
 /// as an agent may have been added since the flow was opened.
 const TOP_RANKED_AGENTS: usize = 4;
 
-/// The time after which a query without an answer is repeated once, as part of the lookup timeout. A
-/// lookup queries all agents of the deployment, so one of its datagrams is often lost.
-const REPEAT_DELAY: Duration = Duration::from_millis(25);
-
 /// The maximum number of queries in a message, which fit a datagram of 1,200 bytes.
 const MAX_BATCH_QUERIES: usize = 64;
 
-/// The set of agents that are queried together.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// The highest-ranked agents in the own failure domain.
-    Local,
-    /// The highest-ranked agents in other failure domains.
-    Remote,
-    /// All agents of the services that the address is or was routed to.
-    Service,
-    /// All agents.
-    All,
-}
-
-impl Stage {
-    const fn next(self) -> Option<Self> {
-        match self {
-            Self::Local => Some(Self::Remote),
-            Self::Remote => Some(Self::Service),
-            Self::Service => Some(Self::All),
-            Self::All => None,
-        }
-    }
-
-    /// Returns whether the number of agents in the stage has no limit.
-    const fn is_unbounded(self) -> bool {
-        matches!(self, Self::Service | Self::All)
-    }
-}
-
-/// The progress of a lookup.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Progress {
-    /// The agents of the stage were queried and have not all replied.
-    Querying,
-    /// No agent holds the flow. The flow is reset if an agent list read after the start of the lookup
-    /// contains no agent that was not queried.
-    NotFound { since: Instant },
-    /// The packets are forwarded to the possible holders of the stage, whose targets return packets
-    /// of flows that they don't hold.
-    Probing { since: Instant },
-}
-
-/// The lookup of the agent of a flow.
-#[derive(Debug)]
-pub(super) struct FlowLookup {
-    /// The header of the latest packet.
-    header: PacketHeader,
-    /// The packets to forward once the agent is found.
-    buffered_packets: Vec<Box<[u8]>>,
-    stage: Stage,
-    queried: FastSet<SocketAddrV4>,
-    /// The agents that were queried and have not replied.
-    unanswered: FastSet<SocketAddrV4>,
-    /// The agents that answered [`LookupAnswer::MayBeHeld`] and whose targets have not returned a
-    /// packet.
-    possible_holders: Vec<SocketAddrV4>,
-    /// The agents of the last stage that were queried together with the stage before, to save a round
-    /// trip.
-    queried_ahead: FastSet<SocketAddrV4>,
-    started_at: Instant,
-    queried_at: Instant,
-    /// Whether the queries since `queried_at` were repeated.
-    is_repeated: bool,
-    progress: Progress,
-}
-
-impl FlowLookup {
-    fn new(header: PacketHeader, packet: &[u8], now: Instant) -> Self {
-        Self {
-            header,
-            buffered_packets: vec![packet.into()],
-            stage: Stage::Local,
-            queried: FastSet::default(),
-            unanswered: FastSet::default(),
-            possible_holders: Vec::new(),
-            queried_ahead: FastSet::default(),
-            started_at: now,
-            queried_at: now,
-            is_repeated: false,
-            progress: Progress::Querying,
-        }
-    }
-
-    /// Returns whether queries that have no answer should be repeated.
-    pub(super) fn is_repeat_due(&self, now: Instant) -> bool {
-        self.progress == Progress::Querying
-            && !self.is_repeated
-            && now.saturating_duration_since(self.queried_at) >= REPEAT_DELAY
-    }
-
-    /// Returns whether the lookup failed and its result has been kept for the lifetime.
-    pub(super) fn is_expired(&self, lifetime: Duration, now: Instant) -> bool {
-        match self.progress {
-            Progress::NotFound { since } => now.saturating_duration_since(since) >= lifetime,
-            _ => false,
-        }
-    }
-
-    /// Returns whether the replies or the returned packets of the stage are overdue.
-    pub(super) fn is_timed_out(&self, timeout: Duration, now: Instant) -> bool {
-        let elapsed = |since: Instant| now.saturating_duration_since(since);
-        match self.progress {
-            Progress::Querying => elapsed(self.queried_at) >= timeout,
-            Progress::Probing { since } => elapsed(since) >= timeout * PROBE_TIMEOUT_FACTOR,
-            Progress::NotFound { .. } => false,
-        }
-    }
-
-    /// Buffers a packet until the agent is found. Returns false if the buffer is full.
-    fn buffer_packet(&mut self, packet: &[u8]) -> bool {
-        // Several agents may return the same packet.
-        if self
-            .buffered_packets
-            .iter()
-            .any(|buffered| **buffered == *packet)
-        {
-            return true;
-        }
-        let has_capacity = self.buffered_packets.len() < MAX_BUFFERED_PACKETS;
-        if has_capacity {
-            self.buffered_packets.push(packet.into());
-        }
-        has_capacity
-    }
-
-    /// Adds the agents of a stage to the queried ones. Returns whether one of them is new.
-    fn begin_stage(&mut self, agents: &[SocketAddrV4]) -> bool {
-        let mut has_new = false;
-        for agent in agents {
-            self.queried_ahead.remove(agent);
-            if self.queried.insert(*agent) {
-                self.unanswered.insert(*agent);
-                has_new = true;
-            }
-        }
-        has_new
-    }
-
-    /// Returns the possible holders, without those that were queried ahead of their stage.
-    fn possible_holders_of_stage(&self) -> Vec<SocketAddrV4> {
-        let holders = self.possible_holders.iter().copied();
-        holders
-            .filter(|agent| !self.queried_ahead.contains(agent))
-            .collect()
-    }
-
-    /// Records that the target of an agent does not hold the flow.
-    fn rule_out(&mut self, agent: SocketAddrV4) {
-        self.unanswered.remove(&agent);
-        self.possible_holders.retain(|holder| *holder != agent);
-    }
-}
-
 impl Dispatcher {
     /// Starts the lookup of a flow. `previous` is the agent that its packets were forwarded to before, if
     /// any; it is queried with the first stage.
--- a/crates/cranberrypitch-core/tests/flow/agent.rs
+++ b/crates/cranberrypitch-core/tests/flow/agent.rs
@@ -133,7 +133,12 @@
     }
 }
 
-fn lookup(agent: &mut FlowAgent, port: u16, ack_number: u32, now: Instant) -> LookupAnswer {
+pub(crate) fn lookup(
+    agent: &mut FlowAgent,
+    port: u16,
+    ack_number: u32,
+    now: Instant,
+) -> LookupAnswer {
     let actions = agent.on_lookup(balancer_address(2), flow(port), ack_number, now);
     match sent_messages(&actions)[..] {
         [(_, Message::LookupReply { answer, .. })] => *answer,
@@ -443,53 +448,6 @@
     assert_eq!(forward(&mut agent, 1, 900_000, now), "returned");
 }
 
-/// During an outage of the store, a new agent reports to seed balancers and to the balancers of the agents
-/// in their replies. Otherwise its target would stay idle while other targets are replaced in a release.
-#[test]
-fn unregistered_agent_reports_to_seed_balancers() {
-    let now = Instant::now();
-    let mut agent = with_target(now);
-    let later = now + Duration::from_secs(1);
-    let actions = agent.on_tick(later);
-    let receivers: Vec<_> = sent_messages(&actions)
-        .iter()
-        .map(|(peer, _)| *peer)
-        .collect();
-    assert_eq!(receivers, [balancer_address(8), balancer_address(9)]);
-
-    let actions = agent.on_agent_list(&[agent_address(2)]);
-    assert!(
-        matches!(sent_messages(&actions)[..], [(a, Message::BalancerQuery)] if a == agent_address(2))
-    );
-    let actions = agent.on_balancer_list(&[balancer_address(3)], later);
-    let messages = sent_messages(&actions);
-    assert!(matches!(messages[..], [(b, Message::Report { .. })] if b == balancer_address(3)));
-
-    agent.set_registered(true);
-    let actions = agent.on_tick(later + Duration::from_secs(2));
-    let receivers: Vec<_> = sent_messages(&actions)
-        .iter()
-        .map(|(peer, _)| *peer)
-        .collect();
-    assert_eq!(receivers, [balancer_address(3)]);
-}
-
-/// Load pattern: the targets of a service are replaced one after the other. A new target must get flows
-/// before balancers read the list of agents, so its agent announces itself at once, also if it is
-/// registered, and repeats that once in case a report is lost.
-#[test]
-fn new_agent_announces_itself_although_it_is_registered() {
-    let now = Instant::now();
-    let mut agent = with_target(now);
-    agent.set_registered(true);
-    let mut announced = Vec::new();
-    for elapsed_ms in (100..5000).step_by(100) {
-        let actions = agent.on_tick(now + Duration::from_millis(elapsed_ms));
-        announced.extend(sent_messages(&actions).iter().map(|_| elapsed_ms));
-    }
-    assert_eq!(announced, [100, 100, 1100, 1100], "two seed balancers");
-}
-
 /// The log contains one entry for the first packet of a request, not one for each packet.
 #[test]
 fn each_request_is_recorded_once() {
@@ -517,84 +475,6 @@
     assert_eq!(events(&actions), [&answered]);
 }
 
-/// Balancers that opened flows recently get several reports a second, those that only forwarded packets or
-/// queries get one a second, and those that have stopped get none.
-#[test]
-fn reports_are_sent_to_active_balancers() {
-    let now = Instant::now();
-    let mut agent = with_target(now);
-    agent.set_registered(true);
-    open(&mut agent, 1, now);
-    lookup(&mut agent, 9, 1, now);
-    let mut reports = [0; 10];
-    for tenths in 1..=10 {
-        let actions = agent.on_tick(now + Duration::from_millis(tenths * 100));
-        for (peer, _) in sent_messages(&actions) {
-            reports[usize::from(peer.ip().octets()[3])] += 1;
-        }
-    }
-    // The last two are the seed balancers, to which the new agent announces itself.
-    assert_eq!(reports, [0, 5, 1, 0, 0, 0, 0, 0, 1, 1]);
-    let later = now + Duration::from_secs(11);
-    assert!(sent_messages(&agent.on_tick(later)).is_empty());
-}
-
-/// Returns the percentage of failed responses in a report.
-fn reported_failures(agent: &mut FlowAgent, now: Instant) -> u8 {
-    agent.on_lookup(balancer_address(1), flow(99), 1, now);
-    let actions = agent.on_tick(now + Duration::from_secs(1));
-    let failed = sent_messages(&actions)
-        .iter()
-        .find_map(|(_, message)| match message {
-            Message::Report { load, .. } => Some(load.failed_responses_percent),
-            _ => None,
-        });
-    failed.expect("a report is due")
-}
-
-/// A target that passes its health checks while its responses fail would get flows all the time. A busy
-/// target (503) refuses flows by other means, and errors of callers (4xx) are not failures of the target.
-#[test]
-fn failed_responses_are_reported() {
-    let now = Instant::now();
-    let mut agent = with_target(now);
-    for _ in 0..10 {
-        agent.on_response(200, now);
-        agent.on_response(404, now);
-        agent.on_response(503, now);
-    }
-    assert_eq!(reported_failures(&mut agent, now), 0);
-    let later = now + Duration::from_secs(3);
-    for _ in 0..120 {
-        agent.on_response(500, later);
-    }
-    let failed = reported_failures(&mut agent, later);
-    assert!(failed >= 80, "{failed}");
-}
-
-/// A target that restarts repeatedly loses its flows each time, so a restart counts as several failures
-/// that decay over seconds.
-#[test]
-fn restarted_target_is_reported_as_failing() {
-    let now = Instant::now();
-    let mut agent = with_target(now);
-    agent.on_status_report(status_report("i-1", 2, 1), now);
-    assert!(reported_failures(&mut agent, now) > 50);
-    let later = now + Duration::from_secs(20);
-    agent.on_status_report(status_report("i-1", 2, 2), later);
-    assert!(reported_failures(&mut agent, later) < 10);
-}
-
-/// The agent of a target without status reports refuses all flows, and the target looks idle. Balancers
-/// that select it first lose the time of a refusal for each flow (incident inc-b83e).
-#[test]
-fn silent_target_is_reported_as_failing() {
-    let now = Instant::now();
-    let mut agent = with_target(now);
-    let silent_at = now + Duration::from_secs(5);
-    assert_eq!(reported_failures(&mut agent, silent_at), 100);
-}
-
 /// A late retransmission of a SYN opens a flow here whose caller uses another target, and a packet of that
 /// caller reached this target before the SYN-ACK was seen. The target returns the packet, which must not
 /// reset the flow. Found by the soak test, seed 26.
--- a/crates/cranberrypitch-core/tests/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/tests/flow/dispatcher.rs
@@ -21,7 +21,7 @@
     dispatcher
 }
 
-fn local_records(count: u8) -> Vec<AgentRecord> {
+pub(crate) fn local_records(count: u8) -> Vec<AgentRecord> {
     (1..=count).map(|i| record(i, "matcher", "a")).collect()
 }
 
@@ -500,39 +500,6 @@
     }
 }
 
-/// An agent that the store does not list gets a list of other agents, through which it discovers balancers.
-#[test]
-fn unlisted_agent_gets_an_agent_list() {
-    let now = Instant::now();
-    let mut dispatcher = dispatcher(local_records(2), now);
-    let actions = dispatcher.on_report(&record(7, "matcher", "a"), load(0), now);
-    let messages = sent_messages(&actions);
-    assert!(
-        matches!(messages[..], [(a, Message::AgentList(others))] if a == agent_address(7) && others.len() == 2),
-        "{messages:?}"
-    );
-    let actions = dispatcher.on_report(&record(1, "matcher", "a"), load(0), now);
-    assert!(sent_messages(&actions).is_empty());
-}
-
-/// Guards against a new target that stays unknown in its failure domain: in a large fleet the agents
-/// that fit into a message would be arbitrary ones, whose balancers are elsewhere.
-#[test]
-fn unlisted_agent_gets_agents_of_its_failure_domain_first() {
-    let now = Instant::now();
-    let far = (1..=40).map(|index| record(index, "matcher", "a"));
-    let near = (41..=44).map(|index| record(index, "matcher", "b"));
-    let mut dispatcher = dispatcher(far.chain(near).collect(), now);
-    let actions = dispatcher.on_report(&record(50, "matcher", "b"), load(0), now);
-    let messages = sent_messages(&actions);
-    let [(_, Message::AgentList(others))] = &*messages else {
-        panic!("{messages:?}");
-    };
-    for index in 41..=44 {
-        assert!(others.contains(&agent_address(index)), "{others:?}");
-    }
-}
-
 /// The flow table must not grow without limit.
 #[test]
 fn idle_flows_are_removed() {
--- a/crates/cranberrypitch-core/tests/flow/lookup.rs
+++ b/crates/cranberrypitch-core/tests/flow/lookup.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::agent::{agent, with_target};
-use crate::dispatcher::dispatcher;
+use crate::dispatcher::{dispatcher, local_records};
 use crate::support::{
     agent_address, balancer_address, encode, events, flow, load, record, request, reset_count,
     sent_messages,
@@ -21,10 +21,6 @@
 /// The time between two ticks of a balancer while a lookup is in progress.
 const TICK: Duration = Duration::from_millis(20);
 
-fn records(count: u8) -> Vec<AgentRecord> {
-    (1..=count).map(|i| record(i, "matcher", "a")).collect()
-}
-
 /// A balancer that looks up a flow which no agent holds.
 struct Lookup {
     dispatcher: Dispatcher,
@@ -82,7 +78,7 @@
 #[test]
 fn unanswered_query_is_repeated_before_the_timeout() {
     let now = Instant::now();
-    let (mut lookup, first) = Lookup::start(dispatcher(records(2), now), now);
+    let (mut lookup, first) = Lookup::start(dispatcher(local_records(2), now), now);
     assert_eq!(first, [agent_address(1), agent_address(2)]);
     lookup.answer_not_held(1);
     let mut repeated = Vec::new();
@@ -97,7 +93,7 @@
 #[test]
 fn agent_of_an_exited_target_is_not_queried() {
     let start = Instant::now();
-    let mut dispatcher = dispatcher(records(2), start);
+    let mut dispatcher = dispatcher(local_records(2), start);
     let gone = AgentRecord {
         state: TargetState::Gone,
         ..record(2, "matcher", "a")
@@ -115,7 +111,7 @@
 #[test]
 fn agent_of_an_exiting_target_is_queried() {
     let now = Instant::now();
-    let mut dispatcher = dispatcher(records(2), now);
+    let mut dispatcher = dispatcher(local_records(2), now);
     let gone = AgentRecord {
         state: TargetState::Gone,
         ..record(2, "matcher", "a")
@@ -129,7 +125,7 @@
 #[test]
 fn agent_that_is_no_longer_registered_is_awaited_for_one_timeout() {
     let now = Instant::now();
-    let mut dispatcher = dispatcher(records(2), now);
+    let mut dispatcher = dispatcher(local_records(2), now);
     dispatcher.on_unregistered(agent_address(2), now);
     let (mut lookup, _) = Lookup::start(dispatcher, now);
     lookup.answer_not_held(1);
@@ -142,7 +138,7 @@
 #[test]
 fn registered_agent_is_awaited_for_three_timeouts() {
     let now = Instant::now();
-    let (mut lookup, _) = Lookup::start(dispatcher(records(2), now), now);
+    let (mut lookup, _) = Lookup::start(dispatcher(local_records(2), now), now);
     lookup.answer_not_held(1);
     let elapsed = lookup.time_to_reset();
     assert!(elapsed >= Duration::from_millis(240), "{elapsed:?}");
@@ -152,7 +148,7 @@
 #[test]
 fn reporting_agent_without_registration_is_awaited_for_three_timeouts() {
     let now = Instant::now();
-    let mut dispatcher = dispatcher(records(2), now);
+    let mut dispatcher = dispatcher(local_records(2), now);
     dispatcher.on_report(&record(2, "matcher", "a"), load(0), now);
     dispatcher.on_unregistered(agent_address(2), now);
     let (mut lookup, _) = Lookup::start(dispatcher, now);
@@ -190,7 +186,7 @@
 #[test]
 fn failed_lookup_records_its_duration() {
     let now = Instant::now();
-    let (mut lookup, _) = Lookup::start(dispatcher(records(1), now), now);
+    let (mut lookup, _) = Lookup::start(dispatcher(local_records(1), now), now);
     lookup.now += Duration::from_millis(7);
     let actions = lookup.answer_not_held(1);
     let elapsed = events(&actions).into_iter().find_map(|event| match event {
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -7,6 +7,7 @@
 mod liveness;
 mod load;
 mod lookup;
+mod reports;
 mod routes;
 mod selection;
 mod store_retry;
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -77,6 +77,7 @@
         agents_refresh: Arc::clone(&agents_refresh),
         notices,
         snapshot: snapshot.clone(),
+        metrics: metrics.clone(),
     };
     let updates = spawn_watches::<P>(&context, watches);
     let mut balancer = Balancer::<P> {
@@ -116,6 +117,7 @@
     agents_refresh: Arc<Notify>,
     notices: mpsc::Receiver<ConfigNotice>,
     snapshot: SharedSnapshot,
+    metrics: RelayMetrics,
 }
 
 /// Spawns the tasks that watch the store and fetch snapshots. Returns the receiver of their updates.
@@ -136,6 +138,7 @@
         updates: sender.clone(),
         missing: missing_sender,
         clock: Arc::clone(&context.clock),
+        metrics: inputs.metrics,
     };
     tokio::spawn(async move {
         if let Err(error) = watch_config::<P, _>(&*config_store, options).await {
@@ -260,6 +263,7 @@
             };
             match relay::decode(datagram) {
                 Ok(Message::ConfigCheck(check)) => {
+                    self.executor.metrics.add_config_check();
                     self.notify_config_watch(ConfigNotice::Checked(check));
                 }
                 Ok(message) => {
@@ -352,7 +356,9 @@
             self.dispatcher.flow_count(),
             self.dispatcher.directory().len(),
         );
+        let list_age = self.dispatcher.agent_list_age(now);
         self.executor.metrics.set_balancer(flows, agents, version);
+        self.executor.metrics.set_agent_list_age(list_age);
         self.snapshot.set_agents(|| self.dispatcher.snapshot(), now);
     }
 }
--- a/crates/cranberrypitch-relay/src/config_watch.rs
+++ b/crates/cranberrypitch-relay/src/config_watch.rs
@@ -16,6 +16,7 @@
 
 use crate::errors::Result;
 use crate::log;
+use crate::metrics::RelayMetrics;
 use crate::platform::Platform;
 use crate::snapshot::MissingState;
 use crate::store_watch::{POLL_WAIT, PrefixWatcher, StateUpdate};
@@ -43,6 +44,7 @@
     /// Tells the task that fetches snapshots what this balancer lacks.
     pub(crate) missing: watch::Sender<MissingState>,
     pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) metrics: RelayMetrics,
 }
 
 /// Sends each version of the configuration until the receiver is dropped.
@@ -64,6 +66,8 @@
         updates: options.updates,
         missing: options.missing,
         clock: options.clock,
+        metrics: options.metrics,
+        was_watching: false,
     };
     while watch.step::<P>().await {}
     Ok(())
@@ -76,6 +80,9 @@
     updates: Sender<StateUpdate>,
     missing: watch::Sender<MissingState>,
     clock: Arc<dyn Clock>,
+    metrics: RelayMetrics,
+    /// Whether the balancer watched the store at the last step.
+    was_watching: bool,
 }
 
 /// The result of a successful read of the store.
@@ -91,7 +98,10 @@
         while let Ok(notice) = self.notices.try_recv() {
             self.on_notice(notice);
         }
-        match self.schedule.next(self.clock.now()) {
+        let now = self.clock.now();
+        let next = self.schedule.next(now);
+        self.record_state(now);
+        match next {
             ConfigRead::Now => self.read::<P>(POLL_WAIT).await,
             ConfigRead::Watch { wait } => self.read::<P>(wait).await,
             ConfigRead::WaitUntil(at) => {
@@ -105,6 +115,16 @@
         }
     }
 
+    /// Updates the metrics, and logs when the balancer starts or stops to watch the store.
+    fn record_state(&mut self, now: Instant) {
+        let (is_watching, age) = (self.schedule.is_watching(), self.schedule.check_age(now));
+        self.metrics.set_config_watch(is_watching, age);
+        if std::mem::replace(&mut self.was_watching, is_watching) != is_watching {
+            let age_ms = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+            tracing::info!(target: log::TARGET, event = "ConfigurationWatch", is_watching, age_ms);
+        }
+    }
+
     fn on_notice(&mut self, notice: ConfigNotice) {
         let now = self.clock.now();
         apply(&mut self.schedule, notice, now);
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -70,6 +70,11 @@
     packets_to_caller: Counter,
     requests_passed: Counter,
     lines_suppressed: Counter,
+    config_checks_sent: Counter,
+    config_checks_received: Counter,
+    config_check_age_ms: Gauge,
+    config_watching: Gauge,
+    agent_list_age_ms: Gauge,
     flows: Gauge,
     agents: Gauge,
     requests_running: Gauge,
@@ -106,7 +111,27 @@
             "log_lines_left_out",
             "Log lines suppressed by the rate limit",
         );
+        let config_checks_sent = counter(
+            "configuration_checks_sent",
+            "Checks of the configuration sent to agents, or relayed by an agent",
+        );
+        let config_checks_received = counter(
+            "configuration_checks_received",
+            "Checks of the configuration received from other balancers",
+        );
         let mut gauge = |name, help| register::<Gauge>(&mut registry, name, help);
+        let config_check_age_ms = gauge(
+            "configuration_check_age_ms",
+            "Time since the store is known to have had no newer configuration, or -1",
+        );
+        let config_watching = gauge(
+            "configuration_watching",
+            "Whether the balancer watches the configuration in the store",
+        );
+        let agent_list_age_ms = gauge(
+            "agent_list_age_ms",
+            "Time since the list of agents was read from the store, or -1",
+        );
         let flows = gauge("flows", "Flows in the flow table");
         let agents = gauge("agents", "Agents in the directory of the balancer");
         let requests_running = gauge("requests_running", "Requests running at the target");
@@ -147,6 +172,11 @@
             packets_to_caller,
             requests_passed,
             lines_suppressed,
+            config_checks_sent,
+            config_checks_received,
+            config_check_age_ms,
+            config_watching,
+            agent_list_age_ms,
             flows,
             agents,
             requests_running,
@@ -159,6 +189,11 @@
     }
 }
 
+/// Returns an age in milliseconds, or -1 if there is none.
+fn age_ms(age: Option<Duration>) -> i64 {
+    age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
+}
+
 /// Registers a metric that starts at zero.
 fn register<M: Metric + Clone + Default>(registry: &mut Registry, name: &str, help: &str) -> M {
     let metric = M::default();
@@ -190,9 +225,12 @@
             Message::Forward { .. } => {
                 self.packets_forwarded.inc();
             }
-            Message::Lookup { .. } => {
+            Message::Lookup { .. } | Message::LookupBatch(_) => {
                 self.lookup_messages.inc();
             }
+            Message::ConfigCheck(_) => {
+                self.config_checks_sent.inc();
+            }
             _ => {}
         }
     }
@@ -235,6 +273,19 @@
         self.lines_suppressed.inc_by(lines);
     }
 
+    pub(crate) fn add_config_check(&self) {
+        self.config_checks_received.inc();
+    }
+
+    pub(crate) fn set_config_watch(&self, is_watching: bool, check_age: Option<Duration>) {
+        self.config_watching.set(i64::from(is_watching));
+        self.config_check_age_ms.set(age_ms(check_age));
+    }
+
+    pub(crate) fn set_agent_list_age(&self, age: Option<Duration>) {
+        self.agent_list_age_ms.set(age_ms(age));
+    }
+
     pub(crate) fn set_agent(&self, flows: usize, running: u16) {
         self.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
         self.requests_running.set(i64::from(running));
