Let agents without their target take no flows after the first returned SYN

Change: before the first status report, a returned SYN makes an agent refuse flows and report its target as failing. The test agent_without_its_target_takes_no_flows_after_the_first_returned_syn failed before.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -55,6 +55,8 @@
     identity: AgentIdentity,
     started_at: Instant,
     target: Option<TargetProcess>,
+    /// Whether a SYN was returned before the first status report. Nothing accepts flows then.
+    is_syn_returned_before_report: bool,
     flows: HostedFlows,
     backlog: SynBacklog,
     load_meter: LoadMeter,
@@ -78,6 +80,7 @@
             identity,
             started_at: now,
             target: None,
+            is_syn_returned_before_report: false,
             flows: HostedFlows::default(),
             backlog: SynBacklog::default(),
             load_meter: LoadMeter::new(now),
@@ -462,11 +465,13 @@
             .then_some(RefusalCause::TargetSilent)
     }
 
-    /// Returns whether the target has not sent a status report within the timeout.
+    /// Returns whether the target has not sent a status report within the timeout, or accepts no flows
+    /// before its first one.
     fn is_status_overdue(&self, now: Instant) -> bool {
         let options = &self.options;
         match &self.target {
             Some(target) => !target.has_reported_within(options.status_timeout, now),
+            None if self.is_syn_returned_before_report => true,
             None => now.saturating_duration_since(self.started_at) >= options.first_status_timeout,
         }
     }
@@ -492,6 +497,7 @@
         let Some(hosted) = self.flows.get(&flow) else {
             return dropped(flow, DropCause::FlowNotFound);
         };
+        self.is_syn_returned_before_report |= header.is_syn() && self.target.is_none();
         let (balancer, is_accepted) = (hosted.balancer(), hosted.is_accepted());
         if header.is_syn() && is_accepted {
             return Vec::new();
--- a/crates/cranberrypitch-core/tests/flow/agent.rs
+++ b/crates/cranberrypitch-core/tests/flow/agent.rs
@@ -99,7 +99,11 @@
     }
 }
 
-fn bounce(agent: &mut FlowAgent, header: PacketHeader, now: Instant) -> Vec<Action<'static>> {
+pub(crate) fn bounce(
+    agent: &mut FlowAgent,
+    header: PacketHeader,
+    now: Instant,
+) -> Vec<Action<'static>> {
     let bounced = PacketHeader {
         flags: header.flags.with(PacketFlags::BOUNCED),
         ..header
--- a/crates/cranberrypitch-core/tests/flow/reports.rs
+++ b/crates/cranberrypitch-core/tests/flow/reports.rs
@@ -2,12 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use cranberrypitch_core::flow::{FlowAgent, Message};
+use cranberrypitch_core::flow::{Action, FlowAgent, Message, RefusalCause};
 
-use crate::agent::{lookup, open, with_target};
+use crate::agent::{agent, bounce, lookup, open, with_target};
 use crate::dispatcher::{dispatcher, local_records};
 use crate::support::{
-    agent_address, balancer_address, flow, load, record, sent_messages, status_report,
+    agent_address, balancer_address, flow, load, record, sent_messages, status_report, syn,
 };
 
 /// During an outage of the store, a new agent reports to seed balancers and to the balancers of the agents
@@ -167,3 +167,26 @@
         assert!(others.contains(&agent_address(index)), "{others:?}");
     }
 }
+
+/// Load pattern: all VMs lose power while targets are being replaced, and some agents start without their
+/// targets. Guards against new flows that all detour through such an agent: it looks idle until its
+/// first status report is overdue.
+#[test]
+fn agent_without_its_target_takes_no_flows_after_the_first_returned_syn() {
+    let now = Instant::now();
+    let mut agent = agent(now);
+    assert_eq!(open(&mut agent, 1, now), None);
+    let refused = |actions: &[Action<'_>]| {
+        sent_messages(actions).iter().any(|(_, message)| {
+            let full = RefusalCause::TargetFull;
+            matches!(message, Message::OpenRefused { cause, .. } if *cause == full)
+        })
+    };
+    assert!(refused(&bounce(&mut agent, syn(flow(1), 0), now)));
+    assert_eq!(open(&mut agent, 2, now), Some(RefusalCause::TargetSilent));
+    assert_eq!(reported_failures(&mut agent, now), 100);
+
+    let later = now + Duration::from_secs(1);
+    agent.on_status_report(status_report("i-1", 1, 1), later);
+    assert_eq!(open(&mut agent, 3, later), None);
+}
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -12,7 +12,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc, watch};
 
-use crate::config_watch::{ConfigNotice, ConfigWatchOptions, watch_config};
+use crate::config_watch::{ConfigNotice, ConfigWatchInputs, watch_config};
 use crate::daemon::{ActionExecutor, DaemonContext, Readiness, check_settings_file};
 use crate::errors::Result;
 use crate::log;
@@ -132,7 +132,7 @@
         snapshot::fetch(&seeds, inputs.snapshot, snapshot_sender, missing).await;
     });
     let config_store = Arc::clone(&inputs.store);
-    let options = ConfigWatchOptions {
+    let config_inputs = ConfigWatchInputs {
         balancer: context.settings.balancer_address(),
         notices: inputs.notices,
         updates: sender.clone(),
@@ -141,7 +141,7 @@
         metrics: inputs.metrics,
     };
     tokio::spawn(async move {
-        if let Err(error) = watch_config::<P, _>(&*config_store, options).await {
+        if let Err(error) = watch_config::<P, _>(&*config_store, config_inputs).await {
             tracing::error!(target: log::TARGET, %error, "watch on the configuration not started");
         }
     });
--- a/crates/cranberrypitch-relay/src/config_watch.rs
+++ b/crates/cranberrypitch-relay/src/config_watch.rs
@@ -35,7 +35,7 @@
 
 /// The inputs of [`watch_config`].
 #[derive(Debug)]
-pub(crate) struct ConfigWatchOptions {
+pub(crate) struct ConfigWatchInputs {
     /// The address at which agents know this balancer.
     pub(crate) balancer: SocketAddrV4,
     pub(crate) notices: Receiver<ConfigNotice>,
@@ -54,19 +54,19 @@
 /// Returns an error if the platform's configuration key is invalid.
 pub(crate) async fn watch_config<P: Platform, S: Store>(
     store: &S,
-    options: ConfigWatchOptions,
+    inputs: ConfigWatchInputs,
 ) -> Result<()> {
     let watcher = PrefixWatcher::new(store, P::config_key()?);
     let jitter = MAX_JITTER.mul_f64(rand::rng().random_range(0.0..=1.0));
-    let schedule = ConfigReadSchedule::new(ConfigReadOptions::default(), options.balancer, jitter);
+    let schedule = ConfigReadSchedule::new(ConfigReadOptions::default(), inputs.balancer, jitter);
     let mut watch = ConfigWatch {
         watcher,
         schedule,
-        notices: options.notices,
-        updates: options.updates,
-        missing: options.missing,
-        clock: options.clock,
-        metrics: options.metrics,
+        notices: inputs.notices,
+        updates: inputs.updates,
+        missing: inputs.missing,
+        clock: inputs.clock,
+        metrics: inputs.metrics,
         was_watching: false,
     };
     while watch.step::<P>().await {}
@@ -127,7 +127,7 @@
 
     fn on_notice(&mut self, notice: ConfigNotice) {
         let now = self.clock.now();
-        apply(&mut self.schedule, notice, now);
+        apply_notice(&mut self.schedule, notice, now);
         let state = self.missing_state(now);
         // Nothing is missing while the own reads succeed.
         self.missing.send_if_modified(|missing| {
@@ -201,7 +201,7 @@
                 tokio::select! {
                     changes = &mut watch => break changes,
                     Some(notice) = self.notices.recv() => {
-                        apply(&mut self.schedule, notice, self.clock.now());
+                        apply_notice(&mut self.schedule, notice, self.clock.now());
                         if is_watch && self.schedule.is_outdated() {
                             return None;
                         }
@@ -227,7 +227,7 @@
     }
 }
 
-fn apply(schedule: &mut ConfigReadSchedule, notice: ConfigNotice, now: Instant) {
+fn apply_notice(schedule: &mut ConfigReadSchedule, notice: ConfigNotice, now: Instant) {
     match notice {
         ConfigNotice::Checked(check) => {
             schedule.on_check(&check, now);
