--- a/crates/cranberrypitch-core/src/flow/config_reads.rs
+++ b/crates/cranberrypitch-core/src/flow/config_reads.rs
@@ -1,8 +1,8 @@
 //! When a balancer reads the operators' configuration from the store.
 //!
-//! A few balancers watch the store and tell the others, through agents, which version they found and
-//! when. The others read the store only after a newer version was announced, or when the last check
-//! that they know of is too old. There is no election: every balancer that reads the store is correct,
+//! A few balancers watch the store and announce through agents which version they found and when. The
+//! others read the store only after a newer version was announced, or when the last check that they
+//! received is too old. There is no election: every balancer that reads the store is correct,
 //! and additional readers only cost calls. An announcement never replaces the configuration in force;
 //! it only triggers a read.
 
@@ -61,7 +61,8 @@
         /// The maximum wait of the watch.
         wait: Duration,
     },
-    /// Wait for a check of another balancer, at most until then, and then ask again.
+    /// Wait for a check of another balancer, at most until then, and then call
+    /// [`ConfigReadSchedule::next`] again.
     WaitUntil(Instant),
 }
 
--- a/crates/cranberrypitch-core/src/flow/directory.rs
+++ b/crates/cranberrypitch-core/src/flow/directory.rs
@@ -250,8 +250,7 @@
             .is_some_and(|agent| agent.is_listed)
     }
 
-    /// Returns whether an agent was last heard of long ago: the store does not list it, and it has sent
-    /// no report recently.
+    /// Returns whether the store does not list an agent and it has not reported recently.
     pub(crate) fn has_lapsed(&self, address: SocketAddrV4, now: Instant) -> bool {
         let limit = self.options.report_lifetime;
         let is_recent = |at: Instant| now.saturating_duration_since(at) < limit;
--- a/crates/cranberrypitch-core/src/flow/dispatcher/config_checks.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/config_checks.rs
@@ -1,7 +1,7 @@
 //! Announcement of configuration checks to other balancers.
 //!
-//! Balancers don't know each other. Agents know the balancers that use them, so a check is sent to a few
-//! agents of each failure domain, which relay it.
+//! Balancers have no list of each other. Agents track the balancers that use them, so a check is sent to
+//! a few agents of each failure domain, which relay it.
 
 use std::net::SocketAddrV4;
 
@@ -12,7 +12,7 @@
 use crate::ids::FailureDomain;
 use crate::target::TargetState;
 
-/// The number of agents of a failure domain that relay a check. Not every agent knows all balancers of
+/// The number of agents of a failure domain that relay a check. Not every agent is used by all balancers of
 /// its failure domain, and datagrams are lost.
 const RELAYS_PER_DOMAIN: usize = 3;
 
--- a/crates/cranberrypitch-relay/src/config_watch.rs
+++ b/crates/cranberrypitch-relay/src/config_watch.rs
@@ -24,7 +24,7 @@
 /// The upper bound of the random time by which balancers differ in the maximum age of a check.
 const MAX_JITTER: Duration = Duration::from_millis(400);
 
-/// What the watch of a balancer learns from others.
+/// A notice to the watch of a balancer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum ConfigNotice {
     /// Another balancer has read the store.
@@ -36,12 +36,12 @@
 /// The inputs of [`watch_config`].
 #[derive(Debug)]
 pub(crate) struct ConfigWatchInputs {
-    /// The address at which agents know this balancer.
+    /// The address from which this balancer sends messages to agents.
     pub(crate) balancer: SocketAddrV4,
     pub(crate) notices: Receiver<ConfigNotice>,
     /// Receives the configurations and the checks of this balancer.
     pub(crate) updates: Sender<StateUpdate>,
-    /// Tells the task that fetches snapshots what this balancer lacks.
+    /// Receives what this balancer lacks, for the task that fetches snapshots.
     pub(crate) missing: watch::Sender<MissingState>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) metrics: RelayMetrics,
