Show the store's epoch and announced versions that a read does not return

A store that was restored from a copy reports a higher epoch in all its answers. The daemons of both transports now read it, log a restoration (StoreRestored, CP0805) and serve it as the metric store_epoch. A balancer logs ConfigurationNotInStore when a read does not return a version that another balancer announced before it, with the revision from which it read.

The stand-in of the own transport's store can be restored from a copy and reports its epoch. No decision changes.

--- a/crates/cranberrypitch-core/src/flow/config_reads.rs
+++ b/crates/cranberrypitch-core/src/flow/config_reads.rs
@@ -153,6 +153,11 @@
         check_due_at.min(read_at + self.options.max_read_age)
     }
 
+    /// Returns the newest version that this balancer has.
+    pub const fn version(&self) -> Option<Revision> {
+        self.version
+    }
+
     /// Returns whether this balancer watches the store for the others.
     pub const fn is_watching(&self) -> bool {
         self.is_watching
@@ -170,6 +175,11 @@
         self.announced.is_some()
     }
 
+    /// Returns the newest version that another balancer has read, if this one has not.
+    pub fn announced_version(&self) -> Option<Revision> {
+        self.announced.map(|announced| announced.version)
+    }
+
     /// Records a successful read that the store answered for the state at `checked_at` or later.
     /// `version` is the newest version that the daemon has read so far, if there is any. Returns the
     /// check to announce to the other balancers.
--- a/crates/cranberrypitch-net/src/events/catalogue.rs
+++ b/crates/cranberrypitch-net/src/events/catalogue.rs
@@ -11,6 +11,7 @@
 use log::Level;
 
 use crate::events::EventEntry;
+use crate::store::Epoch;
 
 /// A program that logs events.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -300,4 +301,7 @@
     /// The registration of a balancer failed because another process wrote its key.
     804 Info StoreConflict { key: Box<str> }
         = "write of {key} conflicts with another writer";
+    /// The store was restored from a copy and has lost what it had acknowledged since the copy was made.
+    805 Warn StoreRestored { epoch: Epoch, previous: Epoch }
+        = "store restored from a copy, epoch {epoch} after {previous}";
 }
--- a/crates/cranberrypitch-net/src/http_client.rs
+++ b/crates/cranberrypitch-net/src/http_client.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -37,6 +37,17 @@
 
 type Connection = SendRequest<Full<Bytes>>;
 
+/// A complete response.
+#[derive(Clone, Debug)]
+pub struct HttpResponse {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
 /// A failed request, by whether the service may have received it.
 #[derive(Debug, Display)]
 pub enum RequestError {
@@ -67,13 +78,13 @@
         }
     }
 
-    /// Sends a request and returns the status and body of the response. `limit` applies to the
-    /// response head and then to the body. A connection whose response fails is not reused.
+    /// Sends a request and returns the response. `limit` applies to the response head and then to the
+    /// body. A connection whose response fails is not reused.
     pub async fn exchange(
         &self,
         mut request: Request<Full<Bytes>>,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), RequestError> {
+    ) -> Result<HttpResponse, RequestError> {
         while let Some(mut connection) = self.take_idle() {
             match timeout(limit, connection.try_send_request(request)).await {
                 Err(_) => return Err(RequestError::maybe_sent(&"no answer in time")),
@@ -117,15 +128,19 @@
         connection: Connection,
         response: Response<Incoming>,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), RequestError> {
-        let status = response.status();
-        let body = Limited::new(response.into_body(), self.options.max_body_bytes).collect();
+    ) -> Result<HttpResponse, RequestError> {
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, self.options.max_body_bytes).collect();
         match timeout(limit, body).await {
             Err(_) => Err(RequestError::maybe_sent(&"answer not complete in time")),
             Ok(Err(error)) => Err(RequestError::maybe_sent(&error)),
             Ok(Ok(body)) => {
                 self.put_idle(connection);
-                Ok((status, body.to_bytes()))
+                Ok(HttpResponse {
+                    status: head.status,
+                    headers: head.headers,
+                    body: body.to_bytes(),
+                })
             }
         }
     }
--- a/crates/cranberrypitch-net/src/store/http.rs
+++ b/crates/cranberrypitch-net/src/store/http.rs
@@ -9,8 +9,10 @@
 
 use crate::http_client::{HttpClient, HttpClientOptions, RequestError};
 use crate::store::errors::{Error, Result};
-use crate::store::wire::{Answer, Call, MAX_BODY_BYTES, PATH};
-use crate::store::{Entry, LeaseId, Listing, Put, Store, StoreKey, Version, WatchOutcome};
+use crate::store::wire::{Answer, Call, EPOCH_HEADER, MAX_BODY_BYTES, PATH};
+use crate::store::{
+    Entry, Epoch, EpochTracker, LeaseId, Listing, Put, Store, StoreKey, Version, WatchOutcome,
+};
 
 /// The time beyond its wait time within which the answer to a watch must arrive.
 const WATCH_ANSWER_MARGIN: Duration = Duration::from_secs(1);
@@ -42,17 +44,22 @@
 pub struct HttpStore {
     options: HttpStoreOptions,
     client: HttpClient,
+    epochs: EpochTracker,
 }
 
 impl HttpStore {
     /// Returns a client, which opens its first connection with the first call.
-    pub const fn new(options: HttpStoreOptions) -> Self {
+    pub fn new(options: HttpStoreOptions) -> Self {
         let client = HttpClient::new(HttpClientOptions {
             address: options.address,
             connect_timeout: options.connect_timeout,
             max_body_bytes: MAX_BODY_BYTES,
         });
-        Self { options, client }
+        Self {
+            options,
+            client,
+            epochs: EpochTracker::default(),
+        }
     }
 
     async fn call(&self, call: Call) -> Result<Answer> {
@@ -63,9 +70,16 @@
         let body = serde_json::to_vec(&call).map_err(|e| Error::refused(&e))?;
         let request = self.request(body.into()).map_err(|e| Error::refused(&e))?;
         match self.client.exchange(request, limit).await {
-            Ok((StatusCode::OK, body)) => Answer::decode(&body)
-                .map_err(|e| without_answer(&call, &format!("malformed answer: {e}"))),
-            Ok((status, body)) => Err(decode_error(&call, status, &body)),
+            Ok(response) => {
+                let epoch = Epoch::from_header(&response.headers, EPOCH_HEADER)
+                    .map_err(|detail| without_answer(&call, &detail))?;
+                self.epochs.observe(epoch.unwrap_or_default());
+                match response.status {
+                    StatusCode::OK => Answer::decode(&response.body)
+                        .map_err(|e| without_answer(&call, &format!("malformed answer: {e}"))),
+                    status => Err(decode_error(&call, status, &response.body)),
+                }
+            }
             Err(RequestError::NotSent(detail)) => Err(Error::unavailable(&detail)),
             Err(RequestError::MaybeSent(detail)) => Err(without_answer(&call, &detail)),
         }
@@ -104,6 +118,10 @@
 }
 
 impl Store for HttpStore {
+    fn epoch(&self) -> Option<Epoch> {
+        self.epochs.newest()
+    }
+
     async fn get(&self, key: &StoreKey) -> Result<Option<Entry>> {
         let key = key.clone();
         match self.call(Call::Get { key }).await? {
--- a/crates/cranberrypitch-net/src/store/memory.rs
+++ b/crates/cranberrypitch-net/src/store/memory.rs
@@ -10,7 +10,7 @@
 use crate::store::errors::{Error, Result};
 use crate::store::faults::{Fault, FaultInjector};
 use crate::store::state::State;
-use crate::store::{Entry, LeaseId, Listing, Put, Store, StoreKey, Version, WatchOutcome};
+use crate::store::{Entry, Epoch, LeaseId, Listing, Put, Store, StoreKey, Version, WatchOutcome};
 
 /// The interval at which a waiting watch checks for lapsed leases and injected faults.
 const WATCH_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -22,6 +22,10 @@
     call_timeout: Duration,
 }
 
+/// A copy of the content of a [`MemoryStore`].
+#[derive(Clone, Debug)]
+pub struct StoreCopy(State);
+
 #[derive(Debug)]
 struct SharedStore {
     state: Mutex<State>,
@@ -48,6 +52,19 @@
         }
     }
 
+    /// Returns a copy of the content, for [`restore`](Self::restore).
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().clone())
+    }
+
+    /// Replaces the content by that of a copy, as after a loss of the store. What was written since the
+    /// copy is lost, and versions and leases are issued again from where they were then.
+    pub fn restore(&self, copy: StoreCopy) {
+        let now = self.shared.clock.now();
+        self.lock().restore(copy.0, now);
+        self.shared.changed.notify_waiters();
+    }
+
     /// Returns the fault injector.
     pub fn faults(&self) -> &FaultInjector {
         &self.shared.faults
@@ -115,6 +132,10 @@
 }
 
 impl Store for MemoryStore {
+    fn epoch(&self) -> Option<Epoch> {
+        Some(self.lock().epoch())
+    }
+
     async fn get(&self, key: &StoreKey) -> Result<Option<Entry>> {
         self.call(Operation::Get, |state, _| Ok(state.get(key)))
             .await
--- a/crates/cranberrypitch-net/src/store/mod.rs
+++ b/crates/cranberrypitch-net/src/store/mod.rs
@@ -5,6 +5,7 @@
 //! waiting watch counts as one call.
 
 mod counters;
+mod epoch;
 mod errors;
 mod faults;
 mod http;
@@ -23,11 +24,12 @@
 use serde_with::serde_as;
 
 pub use counters::{CallCounters, Operation};
+pub use epoch::{Epoch, EpochTracker};
 pub use errors::{Error, Result};
 pub use faults::FaultInjector;
 pub use http::{HttpStore, HttpStoreOptions};
 pub use key::StoreKey;
-pub use memory::MemoryStore;
+pub use memory::{MemoryStore, StoreCopy};
 pub use observed::{ObservedStore, StoreMonitor, StoreObserver};
 
 /// The limit on the length of a value.
@@ -162,6 +164,9 @@
 /// Any error other than [`Error::OutcomeUnknown`] guarantees that a write has had no effect and will
 /// have none later.
 pub trait Store: Send + Sync + 'static {
+    /// Returns the newest epoch in the answers so far, or nothing before the first answer.
+    fn epoch(&self) -> Option<Epoch>;
+
     /// Returns the entry of a key, or `None` if there is no such key.
     fn get(&self, key: &StoreKey) -> impl Future<Output = Result<Option<Entry>>> + Send;
 
--- a/crates/cranberrypitch-net/src/store/observed.rs
+++ b/crates/cranberrypitch-net/src/store/observed.rs
@@ -7,7 +7,8 @@
 use crate::events::Event;
 use crate::metrics::{Counter, Metrics, Timer};
 use crate::store::{
-    Entry, Error, LeaseId, Listing, Operation, Put, Result, Store, StoreKey, Version, WatchOutcome,
+    Entry, Epoch, EpochTracker, Error, LeaseId, Listing, Operation, Put, Result, Store, StoreKey,
+    Version, WatchOutcome,
 };
 
 /// Receives a notification for each call to a store.
@@ -19,15 +20,19 @@
         outcome: std::result::Result<(), &Error>,
         elapsed: Duration,
     );
+
+    /// Called after each call once the store has answered, with the newest epoch in its answers.
+    fn on_epoch(&self, epoch: Epoch);
 }
 
 /// The observer of all store clients of a process. Logs when the store becomes unavailable and when it
-/// answers again, and records metrics of the calls.
+/// answers again or was restored, and records metrics of the calls.
 #[derive(Clone, Debug)]
 pub struct StoreMonitor {
     address: SocketAddrV4,
     metrics: Metrics,
     down_since: Arc<Mutex<Option<Instant>>>,
+    epochs: EpochTracker,
 }
 
 impl StoreMonitor {
@@ -37,6 +42,7 @@
             address,
             metrics,
             down_since: Arc::default(),
+            epochs: EpochTracker::default(),
         }
     }
 
@@ -89,6 +95,12 @@
             _ => self.record_up(),
         }
     }
+
+    fn on_epoch(&self, epoch: Epoch) {
+        if let Some(previous) = self.epochs.observe(epoch) {
+            Event::StoreRestored { epoch, previous }.log();
+        }
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
@@ -118,11 +130,18 @@
         let outcome = result.as_ref().map(|_| ());
         self.observer
             .on_call(operation, outcome, started_at.elapsed());
+        if let Some(epoch) = self.store.epoch() {
+            self.observer.on_epoch(epoch);
+        }
         result
     }
 }
 
 impl<S: Store, O: StoreObserver> Store for ObservedStore<S, O> {
+    fn epoch(&self) -> Option<Epoch> {
+        self.store.epoch()
+    }
+
     async fn get(&self, key: &StoreKey) -> Result<Option<Entry>> {
         self.observe_call(Operation::Get, self.store.get(key)).await
     }
--- a/crates/cranberrypitch-net/src/store/state.rs
+++ b/crates/cranberrypitch-net/src/store/state.rs
@@ -7,15 +7,16 @@
 
 use crate::store::errors::{Error, Result};
 use crate::store::{
-    Entry, ExpectedVersion, KeyChange, LeaseId, Listing, MAX_VALUE_BYTES, Put, StoreKey, Version,
-    WatchOutcome,
+    Entry, Epoch, ExpectedVersion, KeyChange, LeaseId, Listing, MAX_VALUE_BYTES, Put, StoreKey,
+    Version, WatchOutcome,
 };
 
 /// The number of writes in the log. A watch that is further behind has to list again.
 const MAX_LOG_ENTRIES: usize = 10_000;
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct State {
+    epoch: Epoch,
     version: u64,
     entries: BTreeMap<StoreKey, Entry>,
     leases: FastMap<LeaseId, Lease>,
@@ -24,7 +25,7 @@
     log_starts_after: Version,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Lease {
     ttl: Duration,
     lapses_at: Instant,
@@ -32,6 +33,20 @@
 }
 
 impl State {
+    pub(crate) const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Replaces the content by that of a copy, as after a loss of the store. The leases of the copy are
+    /// granted anew for their full time to live.
+    pub(crate) fn restore(&mut self, copy: Self, now: Instant) {
+        let epoch = Epoch::new(self.epoch.get() + 1);
+        *self = Self { epoch, ..copy };
+        for lease in self.leases.values_mut() {
+            lease.lapses_at = now + lease.ttl;
+        }
+    }
+
     /// Ends the leases that have lapsed. Returns whether there were any.
     pub(crate) fn expire_leases(&mut self, now: Instant) -> bool {
         let lapsed: Vec<_> = self
--- a/crates/cranberrypitch-net/src/store/wire.rs
+++ b/crates/cranberrypitch-net/src/store/wire.rs
@@ -15,6 +15,9 @@
 /// The HTTP path of all calls.
 pub const PATH: &str = "/v1/store";
 
+/// The header of each response with the epoch of the store. A service without it is in epoch 0.
+pub const EPOCH_HEADER: &str = "store-epoch";
+
 /// The limit on the length of a body, which carries base64 values with their keys.
 pub const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
--- a/crates/cranberrypitch-relay/src/config_watch.rs
+++ b/crates/cranberrypitch-relay/src/config_watch.rs
@@ -8,7 +8,7 @@
     ConfigCheck, ConfigRead, ConfigReadOptions, ConfigReadSchedule, RouteConfig,
 };
 use cranberrypitch_core::{Clock, Revision};
-use cranberrypitch_net::store::{Entry, KeyChange, Result as StoreResult, Store};
+use cranberrypitch_net::store::{Entry, KeyChange, Result as StoreResult, Store, Version};
 use rand::RngExt;
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::sync::watch;
@@ -152,6 +152,7 @@
 
     /// Reads the store and sends what it returned. Returns whether the receiver still exists.
     async fn read<P: Platform>(&mut self, wait: Duration) -> bool {
+        let read_after = self.watcher.after;
         let Some(answer) = self.call::<P>(wait).await else {
             return true;
         };
@@ -159,9 +160,11 @@
             Ok(answer) => {
                 self.missing.send_replace(MissingState::Nothing);
                 let version = answer.configs.iter().map(|config| config.version).max();
+                let announced = self.schedule.announced_version();
                 let updates = answer.configs.into_iter().map(StateUpdate::Config);
                 let mut updates: Vec<_> = updates.collect();
                 updates.extend(self.on_read(version, answer.checked_at));
+                self.log_not_in_store(announced, read_after);
                 Ok(updates)
             }
             Err(error) => {
@@ -174,6 +177,18 @@
         self.watcher.send_updates(updates, &self.updates).await
     }
 
+    /// Logs a version that another balancer announced before a read that did not return it. `read_after`
+    /// is the version of the store from which on changes were read; none if everything was read.
+    fn log_not_in_store(&self, announced: Option<Revision>, read_after: Option<Version>) {
+        let version = self.schedule.version();
+        let is_dropped = announced > version && !self.schedule.is_outdated();
+        if let Some(announced) = announced.filter(|_| is_dropped) {
+            let version = version.map(|version| version.to_string());
+            let read_after = read_after.map(|version| version.to_string());
+            tracing::warn!(target: log::TARGET, event = "ConfigurationNotInStore", %announced, version, read_after);
+        }
+    }
+
     fn on_read(&mut self, version: Option<Revision>, checked_at: Instant) -> Option<StateUpdate> {
         let check = self
             .schedule
--- a/crates/cranberrypitch-relay/src/inspect.rs
+++ b/crates/cranberrypitch-relay/src/inspect.rs
@@ -193,8 +193,11 @@
         .body(Full::default())
         .map_err(|e| Error::malformed("request", &e))?;
     let answer = client.exchange(request, ANSWER_TIMEOUT).await;
-    match answer.map_err(|e| Error::status_unavailable(&e))? {
-        (StatusCode::OK, body) => Ok(DaemonStatus::parse(&String::from_utf8_lossy(&body))),
-        (status, _) => Err(Error::status_unavailable(&status)),
+    let response = answer.map_err(|e| Error::status_unavailable(&e))?;
+    match response.status {
+        StatusCode::OK => Ok(DaemonStatus::parse(&String::from_utf8_lossy(
+            &response.body,
+        ))),
+        status => Err(Error::status_unavailable(&status)),
     }
 }
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -1,5 +1,8 @@
 //! Metrics of the daemons, served in the `OpenMetrics` text format.
 
+mod register;
+mod store;
+
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,16 +10,16 @@
 use bytes::Bytes;
 use cranberrypitch_core::Revision;
 use cranberrypitch_core::flow::{Action, FlowEvent, Message};
-use cranberrypitch_net::store::{Error as StoreError, Operation, StoreObserver};
+use cranberrypitch_net::store::{Epoch, Error as StoreError, Operation, StoreObserver};
 use hyper::StatusCode;
-use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
-use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
-use prometheus_client::registry::{Metric, Registry, Unit};
+use prometheus_client::registry::Registry;
 
+use self::register::{register, register_histogram};
+use self::store::StoreMetrics;
 use crate::http_server::{self, Call};
 
 /// The HTTP path of the metrics.
@@ -25,38 +28,11 @@
 /// The prefix of all metric names.
 pub(crate) const PREFIX: &str = "cranberrypitch";
 
-/// Upper bounds of the histogram buckets, in seconds; latency objectives lie between 0.1 and 1 s.
-const TIME_BUCKETS_S: [f64; 10] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
-
-/// The labels of the counter of store calls.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct StoreCallLabels {
-    operation: String,
-    outcome: &'static str,
-}
-
-impl StoreCallLabels {
-    fn new(operation: Operation, outcome: Result<(), &StoreError>) -> Self {
-        let outcome = match outcome {
-            Ok(()) => "ok",
-            Err(StoreError::Unavailable { .. }) => "unavailable",
-            Err(StoreError::OutcomeUnknown { .. }) => "unknown",
-            Err(StoreError::Conflict { .. }) => "conflict",
-            Err(StoreError::LeaseLapsed { .. }) => "lapsed",
-            Err(_) => "refused",
-        };
-        Self {
-            operation: operation.to_string().to_lowercase(),
-            outcome,
-        }
-    }
-}
-
 /// The metrics of a daemon. Clones share the values.
 #[derive(Clone, Debug)]
 pub(crate) struct RelayMetrics {
     registry: Arc<Registry>,
-    store_calls: Family<StoreCallLabels, Counter>,
+    store: StoreMetrics,
     flows_placed: Counter,
     flows_refused: Counter,
     openings_unanswered: Counter,
@@ -82,7 +58,6 @@
     locate_time: Histogram,
     answer_time: Histogram,
     load_age: Histogram,
-    store_call_time: Histogram,
 }
 
 impl Default for RelayMetrics {
@@ -139,26 +114,17 @@
             "configuration_version",
             "Version of the configuration in force",
         );
-        let mut histogram = |name: &str, help: &str| {
-            let histogram = Histogram::new(TIME_BUCKETS_S);
-            registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
-            histogram
-        };
+        let mut histogram = |name, help| register_histogram(&mut registry, name, help);
         let locate_time = histogram("locate_time", "Time to locate the agent of a flow");
         let answer_time = histogram(
             "answer_time",
             "Time from a request to the first packet of its answer",
         );
         let load_age = histogram("load_age", "Age of the load report that placed a flow");
-        let store_call_time = histogram(
-            "store_call_time",
-            "Duration of calls to the store, except watches",
-        );
-        let help = "Calls to the store by operation and outcome";
-        let store_calls = register(&mut registry, "store_calls", help);
+        let store = StoreMetrics::register(&mut registry);
         Self {
             registry: Arc::new(registry),
-            store_calls,
+            store,
             flows_placed,
             flows_refused,
             openings_unanswered,
@@ -184,7 +150,6 @@
             locate_time,
             answer_time,
             load_age,
-            store_call_time,
         }
     }
 }
@@ -194,13 +159,6 @@
     age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
 }
 
-/// Registers a metric that starts at zero.
-fn register<M: Metric + Clone + Default>(registry: &mut Registry, name: &str, help: &str) -> M {
-    let metric = M::default();
-    registry.register(name, help, metric.clone());
-    metric
-}
-
 impl RelayMetrics {
     /// Updates the metrics for an action.
     pub(crate) fn count(&self, action: &Action<'_>) {
@@ -313,12 +271,11 @@
 
 impl StoreObserver for RelayMetrics {
     fn on_call(&self, operation: Operation, outcome: Result<(), &StoreError>, elapsed: Duration) {
-        // The duration of a watch depends on the time of the next change, not on the store.
-        if operation != Operation::Watch {
-            self.store_call_time.observe(elapsed.as_secs_f64());
-        }
-        let labels = StoreCallLabels::new(operation, outcome);
-        self.store_calls.get_or_create(&labels).inc();
+        self.store.on_call(operation, outcome, elapsed);
+    }
+
+    fn on_epoch(&self, epoch: Epoch) {
+        self.store.on_epoch(epoch);
     }
 }
 
--- a/crates/cranberrypitch-relay/src/snapshot.rs
+++ b/crates/cranberrypitch-relay/src/snapshot.rs
@@ -215,10 +215,11 @@
         .body(Full::default())
         .map_err(|e| Error::malformed("request", &e))?;
     let answer = client.exchange(request, ANSWER_TIMEOUT).await;
-    match answer.map_err(|e| Error::malformed("snapshot", &e))? {
-        (StatusCode::OK, body) => {
-            serde_json::from_slice(&body).map_err(|e| Error::malformed("snapshot", &e))
+    let response = answer.map_err(|e| Error::malformed("snapshot", &e))?;
+    match response.status {
+        StatusCode::OK => {
+            serde_json::from_slice(&response.body).map_err(|e| Error::malformed("snapshot", &e))
         }
-        (status, _) => Err(Error::malformed("snapshot", &status)),
+        status => Err(Error::malformed("snapshot", &status)),
     }
 }
--- a/crates/cranberrypitch-standins/src/store.rs
+++ b/crates/cranberrypitch-standins/src/store.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, SocketAddrV4};
 
 use bytes::Bytes;
-use cranberrypitch_net::store::wire::{Answer, Call, MAX_BODY_BYTES, PATH};
+use cranberrypitch_net::store::wire::{Answer, Call, EPOCH_HEADER, MAX_BODY_BYTES, PATH};
 use cranberrypitch_net::store::{CallCounters, Error, FaultInjector, MemoryStore, Result, Store};
 use derive_more::{Display, Error as DeriveError};
 use http_body_util::{BodyExt, Full, Limited};
@@ -100,6 +100,18 @@
 async fn respond(
     request: Request<Incoming>,
     store: &MemoryStore,
+) -> std::result::Result<Response<Full<Bytes>>, NoResponse> {
+    let mut response = respond_to_call(request, store).await?;
+    if let Some(epoch) = store.epoch() {
+        let headers = response.headers_mut();
+        headers.insert(EPOCH_HEADER, header::HeaderValue::from(epoch.get()));
+    }
+    Ok(response)
+}
+
+async fn respond_to_call(
+    request: Request<Incoming>,
+    store: &MemoryStore,
 ) -> std::result::Result<Response<Full<Bytes>>, NoResponse> {
     if request.method() != Method::POST || request.uri().path() != PATH {
         return Ok(error_response(&Error::refused(&"unknown method or path")));
