--- a/crates/cranberrypitch-net/tests/config_sync.rs
+++ b/crates/cranberrypitch-net/tests/config_sync.rs
@@ -363,3 +363,50 @@
         fixture.fleet.add(source);
     }
 }
+
+/// Guards against an accepted edit that is lost with the store's latest writes: processes that start later
+/// would return to an older configuration.
+#[tokio::test]
+async fn edits_that_the_store_lost_are_put_back() {
+    let fixture = Fixture::new();
+    fixture.apply(5, 0).await;
+    let (mut watcher, source) = fixture.join(0).await;
+    watcher.step().await;
+    let copy = fixture.store.copy();
+    fixture.apply(6, 1).await;
+    fixture.apply(7, 2).await;
+    step_to(&mut watcher, &source, 3).await;
+
+    fixture.store.restore(copy);
+    for _ in 0..10 {
+        watcher.step().await;
+    }
+    fixture.fleet.set_silent(0);
+    let (_, new_source) = fixture.join(1).await;
+    assert_eq!(new_source.revision(), Revision::new(3));
+    let snapshot = new_source.subscribe().borrow().clone().unwrap();
+    assert_eq!(snapshot.text().services[0].slots, Slots::new(7));
+}
+
+/// Guards against an accepted edit that does not come into force: it is made on the older configuration of
+/// the restored store, so its revision is not above that in force.
+#[tokio::test]
+async fn an_edit_of_a_restored_configuration_comes_into_force() {
+    let fixture = Fixture::new();
+    fixture.apply(5, 0).await;
+    let copy = fixture.store.copy();
+    let (mut watcher, source) = fixture.join(0).await;
+    fixture.apply(6, 1).await;
+    fixture.apply(7, 2).await;
+    step_to(&mut watcher, &source, 3).await;
+
+    fixture.store.restore(copy);
+    // No process reaches the store before the operator does.
+    fixture.apply(8, 1).await;
+    for _ in 0..10 {
+        fixture.clock.advance(Duration::from_secs(4));
+        watcher.step().await;
+    }
+    let snapshot = source.subscribe().borrow().clone().unwrap();
+    assert_eq!(snapshot.text().services[0].slots, Slots::new(8));
+}
--- a/crates/cranberrypitch-standins/tests/store_contract.rs
+++ b/crates/cranberrypitch-standins/tests/store_contract.rs
@@ -25,6 +25,8 @@
 struct TestControl {
     clock: ManualClock,
     faults: FaultInjector,
+    /// The store itself, for calls of other processes.
+    memory: MemoryStore,
 }
 
 macro_rules! contract {
@@ -37,16 +39,16 @@
                     super::Arc::new(clock.clone()),
                     super::CALL_TIMEOUT,
                 );
-                let faults = store.faults().clone();
-                super::$case(&store, &super::TestControl { clock, faults }).await;
+                let (faults, memory) = (store.faults().clone(), store.clone());
+                super::$case(&store, &super::TestControl { clock, faults, memory }).await;
             })*
         }
         mod http {
             $(#[tokio::test]
             async fn $case() {
                 let (server, store, clock) = super::serve().await;
-                let faults = server.faults().clone();
-                super::$case(&store, &super::TestControl { clock, faults }).await;
+                let (faults, memory) = (server.faults().clone(), server.store().clone());
+                super::$case(&store, &super::TestControl { clock, faults, memory }).await;
             })*
         }
     };
@@ -61,6 +63,7 @@
     a_watch_fails_when_the_store_is_down,
     long_values_are_refused,
     injected_faults_are_reported_correctly,
+    versions_and_leases_of_a_lost_history_are_refused,
 );
 
 async fn serve() -> (StoreServer, HttpStore, ManualClock) {
@@ -267,6 +270,38 @@
     }
 }
 
+/// Guards against a watch, a write or a lease of a history that the store has lost: after it was restored
+/// from a copy, it gives the same versions and leases out again, to other processes.
+async fn versions_and_leases_of_a_lost_history_are_refused(
+    store: &impl Store,
+    control: &TestControl,
+) {
+    let kept = put("kept", b"", ExpectedVersion::Absent);
+    store.put(kept).await.unwrap();
+    let copy = control.memory.copy();
+    let lease = store.grant(TTL).await.unwrap();
+    let mut lost = put("a", b"lost", ExpectedVersion::Absent);
+    lost.lease = Some(lease);
+    let version = store.put(lost.clone()).await.unwrap();
+
+    control.memory.restore(copy);
+    let others = control.memory.grant(TTL).await.unwrap();
+    let mut written = put("a", b"other", ExpectedVersion::Absent);
+    written.lease = Some(others);
+    control.memory.put(written).await.unwrap();
+
+    let watched = store.watch(&key("a"), version, CALL_TIMEOUT).await;
+    assert_eq!(watched, Ok(WatchOutcome::Reset));
+    lost.expected = ExpectedVersion::Version(version);
+    store.put(lost).await.expect_err("a lost version");
+    let deleted = store.delete(&key("a"), version).await;
+    deleted.expect_err("a lost version");
+    store.renew(lease).await.expect_err("a lost lease");
+    store.release(lease).await.expect_err("a lost lease");
+    let entry = store.get(&key("a")).await.unwrap().expect("still held");
+    assert_eq!(&*entry.value, b"other");
+}
+
 /// Guards against a refused connection that is reported as an unknown outcome, and against reuse of
 /// a connection that the service closed while it was idle.
 #[tokio::test]
