Take a configuration that the store has lost from the balancer that announces it

Callers would see: a route of an older configuration at a balancer that starts between the return of a restored store and the operator's write, or at any later time if the operator writes nothing.

Cause: a version that another balancer announced and that a later read of the store did not return was taken for announced wrongly. After a restoration it may be one that was confirmed and lost.

The schedule now keeps such a version as missing in the store and names the balancer that announced it last, for as long as a check is fresh. A wrong announcement costs one read, as before, and one fetch, which changes nothing.

--- a/crates/cranberrypitch-core/src/flow/config_reads.rs
+++ b/crates/cranberrypitch-core/src/flow/config_reads.rs
@@ -4,7 +4,8 @@
 //! others read the store only after a newer version was announced, or when the last check that they
 //! received is too old. There is no election: every balancer that reads the store is correct,
 //! and additional readers only cost calls. An announcement never replaces the configuration in force;
-//! it only triggers a read.
+//! it only triggers a read. A store that was restored from a copy may lack an announced version until
+//! the operator has written it again. The balancer that announces it still has it.
 
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -66,10 +67,11 @@
     WaitUntil(Instant),
 }
 
-/// A version that another balancer has read, and when its check arrived.
+/// A version that another balancer has, and when its check arrived.
 #[derive(Clone, Copy, Debug)]
 struct AnnouncedVersion {
     version: Revision,
+    announced_by: SocketAddrV4,
     received_at: Instant,
 }
 
@@ -84,6 +86,8 @@
     checked_at: Option<Instant>,
     /// A newer version that another balancer has read.
     announced: Option<AnnouncedVersion>,
+    /// An announced version that a later read of the store did not return.
+    missing_in_store: Option<AnnouncedVersion>,
     /// The start of the last read of the store, successful or not.
     read_started_at: Option<Instant>,
     /// The end of the last successful read of the store.
@@ -106,6 +110,7 @@
             version: None,
             checked_at: None,
             announced: None,
+            missing_in_store: None,
             read_started_at: None,
             read_at: None,
             is_watching: false,
@@ -192,12 +197,12 @@
         self.version = self.version.max(version);
         self.checked_at = self.checked_at.max(Some(checked_at));
         self.read_at = Some(now);
-        // The store is authoritative: a version that it did not have in a read that started after the
-        // announcement was announced wrongly.
-        let (version, started_at) = (self.version, self.read_started_at);
-        self.announced = self.announced.filter(|announced| {
-            Some(announced.version) > version && Some(announced.received_at) > started_at
-        });
+        // If a read that started after the announcement did not return the version, the store has lost it or
+        // it was announced wrongly.
+        let started_at = self.read_started_at;
+        let is_read = |announced: &mut AnnouncedVersion| Some(announced.received_at) <= started_at;
+        self.missing_in_store = self.announced.take_if(is_read).or(self.missing_in_store);
+        self.forget_older_announcements();
         let version = self.version.filter(|_| self.is_watching)?;
         Some(ConfigCheck {
             version,
@@ -214,7 +219,23 @@
     /// Records a configuration in force that did not come from a read of the store.
     pub fn on_config(&mut self, version: Revision) {
         self.version = self.version.max(Some(version));
-        self.announced = self.announced.filter(|a| Some(a.version) > self.version);
+        self.forget_older_announcements();
+    }
+
+    /// Removes announced versions that this balancer has.
+    fn forget_older_announcements(&mut self) {
+        let version = self.version;
+        let is_newer = |announced: &AnnouncedVersion| Some(announced.version) > version;
+        self.announced = self.announced.filter(is_newer);
+        self.missing_in_store = self.missing_in_store.filter(is_newer);
+    }
+
+    /// Returns the balancer to fetch the configuration from, if one has recently announced a newer version
+    /// and the store does not have it.
+    pub fn peer_with_missing_version(&self, now: Instant) -> Option<SocketAddrV4> {
+        let announced = self.missing_in_store?;
+        let age = now.saturating_duration_since(announced.received_at);
+        (age < self.options.max_check_age).then_some(announced.announced_by)
     }
 
     /// Processes a check of another balancer. Returns whether the next step has changed.
@@ -228,6 +249,7 @@
             if is_new {
                 self.announced = Some(AnnouncedVersion {
                     version: check.version,
+                    announced_by: check.checked_by,
                     received_at: now,
                 });
             }
--- a/crates/cranberrypitch-core/tests/flow/config_reads.rs
+++ b/crates/cranberrypitch-core/tests/flow/config_reads.rs
@@ -1,5 +1,5 @@
 //! Load pattern: every balancer of a large fleet follows the configuration, while balancers fail, are
-//! cut off, lose messages or announce wrong checks.
+//! cut off, lose messages or announce wrong checks, and the store loses changes.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -150,6 +150,39 @@
     assert_ne!(schedule.next(now), ConfigRead::Now);
 }
 
+/// Guards against a confirmed configuration that a starting balancer never gets: the store was restored from
+/// an older copy, but the balancer that announces the version has it.
+#[test]
+fn version_that_the_store_has_lost_is_fetched_from_the_balancer_that_announces_it() {
+    let start = Instant::now();
+    let mut schedule = started(9, start);
+    let now = start + Duration::from_secs(1);
+    schedule.on_check(&check(7, 0, 1), now);
+    assert_eq!(schedule.peer_with_missing_version(now), None, "read first");
+    assert_eq!(schedule.next(now), ConfigRead::Now);
+    schedule.on_read(Some(Revision::new(5)), now, now);
+    assert_eq!(
+        schedule.peer_with_missing_version(now),
+        Some(balancer_address(1))
+    );
+    schedule.on_config(Revision::new(7));
+    assert_eq!(schedule.peer_with_missing_version(now), None);
+}
+
+/// Guards against fetches without end from a balancer that announced a version once and is gone, or has
+/// announced it wrongly.
+#[test]
+fn version_that_is_no_longer_announced_is_not_fetched() {
+    let start = Instant::now();
+    let mut schedule = started(9, start);
+    let now = start + Duration::from_secs(1);
+    schedule.on_check(&check(7, 0, 1), now);
+    assert_eq!(schedule.next(now), ConfigRead::Now);
+    schedule.on_read(None, now, now);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(schedule.peer_with_missing_version(later), None);
+}
+
 /// Guards against a check that is taken for a later one because it arrived later.
 #[test]
 fn older_check_does_not_extend_the_time_to_the_next_read() {
@@ -200,6 +233,9 @@
     Announce { version: u64, checked_by: u8 },
     /// The operator changes the configuration.
     Change,
+    /// The store loses the latest changes. The operator writes them again after some time, or with the next
+    /// change.
+    Restore { lost: u64, rewrite_ms: u64 },
     /// Time passes.
     Wait { ms: u64 },
 }
@@ -222,6 +258,8 @@
             checked_by
         }),
         2 => Just(Disturbance::Change),
+        1 => (1..4_u64, 0..2000_u64)
+            .prop_map(|(lost, rewrite_ms)| Disturbance::Restore { lost, rewrite_ms }),
         3 => (1..3000_u64).prop_map(|ms| Disturbance::Wait { ms }),
     ]
 }
@@ -241,13 +279,22 @@
     call: Option<Call>,
     retry_at: Instant,
     version: Option<u64>,
+    /// The epoch of the store and the version in it at the last read.
+    read: Option<(u64, u64)>,
+    /// The balancer that a configuration is being fetched from, and when it arrives.
+    fetch: Option<(SocketAddrV4, Instant)>,
     store_cut_until: Instant,
     agents_cut_until: Instant,
 }
 
 struct Fleet {
     now: Instant,
+    /// The version that the operator wrote last.
     version: u64,
+    /// The epoch of the store and the version in it.
+    stored: (u64, u64),
+    /// When the operator writes again what the store has lost.
+    rewrite_at: Instant,
     balancers: BTreeMap<u8, Balancer>,
     /// Checks in transit, with their arrival.
     checks: Vec<(Instant, u8, ConfigCheck)>,
@@ -262,6 +309,8 @@
         let mut fleet = Self {
             now,
             version: 1,
+            stored: (1, 1),
+            rewrite_at: now,
             balancers: BTreeMap::new(),
             checks: Vec::new(),
             calls: 0,
@@ -280,6 +329,8 @@
             call: None,
             retry_at: self.now,
             version: None,
+            read: None,
+            fetch: None,
             store_cut_until: self.now,
             agents_cut_until: self.now,
         };
@@ -320,7 +371,20 @@
             } => {
                 self.announce(checked_by, check(version, 0, checked_by));
             }
-            Disturbance::Change => self.version += 1,
+            Disturbance::Change => {
+                self.version += 1;
+                self.stored.1 = self.version;
+            }
+            Disturbance::Restore { lost, rewrite_ms } => {
+                let (epoch, stored) = self.stored;
+                self.stored = (epoch + 1, stored.saturating_sub(lost).max(1));
+                self.rewrite_at = now + Duration::from_millis(rewrite_ms);
+                // Waiting watches end with an error.
+                for balancer in self.balancers.values_mut() {
+                    balancer.call = None;
+                    balancer.schedule.on_failure();
+                }
+            }
             Disturbance::Wait { ms } => self.run(Duration::from_millis(ms)),
         }
     }
@@ -335,6 +399,9 @@
     fn step(&mut self) {
         self.now += STEP;
         let now = self.now;
+        if self.rewrite_at <= now {
+            self.stored.1 = self.version;
+        }
         let arrived: Vec<_> = self.checks.extract_if(.., |(at, ..)| *at <= now).collect();
         for (_, receiver, check) in arrived {
             let balancer = self.balancers.get_mut(&receiver).unwrap();
@@ -349,6 +416,26 @@
             if let Some(check) = self.step_balancer(index) {
                 self.announce(index, check);
             }
+            self.fetch_from_peer(index);
+        }
+    }
+
+    /// Fetches the configuration of a balancer that has announced a version which the store lacks.
+    fn fetch_from_peer(&mut self, index: u8) {
+        let now = self.now;
+        let balancer = self.balancers.get_mut(&index).unwrap();
+        let peer = balancer.schedule.peer_with_missing_version(now);
+        let arrival = now + Duration::from_millis(CALL_DELAY_MS);
+        balancer.fetch = balancer.fetch.or(peer.map(|peer| (peer, arrival)));
+        let Some((peer, _)) = balancer.fetch.take_if(|(_, at)| *at <= now) else {
+            return;
+        };
+        let holder = (1..=BALANCERS).find(|index| balancer_address(*index) == peer);
+        let fetched = holder.and_then(|holder| self.balancers[&holder].version);
+        let balancer = self.balancers.get_mut(&index).unwrap();
+        balancer.version = balancer.version.max(fetched);
+        if let Some(version) = balancer.version {
+            balancer.schedule.on_config(Revision::new(version));
         }
     }
 
@@ -369,12 +456,13 @@
         let balancer = self.balancers.get_mut(&index)?;
         if let Some(call) = balancer.call {
             let elapsed = now - call.started_at;
-            let is_changed = balancer.version != Some(self.version);
+            let is_changed = balancer.read != Some(self.stored);
             let is_answered = elapsed >= Duration::from_millis(CALL_DELAY_MS)
                 && (is_changed || elapsed >= call.wait);
             if !call.is_silent && is_answered {
                 balancer.call = None;
-                balancer.version = balancer.version.max(Some(self.version));
+                balancer.read = Some(self.stored);
+                balancer.version = balancer.version.max(Some(self.stored.1));
                 let checked_at = if is_changed {
                     now
                 } else {
@@ -449,6 +537,32 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 100, ..ProptestConfig::default() })]
+
+    /// Guards against a return to an older configuration: the store has lost the latest changes for good,
+    /// and balancers that restart read the older one. The others still have the newest.
+    #[test]
+    fn lost_changes_stay_in_force_while_one_balancer_has_them(
+        lost in 1..4_u64,
+        restarts in prop::collection::vec((1..BALANCERS, 0..3000_u64), 0..8),
+        loss_percent in 0..30_u8,
+    ) {
+        let mut fleet = Fleet::new(loss_percent);
+        for _ in 0..4 {
+            fleet.disturb(&Disturbance::Change);
+        }
+        fleet.run(CALM);
+        fleet.disturb(&Disturbance::Restore { lost, rewrite_ms: 600_000 });
+        for (balancer, ms) in restarts {
+            fleet.disturb(&Disturbance::Restart { balancer });
+            fleet.disturb(&Disturbance::Wait { ms });
+        }
+        fleet.run(CALM);
+        prop_assert_eq!(fleet.oldest_version(), fleet.version);
+    }
+}
+
 /// Guards against calls that grow with the number of balancers while nothing changes.
 #[test]
 fn calm_fleet_makes_the_calls_of_one_watching_balancer() {
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -19,7 +19,7 @@
 use crate::metrics::RelayMetrics;
 use crate::platform::{Platform, StoreOptions};
 use crate::registration;
-use crate::snapshot::{self, MissingState, SharedSnapshot};
+use crate::snapshot::{self, MissingState, SharedSnapshot, SnapshotSources};
 use crate::sockets::{MAX_BATCH_DATAGRAMS, MAX_DATAGRAM_BYTES, bind, receive};
 use crate::store_watch::{StateUpdate, watch_agents};
 
@@ -127,9 +127,16 @@
 ) -> mpsc::Receiver<StateUpdate> {
     let (sender, receiver) = mpsc::channel(UPDATE_QUEUE_LEN);
     let (missing_sender, missing) = watch::channel(MissingState::default());
-    let (seeds, snapshot_sender) = (context.settings.seed_addresses.clone(), sender.clone());
+    let sources = SnapshotSources {
+        seeds: context.settings.seed_addresses.clone(),
+        port: context
+            .settings
+            .snapshot_address
+            .map(|address| address.port()),
+    };
+    let snapshot_sender = sender.clone();
     tokio::spawn(async move {
-        snapshot::fetch(&seeds, inputs.snapshot, snapshot_sender, missing).await;
+        snapshot::fetch(sources, inputs.snapshot, snapshot_sender, missing).await;
     });
     let config_store = Arc::clone(&inputs.store);
     let config_inputs = ConfigWatchInputs {
--- a/crates/cranberrypitch-relay/src/config_watch.rs
+++ b/crates/cranberrypitch-relay/src/config_watch.rs
@@ -139,9 +139,17 @@
         });
     }
 
+    /// Returns what the balancer lacks after a successful read.
+    fn missing_after_read(&self) -> MissingState {
+        let peer = self.schedule.peer_with_missing_version(self.clock.now());
+        peer.map_or(MissingState::Nothing, MissingState::ConfigOf)
+    }
+
     /// Returns what the balancer lacks after a failed read.
     fn missing_state(&self, now: Instant) -> MissingState {
-        if self.schedule.is_outdated() {
+        if let Some(peer) = self.schedule.peer_with_missing_version(now) {
+            MissingState::ConfigOf(peer)
+        } else if self.schedule.is_outdated() {
             MissingState::Config
         } else if self.schedule.is_current(now) {
             MissingState::Nothing
@@ -158,13 +166,13 @@
         };
         let updates = match answer {
             Ok(answer) => {
-                self.missing.send_replace(MissingState::Nothing);
                 let version = answer.configs.iter().map(|config| config.version).max();
                 let announced = self.schedule.announced_version();
                 let updates = answer.configs.into_iter().map(StateUpdate::Config);
                 let mut updates: Vec<_> = updates.collect();
                 updates.extend(self.on_read(version, answer.checked_at));
                 self.log_not_in_store(announced, read_after);
+                self.missing.send_replace(self.missing_after_read());
                 Ok(updates)
             }
             Err(error) => {
--- a/crates/cranberrypitch-relay/src/snapshot.rs
+++ b/crates/cranberrypitch-relay/src/snapshot.rs
@@ -1,5 +1,5 @@
 //! Snapshots of a balancer's configuration and agents, for balancers that start while the store is
-//! down.
+//! down or lacks the newest configuration.
 
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -59,6 +59,26 @@
     Agents,
     /// There is no configuration, or another balancer has read a newer one.
     Config,
+    /// The store does not have a configuration that the balancer with this address for messages of agents
+    /// has in force.
+    ConfigOf(SocketAddrV4),
+}
+
+/// Where snapshots can be fetched.
+#[derive(Clone, Debug)]
+pub(crate) struct SnapshotSources {
+    /// The snapshot addresses of other balancers.
+    pub(crate) seeds: Vec<SocketAddrV4>,
+    /// The port at which all balancers serve their snapshots, if they do.
+    pub(crate) port: Option<u16>,
+}
+
+impl SnapshotSources {
+    /// Returns the snapshot address of a balancer.
+    fn address_of(&self, balancer: SocketAddrV4) -> Option<SocketAddrV4> {
+        self.port
+            .map(|port| SocketAddrV4::new(*balancer.ip(), port))
+    }
 }
 
 /// The configuration in force at a balancer and its list of agents.
@@ -147,27 +167,36 @@
     .await
 }
 
-/// Fetches what is missing from one seed balancer after the other, until the receiver is dropped.
-/// `own` is the snapshot of this balancer.
+/// Fetches what is missing from the balancer that has it, or from one seed balancer after the other, until
+/// the receiver is dropped. `own` is the snapshot of this balancer.
 pub(crate) async fn fetch(
-    seeds: &[SocketAddrV4],
+    sources: SnapshotSources,
     own: SharedSnapshot,
     updates: Sender<StateUpdate>,
     mut missing: watch::Receiver<MissingState>,
 ) {
     sleep(STORE_WAIT).await;
     // Balancers that start at the same time begin with different seeds.
-    let first = rand::rng().random_range(0..seeds.len().max(1));
-    for seed in seeds.iter().cycle().skip(first) {
-        let Ok(state) = wait_until_missing(&own, &mut missing).await else {
-            return;
+    let first = rand::rng().random_range(0..sources.seeds.len().max(1));
+    let mut seeds = sources.seeds.iter().cycle().skip(first);
+    let mut has_failed = false;
+    while let Ok(state) = wait_until_missing(&own, &mut missing).await {
+        let peer = match state {
+            MissingState::ConfigOf(peer) if !has_failed => sources.address_of(peer),
+            _ => None,
+        };
+        let Some(source) = peer.or_else(|| seeds.next().copied()) else {
+            has_failed = false;
+            sleep(RETRY_INTERVAL).await;
+            continue;
         };
         let result = match state {
-            MissingState::Config => fetch_from(*seed, PATH).await.map(StateUpdate::Snapshot),
-            _ => fetch_from(*seed, AGENTS_PATH)
+            MissingState::Nothing | MissingState::Agents => fetch_from(source, AGENTS_PATH)
                 .await
                 .map(StateUpdate::AgentsOfBalancer),
+            _ => fetch_from(source, PATH).await.map(StateUpdate::Snapshot),
         };
+        has_failed = result.is_err();
         match result {
             Ok(update) => {
                 if updates.send(update).await.is_err() {
@@ -176,7 +205,7 @@
                 sleep(REFRESH_INTERVAL).await;
             }
             Err(error) => {
-                tracing::debug!(target: crate::log::TARGET, %seed, %error, "snapshot not fetched");
+                tracing::debug!(target: crate::log::TARGET, %source, %error, "snapshot not fetched");
                 sleep(RETRY_INTERVAL).await;
             }
         }
@@ -191,6 +220,9 @@
 ) -> std::result::Result<MissingState, watch::error::RecvError> {
     loop {
         let state = *missing.wait_for(|s| *s != MissingState::Nothing).await?;
+        if matches!(state, MissingState::ConfigOf(_)) {
+            return Ok(state);
+        }
         if state == MissingState::Config || !own.is_complete() {
             return Ok(MissingState::Config);
         }
