Keep live balancers listed after a restoration until they have registered again

Cause: the list of the restored store was taken for complete. Balancers that were listed before now stay in the published list until they are listed again, at most for one time to live of their lease.

--- a/crates/cranberrypitch-net/src/registry.rs
+++ b/crates/cranberrypitch-net/src/registry.rs
@@ -6,17 +6,21 @@
 use tokio::sync::watch;
 
 use crate::events::Event;
-use crate::store::{Error, ExpectedVersion, LeaseId, Put, Result, Store, StoreKey};
+use crate::store::{Epoch, Error, ExpectedVersion, LeaseId, Put, Result, Store, StoreKey};
 
 const PREFIX: &str = "balancers/";
 
 /// Reads the list of live balancers. Skips entries that can't be decoded.
 pub async fn list_balancers<S: Store>(store: &S) -> Result<Vec<BalancerEntry>> {
+    read_list(store).await.map(|(_, balancers)| balancers)
+}
+
+/// Reads the list of live balancers and the epoch of the store.
+async fn read_list<S: Store>(store: &S) -> Result<(Epoch, Vec<BalancerEntry>)> {
     let listing = store.list(&StoreKey::try_new(PREFIX)?).await?;
     let entries = listing.entries.iter();
-    Ok(entries
-        .filter_map(|entry| serde_json::from_slice(&entry.value).ok())
-        .collect())
+    let balancers = entries.filter_map(|entry| serde_json::from_slice(&entry.value).ok());
+    Ok((listing.version.epoch(), balancers.collect()))
 }
 
 /// Keeps a balancer registered and publishes the list of live balancers.
@@ -28,6 +32,31 @@
     renewal_interval: Duration,
     lease: Option<LeaseId>,
     live_balancers: watch::Sender<Vec<BalancerEntry>>,
+    /// The epoch of the store at the last reading of the list.
+    epoch: Option<Epoch>,
+    unconfirmed: UnconfirmedBalancers,
+}
+
+/// Balancers that were listed before the store was restored from a copy and have not been since. They
+/// stay in the list until they have had the time to register again.
+#[derive(Debug, Default)]
+struct UnconfirmedBalancers {
+    balancers: Vec<BalancerEntry>,
+    readings_left: u32,
+}
+
+impl UnconfirmedBalancers {
+    /// Removes the balancers that are listed, or all after the last reading, and adds the others to the
+    /// list.
+    fn add_to(&mut self, listed: &mut Vec<BalancerEntry>) {
+        self.balancers
+            .retain(|kept| listed.iter().all(|entry| entry.vm != kept.vm));
+        if self.readings_left == 0 {
+            self.balancers.clear();
+        }
+        self.readings_left = self.readings_left.saturating_sub(1);
+        listed.extend(self.balancers.iter().cloned());
+    }
 }
 
 impl<S: Store> BalancerRegistry<S> {
@@ -48,6 +77,8 @@
             renewal_interval,
             lease: None,
             live_balancers,
+            epoch: None,
+            unconfirmed: UnconfirmedBalancers::default(),
         };
         (registry, receiver)
     }
@@ -66,8 +97,8 @@
         if let Err(error) = self.maintain_registration().await {
             log::debug!("balancer not registered: {error}");
         }
-        match list_balancers(&self.store).await {
-            Ok(balancers) => self.publish(balancers),
+        match read_list(&self.store).await {
+            Ok((epoch, balancers)) => self.on_list(epoch, balancers),
             Err(error) => log::debug!("list of live balancers not read: {error}"),
         }
     }
@@ -132,6 +163,21 @@
         }
     }
 
+    fn on_list(&mut self, epoch: Epoch, mut balancers: Vec<BalancerEntry>) {
+        if self.epoch.replace(epoch).is_some_and(|last| last < epoch) {
+            let readings = self
+                .ttl
+                .as_millis()
+                .div_ceil(self.renewal_interval.as_millis().max(1));
+            self.unconfirmed = UnconfirmedBalancers {
+                balancers: self.live_balancers.borrow().clone(),
+                readings_left: u32::try_from(readings).unwrap_or(u32::MAX),
+            };
+        }
+        self.unconfirmed.add_to(&mut balancers);
+        self.publish(balancers);
+    }
+
     fn publish(&self, mut balancers: Vec<BalancerEntry>) {
         if balancers.iter().all(|b| b.vm != self.own.vm) {
             balancers.push(self.own.clone());
