Write accepted edits back to a store that was restored from an older copy

On the own transport, callers would see an older configuration: a process that starts after a restoration reads the head of the copy, and once no running process has the lost edits any more, they are gone for good.

Cause: nobody puts back what the operator's command wrote to the store. A process that watches the store now writes its configuration back, shards first and then the head by compare-and-swap, if the store has none or one that the configuration in force was made from. An edit that is not known as earlier is never overwritten. CP0209 tells what was written back.

Watchers lose their slots in a restoration, and the slots of the copy may be held by leases that nobody has. They watch without a slot for one time to live, so that changes are noticed meanwhile.

The test edits_that_the_store_lost_are_put_back failed before and passes now. The writes of shards and head moved from the editor to config_writes.

--- a/crates/cranberrypitch-core/src/config/head.rs
+++ b/crates/cranberrypitch-core/src/config/head.rs
@@ -67,6 +67,12 @@
         serde_json::from_slice(bytes).map_err(|e| Error::malformed("head", &e))
     }
 
+    /// Returns whether this configuration is known to be made from an earlier one, by one edit or several.
+    pub fn is_made_from(&self, earlier: &Self) -> bool {
+        let is_later = earlier.revision < self.revision;
+        is_later && self.contains_edit(earlier.edit_id, earlier.revision) == Some(true)
+    }
+
     /// Returns whether `edit`, which was to create `revision`, created this revision or a previous
     /// one. Returns `None` if the head no longer lists the edits back to `revision`.
     pub fn contains_edit(&self, edit: EditId, revision: Revision) -> Option<bool> {
--- a/crates/cranberrypitch-net/src/config_editor.rs
+++ b/crates/cranberrypitch-net/src/config_editor.rs
@@ -3,16 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use cranberrypitch_core::config::{
-    ConfigChange, ConfigEdit, ConfigHead, ConfigText, Deployment, Digest, Problems, Shard,
-    ShardCount, assemble, diff, split,
+    ConfigChange, ConfigEdit, ConfigHead, ConfigText, Deployment, Digest, Problems, ShardCount,
+    assemble, diff, split,
 };
 use cranberrypitch_core::{EditId, Revision};
 use derive_more::Display;
 
-use crate::config_store::{Error, Result, head_key, read_head, read_shard, shard_key};
-use crate::store::{Error as StoreError, ExpectedVersion, Put, Store, StoreKey, Version};
+use crate::config_store::{Error, Result, read_head, read_shard, shard_key};
+use crate::config_writes::{expected_version, write_head, write_shard};
+use crate::store::{Error as StoreError, ExpectedVersion, Store, StoreKey, Version};
 
 /// The options of a [`ConfigEditor`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -196,7 +196,7 @@
         let edit = ConfigEdit::plan(text, head.as_ref(), edit_id)?;
         let new_shards = edit.new_shards(head.as_ref());
         for shard in &new_shards {
-            self.write_shard(shard).await?;
+            write_shard(&self.store, shard).await?;
         }
         let mut obsolete = Vec::new();
         for digest in edit.obsolete_shards(head.as_ref()) {
@@ -209,38 +209,12 @@
         }
         Ok(Ok(PreparedEdit {
             head: edit.head,
-            expected: version.map_or(ExpectedVersion::Absent, ExpectedVersion::Version),
+            expected: expected_version(version),
             shards_written: new_shards.len(),
             obsolete,
         }))
     }
 
-    /// Writes a shard. One that already exists is written again to change its version, so that an
-    /// earlier edit that made it obsolete no longer deletes it.
-    async fn write_shard(&self, shard: &Arc<Shard>) -> Result<()> {
-        const MAX_ATTEMPTS: usize = 8;
-        let mut expected = ExpectedVersion::Absent;
-        let mut outcome = Ok(());
-        for _ in 0..MAX_ATTEMPTS {
-            let put = Put {
-                key: shard_key(shard.digest()),
-                value: Bytes::copy_from_slice(shard.encoded().as_bytes()),
-                expected,
-                lease: None,
-            };
-            match self.store.put(put).await {
-                Ok(_) => return Ok(()),
-                Err(StoreError::Conflict { current }) => {
-                    expected = current.map_or(ExpectedVersion::Absent, ExpectedVersion::Version);
-                    outcome = Err(StoreError::Conflict { current }.into());
-                }
-                Err(error @ StoreError::OutcomeUnknown { .. }) => outcome = Err(error.into()),
-                Err(error) => return Err(error.into()),
-            }
-        }
-        outcome
-    }
-
     /// Writes the head. If the outcome of the write is unknown, reads the head back to determine it.
     async fn commit(
         &self,
@@ -276,7 +250,7 @@
     async fn read_back(&self, prepared: &PreparedEdit) -> Result<EditState> {
         let current = read_head(&self.store).await?;
         let version = current.as_ref().map(|(_, version)| *version);
-        if version.map_or(ExpectedVersion::Absent, ExpectedVersion::Version) == prepared.expected {
+        if expected_version(version) == prepared.expected {
             return match self.put_head(prepared).await {
                 Ok(()) => Ok(EditState::Accepted),
                 Err(error) => Err(error),
@@ -294,14 +268,7 @@
     }
 
     async fn put_head(&self, prepared: &PreparedEdit) -> Result<()> {
-        let put = Put {
-            key: head_key(),
-            value: prepared.head.encode()?.into(),
-            expected: prepared.expected,
-            lease: None,
-        };
-        self.store.put(put).await?;
-        Ok(())
+        write_head(&self.store, &prepared.head, prepared.expected).await
     }
 
     /// Deletes the obsolete shards. A shard that remains after a failure only takes up space.
--- a/crates/cranberrypitch-net/src/config_sync.rs
+++ b/crates/cranberrypitch-net/src/config_sync.rs
@@ -5,6 +5,7 @@
 
 mod peer;
 mod slot;
+mod write_back;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -115,6 +116,9 @@
     publisher: watch::Sender<Option<Arc<ConfigSnapshot>>>,
     newer_revision: Arc<Notify>,
     slot: Option<WatcherSlot>,
+    /// The time up to which this process watches the store without a slot, as its slot was lost with the
+    /// latest writes of the store and may not be free before.
+    watches_without_slot_until: Instant,
     next_slot_attempt: Instant,
     next_watch: Instant,
     watched_version: Version,
@@ -138,6 +142,7 @@
         let source = ConfigSource::new(Arc::clone(&replica), receiver, Arc::clone(&newer_revision));
         let config_sync = Self {
             next_slot_attempt: clock.now(),
+            watches_without_slot_until: clock.now(),
             next_watch: clock.now(),
             random: StdRng::seed_from_u64(seed),
             watched_version: Version::default(),
@@ -186,9 +191,12 @@
     /// Runs one iteration: maintains the watcher slot, then watches the store or polls a peer.
     pub async fn step(&mut self) {
         self.maintain_slot().await;
-        let outcome = match &self.slot {
-            Some(_) if self.clock.now() >= self.next_watch => self.watch_head().await,
-            _ => self.poll_and_pause().await,
+        let now = self.clock.now();
+        let is_watcher = self.slot.is_some() || now < self.watches_without_slot_until;
+        let outcome = if is_watcher && now >= self.next_watch {
+            self.watch_head().await
+        } else {
+            self.poll_and_pause().await
         };
         if let Err(error) = outcome {
             log::debug!("configuration update failed: {error}");
@@ -217,9 +225,13 @@
 
     async fn maintain_slot(&mut self) {
         if let Some(slot) = &mut self.slot {
+            let epoch = slot.epoch();
             if !slot.renew_if_due(&self.store, &*self.clock).await {
                 log::debug!("watcher slot {} has lapsed", slot.key());
                 self.slot = None;
+                if self.store.epoch() > Some(epoch) {
+                    self.watches_without_slot_until = self.clock.now() + self.options.slot_ttl;
+                }
             }
             return;
         }
@@ -258,8 +270,7 @@
             WatchOutcome::Changed { version, changes } => {
                 for entry in changes.into_iter().filter_map(|change| change.entry) {
                     self.delay_next_watch(entry.value.len());
-                    let (head, _) = decode_head(&entry)?;
-                    self.apply_head(head).await?;
+                    self.on_stored_head(Some(decode_head(&entry)?)).await?;
                 }
                 self.watched_version = version;
                 Ok(())
@@ -277,14 +288,32 @@
     async fn fetch_from_store(&mut self) -> Result<()> {
         let listing = self.store.list(&head_key()).await;
         let listing = listing.map_err(config_store::Error::from)?;
-        for entry in &listing.entries {
-            let (head, _) = decode_head(entry)?;
-            self.apply_head(head).await?;
-        }
+        let found = listing.entries.first().map(decode_head).transpose()?;
+        self.on_stored_head(found).await?;
         self.watched_version = listing.version;
         Ok(())
     }
 
+    /// Applies the head that the store has, or writes the configuration in force back if the store has
+    /// lost it.
+    async fn on_stored_head(&self, found: Option<(ConfigHead, Version)>) -> Result<()> {
+        let in_force = self.lock_replica().in_force().cloned();
+        let head = found.as_ref().map(|(head, _)| head);
+        if let Some(in_force) = in_force
+            && write_back::is_lost(in_force.head(), head)
+        {
+            write_back::write_back(&self.store, &in_force, found.as_ref()).await?;
+            let revision = in_force.head().revision;
+            let found = head.map_or(Revision::default(), |head| head.revision);
+            Event::ConfigurationWrittenBack { revision, found }.log();
+            return Ok(());
+        }
+        match found {
+            Some((head, _)) => self.apply_head(head).await,
+            None => Ok(()),
+        }
+    }
+
     /// Applies a head from the store with the shards that it needs. If a shard is missing from the
     /// store, an even newer head no longer refers to it.
     async fn apply_head(&self, head: ConfigHead) -> Result<()> {
--- a/crates/cranberrypitch-net/src/config_sync/slot.rs
+++ b/crates/cranberrypitch-net/src/config_sync/slot.rs
@@ -6,7 +6,7 @@
 use cranberrypitch_core::{Clock, FailureDomain};
 
 use crate::config_store::watcher_key;
-use crate::store::{Error, ExpectedVersion, LeaseId, Put, Result, Store, StoreKey};
+use crate::store::{Epoch, Error, ExpectedVersion, LeaseId, Put, Result, Store, StoreKey};
 
 /// A watcher slot that this process holds under a lease. It only permits watching the store, so a
 /// process that resumes after its lease has lapsed does no harm.
@@ -46,6 +46,11 @@
         Ok(None)
     }
 
+    /// Returns the epoch of the store in which the slot was taken.
+    pub(super) const fn epoch(&self) -> Epoch {
+        self.lease.epoch()
+    }
+
     pub(super) const fn key(&self) -> &StoreKey {
         &self.key
     }
--- a/crates/cranberrypitch-net/src/events/catalogue.rs
+++ b/crates/cranberrypitch-net/src/events/catalogue.rs
@@ -181,6 +181,9 @@
     /// The command line of a program is invalid.
     208 Error ArgumentsRefused { problem: Box<str> }
         = "arguments refused: {problem}";
+    /// The store has lost the configuration in force and got it back from this process.
+    209 Warn ConfigurationWrittenBack { revision: Revision, found: Revision }
+        = "configuration {revision} written back to the store, which had lost it and had {found}";
 
     /// An agent reports for the first time.
     301 Info TargetJoined { vm: VmId, service: ServiceName, agent: SocketAddrV4, incarnation: Incarnation }
--- a/crates/cranberrypitch-net/src/lib.rs
+++ b/crates/cranberrypitch-net/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod config_editor;
 pub mod config_store;
 pub mod config_sync;
+mod config_writes;
 pub mod control;
 pub mod daemon;
 pub mod errors;
--- a/crates/cranberrypitch-net/tests/config_sync.rs
+++ b/crates/cranberrypitch-net/tests/config_sync.rs
@@ -126,10 +126,14 @@
     }
 
     async fn apply(&self, slots: u32, edited: u64) {
+        let id = EditId::new(u128::from(edited) + 1);
+        self.apply_as(slots, edited, id).await;
+    }
+
+    async fn apply_as(&self, slots: u32, edited: u64, id: EditId) {
         let mut text = ConfigText::parse(VALVES).unwrap();
         text.services[0].slots = Slots::new(slots);
         let operator = ConfigEditor::new(self.store.clone(), ConfigEditorOptions::default());
-        let id = EditId::new(u128::from(edited) + 1);
         let outcome = operator.apply(&text, Revision::new(edited), id).await;
         assert!(
             matches!(outcome, ApplyOutcome::Accepted { .. }),
@@ -379,6 +383,7 @@
 
     fixture.store.restore(copy);
     for _ in 0..10 {
+        fixture.clock.advance(Duration::from_secs(1));
         watcher.step().await;
     }
     fixture.fleet.set_silent(0);
@@ -402,7 +407,7 @@
 
     fixture.store.restore(copy);
     // No process reaches the store before the operator does.
-    fixture.apply(8, 1).await;
+    fixture.apply_as(8, 1, EditId::new(77)).await;
     for _ in 0..10 {
         fixture.clock.advance(Duration::from_secs(4));
         watcher.step().await;
@@ -410,3 +415,36 @@
     let snapshot = source.subscribe().borrow().clone().unwrap();
     assert_eq!(snapshot.text().services[0].slots, Slots::new(8));
 }
+
+/// Guards against a fleet that does not follow the store after a restoration: the slots of the copy are held
+/// by leases that nobody has any more.
+#[tokio::test]
+async fn watchers_follow_the_store_after_a_restoration() {
+    let fixture = Fixture::new();
+    fixture.apply(5, 0).await;
+    let (mut first, first_source) = fixture.join(0).await;
+    let (mut second, second_source) = fixture.join(1).await;
+    first.step().await;
+    second.step().await;
+    assert!(first.holds_slot() && second.holds_slot());
+
+    let copy = fixture.store.copy();
+    fixture.store.restore(copy);
+    fixture.apply(6, 1).await;
+    for _ in 0..5 {
+        fixture.clock.advance(Duration::from_secs(1));
+        first.step().await;
+        second.step().await;
+    }
+    assert_eq!(first_source.revision(), Revision::new(2));
+    assert_eq!(second_source.revision(), Revision::new(2));
+
+    // The slots of the copy become free when their leases lapse.
+    for _ in 0..12 {
+        fixture.clock.advance(Duration::from_secs(1));
+        first.step().await;
+        second.step().await;
+    }
+    assert!(first.holds_slot() && second.holds_slot());
+    assert_eq!(fixture.held_slot_count().await, 2);
+}
