Put the first edit after a restoration above the edits that the store lost

On the own transport, an operator would see: apply reports an edit as accepted, and no daemon puts it in force. Cause: the edit was made on the older head of a restored store, so its revision was not above the one in force, which is all that orders configurations.

The first edit in an epoch now waits up to 3 s for the processes that write lost edits back, unless the operator edited an older revision anyway; a head that comes back shows as a conflict. In the first epoch of a store nothing changes. Revisions order configurations as before, so messages and stored heads keep their format.

--- a/crates/cranberrypitch-core/src/config/edit.rs
+++ b/crates/cranberrypitch-core/src/config/edit.rs
@@ -46,6 +46,13 @@
         Ok(Self { head, shards })
     }
 
+    /// Returns the edit with a revision that is higher by `count`.
+    #[must_use]
+    pub fn skipping_revisions(mut self, count: u64) -> Self {
+        self.head.revision = Revision::new(self.head.revision.get() + count);
+        self
+    }
+
     /// Returns the shards that the `current` head does not contain. Empty shards are left out, as
     /// every process has the empty shard already.
     pub fn new_shards(&self, current: Option<&ConfigHead>) -> Vec<Arc<Shard>> {
--- a/crates/cranberrypitch-net/src/config_editor.rs
+++ b/crates/cranberrypitch-net/src/config_editor.rs
@@ -1,5 +1,7 @@
 //! Operator functions on the configuration in the store: check, compare, apply and show its status.
 
+mod base;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,9 +12,10 @@
 use cranberrypitch_core::{EditId, Revision};
 use derive_more::Display;
 
+use self::base::SKIPPED_REVISIONS;
 use crate::config_store::{Error, Result, read_head, read_shard, shard_key};
 use crate::config_writes::{expected_version, write_head, write_shard};
-use crate::store::{Error as StoreError, ExpectedVersion, Store, StoreKey, Version};
+use crate::store::{Epoch, Error as StoreError, ExpectedVersion, Store, StoreKey, Version};
 
 /// The options of a [`ConfigEditor`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,6 +24,9 @@
     pub max_read_backs: u32,
     /// The delay before each attempt.
     pub read_back_delay: Duration,
+    /// The time for which the first edit after a restoration of the store waits for the processes that
+    /// write lost edits back.
+    pub write_back_wait: Duration,
 }
 
 impl Default for ConfigEditorOptions {
@@ -28,6 +34,7 @@
         Self {
             max_read_backs: 8,
             read_back_delay: Duration::from_millis(250),
+            write_back_wait: Duration::from_secs(3),
         }
     }
 }
@@ -186,14 +193,17 @@
         edited: Revision,
         edit_id: EditId,
     ) -> Result<std::result::Result<PreparedEdit, ApplyOutcome>> {
-        let current = read_head(&self.store).await?;
-        let (head, version) = current.unzip();
-        let in_force = head.as_ref().map_or(Revision::default(), |h| h.revision);
+        let base = base::read_base(&self.store, edited, self.options.write_back_wait).await?;
+        let head = &base.head;
         check_deployment(head.as_ref(), text)?;
-        if in_force != edited {
-            return Ok(Err(self.conflict(text, edited, in_force).await));
+        if base.revision() != edited {
+            return Ok(Err(self.conflict(text, edited, base.revision()).await));
         }
         let edit = ConfigEdit::plan(text, head.as_ref(), edit_id)?;
+        let edit = match base.new_epoch {
+            Some(_) => edit.skipping_revisions(SKIPPED_REVISIONS),
+            None => edit,
+        };
         let new_shards = edit.new_shards(head.as_ref());
         for shard in &new_shards {
             write_shard(&self.store, shard).await?;
@@ -209,7 +219,8 @@
         }
         Ok(Ok(PreparedEdit {
             head: edit.head,
-            expected: expected_version(version),
+            expected: expected_version(base.version),
+            new_epoch: base.new_epoch,
             shards_written: new_shards.len(),
             obsolete,
         }))
@@ -273,6 +284,11 @@
 
     /// Deletes the obsolete shards. A shard that remains after a failure only takes up space.
     async fn finish_accepted(&self, prepared: PreparedEdit) -> ApplyOutcome {
+        if let Some(epoch) = prepared.new_epoch
+            && let Err(error) = base::record_epoch(&self.store, epoch).await
+        {
+            log::debug!("epoch {epoch} not recorded, the next edit skips revisions again: {error}");
+        }
         for (digest, version) in prepared.obsolete {
             if let Err(error) = self.store.delete(&shard_key(digest), version).await {
                 log::debug!("obsolete shard {digest} not deleted: {error}");
@@ -324,6 +340,8 @@
     head: ConfigHead,
     expected: ExpectedVersion,
     shards_written: usize,
+    /// The epoch to record as that of an accepted edit.
+    new_epoch: Option<Epoch>,
     /// The shards that the new head no longer refers to, with their versions before the edit.
     obsolete: Vec<(Digest, Version)>,
 }
--- a/crates/cranberrypitch-net/src/config_store.rs
+++ b/crates/cranberrypitch-net/src/config_store.rs
@@ -52,6 +52,11 @@
     known_valid_key("config/head")
 }
 
+/// Returns the key of the last epoch of the store in which an edit was accepted.
+pub fn epoch_key() -> StoreKey {
+    known_valid_key("config/epoch")
+}
+
 /// Returns the key of a shard.
 pub fn shard_key(digest: Digest) -> StoreKey {
     known_valid_key(&format!("config/shard/{digest}"))
--- a/crates/cranberrypitch-net/tests/config_editor.rs
+++ b/crates/cranberrypitch-net/tests/config_editor.rs
@@ -18,6 +18,7 @@
     let options = ConfigEditorOptions {
         max_read_backs: 6,
         read_back_delay: Duration::from_millis(5),
+        ..ConfigEditorOptions::default()
     };
     ConfigEditor::new(store.clone(), options)
 }
@@ -260,3 +261,33 @@
     );
     assert_eq!(head.contains_edit(OWN_EDIT, Revision::new(19)), Some(false));
 }
+
+/// Guards against an edit that is reported as accepted although the store was restored from a copy before the
+/// head was written, or as without effect although it is in force.
+#[tokio::test]
+async fn restoration_during_an_edit_is_reported_truly() {
+    for puts_before in 1..=2 {
+        let store = store().await;
+        let copy = store.copy();
+        store.faults().set_delay(Duration::from_millis(2));
+        let before = store.counters().total(Operation::Put);
+        let restoration = async {
+            while store.counters().total(Operation::Put) < before + puts_before {
+                tokio::task::yield_now().await;
+            }
+            store.restore(copy);
+        };
+        let operator = editor(&store);
+        let my_text = text(5);
+        let (outcome, ()) = tokio::join!(operator.apply(&my_text, FIRST, OWN_EDIT), restoration);
+        store.faults().set_delay(Duration::ZERO);
+        let slots = slots_in_force(&store).await;
+        match &outcome {
+            ApplyOutcome::NotAccepted(_) => assert_eq!(slots, 4, "{outcome}"),
+            ApplyOutcome::Accepted { .. } => assert_eq!(slots, 5, "{outcome}"),
+            ApplyOutcome::Unknown { .. } | ApplyOutcome::Conflict { .. } => {
+                panic!("{puts_before}: {outcome}")
+            }
+        }
+    }
+}
