Keep registrations that the copy of a restored store has, with one read each

Cause: each agent whose lease was of an earlier epoch granted a new one and wrote its record twice, although the copy had it. With 13,000 agents these are 39,000 writes within 2.8 s, against 3,200 a second.

An agent now reads its record after a restoration. If the copy has its last write, with the same version and lease, both hold on in the new epoch, as the copy is a part of the history that issued them. Otherwise it registers again.

--- a/crates/cranberrypitch-relay/src/registration.rs
+++ b/crates/cranberrypitch-relay/src/registration.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use cranberrypitch_core::flow::AgentRecord;
 use cranberrypitch_net::store::{
-    Error as StoreError, ExpectedVersion, LeaseId, Put, Store, StoreKey, Version,
+    Entry, Error as StoreError, ExpectedVersion, LeaseId, Put, Store, StoreKey, Version,
 };
 use tokio::sync::watch::Receiver;
 use tokio::time::{sleep, timeout};
@@ -119,12 +119,7 @@
         if is_renewal_due && let Some(lease) = self.lease {
             match self.store.renew(lease).await {
                 Ok(()) => {}
-                Err(error) if error.is_lease_lost() => {
-                    tracing::warn!(target: crate::log::TARGET, %error, "lease of the registration lost");
-                    self.lease = None;
-                    self.written = None;
-                }
-                Err(error) => return Err(error),
+                Err(error) => self.on_failed_call(error).await?,
             }
         }
         let is_written = |(_, written): &(Version, AgentRecord)| has_same_content(written, &record);
@@ -162,10 +157,7 @@
                     expected = current.map_or(ExpectedVersion::Absent, ExpectedVersion::Version);
                 }
                 Err(error) => {
-                    if error.is_lease_lost() {
-                        self.lease = None;
-                        self.written = None;
-                    }
+                    self.on_failed_call(error.clone()).await?;
                     return Err(error);
                 }
             }
@@ -175,6 +167,42 @@
         ))
     }
 
+    /// Forgets a lapsed lease, or verifies the registration after the store was restored from a copy.
+    /// Returns all other errors.
+    async fn on_failed_call(&mut self, error: StoreError) -> std::result::Result<(), StoreError> {
+        match error {
+            StoreError::LeaseLapsed { .. } => {
+                tracing::warn!(target: crate::log::TARGET, %error, "lease of the registration lapsed");
+                self.lease = None;
+                self.written = None;
+                Ok(())
+            }
+            StoreError::EpochEnded(_) => self.verify().await,
+            error => Err(error),
+        }
+    }
+
+    /// Reads the record in the present epoch. If the copy of the store has the last write, its lease and
+    /// version hold on, and many agents do not write at the same time. Otherwise the agent registers again.
+    async fn verify(&mut self) -> std::result::Result<(), StoreError> {
+        let found = self.store.get(&self.key).await?;
+        let (lease, written) = (self.lease.take(), self.written.take());
+        let is_kept = |found: &Entry, version: Version| {
+            found.version.number() == version.number()
+                && found.lease.map(LeaseId::number) == lease.map(LeaseId::number)
+        };
+        if let Some(found) = found
+            && let Some((version, record)) = written
+            && is_kept(&found, version)
+        {
+            self.lease = found.lease;
+            self.written = Some((found.version, record));
+            return Ok(());
+        }
+        tracing::warn!(target: crate::log::TARGET, key = %self.key, "registration lost with the latest writes of the store");
+        Ok(())
+    }
+
     async fn release(self) {
         let Some(lease) = self.lease else { return };
         match timeout(RELEASE_TIMEOUT, self.store.release(lease)).await {
