Break five import circles by moving types to files of their own

Nothing but places and visibility changes. The tests of edits that a restored store has lost share their set-up. errors and ids of the core still import each other.

--- a/crates/cranberrypitch-core/src/config/mod.rs
+++ b/crates/cranberrypitch-core/src/config/mod.rs
@@ -7,6 +7,7 @@
 mod edit;
 mod head;
 mod node;
+mod partial;
 mod problem;
 mod reader;
 mod rules;
--- a/crates/cranberrypitch-core/src/config/reader.rs
+++ b/crates/cranberrypitch-core/src/config/reader.rs
@@ -9,10 +9,10 @@
 
 use crate::collections::FastSet;
 use crate::config::node::Node;
+use crate::config::partial::{Limits, PartialService, sorted_items};
 use crate::config::problem::{JsonPath, Problem, Problems, Violation};
 use crate::config::rules;
 use crate::config::text::{ClassLimits, ConfigText, Deployment, ServiceConfig};
-use crate::ids::ServiceName;
 use crate::request::RequestClass;
 use crate::units::{ByteSize, ConnectionLimit, QueueLimit, Slots};
 
@@ -44,45 +44,14 @@
 
 type Fields<'a> = &'a [(Box<str>, Node)];
 
-/// The valid fields of a service, each with its index in the text if it is part of a list. Problems
-/// of the other fields have been reported.
-#[derive(Debug)]
-pub(crate) struct PartialService {
-    pub(crate) name: Option<ServiceName>,
-    pub(crate) addresses: Vec<(usize, SocketAddrV4)>,
-    pub(crate) depends_on: Vec<(usize, ServiceName)>,
-    limits: Option<Limits>,
-}
-
-#[derive(Debug)]
-struct Limits {
-    slots: Slots,
-    connection_limit: ConnectionLimit,
-    classes: BTreeMap<RequestClass, ClassLimits>,
-}
-
-impl PartialService {
-    fn into_service(self) -> Option<ServiceConfig> {
-        let limits = self.limits?;
-        Some(ServiceConfig {
-            name: self.name?,
-            addresses: sorted_items(self.addresses),
-            depends_on: sorted_items(self.depends_on),
-            slots: limits.slots,
-            connection_limit: limits.connection_limit,
-            classes: limits.classes,
-        })
+impl ConfigText {
+    /// Parses and validates a text, or returns all its problems.
+    pub fn parse(json: &str) -> Result<Self, Problems> {
+        read(json)
     }
 }
 
-fn sorted_items<T: Ord>(items: Vec<(usize, T)>) -> Box<[T]> {
-    let mut items: Box<[T]> = items.into_iter().map(|(_, item)| item).collect();
-    items.sort_unstable();
-    items
-}
-
-/// Parses a configuration text, or returns all its problems.
-pub(crate) fn read(json: &str) -> Result<ConfigText, Problems> {
+fn read(json: &str) -> Result<ConfigText, Problems> {
     let root: Node = serde_json::from_str(json).map_err(|e| {
         let detail = e.to_string().into();
         Problems(vec![JsonPath::ROOT.problem(Violation::Syntax { detail })])
--- a/crates/cranberrypitch-core/src/config/rules.rs
+++ b/crates/cranberrypitch-core/src/config/rules.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddrV4;
 
 use crate::collections::FastMap;
+use crate::config::partial::PartialService;
 use crate::config::problem::{JsonPath, Problem, Violation};
-use crate::config::reader::PartialService;
 use crate::ids::{ServiceName, ServiceTag};
 
 /// The maximum number of names in the description of a dependency cycle. A cycle of thousands of
--- a/crates/cranberrypitch-core/src/config/text.rs
+++ b/crates/cranberrypitch-core/src/config/text.rs
@@ -7,8 +7,6 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::config::problem::Problems;
-use crate::config::reader;
 use crate::ids::{DeploymentName, FailureDomain, Region, ServiceName, ServiceTag};
 use crate::request::RequestClass;
 use crate::units::{ByteSize, ConnectionLimit, QueueLimit, Slots};
@@ -84,11 +82,6 @@
 }
 
 impl ConfigText {
-    /// Parses and validates a text, or returns all its problems.
-    pub fn parse(json: &str) -> Result<Self, Problems> {
-        reader::read(json)
-    }
-
     /// Returns the service with this name, if there is one.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceConfig> {
         let found = self.services.binary_search_by(|s| s.name.cmp(name));
--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -19,12 +19,12 @@
 pub use self::options::FlowAgentOptions;
 use self::response_meter::{ResponseMeter, is_failure};
 pub use self::target_process::{StatusReport, TargetProcess};
+use super::cause::RefusalCause;
+use super::cause::{DropCause, ResetCause};
 use super::directory::AgentRecord;
-use super::event::{DropCause, FlowEvent, ResetCause};
+use super::event::FlowEvent;
 use super::load::{AgentLoad, LoadMeter};
-use super::message::{
-    Action, LookupAnswer, LookupQuery, Message, OpenParams, RefusalCause, dropped, reset,
-};
+use super::message::{Action, LookupAnswer, LookupQuery, Message, OpenParams, dropped, reset};
 use super::packet::{FlowKey, PacketFlags, PacketHeader};
 use crate::collections::FastMap;
 use crate::ids::{FailureDomain, Incarnation, ServiceName, ServiceTag};
--- a/crates/cranberrypitch-core/src/flow/agent/backlog.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/backlog.rs
@@ -11,7 +11,8 @@
 use std::time::{Duration, Instant};
 
 use super::{FlowAgent, refuse};
-use crate::flow::message::{Action, Message, OpenParams, RefusalCause};
+use crate::flow::cause::RefusalCause;
+use crate::flow::message::{Action, Message, OpenParams};
 use crate::flow::packet::FlowKey;
 
 /// The number of requests per slot, including the running one, at which SYNs are queued. A second
--- /dev/null
+++ b/crates/cranberrypitch-core/src/flow/cause.rs
@@ -0,0 +1,66 @@
+//! The causes of refusals, resets and drops.
+
+use derive_more::Display;
+
+/// Why an agent refuses to open a flow. The target has not executed any request of the flow.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum RefusalCause {
+    /// The target does not serve the service of the flow.
+    #[display("other service")]
+    OtherService,
+    /// The target or its agent is draining or stopping.
+    #[display("draining")]
+    Draining,
+    /// The target has not sent a status report within the status timeout.
+    #[display("target silent")]
+    TargetSilent,
+    /// The target returned the SYN.
+    #[display("target full")]
+    TargetFull,
+    /// The target runs clearly more requests than the balancer expects, so the balancer should select
+    /// again from the latest reports.
+    #[display("busier than expected")]
+    BusierThanExpected,
+    /// The SYN timed out in the backlog of the agent, or the backlog is full.
+    #[display("overloaded")]
+    Overloaded,
+}
+
+/// Why a balancer or an agent reset a flow.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum ResetCause {
+    /// The configuration has no route for the destination address, or the route has no backend with
+    /// a weight.
+    #[display("no route")]
+    NoRoute,
+    /// No target accepts new flows for the service.
+    #[display("no target")]
+    NoTarget,
+    /// The SYN timed out in the backlog of a busy target, or the backlog was full.
+    #[display("overloaded")]
+    Overloaded,
+    /// The target of the flow has exited.
+    #[display("target gone")]
+    TargetGone,
+    /// The target, or every agent that was queried, does not hold the flow.
+    #[display("flow unknown to target")]
+    FlowUnknown,
+}
+
+/// Why a packet was dropped.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum DropCause {
+    /// No configuration or no agent list has been received, and the buffer for early packets is full.
+    #[display("no configuration")]
+    NoConfiguration,
+    /// The flags don't fit the sender or the message, such as a SYN-ACK from a caller.
+    #[display("unexpected flags")]
+    UnexpectedFlags,
+    /// No agent that holds the flow has been found, or the target returned a packet of a flow that its
+    /// agent has no entry for.
+    #[display("flow not found")]
+    FlowNotFound,
+    /// The flow already has the maximum number of packets buffered during its lookup.
+    #[display("waiting packets full")]
+    BufferFull,
+}
--- a/crates/cranberrypitch-core/src/flow/dispatcher/lookup.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/lookup.rs
@@ -4,18 +4,18 @@
 //! domain, those that rank highest in other failure domains, all agents of the services that the
 //! address is or was routed to, and all remaining agents.
 
-mod state;
+pub(super) mod state;
 
 use std::borrow::Cow;
 use std::net::SocketAddrV4;
 use std::time::Instant;
 
-pub(super) use self::state::FlowLookup;
-use self::state::{Progress, Stage};
+use self::state::{FlowLookup, Progress, Stage};
 use super::Dispatcher;
 use super::table::FlowState;
+use crate::flow::cause::{DropCause, ResetCause};
 use crate::flow::directory::AgentEntry;
-use crate::flow::event::{DropCause, FlowEvent, ResetCause};
+use crate::flow::event::FlowEvent;
 use crate::flow::message::{Action, LookupAnswer, LookupQuery, Message, dropped, reset};
 use crate::flow::packet::{FlowKey, PacketFlags, PacketHeader};
 use crate::flow::rendezvous;
--- a/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
@@ -1,74 +1,30 @@
 //! Opening of new flows at a balancer.
 
+pub(super) mod state;
+
 use std::borrow::Cow;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+pub use self::state::MAX_DECLINES;
+use self::state::PendingOpen;
 use super::Dispatcher;
 use super::table::FlowState;
-use crate::flow::event::{DropCause, FlowEvent, ResetCause};
-use crate::flow::message::{Action, Message, OpenParams, RefusalCause, dropped, reset};
+use crate::flow::cause::RefusalCause;
+use crate::flow::cause::{DropCause, ResetCause};
+use crate::flow::event::FlowEvent;
+use crate::flow::message::{Action, Message, OpenParams, dropped, reset};
 use crate::flow::packet::{FlowKey, PacketHeader};
 use crate::flow::selection::{SelectedAgent, SelectionRequest};
-use crate::ids::{ServiceName, ServiceTag};
+use crate::ids::ServiceTag;
 
 /// The number of pending flows up to which a SYN waits for the first target instead of being reset.
 const MAX_PENDING_FLOWS: usize = 512;
 
-/// The number of times that agents may decline a flow for load. The balancer selects again from a fresh
-/// report each time, so further declines rarely lead to a better target.
-pub const MAX_DECLINES: u32 = 2;
-
 /// The time added to the timeout of a SYN that an agent has queued. Agents accept or refuse a queued
 /// SYN within half of this.
 const QUEUED_REPLY_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// The maximum number of times that the open timeout doubles.
-const MAX_TIMEOUT_DOUBLINGS: u32 = 4;
-
-/// A flow whose SYN has not been accepted or finally refused yet.
-#[derive(Debug)]
-pub(super) struct PendingOpen {
-    header: PacketHeader,
-    packet: Box<[u8]>,
-    service: ServiceName,
-    is_bulk: bool,
-    priority: u8,
-    /// The agent that the SYN was last sent to, or none while there is no ready target.
-    pub(super) agent: Option<SocketAddrV4>,
-    /// The agents that refused the flow or did not reply.
-    failed_agents: Vec<SocketAddrV4>,
-    /// The number of times that agents declined the flow for load.
-    decline_count: u32,
-    started_at: Instant,
-    /// The time from which the reply timeout counts.
-    sent_at: Instant,
-}
-
-impl PendingOpen {
-    /// Returns whether the agent has not replied within the timeout, which doubles with each agent.
-    pub(super) fn is_timed_out(&self, timeout: Duration, now: Instant) -> bool {
-        let doublings = u32::try_from(self.failed_agents.len()).unwrap_or(u32::MAX);
-        let timeout = timeout * 2_u32.saturating_pow(doublings.min(MAX_TIMEOUT_DOUBLINGS));
-        now.saturating_duration_since(self.sent_at) >= timeout
-    }
-
-    /// Returns the number of the current attempt, from 1.
-    fn attempt(&self) -> usize {
-        self.failed_agents.len() + usize::try_from(self.decline_count).unwrap_or(usize::MAX) + 1
-    }
-
-    const fn may_decline(&self) -> bool {
-        self.decline_count < MAX_DECLINES
-    }
-
-    /// Returns whether the balancer received the first transmission of the SYN, so that no other
-    /// balancer can have opened the flow before.
-    const fn is_first_transmission(&self) -> bool {
-        self.header.ack_number == 0
-    }
-}
-
 impl Dispatcher {
     /// Processes a SYN of a caller.
     pub(super) fn on_syn<'a>(
--- /dev/null
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open/state.rs
@@ -0,0 +1,61 @@
+//! The state of a flow that is being opened.
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use crate::flow::packet::PacketHeader;
+use crate::ids::ServiceName;
+
+/// The number of times that agents may decline a flow for load. The balancer selects again from a fresh
+/// report each time, so further declines rarely lead to a better target.
+pub const MAX_DECLINES: u32 = 2;
+
+/// The maximum number of times that the open timeout doubles.
+const MAX_TIMEOUT_DOUBLINGS: u32 = 4;
+
+/// A flow whose SYN has not been accepted or finally refused yet.
+#[derive(Debug)]
+pub(in crate::flow::dispatcher) struct PendingOpen {
+    pub(super) header: PacketHeader,
+    pub(super) packet: Box<[u8]>,
+    pub(super) service: ServiceName,
+    pub(super) is_bulk: bool,
+    pub(super) priority: u8,
+    /// The agent that the SYN was last sent to, or none while there is no ready target.
+    pub(in crate::flow::dispatcher) agent: Option<SocketAddrV4>,
+    /// The agents that refused the flow or did not reply.
+    pub(super) failed_agents: Vec<SocketAddrV4>,
+    /// The number of times that agents declined the flow for load.
+    pub(super) decline_count: u32,
+    pub(super) started_at: Instant,
+    /// The time from which the reply timeout counts.
+    pub(super) sent_at: Instant,
+}
+
+impl PendingOpen {
+    /// Returns whether the agent has not replied within the timeout, which doubles with each agent.
+    pub(in crate::flow::dispatcher) fn is_timed_out(
+        &self,
+        timeout: Duration,
+        now: Instant,
+    ) -> bool {
+        let doublings = u32::try_from(self.failed_agents.len()).unwrap_or(u32::MAX);
+        let timeout = timeout * 2_u32.saturating_pow(doublings.min(MAX_TIMEOUT_DOUBLINGS));
+        now.saturating_duration_since(self.sent_at) >= timeout
+    }
+
+    /// Returns the number of the current attempt, from 1.
+    pub(super) fn attempt(&self) -> usize {
+        self.failed_agents.len() + usize::try_from(self.decline_count).unwrap_or(usize::MAX) + 1
+    }
+
+    pub(super) const fn may_decline(&self) -> bool {
+        self.decline_count < MAX_DECLINES
+    }
+
+    /// Returns whether the balancer received the first transmission of the SYN, so that no other
+    /// balancer can have opened the flow before.
+    pub(super) const fn is_first_transmission(&self) -> bool {
+        self.header.ack_number == 0
+    }
+}
--- a/crates/cranberrypitch-core/src/flow/dispatcher/table.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/table.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use super::lookup::FlowLookup;
-use super::pending_open::PendingOpen;
+use super::lookup::state::FlowLookup;
+use super::pending_open::state::PendingOpen;
 use crate::collections::{FastMap, FastSet};
 use crate::flow::packet::FlowKey;
 
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -3,52 +3,11 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use derive_more::Display;
-
-use super::message::RefusalCause;
+use super::cause::{DropCause, RefusalCause, ResetCause};
 use super::packet::FlowKey;
 use crate::ids::{Incarnation, Revision, ServiceName};
 use crate::target::TargetState;
 
-/// Why a balancer or an agent reset a flow.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
-pub enum ResetCause {
-    /// The configuration has no route for the destination address, or the route has no backend with
-    /// a weight.
-    #[display("no route")]
-    NoRoute,
-    /// No target accepts new flows for the service.
-    #[display("no target")]
-    NoTarget,
-    /// The SYN timed out in the backlog of a busy target, or the backlog was full.
-    #[display("overloaded")]
-    Overloaded,
-    /// The target of the flow has exited.
-    #[display("target gone")]
-    TargetGone,
-    /// The target, or every agent that was queried, does not hold the flow.
-    #[display("flow unknown to target")]
-    FlowUnknown,
-}
-
-/// Why a packet was dropped.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
-pub enum DropCause {
-    /// No configuration or no agent list has been received, and the buffer for early packets is full.
-    #[display("no configuration")]
-    NoConfiguration,
-    /// The flags don't fit the sender or the message, such as a SYN-ACK from a caller.
-    #[display("unexpected flags")]
-    UnexpectedFlags,
-    /// No agent that holds the flow has been found, or the target returned a packet of a flow that its
-    /// agent has no entry for.
-    #[display("flow not found")]
-    FlowNotFound,
-    /// The flow already has the maximum number of packets buffered during its lookup.
-    #[display("waiting packets full")]
-    BufferFull,
-}
-
 /// An event of a flow, a target or the configuration. The variants are named like the log events.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[non_exhaustive]
--- a/crates/cranberrypitch-core/src/flow/message.rs
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -5,37 +5,14 @@
 
 use derive_more::Display;
 
+use super::cause::{DropCause, RefusalCause, ResetCause};
 use super::config_reads::ConfigCheck;
 use super::directory::AgentRecord;
-use super::event::{DropCause, FlowEvent, ResetCause};
+use super::event::FlowEvent;
 use super::load::AgentLoad;
 use super::packet::{FlowKey, PacketHeader, Reset};
 use crate::ids::ServiceTag;
 
-/// Why an agent refuses to open a flow. The target has not executed any request of the flow.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
-pub enum RefusalCause {
-    /// The target does not serve the service of the flow.
-    #[display("other service")]
-    OtherService,
-    /// The target or its agent is draining or stopping.
-    #[display("draining")]
-    Draining,
-    /// The target has not sent a status report within the status timeout.
-    #[display("target silent")]
-    TargetSilent,
-    /// The target returned the SYN.
-    #[display("target full")]
-    TargetFull,
-    /// The target runs clearly more requests than the balancer expects, so the balancer should select
-    /// again from the latest reports.
-    #[display("busier than expected")]
-    BusierThanExpected,
-    /// The SYN timed out in the backlog of the agent, or the backlog is full.
-    #[display("overloaded")]
-    Overloaded,
-}
-
 /// The answer of an agent to a flow lookup.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 pub enum LookupAnswer {
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -9,6 +9,7 @@
 //! I/O: they take typed events with the current time and return typed actions.
 
 mod agent;
+mod cause;
 mod config_reads;
 mod directory;
 mod dispatcher;
@@ -25,12 +26,13 @@
     AgentIdentity, FlowAgent, FlowAgentOptions, MAX_REQUESTS_PER_SLOT, StatusReport, TargetProcess,
     next_queued_syn,
 };
+pub use self::cause::{DropCause, RefusalCause, ResetCause};
 pub use self::config_reads::{ConfigCheck, ConfigRead, ConfigReadOptions, ConfigReadSchedule};
 pub use self::directory::{AgentDirectory, AgentDirectoryOptions, AgentRecord};
 pub use self::dispatcher::{Dispatcher, DispatcherOptions, MAX_DECLINES};
-pub use self::event::{DropCause, FlowEvent, ResetCause};
+pub use self::event::FlowEvent;
 pub use self::load::{AgentLoad, LoadMeter};
-pub use self::message::{Action, LookupAnswer, LookupQuery, Message, OpenParams, RefusalCause};
+pub use self::message::{Action, LookupAnswer, LookupQuery, Message, OpenParams};
 pub use self::packet::{FlowKey, PacketFlags, PacketHeader, Reset};
 pub use self::routes::{Backend, Route, RouteConfig, RouteTable};
 pub use self::selection::{AgentSelector, AgentSelectorOptions, SelectedAgent, SelectionRequest};
--- a/crates/cranberrypitch-net/tests/config_sync.rs
+++ b/crates/cranberrypitch-net/tests/config_sync.rs
@@ -154,6 +154,20 @@
     }
 }
 
+/// Returns a process with revision 3 in force, whose store was restored from a copy with revision 1.
+async fn lose_edits() -> (Fixture, TestConfigSync, ConfigSource) {
+    let fixture = Fixture::new();
+    fixture.apply(5, 0).await;
+    let (mut watcher, source) = fixture.join(0).await;
+    watcher.step().await;
+    let copy = fixture.store.copy();
+    fixture.apply(6, 1).await;
+    fixture.apply(7, 2).await;
+    step_to(&mut watcher, &source, 3).await;
+    fixture.store.restore(copy);
+    (fixture, watcher, source)
+}
+
 /// Returns the slots of the first service in the configuration in force.
 fn slots_in_force(source: &ConfigSource) -> Slots {
     let snapshot = source.subscribe().borrow().clone().unwrap();
@@ -384,16 +398,7 @@
 /// would return to an older configuration.
 #[tokio::test]
 async fn edits_that_the_store_lost_are_put_back() {
-    let fixture = Fixture::new();
-    fixture.apply(5, 0).await;
-    let (mut watcher, source) = fixture.join(0).await;
-    watcher.step().await;
-    let copy = fixture.store.copy();
-    fixture.apply(6, 1).await;
-    fixture.apply(7, 2).await;
-    step_to(&mut watcher, &source, 3).await;
-
-    fixture.store.restore(copy);
+    let (fixture, mut watcher, _) = lose_edits().await;
     for _ in 0..10 {
         fixture.clock.advance(Duration::from_secs(1));
         watcher.step().await;
@@ -408,15 +413,7 @@
 /// the restored store, so its revision is not above that in force.
 #[tokio::test]
 async fn an_edit_of_a_restored_configuration_comes_into_force() {
-    let fixture = Fixture::new();
-    fixture.apply(5, 0).await;
-    let copy = fixture.store.copy();
-    let (mut watcher, source) = fixture.join(0).await;
-    fixture.apply(6, 1).await;
-    fixture.apply(7, 2).await;
-    step_to(&mut watcher, &source, 3).await;
-
-    fixture.store.restore(copy);
+    let (fixture, mut watcher, source) = lose_edits().await;
     // No process reaches the store before the operator does.
     fixture.apply_as(8, 1, EditId::new(77)).await;
     for _ in 0..10 {
@@ -463,15 +460,7 @@
 /// store has lost: they are written back first, and the operator sees them.
 #[tokio::test]
 async fn first_edit_after_a_restoration_waits_for_the_lost_ones() {
-    let fixture = Fixture::new();
-    fixture.apply(5, 0).await;
-    let copy = fixture.store.copy();
-    let (mut watcher, source) = fixture.join(0).await;
-    fixture.apply(6, 1).await;
-    fixture.apply(7, 2).await;
-    step_to(&mut watcher, &source, 3).await;
-
-    fixture.store.restore(copy);
+    let (fixture, mut watcher, _) = lose_edits().await;
     let options = ConfigEditorOptions::default();
     let operator = ConfigEditor::new(fixture.store.clone(), options);
     let text = ConfigText::parse(VALVES).unwrap();
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -19,7 +19,6 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
-use crate::balancer::log_unreadable;
 use crate::daemon::{ActionExecutor, DaemonContext, Readiness, check_settings_file};
 use crate::errors::{Error, Result};
 use crate::http_server::{self, Call};
@@ -28,7 +27,7 @@
 use crate::platform::{Platform, StoreOptions, TargetRequest};
 use crate::registration::Registration;
 use crate::settings::{RelaySettings, TargetSettings};
-use crate::sockets::{MAX_BATCH_DATAGRAMS, MAX_DATAGRAM_BYTES, bind, receive};
+use crate::sockets::{MAX_BATCH_DATAGRAMS, MAX_DATAGRAM_BYTES, bind, log_unreadable, receive};
 
 /// The tick interval. It is shorter than the interval of load reports.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -19,9 +19,11 @@
 use crate::metrics::RelayMetrics;
 use crate::platform::{Platform, StoreOptions};
 use crate::registration;
-use crate::snapshot::{self, MissingState, SharedSnapshot, SnapshotSources};
-use crate::sockets::{MAX_BATCH_DATAGRAMS, MAX_DATAGRAM_BYTES, bind, receive};
-use crate::store_watch::{StateUpdate, watch_agents};
+use crate::snapshot::{self, SharedSnapshot};
+use crate::snapshot_fetch::{self, MissingState, SnapshotSources};
+use crate::sockets::{MAX_BATCH_DATAGRAMS, MAX_DATAGRAM_BYTES, bind, log_unreadable, receive};
+use crate::state_update::StateUpdate;
+use crate::store_watch::watch_agents;
 
 /// The tick interval while a flow waits for the answer of an agent.
 const PENDING_TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -136,7 +138,7 @@
     };
     let snapshot_sender = sender.clone();
     tokio::spawn(async move {
-        snapshot::fetch(sources, inputs.snapshot, snapshot_sender, missing).await;
+        snapshot_fetch::fetch(sources, inputs.snapshot, snapshot_sender, missing).await;
     });
     let config_store = Arc::clone(&inputs.store);
     let config_inputs = ConfigWatchInputs {
@@ -417,11 +419,3 @@
         }
     }
 }
-
-/// Logs a failed wait for a readable socket. The event loop reads the socket nevertheless and goes
-/// on.
-pub(crate) fn log_unreadable(result: std::io::Result<()>) {
-    if let Err(error) = result {
-        tracing::warn!(target: log::TARGET, %error, "wait for a readable socket failed");
-    }
-}
--- a/crates/cranberrypitch-relay/src/command.rs
+++ b/crates/cranberrypitch-relay/src/command.rs
@@ -5,10 +5,10 @@
 
 use cranberrypitch_net::daemon::ExitStatus;
 
-use crate::daemon::{Role, run_daemon};
 use crate::errors::Result;
 use crate::inspect::{StatusTable, check_config, check_settings};
 use crate::platform::Platform;
+use crate::run::{Role, run_daemon};
 
 const USAGE: &str = "Usage: cranberrypitch-node VERB
 
--- a/crates/cranberrypitch-relay/src/config_watch.rs
+++ b/crates/cranberrypitch-relay/src/config_watch.rs
@@ -18,8 +18,9 @@
 use crate::log;
 use crate::metrics::RelayMetrics;
 use crate::platform::Platform;
-use crate::snapshot::MissingState;
-use crate::store_watch::{POLL_WAIT, PrefixWatcher, StateUpdate};
+use crate::snapshot_fetch::MissingState;
+use crate::state_update::StateUpdate;
+use crate::store_watch::{POLL_WAIT, PrefixWatcher};
 
 /// The upper bound of the random time by which balancers differ in the maximum age of a check.
 const MAX_JITTER: Duration = Duration::from_millis(400);
--- a/crates/cranberrypitch-relay/src/daemon.rs
+++ b/crates/cranberrypitch-relay/src/daemon.rs
@@ -1,4 +1,4 @@
-//! Startup, readiness and shutdown of the daemons, and the execution of their actions.
+//! The settings and the readiness of the daemons, and the execution of their actions.
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::Path;
@@ -9,17 +9,13 @@
 use bytes::Bytes;
 use cranberrypitch_core::Clock;
 use cranberrypitch_core::flow::{Action, FlowEvent};
-use cranberrypitch_net::daemon::{ExitStatus, Signals, thread_runtime};
+use cranberrypitch_net::daemon::Signals;
 use cranberrypitch_proto::relay;
-use derive_more::Display;
 use hyper::StatusCode;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-use crate::agent::run_agent;
-use crate::balancer::run_balancer;
-use crate::clock::BoottimeClock;
-use crate::errors::{Error, Result};
+use crate::errors::Result;
 use crate::http_server::{self, Call};
 use crate::log::{self, EventLog};
 use crate::metrics::{self, RelayMetrics};
@@ -30,17 +26,6 @@
 /// The time between two log lines about suppressed lines.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(5);
 
-/// The role of a daemon.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Role {
-    /// Receives the packets of callers and forwards them to agents.
-    #[display("balancer")]
-    Balancer,
-    /// Runs on the VM of a backend server and relays its packets.
-    #[display("agent")]
-    Agent,
-}
-
 /// The settings and resources that a daemon gets at its start.
 #[derive(Debug)]
 pub struct DaemonContext {
@@ -54,43 +39,6 @@
     pub clock: Arc<dyn Clock>,
 }
 
-/// Runs a daemon until a signal or an error stops it.
-pub fn run_daemon<P: Platform>(role: Role, settings_file: &Path) -> ExitStatus {
-    let _guard = log::init();
-    let status = match run_role::<P>(role, settings_file) {
-        Ok(()) => ExitStatus::Graceful,
-        Err(error) => {
-            tracing::error!(target: log::TARGET, event = "Failed", %role, %error);
-            match error {
-                Error::Settings { .. } | Error::SettingsFile { .. } => ExitStatus::Refused,
-                _ => ExitStatus::Failed,
-            }
-        }
-    };
-    tracing::info!(target: log::TARGET, event = "Stopped", %role, %status);
-    status
-}
-
-fn run_role<P: Platform>(role: Role, settings_file: &Path) -> Result<()> {
-    let settings = RelaySettings::from_file(settings_file)?;
-    let runtime = thread_runtime().map_err(|e| Error::settings(&e))?;
-    runtime.block_on(async {
-        let signals = Signals::listen().map_err(|e| Error::settings(&e))?;
-        let vm = &settings.vm;
-        tracing::info!(target: log::TARGET, event = "Started", %role, %vm, version = env!("CARGO_PKG_VERSION"));
-        let context = DaemonContext {
-            settings,
-            settings_file: settings_file.into(),
-            signals,
-            clock: Arc::new(BoottimeClock::new()),
-        };
-        match role {
-            Role::Balancer => run_balancer::<P>(context).await,
-            Role::Agent => run_agent::<P>(context).await,
-        }
-    })
-}
-
 /// Reads the settings file again and logs whether the next start can use it. The settings in force
 /// stay.
 pub(crate) fn check_settings_file(file: &Path) {
--- a/crates/cranberrypitch-relay/src/sockets.rs
+++ b/crates/cranberrypitch-relay/src/sockets.rs
@@ -39,3 +39,11 @@
         }
     }
 }
+
+/// Logs a failed wait for a readable socket. The event loop reads the socket nevertheless and goes
+/// on.
+pub(crate) fn log_unreadable(result: std::io::Result<()>) {
+    if let Err(error) = result {
+        tracing::warn!(target: crate::log::TARGET, %error, "wait for a readable socket failed");
+    }
+}
--- a/crates/cranberrypitch-relay/src/store_watch.rs
+++ b/crates/cranberrypitch-relay/src/store_watch.rs
@@ -1,10 +1,10 @@
 //! Watches on a prefix of the store, and on the list of agents.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cranberrypitch_core::Clock;
-use cranberrypitch_core::flow::{AgentRecord, ConfigCheck, RouteConfig};
+use cranberrypitch_core::flow::AgentRecord;
 use cranberrypitch_net::store::{
     Entry, KeyChange, Result as StoreResult, Store, StoreKey, Version, WatchOutcome,
 };
@@ -15,7 +15,7 @@
 use crate::backoff::Backoff;
 use crate::errors::{Error, Result};
 use crate::registration;
-use crate::snapshot::Snapshot;
+use crate::state_update::StateUpdate;
 
 /// The maximum wait of a watch on the list of agents. It may be longer than that of a watch on the
 /// configuration, as a flow whose agent may be missing from the list triggers an immediate read.
@@ -36,27 +36,6 @@
 /// The wait of a watch that returns the changes so far at once.
 pub(crate) const POLL_WAIT: Duration = Duration::from_millis(1);
 
-/// A change of a balancer's state, received from the store or from another balancer.
-#[derive(Debug)]
-pub(crate) enum StateUpdate {
-    /// A configuration from the store.
-    Config(RouteConfig),
-    /// A check of the configuration in the store, for the other balancers.
-    ConfigChecked(ConfigCheck),
-    /// The snapshot of another balancer.
-    Snapshot(Snapshot),
-    /// The list of agents of another balancer.
-    AgentsOfBalancer(Vec<AgentRecord>),
-    /// The complete list of agents.
-    Agents(Vec<AgentRecord>),
-    /// The new or changed record of an agent.
-    AgentRegistered(AgentRecord),
-    /// The key of an agent whose registration ended.
-    AgentUnregistered(StoreKey),
-    /// All changes of the list of agents up to this time have been sent.
-    AgentsReadUpTo(Instant),
-}
-
 /// Sends the list of agents and then its changes until the receiver is dropped. `refresh` triggers
 /// an immediate read of the changes.
 ///
