Test a restored store with real processes on the own transport

A balancer that starts after the restoration has the lost edit, an edit of the older configuration conflicts, and the next one is in force everywhere.

--- a/crates/cranberrypitch/tests/processes.rs
+++ b/crates/cranberrypitch/tests/processes.rs
@@ -52,6 +52,26 @@
     serde_json::from_str(&client.status().await.unwrap()).unwrap()
 }
 
+/// Waits until all balancers have one revision of at least `revision` in force, and returns it.
+async fn revision_in_force(processes: &Processes, revision: Revision) -> Revision {
+    let in_force = async {
+        loop {
+            let mut revisions = Vec::new();
+            for index in 0..processes.balancers.len() {
+                revisions.push(status(processes, index).await.revision);
+            }
+            let (first, last) = (revisions.iter().min(), revisions.iter().max());
+            if first == last && first >= Some(&revision) {
+                return first.copied().unwrap_or_default();
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(Duration::from_secs(17), in_force)
+        .await
+        .expect("the configuration must be in force at all balancers within 17 s")
+}
+
 /// G1, G7: guards against a flow that breaks when a balancer gets SIGTERM, SIGSTOP or SIGKILL.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn feed_survives_stop_kill_and_freeze_of_balancers() {
@@ -135,16 +155,45 @@
         matches!(accepted, ApplyOutcome::Accepted { .. }),
         "{accepted}"
     );
-    let in_force = async {
-        for index in 0..3 {
-            while status(&processes, index).await.revision != Revision::new(2) {
-                sleep(Duration::from_millis(50)).await;
-            }
-        }
+    let revision = Revision::new(2);
+    assert_eq!(revision_in_force(&processes, revision).await, revision);
+}
+
+/// G8: guards against an accepted edit that a restoration of the store from an older copy reverts, and against
+/// one after it that does not come into force.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restored_store_reverts_no_edit_and_hides_none() {
+    let mut processes = Processes::start(2, 1).await;
+    let copy = processes.store.store().copy();
+    let accepted = processes.apply(&processes.text(3), Revision::new(1)).await;
+    assert!(
+        matches!(accepted, ApplyOutcome::Accepted { .. }),
+        "{accepted}"
+    );
+    revision_in_force(&processes, Revision::new(2)).await;
+
+    processes.store.faults().set_down(true);
+    sleep(Duration::from_millis(500)).await;
+    processes.store.store().restore(copy);
+    processes.store.faults().set_down(false);
+    let seeds = [processes.balancers[0].control_address()];
+    processes.add_balancer(&seeds);
+    processes.wait_until_serving().await;
+    revision_in_force(&processes, Revision::new(2)).await;
+
+    // The lost edit is written back before an edit is made from the older configuration.
+    let conflict = processes.apply(&processes.text(5), Revision::new(1)).await;
+    let current = Revision::new(2);
+    assert!(
+        matches!(conflict, ApplyOutcome::Conflict { current: found, .. } if found == current),
+        "{conflict}"
+    );
+    let accepted = processes.apply(&processes.text(5), current).await;
+    let ApplyOutcome::Accepted { revision, .. } = accepted else {
+        panic!("{accepted}");
     };
-    timeout(Duration::from_secs(17), in_force)
-        .await
-        .expect("the configuration must be in force at all balancers within 17 s");
+    assert_eq!(revision_in_force(&processes, revision).await, revision);
+    assert_eq!(order(&processes, "after").await, Outcome::Done);
 }
 
 /// Guards against a wrong key that is accepted, and against a key rotation that breaks flows.
