--- a/crates/cranberrypitch-net/src/config_editor/base.rs
+++ b/crates/cranberrypitch-net/src/config_editor/base.rs
@@ -40,8 +40,9 @@
     }
 }
 
-/// Reads the head. In an epoch without an accepted edit, waits at most `wait` until the head has changed or
-/// has the revision `edited`.
+/// Reads the head. In an epoch without an accepted edit, waits at most `wait` until the head has changed and
+/// its revision is at least `edited`, which the operator knows. A higher revision shows at once that the
+/// operator edited an older one.
 pub(super) async fn read_base<S: Store>(
     store: &S,
     edited: Revision,
@@ -57,7 +58,8 @@
     };
     let found = base.version;
     let may_be_lost = base.new_epoch.is_some() && base.revision() <= edited;
-    while may_be_lost && base.version == found && Instant::now() < deadline {
+    let is_unchanged = |base: &EditBase| base.version == found || base.revision() < edited;
+    while may_be_lost && is_unchanged(&base) && Instant::now() < deadline {
         sleep(READ_INTERVAL.min(wait)).await;
         (base.head, base.version) = read_head(store).await?.unzip();
     }
--- a/crates/cranberrypitch-net/src/store/client.rs
+++ b/crates/cranberrypitch-net/src/store/client.rs
@@ -61,7 +61,7 @@
 
 impl StoreClient {
     /// Returns a client, which connects with the first call. Responses carry the epoch of the store in
-    /// `epoch_header`; without it they are in epoch 0.
+    /// `epoch_header`; one without it is taken for one in the newest known epoch, or in epoch 0.
     pub fn new(options: HttpClientOptions, epoch_header: &'static str) -> Self {
         Self {
             http: HttpClient::new(options),
@@ -100,6 +100,7 @@
         };
         let epoch = Epoch::from_header(&response.headers, self.epoch_header)
             .map_err(|detail| kind.error_without_response(&detail))?
+            .or_else(|| self.epochs.newest())
             .unwrap_or_default();
         self.epochs.observe(epoch);
         let is_written = kind == CallKind::Write && response.status.is_success();
--- a/crates/cranberrypitch-relay/src/metrics/store.rs
+++ b/crates/cranberrypitch-relay/src/metrics/store.rs
@@ -28,6 +28,7 @@
             Err(StoreError::OutcomeUnknown { .. }) => "unknown",
             Err(StoreError::Conflict { .. }) => "conflict",
             Err(StoreError::LeaseLapsed { .. }) => "lapsed",
+            Err(StoreError::EpochEnded(_)) => "epoch_ended",
             Err(_) => "refused",
         };
         Self {
--- a/crates/cranberrypitch-relay/src/registration.rs
+++ b/crates/cranberrypitch-relay/src/registration.rs
@@ -116,11 +116,8 @@
         record: AgentRecord,
         is_renewal_due: bool,
     ) -> std::result::Result<(), StoreError> {
-        if is_renewal_due && let Some(lease) = self.lease {
-            match self.store.renew(lease).await {
-                Ok(()) => {}
-                Err(error) => self.on_failed_call(error).await?,
-            }
+        if is_renewal_due {
+            self.renew().await?;
         }
         let is_written = |(_, written): &(Version, AgentRecord)| has_same_content(written, &record);
         if self.written.as_ref().is_some_and(is_written) {
@@ -129,6 +126,21 @@
         self.write(record).await
     }
 
+    /// Renews the lease. After a restoration of the store, a lease that the copy has is renewed in the present
+    /// epoch.
+    async fn renew(&mut self) -> std::result::Result<(), StoreError> {
+        for _ in 0..2 {
+            let Some(lease) = self.lease else {
+                return Ok(());
+            };
+            match self.store.renew(lease).await {
+                Ok(()) => return Ok(()),
+                Err(error) => self.on_failed_call(error).await?,
+            }
+        }
+        Ok(())
+    }
+
     async fn write(&mut self, record: AgentRecord) -> std::result::Result<(), StoreError> {
         let lease = match self.lease {
             Some(lease) => lease,
