Review, case 1: one planned restart of an agent resets open flows

Cause: a silent agent counts as one that does not hold the flow, though it reported that its target lives.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,8 +10,8 @@
 from standins import CannotRun, Deployment, config, main, route  # noqa: E402
 
 SERVICE = "matcher"
-ORDER = ("198.18.0.1", 8080)
-RESTART_DELAY_S = float(os.environ.get("DELAY", "1.0"))
+ORDER = ("127.198.0.1", 8080)
+RESTART_DELAY_S = 1.0
 
 
 async def case(record, trouble):
--- a/review/standins.py
+++ b/review/standins.py
@@ -20,6 +20,10 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 NODE = os.path.join(ROOT, "target", "release", "cranberrypitch-node")
 
+# The time that the platform's store takes for an answer, and a target for a request.
+ANSWER_S = 0.004
+WORK_S = 0.039
+
 FIN, ACK, RST, SYN, BOUNCED = 1, 8, 16, 64, 128
 HEADER = struct.Struct(">IIH4sH4sIHIB")
 
@@ -135,6 +139,7 @@
                 else:
                     status, text = await self.call(method, target, body)
                 self.on_answer(daemon, target.partition("?")[0], target.partition("?")[2], status)
+                await asyncio.sleep(ANSWER_S)
                 payload = text.encode()
                 self.longest_answer = max(self.longest_answer, len(payload))
                 writer.write(
@@ -300,13 +305,18 @@
         request = match[1].decode() if match else "?"
         self.runs.append((self.record.now(), request, packet.dst))
         self.record.write(f"{self.name} runs {request}, sent to {packet.dst[0]}:{packet.dst[1]}")
+        asyncio.create_task(self._answer(key, flow, request))
+
+    async def _answer(self, key, flow, request):
+        await asyncio.sleep(WORK_S)
+        (src, dst) = key
         body = f"{request} by {self.name}".encode()
         answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
-        raw = pack(packet.dst, packet.src, ACK, flow["next"], flow["expected"], answer)
+        raw = pack(dst, src, ACK, flow["next"], flow["expected"], answer)
         flow["next"] += len(answer)
         flow["unacked"] = raw
         self.send(raw)
-        asyncio.create_task(self._retransmit(key, raw))
+        await self._retransmit(key, raw)
 
     async def _retransmit(self, key, raw):
         pause = 0.2
