--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,18 +9,18 @@
 from standins import CannotRun, Deployment, config, main, route  # noqa: E402
 
 VALUE_BYTES = 1_048_576  # `value-bytes` of the platform's store
-CONFIG_BYTES = int(os.environ.get("CB","900000"))
-STORM_GAP_S = float(os.environ.get("GAP","0.06"))  # a standard day of the site files has gap_s = 0.06 and for_s = 1.5
+CONFIG_BYTES = 800_000
+STORM_GAP_S = 0.06  # a standard day of the site files has gap_s = 0.06 and for_s = 1.5
 STORM_S = 1.5
 CONFIG_APPLY_S = 3.0
 SERVICE = "matcher"
-KEPT = ("198.18.0.1", 8443)
-DROPPED = ("198.18.0.1", 8080)
+KEPT = ("127.198.0.1", 8443)
+DROPPED = ("127.198.0.1", 8080)
 
 
 def routes(with_dropped, count):
     kept = [route(*KEPT, SERVICE)] + ([route(*DROPPED, SERVICE)] if with_dropped else [])
-    more = [route(f"198.19.{i // 250}.{i % 250 + 1}", 443, SERVICE) for i in range(count)]
+    more = [route(f"127.199.{i // 250}.{i % 250 + 1}", 443, SERVICE) for i in range(count)]
     return kept + more
 
 
@@ -34,11 +34,13 @@
     store = deployment.store
     count = route_count()
     version = 1
+    changes = int(STORM_S / STORM_GAP_S) if trouble else 1
+    values = {v: config(v, routes(v <= changes, count), [SERVICE]) for v in range(1, changes + 2)}
+    if max(map(len, values.values())) > VALUE_BYTES:
+        raise CannotRun("the configuration is larger than value-bytes")
 
     def operator_writes(with_dropped):
-        value = config(version, routes(with_dropped, count), [SERVICE])
-        if len(value) > VALUE_BYTES:
-            raise CannotRun("the configuration is larger than value-bytes")
+        value = values[version]
         store.put("op/config", value)
         record.write(f"operator: version {version} is confirmed, {len(value)} bytes, "
                      f"{'with' if with_dropped else 'without'} the route {DROPPED[0]}:{DROPPED[1]}")
@@ -68,12 +70,12 @@
                 if (await order(caller, to, index))[2] != "answered":
                     raise CannotRun("an order before the changes was not answered")
 
-        if trouble:
-            changes = int(STORM_S / STORM_GAP_S)
-            for _ in range(changes - 1):
-                version += 1
-                operator_writes(True)
-                await asyncio.sleep(STORM_GAP_S)
+        next_at = asyncio.get_running_loop().time()
+        for _ in range(changes - 1):
+            version += 1
+            operator_writes(True)
+            next_at += STORM_GAP_S
+            await asyncio.sleep(next_at - asyncio.get_running_loop().time())
         version += 1
         confirmed_at = operator_writes(False)
 
