--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,98 +1,104 @@
-"""Large configurations in quick succession: see claim.txt."""
+"""A target joins and a balancer restarts while another balancer's list of agents is old: see claim.txt."""
 
 import asyncio
 import os
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 from standins import CannotRun, Deployment, config, main, route  # noqa: E402
 
-VALUE_BYTES = 1_048_576  # `value-bytes` of the platform's store
-CONFIG_BYTES = 800_000
-STORM_GAP_S = 0.06  # a standard day of the site files has gap_s = 0.06 and for_s = 1.5
-STORM_S = 1.5
-CONFIG_APPLY_S = 3.0
 SERVICE = "matcher"
-KEPT = ("127.198.0.1", 8443)
-DROPPED = ("127.198.0.1", 8080)
+FEED = ("127.198.0.1", 8443)
+ORDER = ("127.198.0.1", 8080)
+ZONES = ["a", "b", "c", "d"]
+HISTORY_S = 20.0
 
 
-def routes(with_dropped, count):
-    kept = [route(*KEPT, SERVICE)] + ([route(*DROPPED, SERVICE)] if with_dropped else [])
-    more = [route(f"127.199.{i // 250}.{i % 250 + 1}", 443, SERVICE) for i in range(count)]
-    return kept + more
+async def case(record, trouble):
+    # One balancer a zone, three of them seeds, as on the users' sites. Callers are in zone a only, so that the
+    # balancer of zone d has no traffic until that of zone a leaves the rotation.
+    new = 3
+    deployment = Deployment(
+        record, ZONES, [(SERVICE, "a"), (SERVICE, "b"), (SERVICE, "c"), (SERVICE, "a")], ["a"] * 2, history_s=HISTORY_S)
+    deployment.router.nearest = {"a": ["d", "b", "c"]}
+    store = deployment.store
+    watches = []  # the times at which the store answered watches of the quiet balancer on the list of agents
 
+    def on_answer(daemon, path, query, status):
+        if daemon == "front-3" and "agents" in query and path in ("/kv-watch", "/kv-range"):
+            watches.append(time.monotonic())
+            record.write(f"store answers front-3: {path} {query} with status {status}")
 
-def route_count():
-    one = len(config(1, routes(True, 1000), [SERVICE])) - len(config(1, routes(True, 0), [SERVICE]))
-    return int(CONFIG_BYTES / (one / 1000))
+    store.on_answer = on_answer
+    services = [SERVICE]
+    store.put("op/config", config(1, [route(*FEED, SERVICE, "safe"), route(*ORDER, SERVICE)], services))
+    record.write("operator: version 1 is confirmed")
+    broken = []
+    stop = asyncio.Event()
 
+    async def orders(caller):
+        """Short flows in zone a, so that its balancer and all agents have traffic."""
+        while not stop.is_set():
+            flow = caller.flow(ORDER)
+            if await flow.open() is True:
+                await flow.request()
+                flow.close()
+            await asyncio.sleep(0.1)
 
-async def case(record, trouble):
-    deployment = Deployment(record, ["a"] * 3, [(SERVICE, "a")] * 3, callers=["a"] * 3)
-    store = deployment.store
-    count = route_count()
-    version = 1
-    changes = int(STORM_S / STORM_GAP_S) if trouble else 1
-    values = {v: config(v, routes(v <= changes, count), [SERVICE]) for v in range(1, changes + 2)}
-    if max(map(len, values.values())) > VALUE_BYTES:
-        raise CannotRun("the configuration is larger than value-bytes")
-
-    def operator_writes(with_dropped):
-        value = values[version]
-        store.put("op/config", value)
-        record.write(f"operator: version {version} is confirmed, {len(value)} bytes, "
-                     f"{'with' if with_dropped else 'without'} the route {DROPPED[0]}:{DROPPED[1]}")
-        return record.now()
-
-    operator_writes(True)
-    broken = []
     try:
-        await deployment.start()
-        callers = deployment.callers
-        await asyncio.sleep(4.5)  # contact-ms: all machines are in touch
-
-        async def order(caller, to, balancer):
-            flow = caller.flow(to, balancer)
-            sent_at = record.now()
-            record.write(f"flow {flow} opens to {to[0]}:{to[1]} through balancer {balancer}")
-            opened = await flow.open()
-            if opened is not True:
-                record.write(f"flow {flow} did not open: {'reset' if opened == 'reset' else 'no answer'}")
-                return sent_at, None, "refused"
-            request, result = await flow.request()
-            flow.close()
-            return sent_at, request, result
-
-        for index, caller in enumerate(callers):
-            for to in (KEPT, DROPPED):
-                if (await order(caller, to, index))[2] != "answered":
-                    raise CannotRun("an order before the changes was not answered")
-
-        next_at = asyncio.get_running_loop().time()
-        for _ in range(changes - 1):
-            version += 1
-            operator_writes(True)
-            next_at += STORM_GAP_S
-            await asyncio.sleep(next_at - asyncio.get_running_loop().time())
-        version += 1
-        confirmed_at = operator_writes(False)
-
-        end = confirmed_at + 16
-        while record.now() < end:
-            for index, caller in enumerate(callers):
-                sent_at, request, result = await order(caller, DROPPED, index)
-                late_s = sent_at - confirmed_at
-                if request and late_s > CONFIG_APPLY_S and any(request == run[1] for t in deployment.targets for run in t.runs):
-                    broken.append(f"CONFIG: {request}, sent {late_s:.3f} s after version {version} dropped its route was "
-                                  f"confirmed, was run through balancer {index}")
-                await order(caller, KEPT, index)
-            await asyncio.sleep(0.5)
-        for index in range(3):
-            for line in deployment.log_lines(f"front-{index}", "StoreLost", "StoreRegained", "ConfigurationInForce"):
-                record.write(f"log of front-{index}: {line}")
-        record.write(f"the longest answer of the store had {store.longest_answer} bytes")
+        await deployment.start(later=[new])
+        traffic = [asyncio.create_task(orders(c)) for c in deployment.callers]
+        # A planned change of a time-out. Its revision follows that of the last change of the list of agents.
+        await asyncio.sleep(4.0)
+        store.put("op/config", config(2, [route(*FEED, SERVICE, "safe"), route(*ORDER, SERVICE) | {"timeout-ms": 3000}], services))
+        changed_at = time.monotonic()
+        record.write("operator: version 2 is confirmed")
+        # The store keeps 20 s of history. The quiet balancer watches the list for up to 20 s and pauses for 8 s.
+        end = time.monotonic() + 60
+        while not (watches and watches[-1] > changed_at + HISTORY_S and time.monotonic() > watches[-1] + 0.3):
+            if time.monotonic() > end:
+                raise CannotRun("the quiet balancer did not end a watch in time")
+            await asyncio.sleep(0.05)
+
+        record.write("a target joins (scale_out)")
+        target = deployment.targets[new]
+        deployment.start_agent(new)
+        await target.start()
+        await asyncio.sleep(4.3)  # contact-ms: the machine of the new target is in touch
+
+        stop.set()
+        await asyncio.gather(*traffic)
+        feeds = [caller.flow(FEED) for caller in deployment.callers for _ in range(16)]
+        if not all(result is True for result in await asyncio.gather(*[f.open() for f in feeds])):
+            raise CannotRun("a feed did not open")
+        if any(result[1] != "answered" for result in await asyncio.gather(*[f.request(method="GET") for f in feeds])):
+            raise CannotRun("the first request of a feed was not answered")
+        on_new = [f for f in feeds if target.holds(f)]
+        record.write(f"{len(feeds)} feeds are open, {len(on_new)} of them at the new target")
+        if not on_new:
+            raise CannotRun("no feed is at the new target")
+
+        if trouble:
+            roll = asyncio.create_task(deployment.stop_process("front-0"))
+            while deployment.router.misses[0] < 2:
+                await asyncio.sleep(0.05)
+
+        async def next_request(flow):
+            return flow, *(await flow.request(method="GET"))
+
+        results = await asyncio.gather(*[next_request(f) for f in feeds])
+        record.write(f"last answers of the store to front-3 were {time.monotonic() - watches[-1]:.3f} s ago")
+        for flow, request, result in results:
+            if flow.reset_by is not None:
+                holder = next((t for t in deployment.targets if t.holds(flow)), None)
+                if holder is not None:
+                    broken.append(f"FLOW: {request}: the flow {flow}, which {holder.name} holds and serves, was reset by {flow.reset_by}")
+        if trouble:
+            await roll
+        for line in deployment.log_lines("front-3", "NotLocated", "Reset", "TargetChanged", "Located")[-80:]:
+            record.write(f"log of front-3: {line}")
         return broken
     finally:
         deployment.close()
