--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,9 +19,9 @@
 async def case(record, trouble):
     # One balancer a zone, three of them seeds, as on the users' sites. Callers are in zone a only, so that the
     # balancer of zone d has no traffic until that of zone a leaves the rotation.
-    new = 3
+    new = 4  # one more than four: a share of 0.25
     deployment = Deployment(
-        record, ZONES, [(SERVICE, "a"), (SERVICE, "b"), (SERVICE, "c"), (SERVICE, "a")], ["a"] * 2, history_s=HISTORY_S)
+        record, ZONES, [(SERVICE, "a"), (SERVICE, "b"), (SERVICE, "c"), (SERVICE, "b"), (SERVICE, "a")], ["a"] * 2, history_s=HISTORY_S)
     deployment.router.nearest = {"a": ["d", "b", "c"]}
     store = deployment.store
     watches = []  # the times at which the store answered watches of the quiet balancer on the list of agents
