Log the evidence of each reset and the target of each new flow

The lines of the record can't tell its hypotheses apart: a reset for the silence of an agent looked like one of a flow that is gone, and no line of an agent named the service that a flow was opened for, or the process that got it.

Reset names its evidence and how long after the packet or the last query the store was read, NotLocated the agent that has been silent the longest.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -230,8 +230,31 @@
         if let Some(actions) = self.queue_syn(syn) {
             return actions;
         }
-        self.flows.open(flow, balancer, now);
-        vec![Action::SendToTarget(Cow::Borrowed(packet))]
+        let mut actions = self.open_flow(flow, balancer, now);
+        actions.push(Action::SendToTarget(Cow::Borrowed(packet)));
+        actions
+    }
+
+    /// Adds a flow whose SYN is passed to the target. Returns the event, unless the SYN is a copy.
+    fn open_flow<'a>(
+        &mut self,
+        flow: FlowKey,
+        balancer: SocketAddrV4,
+        now: Instant,
+    ) -> Vec<Action<'a>> {
+        if !self.flows.open(flow, balancer, now) {
+            return Vec::new();
+        }
+        let process = |target: &TargetProcess| {
+            let report = target.report();
+            (report.id.clone(), report.started_unix_ms)
+        };
+        vec![Action::RecordEvent(FlowEvent::SynPassed {
+            flow,
+            balancer,
+            service: self.service().clone(),
+            target: self.target.as_ref().map(process),
+        })]
     }
 
     /// Processes a forwarded packet of a caller other than a SYN.
--- a/crates/cranberrypitch-core/src/flow/agent/backlog.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/backlog.rs
@@ -97,7 +97,7 @@
                 actions.extend(self.refuse_queued_syn(&syn, cause));
                 continue;
             }
-            self.flows.open(syn.flow, syn.balancer, now);
+            actions.extend(self.open_flow(syn.flow, syn.balancer, now));
             actions.push(Action::SendToTarget(syn.packet.into_vec().into()));
         }
         for syn in self
--- a/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
@@ -249,16 +249,19 @@
         self.flows.get_mut(flow)
     }
 
-    pub(super) fn open(&mut self, flow: FlowKey, balancer: SocketAddrV4, now: Instant) {
+    /// Adds a flow whose SYN is passed to the target. Returns whether it is new.
+    pub(super) fn open(&mut self, flow: FlowKey, balancer: SocketAddrV4, now: Instant) -> bool {
         self.orphans.remove(&flow);
-        let open_len = &mut self.open_len;
-        let hosted = self.flows.entry(flow).or_insert_with(|| {
-            *open_len += 1;
+        let is_new = !self.flows.contains_key(&flow);
+        if is_new {
+            self.open_len += 1;
             self.recently_opened.push_back((now, flow));
-            HostedFlow::new(HostedFlowState::Opening, Some(balancer), now)
-        });
+        }
+        let opening = || HostedFlow::new(HostedFlowState::Opening, Some(balancer), now);
+        let hosted = self.flows.entry(flow).or_insert_with(opening);
         hosted.balancer = Some(balancer);
         hosted.last_packet_at = now;
+        is_new
     }
 
     /// Returns the number of recently opened flows whose first request has not arrived yet.
--- a/crates/cranberrypitch-core/src/flow/agent/status.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/status.rs
@@ -111,12 +111,20 @@
             self.response_meter.on_restart(now);
         }
         let started_unix_ms = self.identity.started_unix_ms;
+        let event = FlowEvent::TargetReported {
+            id: report.id.clone(),
+            started_unix_ms: report.started_unix_ms,
+            service: report.service.clone(),
+            is_confirmed: confirmation == Confirmation::Confirmed,
+        };
         let target = TargetProcess::new(report, started_unix_ms, confirmation, now);
         self.target = Some(target);
         if let Some(until) = ended_flows_until {
             self.on_earlier_process_ended(until, now);
         }
-        self.report_change(now)
+        let mut actions = vec![Action::RecordEvent(event)];
+        actions.extend(self.report_change(now));
+        actions
     }
 
     /// Ends the flows that were opened before `until`, at the process before the present one.
--- a/crates/cranberrypitch-core/src/flow/cause.rs
+++ b/crates/cranberrypitch-core/src/flow/cause.rs
@@ -61,6 +61,26 @@
     FlowUnknown,
 }
 
+/// What shows that a flow which is reset is not open, or no longer.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum ResetEvidenceKind {
+    /// The packet is the first transmission of a SYN.
+    #[display("first SYN")]
+    FirstSyn,
+    /// A configuration without the route, read from the store after the packet arrived.
+    #[display("configuration")]
+    Configuration,
+    /// No agent holds the flow, by a list that was read from the store after the last query.
+    #[display("agent list")]
+    AgentList,
+    /// The target that accepted the flow returned the packet.
+    #[display("returned packet")]
+    ReturnedPacket,
+    /// The process of the target that accepted the flow has ended.
+    #[display("process ended")]
+    ProcessEnded,
+}
+
 /// Why a packet was dropped.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 pub enum DropCause {
--- a/crates/cranberrypitch-core/src/flow/dispatcher/liveness.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/liveness.rs
@@ -94,6 +94,13 @@
         })
     }
 
+    /// Returns the time since the last message of an agent, or since the first packet or query to it.
+    pub(super) fn silence(&self, agent: SocketAddrV4, now: Instant) -> Duration {
+        let activity = self.0.get(&agent);
+        let since = |activity: &Activity| now.saturating_duration_since(activity.last_message_at);
+        activity.map_or(Duration::ZERO, since)
+    }
+
     /// Removes an agent that is no longer in the directory.
     pub(super) fn remove(&mut self, agent: SocketAddrV4) {
         self.0.remove(&agent);
--- a/crates/cranberrypitch-core/src/flow/dispatcher/lookup.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/lookup.rs
@@ -385,11 +385,17 @@
             return Vec::new();
         };
         lookup.progress = Progress::NotFound { since: now };
+        let unanswered: Vec<_> = lookup.unanswered.iter().copied().collect();
+        let (queried_agents, started_at) = (lookup.queried.len(), lookup.started_at);
+        let silences = unanswered
+            .iter()
+            .map(|agent| (*agent, self.liveness.silence(*agent, now)));
         let event = FlowEvent::NotLocated {
             flow,
-            queried_agents: lookup.queried.len(),
-            unresponsive_agents: lookup.unanswered.len(),
-            elapsed: now.saturating_duration_since(lookup.started_at),
+            queried_agents,
+            unresponsive_agents: unanswered.len(),
+            longest_silent: silences.max_by_key(|(_, silence)| *silence),
+            elapsed: now.saturating_duration_since(started_at),
         };
         let mut actions = vec![Action::RecordEvent(event)];
         actions.extend(match self.not_held_evidence(flow) {
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::cause::{DropCause, IgnoredReportCause, RefusalCause, ResetCause};
+use super::cause::{DropCause, IgnoredReportCause, RefusalCause, ResetCause, ResetEvidenceKind};
 use super::packet::FlowKey;
 use crate::ids::{Incarnation, Revision, ServiceName};
 use crate::target::TargetState;
@@ -46,6 +46,8 @@
         queried_agents: usize,
         /// The number of queried agents that did not reply in time.
         unresponsive_agents: usize,
+        /// The one of them that has sent nothing for the longest time, with that time.
+        longest_silent: Option<(SocketAddrV4, Duration)>,
         /// The time since the lookup began.
         elapsed: Duration,
     },
@@ -65,6 +67,18 @@
         /// The agent that did not reply.
         agent: SocketAddrV4,
     },
+    /// An agent passed the first SYN of a flow to its target.
+    SynPassed {
+        /// The flow.
+        flow: FlowKey,
+        /// The balancer that sent the SYN.
+        balancer: SocketAddrV4,
+        /// The service that the SYN was sent for, which is the one that the target reports.
+        service: ServiceName,
+        /// The id and the start of the target's process, in milliseconds of Unix time, from its last status
+        /// report; none before the first one.
+        target: Option<(Box<str>, u64)>,
+    },
     /// An agent passed the first packet of a request to its target.
     RequestPassed {
         /// The flow.
@@ -87,6 +101,11 @@
         flow: FlowKey,
         /// The reason for the reset.
         cause: ResetCause,
+        /// What shows that the flow is not open.
+        evidence: ResetEvidenceKind,
+        /// The time from the packet or the last query to the read of the store that shows it; none for
+        /// evidence that is not from the store.
+        read_after: Option<Duration>,
     },
     /// A balancer or an agent dropped a packet.
     Dropped {
@@ -118,6 +137,17 @@
         /// The state of the target.
         state: TargetState,
     },
+    /// An agent takes another process for its target than before.
+    TargetReported {
+        /// The id of the target.
+        id: Box<str>,
+        /// The start of the process, in milliseconds of Unix time.
+        started_unix_ms: u64,
+        /// The service that the process serves.
+        service: ServiceName,
+        /// Whether a second report has confirmed the process.
+        is_confirmed: bool,
+    },
     /// An agent ignored a status report, which may be late or of another writer.
     StatusReportIgnored {
         /// The id of the target in the report.
--- a/crates/cranberrypitch-core/src/flow/message.rs
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -181,9 +181,8 @@
 /// Returns the actions that reset the flow of a caller's packet.
 pub(super) fn reset<'a>(header: &PacketHeader, evidence: ResetEvidence) -> Vec<Action<'a>> {
     let flow = header.flow_from_caller();
-    let cause = evidence.cause();
     vec![
-        Action::RecordEvent(FlowEvent::Reset { flow, cause }),
+        Action::RecordEvent(evidence.reset_event(flow)),
         Action::Reset(Reset::in_reply_to(header)),
     ]
 }
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -29,7 +29,7 @@
     next_queued_syn,
 };
 pub use self::agent_list::AgentListProgress;
-pub use self::cause::{DropCause, IgnoredReportCause, RefusalCause, ResetCause};
+pub use self::cause::{DropCause, IgnoredReportCause, RefusalCause, ResetCause, ResetEvidenceKind};
 pub use self::config_reads::{ConfigCheck, ConfigRead, ConfigReadOptions, ConfigReadSchedule};
 pub use self::directory::{AgentDirectory, AgentDirectoryOptions, AgentRecord};
 pub use self::dispatcher::{Dispatcher, DispatcherOptions, MAX_DECLINES};
--- a/crates/cranberrypitch-core/src/flow/reset_evidence.rs
+++ b/crates/cranberrypitch-core/src/flow/reset_evidence.rs
@@ -9,47 +9,76 @@
 //! stopped as planned, counts as failed together with its flows. Their callers would wait for the return of
 //! the VM otherwise.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use super::cause::ResetCause;
-use super::packet::PacketHeader;
+use super::cause::{ResetCause, ResetEvidenceKind};
+use super::event::FlowEvent;
+use super::packet::{FlowKey, PacketHeader};
 
 /// Evidence that a flow may be reset.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct ResetEvidence(ResetCause);
+pub(super) struct ResetEvidence {
+    cause: ResetCause,
+    kind: ResetEvidenceKind,
+    /// The time from the packet or the last query to the read of the store that shows it.
+    read_after: Option<Duration>,
+}
 
 impl ResetEvidence {
     /// The first transmission of a SYN, which no other balancer got: the flow is not open. Returns
     /// nothing for any other packet.
     pub(super) fn not_opened(header: &PacketHeader, cause: ResetCause) -> Option<Self> {
-        (header.is_syn() && header.ack_number == 0).then_some(Self(cause))
+        let evidence = Self::new(cause, ResetEvidenceKind::FirstSyn);
+        (header.is_syn() && header.ack_number == 0).then_some(evidence)
     }
 
     /// The configuration in force has no route for a packet that arrived at `arrived_at`, and the store
     /// had no newer one at `config_as_of`. Returns nothing if the store was read before the packet
     /// arrived: the route may have been added since.
     pub(super) fn route_dropped(arrived_at: Instant, config_as_of: Instant) -> Option<Self> {
-        (arrived_at <= config_as_of).then_some(Self(ResetCause::NoRoute))
+        let read_after = config_as_of.checked_duration_since(arrived_at)?;
+        Some(Self {
+            read_after: Some(read_after),
+            ..Self::new(ResetCause::NoRoute, ResetEvidenceKind::Configuration)
+        })
     }
 
     /// No agent that responds, of a list that is known as of `list_as_of`, holds the flow. Returns nothing if
     /// the list is older than `needed_as_of`, as it may lack the agent of the flow, or the planned stop of a
     /// silent one.
     pub(super) fn not_held(needed_as_of: Instant, list_as_of: Option<Instant>) -> Option<Self> {
-        (list_as_of >= Some(needed_as_of)).then_some(Self(ResetCause::FlowUnknown))
+        let read_after = list_as_of?.checked_duration_since(needed_as_of)?;
+        Some(Self {
+            read_after: Some(read_after),
+            ..Self::new(ResetCause::FlowUnknown, ResetEvidenceKind::AgentList)
+        })
     }
 
     /// The target returned a packet of a flow that it had accepted.
     pub(super) const fn returned_by_holder() -> Self {
-        Self(ResetCause::FlowUnknown)
+        Self::new(ResetCause::FlowUnknown, ResetEvidenceKind::ReturnedPacket)
     }
 
     /// The process of the target that accepted the flow has ended.
     pub(super) const fn process_ended() -> Self {
-        Self(ResetCause::FlowUnknown)
+        Self::new(ResetCause::FlowUnknown, ResetEvidenceKind::ProcessEnded)
+    }
+
+    const fn new(cause: ResetCause, kind: ResetEvidenceKind) -> Self {
+        Self {
+            cause,
+            kind,
+            read_after: None,
+        }
     }
 
-    pub(super) const fn cause(self) -> ResetCause {
-        self.0
+    /// Returns the event of the reset of a flow.
+    pub(super) const fn reset_event(self, flow: FlowKey) -> FlowEvent {
+        FlowEvent::Reset {
+            flow,
+            cause: self.cause,
+            evidence: self.kind,
+            read_after: self.read_after,
+        }
     }
 }
--- a/crates/cranberrypitch-core/tests/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/tests/flow/dispatcher.rs
@@ -6,7 +6,7 @@
 use cranberrypitch_core::TargetState;
 use cranberrypitch_core::flow::{
     Action, AgentRecord, Dispatcher, DispatcherOptions, DropCause, FlowEvent, FlowKey,
-    LookupAnswer, Message, PacketFlags, RefusalCause, ResetCause,
+    LookupAnswer, Message, PacketFlags, RefusalCause, ResetCause, ResetEvidenceKind,
 };
 
 use crate::support::{
@@ -118,6 +118,8 @@
     let reset = FlowEvent::Reset {
         flow: flow(1),
         cause: ResetCause::NoTarget,
+        evidence: ResetEvidenceKind::FirstSyn,
+        read_after: None,
     };
     assert!(events(&actions).contains(&&reset));
 }
@@ -552,6 +554,8 @@
     let reset = FlowEvent::Reset {
         flow: flow(1),
         cause: ResetCause::Overloaded,
+        evidence: ResetEvidenceKind::FirstSyn,
+        read_after: None,
     };
     assert!(events(&actions).contains(&&reset));
     assert!(sent_messages(&actions).is_empty());
--- a/crates/cranberrypitch-relay/src/explain.rs
+++ b/crates/cranberrypitch-relay/src/explain.rs
@@ -6,8 +6,9 @@
 use serde_json::{Map, Value};
 
 /// Events about the state of a daemon, its targets or the store, which belong to no single flow.
-const STATE_EVENTS: [&str; 9] = [
+const STATE_EVENTS: [&str; 10] = [
     "TargetChanged",
+    "TargetReported",
     "TargetGone",
     "StoreLost",
     "StoreRegained",
--- a/crates/cranberrypitch-relay/src/log.rs
+++ b/crates/cranberrypitch-relay/src/log.rs
@@ -147,11 +147,13 @@
         FlowEvent::Placed { .. }
             | FlowEvent::Located { .. }
             | FlowEvent::Dropped { .. }
+            | FlowEvent::SynPassed { .. }
             | FlowEvent::RequestPassed { .. }
             | FlowEvent::RequestAnswered { .. }
     )
 }
 
+/// Writes a line for an event.
 fn write(event: &FlowEvent) {
     match event {
         FlowEvent::Placed {
@@ -162,8 +164,7 @@
             version,
             load_age,
         } => {
-            let load_age_ms =
-                load_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+            let load_age_ms = load_age.map(milliseconds);
             tracing::info!(target: TARGET, event = "Placed", %flow, %service, %agent, attempt, %version, load_age_ms);
         }
         FlowEvent::Located {
@@ -172,17 +173,20 @@
             queried_agents,
             elapsed,
         } => {
-            let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+            let elapsed_ms = milliseconds(*elapsed);
             tracing::info!(target: TARGET, event = "Located", %flow, %agent, asked = queried_agents, elapsed_ms);
         }
         FlowEvent::NotLocated {
             flow,
             queried_agents,
             unresponsive_agents,
+            longest_silent,
             elapsed,
         } => {
-            let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
-            tracing::warn!(target: TARGET, event = "NotLocated", %flow, asked = queried_agents, silent = unresponsive_agents, elapsed_ms);
+            let agent = longest_silent.map(|(agent, _)| tracing::field::display(agent));
+            let silent_ms = longest_silent.map(|(_, silence)| milliseconds(silence));
+            let elapsed_ms = milliseconds(*elapsed);
+            tracing::warn!(target: TARGET, event = "NotLocated", %flow, asked = queried_agents, silent = unresponsive_agents, agent, silent_ms, elapsed_ms);
         }
         FlowEvent::Refused { flow, agent, cause } => {
             tracing::info!(target: TARGET, event = "Refused", %flow, %agent, %cause);
@@ -191,15 +195,38 @@
             tracing::warn!(target: TARGET, event = "Unanswered", %flow, %agent);
         }
         FlowEvent::RequestAnswered { flow, elapsed } => {
-            let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+            let elapsed_ms = milliseconds(*elapsed);
             tracing::info!(target: TARGET, event = "RequestAnswered", %flow, elapsed_ms);
         }
-        FlowEvent::Reset { flow, cause } => {
-            tracing::warn!(target: TARGET, event = "Reset", %flow, %cause);
+        FlowEvent::SynPassed {
+            flow,
+            balancer,
+            service,
+            target,
+        } => {
+            let target_id = target.as_ref().map(|(id, _)| &**id);
+            let started_unix_ms = target.as_ref().map(|(_, started)| *started);
+            tracing::info!(target: TARGET, event = "SynPassed", %flow, %balancer, %service, target_id, started_unix_ms);
+        }
+        FlowEvent::Reset {
+            flow,
+            cause,
+            evidence,
+            read_after,
+        } => {
+            let read_after_ms = read_after.map(milliseconds);
+            tracing::warn!(target: TARGET, event = "Reset", %flow, %cause, %evidence, read_after_ms);
         }
         FlowEvent::Dropped { flow, cause } => {
             tracing::info!(target: TARGET, event = "Dropped", %flow, %cause);
         }
+        other => write_state(other),
+    }
+}
+
+/// Writes a line for an event of the configuration or of a target.
+fn write_state(event: &FlowEvent) {
+    match event {
         FlowEvent::ConfigurationInForce {
             version,
             route_count,
@@ -220,6 +247,14 @@
         FlowEvent::TargetGone { agent } => {
             tracing::warn!(target: TARGET, event = "TargetGone", %agent);
         }
+        FlowEvent::TargetReported {
+            id,
+            started_unix_ms,
+            service,
+            is_confirmed,
+        } => {
+            tracing::info!(target: TARGET, event = "TargetReported", %id, started_unix_ms, %service, is_confirmed);
+        }
         FlowEvent::StatusReportIgnored {
             id,
             started_unix_ms,
@@ -231,3 +266,7 @@
         other => tracing::info!(target: TARGET, event = "Other", detail = ?other),
     }
 }
+
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
