Do not take the silence of an agent for the loss of its flows

Cause: a balancer gave an agent up by a clock: three queries without an answer, 0.24 s, or 5 s after a planned stop. A machine that is slow, or that starts a process slowly, is past any fixed time, and its target holds its flows all the while. Class: a decision made on the absence of knowledge.

Change: only the end of an agent's registration in the store, with a query that got no answer, lets its flows be looked up elsewhere and reset. The record of an agent that stops beside a running target is written under a lease of the maximum age of a flow (flow_lifetime_s), so it stays listed for the next agent however long that takes; balancers that have only the agent's report await it for the same time.

Weighed: callers of a lost VM wait for their deadline, up to 9 s after its end, instead of a reset after 0.24 s.

--- a/crates/cranberrypitch-core/src/flow/directory.rs
+++ b/crates/cranberrypitch-core/src/flow/directory.rs
@@ -50,6 +50,9 @@
     /// The time for which an agent is kept after its registration ended, so that a registration that
     /// lapsed during an outage of the store can be renewed.
     pub unlisted_grace: Duration,
+    /// The maximum age of a flow. For this time after the planned stop of an agent, its target may hold flows
+    /// for the next agent, also if the stop could not be written to the store.
+    pub max_flow_age: Duration,
 }
 
 impl Default for AgentDirectoryOptions {
@@ -57,6 +60,7 @@
         Self {
             report_lifetime: Duration::from_secs(3),
             unlisted_grace: Duration::from_secs(2),
+            max_flow_age: Duration::from_mins(1),
         }
     }
 }
@@ -65,10 +69,6 @@
 /// agent still passes packets to it.
 const EXIT_TIME: Duration = Duration::from_millis(600);
 
-/// The time for which an agent that stopped as planned is expected to start again. Until then its silence
-/// does not show that its target has lost its flows.
-const RESTART_TIME: Duration = Duration::from_secs(5);
-
 /// An agent in the directory.
 #[derive(Clone, Debug)]
 pub(crate) struct AgentEntry {
@@ -109,24 +109,27 @@
         self.record = record;
     }
 
-    /// Returns whether the agent has stopped as planned and is expected to start again.
-    pub(crate) fn is_restarting(&self, now: Instant) -> bool {
-        let is_recent = |since| now.saturating_duration_since(since) < RESTART_TIME;
+    /// Returns whether the agent has stopped as planned, and its target may hold flows for the next agent.
+    fn is_restarting(&self, options: &AgentDirectoryOptions, now: Instant) -> bool {
+        let is_recent = |since| now.saturating_duration_since(since) < options.max_flow_age;
         self.stopping_since.is_some_and(is_recent)
     }
 
+    /// Returns whether the agent has sent a report within the lifetime of reports.
+    fn has_recent_report(&self, options: &AgentDirectoryOptions, now: Instant) -> bool {
+        let is_recent = |at| now.saturating_duration_since(at) < options.report_lifetime;
+        self.reported_at.is_some_and(is_recent)
+    }
+
     fn is_kept(&self, options: &AgentDirectoryOptions, now: Instant) -> bool {
-        let is_within = |at: Instant, limit: Duration| now.saturating_duration_since(at) < limit;
-        let has_recent_report = self
-            .reported_at
-            .is_some_and(|at| is_within(at, options.report_lifetime));
+        let unlisted_for = now.saturating_duration_since(self.unlisted_at);
         match self.record.state {
             TargetState::Gone => self.is_listed,
             _ => {
                 self.is_listed
-                    || has_recent_report
-                    || self.is_restarting(now)
-                    || is_within(self.unlisted_at, options.unlisted_grace)
+                    || self.has_recent_report(options, now)
+                    || self.is_restarting(options, now)
+                    || unlisted_for < options.unlisted_grace
             }
         }
     }
@@ -192,9 +195,7 @@
             // A recent report of the agent is newer than its registration in the store.
             Some(entry)
                 if entry.record.incarnation == record.incarnation
-                    && entry.reported_at.is_some_and(|at| {
-                        now.saturating_duration_since(at) < self.options.report_lifetime
-                    }) =>
+                    && entry.has_recent_report(&self.options, now) =>
             {
                 entry.is_listed = true;
                 false
@@ -292,13 +293,15 @@
             .is_some_and(|agent| agent.is_listed)
     }
 
-    /// Returns whether the store does not list an agent and it has not reported recently.
+    /// Returns whether the store does not list an agent, it has not reported recently, and it did not stop as
+    /// planned.
     pub(crate) fn has_lapsed(&self, address: SocketAddrV4, now: Instant) -> bool {
-        let limit = self.options.report_lifetime;
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < limit;
-        self.agents
-            .get(&address)
-            .is_none_or(|agent| !agent.is_listed && !agent.reported_at.is_some_and(is_recent))
+        let is_present = |agent: &AgentEntry| {
+            agent.is_listed
+                || agent.has_recent_report(&self.options, now)
+                || agent.is_restarting(&self.options, now)
+        };
+        !self.agents.get(&address).is_some_and(is_present)
     }
 
     /// Returns the records of all agents, in no particular order.
--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -17,7 +17,7 @@
 
 use self::budget::QueryBudget;
 use self::established::EstablishedFlow;
-use self::liveness::{Liveness, MAX_UNANSWERED_QUERIES, MAX_UNANSWERED_QUERIES_LAPSED};
+use self::liveness::Liveness;
 use self::packet_buffer::EarlyPacketBuffer;
 pub use self::pending_open::MAX_DECLINES;
 use self::table::{FlowState, FlowTable};
@@ -285,21 +285,13 @@
         Vec::new()
     }
 
-    /// Returns whether an agent has left so many queries unanswered that no answer is expected. An agent
-    /// that stopped as planned is awaited: its target holds its flows for the next agent.
+    /// Returns whether no answer of an agent is expected: its registration has ended, and it did not answer
+    /// the last query. The silence of a registered agent shows nothing: it may be slow or start again, and
+    /// its target holds its flows.
     fn is_unresponsive(&self, agent: SocketAddrV4, now: Instant) -> bool {
-        let entry = self.directory.agent(agent);
-        if entry.is_some_and(|entry| entry.is_restarting(now)) {
-            return false;
-        }
-        let max_unanswered = if self.directory.has_lapsed(agent, now) {
-            MAX_UNANSWERED_QUERIES_LAPSED
-        } else {
-            MAX_UNANSWERED_QUERIES
-        };
         let timeout = self.options.lookup_timeout;
-        self.liveness
-            .is_unresponsive(agent, max_unanswered, timeout, now)
+        self.directory.has_lapsed(agent, now)
+            && self.liveness.is_query_unanswered(agent, timeout, now)
     }
 
     /// Records that an agent is responsive.
@@ -324,7 +316,8 @@
             return self.start_lookup(header, packet, Some(holder), now);
         }
         let mut actions = forward(agent, packet);
-        if self.liveness.is_probe_due(agent, timeout, now) {
+        let has_lapsed = self.directory.has_lapsed(agent, now);
+        if has_lapsed && self.liveness.is_probe_due(agent, timeout, now) {
             self.liveness.on_query(agent, timeout, now);
             actions.push(Action::send(agent, Message::lookup(header)));
         }
--- a/crates/cranberrypitch-core/src/flow/dispatcher/liveness.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/liveness.rs
@@ -1,8 +1,7 @@
-//! Detection of unresponsive agents.
+//! Which agents answer queries.
 //!
-//! An agent that receives new flows reports several times a second. If no message arrives for longer,
-//! the balancer probes the agent with a lookup query for a flow that it holds. After several
-//! unanswered queries the agent counts as unresponsive, and its flows are looked up at other agents.
+//! A balancer probes an agent whose registration has ended with a lookup query for a flow that it holds. If
+//! the agent does not answer, it counts as unresponsive, and its flows are looked up at other agents.
 
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -12,13 +11,6 @@
 /// The time since its last message after which an agent is probed; it covers two lost reports.
 const PROBE_DELAY: Duration = Duration::from_millis(500);
 
-/// The number of unanswered queries after which an agent is unresponsive. At a packet loss of 1 in
-/// 300, as on a healthy network, three in a row are lost once in 27 million.
-pub(super) const MAX_UNANSWERED_QUERIES: u32 = 3;
-
-/// The same number for an agent whose registration ended and that sends no reports.
-pub(super) const MAX_UNANSWERED_QUERIES_LAPSED: u32 = 1;
-
 /// The latest messages from and queries to an agent.
 #[derive(Clone, Copy, Debug)]
 struct Activity {
@@ -78,18 +70,17 @@
                 .is_none_or(|at| elapsed(at) >= timeout)
     }
 
-    /// Returns whether the last `max_unanswered` queries to an agent timed out.
-    pub(super) fn is_unresponsive(
+    /// Returns whether a query to an agent has timed out since its last message.
+    pub(super) fn is_query_unanswered(
         &self,
         agent: SocketAddrV4,
-        max_unanswered: u32,
         timeout: Duration,
         now: Instant,
     ) -> bool {
         self.0.get(&agent).is_some_and(|activity| {
             let has_timed_out = |at| now.saturating_duration_since(at) >= timeout;
-            activity.unanswered_queries > max_unanswered
-                || activity.unanswered_queries == max_unanswered
+            activity.unanswered_queries > 1
+                || activity.unanswered_queries == 1
                     && activity.last_query_at.is_some_and(has_timed_out)
         })
     }
--- a/crates/cranberrypitch-core/src/flow/reset_evidence.rs
+++ b/crates/cranberrypitch-core/src/flow/reset_evidence.rs
@@ -5,9 +5,9 @@
 //! is built from what shows that the flow is not open, or no longer; an agent sees by its target that the
 //! flow has ended.
 //!
-//! Silence is a reason in one case: an agent that leaves several queries in a row unanswered, and has not
-//! stopped as planned, counts as failed together with its flows. Their callers would wait for the return of
-//! the VM otherwise.
+//! Silence is no reason either, however long: a machine that is slow, or that starts a process again, holds its
+//! flows. An agent counts as gone with its flows once its registration has ended in the store. Until then
+//! callers of a VM that was lost wait for their own deadline.
 
 use std::time::{Duration, Instant};
 
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -25,7 +25,7 @@
 use crate::log;
 use crate::metrics::RelayMetrics;
 use crate::platform::{Platform, StoreOptions, TargetRequest};
-use crate::registration::Registration;
+use crate::registration::{Registration, RegistrationOptions};
 use crate::settings::{RelaySettings, TargetSettings};
 use crate::sockets::{MAX_BATCH_DATAGRAMS, MAX_DATAGRAM_BYTES, bind, log_unreadable, receive};
 
@@ -128,12 +128,17 @@
         P::new_store(StoreOptions::new(settings.store_address)),
         metrics,
     );
-    let (record, ttl_min) = (record.clone(), settings.lease_min_ms);
+    let record = record.clone();
+    let options = RegistrationOptions {
+        lease_min: settings.lease_min_ms,
+        stopped_ttl: settings.flow_lifetime_s,
+        stop_timeout: settings.stop_time(),
+    };
     let is_registered = Arc::clone(is_registered);
     // An invalid key must stop the agent, which the task could not do.
     crate::registration::store_key(&record)?;
     let task = tokio::spawn(async move {
-        match Registration::try_new(&store, &record, ttl_min, is_registered) {
+        match Registration::try_new(&store, &record, options, is_registered) {
             Ok(registration) => registration.run(receiver).await,
             Err(error) => tracing::error!(target: log::TARGET, %error, "registration not started"),
         }
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::Clock;
-use cranberrypitch_core::flow::{Action, Dispatcher, DispatcherOptions, Message, RouteConfig};
+use cranberrypitch_core::flow::{
+    Action, AgentDirectoryOptions, Dispatcher, DispatcherOptions, Message, RouteConfig,
+};
 use cranberrypitch_net::daemon::Signal;
 use cranberrypitch_net::store::ObservedStore;
 use cranberrypitch_proto::relay;
@@ -19,6 +21,7 @@
 use crate::metrics::RelayMetrics;
 use crate::platform::{Platform, StoreOptions};
 use crate::registration;
+use crate::settings::RelaySettings;
 use crate::snapshot::{self, SharedSnapshot};
 use crate::snapshot_fetch::{self, MissingState, SnapshotSources};
 use crate::sockets::{MAX_BATCH_DATAGRAMS, MAX_DATAGRAM_BYTES, bind, log_unreadable, receive};
@@ -38,9 +41,6 @@
 /// The time without packets of callers after which a stopping balancer exits.
 const STOP_IDLE_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// The part of the stop grace that is reserved for the exit of the process.
-const EXIT_RESERVE: Duration = Duration::from_millis(700);
-
 /// The maximum number of message batches read before a tick.
 const MAX_TICK_BATCHES: usize = 8;
 
@@ -67,7 +67,7 @@
     let metrics = RelayMetrics::default();
     let (notice_sender, notices) = mpsc::channel(NOTICE_QUEUE_LEN);
     let now = context.clock.now();
-    let options = DispatcherOptions::default();
+    let options = dispatcher_options(settings);
     let domain = settings.failure_domain.clone();
     let caller_port = settings.datagram_address.port();
     let snapshot = SharedSnapshot::default();
@@ -116,6 +116,17 @@
     Ok(())
 }
 
+fn dispatcher_options(settings: &RelaySettings) -> DispatcherOptions {
+    let directory = AgentDirectoryOptions {
+        max_flow_age: settings.flow_lifetime_s,
+        ..AgentDirectoryOptions::default()
+    };
+    DispatcherOptions {
+        directory,
+        ..DispatcherOptions::default()
+    }
+}
+
 /// The inputs of the tasks that watch the store and fetch snapshots.
 struct WatchInputs<S> {
     store: Arc<ObservedStore<S, RelayMetrics>>,
@@ -239,7 +250,7 @@
                     Signal::ReloadKeys => check_settings_file(&context.settings_file),
                     Signal::Terminate | Signal::Interrupt => {
                         let now = self.clock.now();
-                        let grace = context.settings.stop_grace_s.saturating_sub(EXIT_RESERVE);
+                        let grace = context.settings.stop_time();
                         stop.get_or_insert(GracefulStop {
                             requested_at: now,
                             deadline: now + grace,
--- a/crates/cranberrypitch-relay/src/registration.rs
+++ b/crates/cranberrypitch-relay/src/registration.rs
@@ -25,18 +25,37 @@
 /// The time between two renewals of a lease.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(2800);
 
-/// The timeout of the last write or the release of the lease when the agent stops.
+/// The timeout of the release of the lease when the agent stops.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time limits of a [`Registration`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RegistrationOptions {
+    /// The minimum time to live of a lease in the store.
+    pub(crate) lease_min: Duration,
+    /// The time for which the record of a stopped agent stays listed for the next agent: the maximum age of a
+    /// flow at its target.
+    pub(crate) stopped_ttl: Duration,
+    /// The time that the agent has to write its stop.
+    pub(crate) stop_timeout: Duration,
+}
+
+/// A lease that the agent holds.
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    id: LeaseId,
+    ttl: Duration,
+}
+
 /// The record of an agent in the store, under a lease.
 #[derive(Debug)]
 pub(crate) struct Registration<'a, S> {
     store: &'a S,
     key: StoreKey,
-    ttl: Duration,
+    options: RegistrationOptions,
     /// Whether the last call to the store succeeded and the record is written. Shared with the agent.
     is_registered: Arc<AtomicBool>,
-    lease: Option<LeaseId>,
+    lease: Option<Lease>,
     written: Option<(Version, AgentRecord)>,
 }
 
@@ -71,8 +90,7 @@
 }
 
 impl<'a, S: Store> Registration<'a, S> {
-    /// Returns a registration that has not been written yet. `ttl_min` is the minimum time to live
-    /// of its lease.
+    /// Returns a registration that has not been written yet.
     ///
     /// # Errors
     ///
@@ -80,13 +98,13 @@
     pub(crate) fn try_new(
         store: &'a S,
         record: &AgentRecord,
-        ttl_min: Duration,
+        options: RegistrationOptions,
         is_registered: Arc<AtomicBool>,
     ) -> Result<Self> {
         Ok(Self {
             store,
             key: store_key(record)?,
-            ttl: LEASE_TTL.max(ttl_min),
+            options,
             is_registered,
             lease: None,
             written: None,
@@ -132,9 +150,10 @@
         }
     }
 
-    /// Writes the record of an agent that stops. Its lease lapses unless the next agent registers.
+    /// Writes the record of an agent that stops.
     async fn write_last(mut self, record: AgentRecord) {
-        match timeout(RELEASE_TIMEOUT, self.update(record, false)).await {
+        let stop_timeout = self.options.stop_timeout;
+        match timeout(stop_timeout, self.update(record, false)).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => {
                 tracing::warn!(target: crate::log::TARGET, %error, "stop of the agent not written to its registration");
@@ -145,6 +164,16 @@
         }
     }
 
+    /// Returns the time to live of the lease for a record.
+    fn ttl(&self, record: &AgentRecord) -> Duration {
+        let ttl = if record.is_agent_stopping {
+            self.options.stopped_ttl
+        } else {
+            LEASE_TTL
+        };
+        ttl.max(self.options.lease_min)
+    }
+
     /// Renews the lease if that is due, and writes the record if it has changed.
     async fn update(
         &mut self,
@@ -154,11 +183,14 @@
         if is_renewal_due {
             self.renew().await?;
         }
+        // The record of a stop needs a lease that outlives the flows of the target.
+        let ttl = self.ttl(&record);
+        self.lease = self.lease.filter(|lease| lease.ttl == ttl);
         let is_written = |(_, written): &(Version, AgentRecord)| has_same_content(written, &record);
-        if self.written.as_ref().is_some_and(is_written) {
+        if self.lease.is_some() && self.written.as_ref().is_some_and(is_written) {
             return Ok(());
         }
-        self.write(record).await
+        self.write(record, ttl).await
     }
 
     /// Renews the lease. After a restoration of the store, a lease that the copy has is renewed in the present
@@ -168,7 +200,7 @@
             let Some(lease) = self.lease else {
                 return Ok(());
             };
-            match self.store.renew(lease).await {
+            match self.store.renew(lease.id).await {
                 Ok(()) => return Ok(()),
                 Err(error) => self.on_failed_call(error).await?,
             }
@@ -176,10 +208,16 @@
         Ok(())
     }
 
-    async fn write(&mut self, record: AgentRecord) -> std::result::Result<(), StoreError> {
-        let lease = match self.lease {
-            Some(lease) => lease,
-            None => *self.lease.insert(self.store.grant(self.ttl).await?),
+    async fn write(
+        &mut self,
+        record: AgentRecord,
+        ttl: Duration,
+    ) -> std::result::Result<(), StoreError> {
+        let lease = if let Some(lease) = self.lease {
+            lease
+        } else {
+            let id = self.store.grant(ttl).await?;
+            *self.lease.insert(Lease { id, ttl })
         };
         let value = serde_json::to_vec(&record).map_err(|e| StoreError::refused(&e))?;
         let value = Bytes::from(value);
@@ -192,7 +230,7 @@
                 key: self.key.clone(),
                 value: value.clone(),
                 expected,
-                lease: Some(lease),
+                lease: Some(lease.id),
             };
             match self.store.put(put).await {
                 Ok(version) => {
@@ -235,14 +273,16 @@
         let found = self.store.get(&self.key).await?;
         let (lease, written) = (self.lease.take(), self.written.take());
         let is_kept = |found: &Entry, version: Version| {
+            let held = lease.map(|lease| lease.id);
             found.version.number() == version.number()
-                && found.lease.map(LeaseId::number) == lease.map(LeaseId::number)
+                && found.lease.map(LeaseId::number) == held.map(LeaseId::number)
         };
         if let Some(found) = found
             && let Some((version, record)) = written
             && is_kept(&found, version)
         {
-            self.lease = found.lease;
+            let ttl = lease.map_or(LEASE_TTL, |lease| lease.ttl);
+            self.lease = found.lease.map(|id| Lease { id, ttl });
             self.written = Some((found.version, record));
             return Ok(());
         }
@@ -252,7 +292,7 @@
 
     async fn release(self) {
         let Some(lease) = self.lease else { return };
-        match timeout(RELEASE_TIMEOUT, self.store.release(lease)).await {
+        match timeout(RELEASE_TIMEOUT, self.store.release(lease.id)).await {
             Ok(Ok(())) => {}
             // The lease lapses by itself after its time to live.
             Ok(Err(error)) => {
--- a/crates/cranberrypitch-relay/src/settings.rs
+++ b/crates/cranberrypitch-relay/src/settings.rs
@@ -10,6 +10,9 @@
 
 use crate::errors::{Error, Result};
 
+/// The part of the stop grace that is reserved for the exit of the process.
+const EXIT_RESERVE: Duration = Duration::from_millis(700);
+
 /// The settings of a balancer or an agent. Unknown fields are ignored.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
@@ -98,6 +101,11 @@
         Ok(settings)
     }
 
+    /// Returns the time that a stopping daemon has before it must exit.
+    pub(crate) const fn stop_time(&self) -> Duration {
+        self.stop_grace_s.saturating_sub(EXIT_RESERVE)
+    }
+
     /// Returns the IP address of the VM.
     pub const fn ip(&self) -> Ipv4Addr {
         *self.datagram_address.ip()
