Write the planned stop of an agent also when the store is away for a moment

What callers would see: an agent stops as planned while the store does not answer. It tried once to write its stop, for 0.7 s at most, and exited; balancers that it does not know take it for a failed one when its lease lapses, and reset flows that its target holds.

Change: the agent serves on and repeats the write until its grace ends.

Test: stop_is_written_when_the_store_returns (real processes) fails before: the record in the store still says ready.

--- a/crates/cranberrypitch-relay/src/registration.rs
+++ b/crates/cranberrypitch-relay/src/registration.rs
@@ -150,17 +150,17 @@
         }
     }
 
-    /// Writes the record of an agent that stops.
+    /// Writes the record of an agent that stops, as often as the stop timeout allows.
     async fn write_last(mut self, record: AgentRecord) {
         let stop_timeout = self.options.stop_timeout;
-        match timeout(stop_timeout, self.update(record, false)).await {
-            Ok(Ok(())) => {}
-            Ok(Err(error)) => {
-                tracing::warn!(target: crate::log::TARGET, %error, "stop of the agent not written to its registration");
-            }
-            Err(_) => {
-                tracing::warn!(target: crate::log::TARGET, "stop of the agent not written to its registration within the timeout");
+        let write = async {
+            let mut backoff = Backoff::default();
+            while let Err(error) = self.update(record.clone(), false).await {
+                backoff.wait(&self.key, &error).await;
             }
+        };
+        if timeout(stop_timeout, write).await.is_err() {
+            tracing::warn!(target: crate::log::TARGET, "stop of the agent not written to its registration within the timeout");
         }
     }
 
