Let late reports of an earlier target name no service for an agent

An address goes from a lost target to one of another service, with an agent of its own. A status report of the lost target that arrives there first decided which service the agent admits flows for, and registered it under that service, until the new target had reported: SYNs to the lost service reached the new target, through any balancer. Several late reports, which arrive together, even confirmed it. A single report with the id and start of the target and another service did the same.

Change: the service is the one in the agent's settings unless a confirmed process names another one, and a second report confirms a process only half an interval after the first. While a report names another service, flows are refused as before. A process never changes its service. A report that agrees with the settings replaces one that doesn't at once, so the new target does not wait.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -163,9 +163,19 @@
         self.load_meter.load(0, now).running_requests
     }
 
+    /// Returns the service of the target: the one in the settings, unless several reports of a process name another
+    /// one. A single report may be a late one of the target that had the address before.
     fn service(&self) -> &ServiceName {
-        let reported = self.target.as_ref().map(TargetProcess::service);
-        reported.unwrap_or(&self.identity.service)
+        let confirmed = self.target.as_ref().filter(|target| target.is_confirmed());
+        confirmed.map_or(&self.identity.service, TargetProcess::service)
+    }
+
+    /// Returns whether a report names another service than [`Self::service`], so that it is open which one the
+    /// target serves.
+    fn may_serve_other(&self) -> bool {
+        let service = self.service();
+        let is_other = |target: &TargetProcess| target.service() != service;
+        self.target.as_ref().is_some_and(is_other) || self.report_series.may_serve_other(service)
     }
 
     fn state(&self) -> TargetState {
@@ -434,8 +444,7 @@
         if self.is_stopping {
             return Some(RefusalCause::Draining);
         }
-        let may_serve_other = self.report_series.may_serve_other(self.service());
-        if may_serve_other || ServiceTag::of(self.service()) != service {
+        if self.may_serve_other() || ServiceTag::of(self.service()) != service {
             return Some(RefusalCause::OtherService);
         }
         let is_ready = |target: &TargetProcess| target.state() == TargetState::Ready;
--- a/crates/cranberrypitch-core/src/flow/agent/report_series.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/report_series.rs
@@ -55,21 +55,21 @@
 }
 
 impl ReportSeries {
-    /// Returns how to process a report. `unix_time_ms` is the time by the clock of the agent's VM.
+    /// Returns how to process a report, which agrees with what the agent knows of its target if `is_plausible`.
     pub(super) fn verdict(
         &mut self,
         current: Option<&TargetProcess>,
         report: &StatusReport,
+        is_plausible: bool,
         options: &FlowAgentOptions,
-        unix_time_ms: u64,
         now: Instant,
     ) -> ReportVerdict {
-        if is_from_future(report, unix_time_ms) {
-            return ReportVerdict::Ignored(IgnoredReportCause::FutureStart);
-        }
         let Some(current) = current else {
             return ReportVerdict::FirstReport;
         };
+        if current.is_doubtful() && is_plausible {
+            return ReportVerdict::FirstReport;
+        }
         if is_continuation(current.report(), report, current.reported_at(), now) {
             self.candidate = None;
             return ReportVerdict::Continues;
@@ -138,15 +138,13 @@
         .saturating_add(MIN_SEQUENCE_JUMP)
 }
 
-fn is_from_future(report: &StatusReport, unix_time_ms: u64) -> bool {
+/// Returns whether the process of a report would have started in the future. `unix_time_ms` is the time by the
+/// clock of the agent's VM.
+pub(super) fn is_from_future(report: &StatusReport, unix_time_ms: u64) -> bool {
     let max_error_ms = u64::try_from(MAX_CLOCK_ERROR.as_millis()).unwrap_or(u64::MAX);
     report.started_unix_ms > unix_time_ms.saturating_add(max_error_ms)
 }
 
-fn is_same_process(a: &StatusReport, b: &StatusReport) -> bool {
-    a.id == b.id && a.started_unix_ms == b.started_unix_ms
-}
-
 /// Returns whether a report that arrives now continues a series whose last report arrived at `last_at`.
 fn is_continuation(
     last: &StatusReport,
@@ -157,5 +155,5 @@
     let elapsed = now.saturating_duration_since(last_at);
     let max_jump = max_sequence_jump(elapsed);
     let jump = report.sequence.checked_sub(last.sequence);
-    is_same_process(last, report) && jump.is_some_and(|jump| (1..=max_jump).contains(&jump))
+    last.is_same_process(report) && jump.is_some_and(|jump| (1..=max_jump).contains(&jump))
 }
--- a/crates/cranberrypitch-core/src/flow/agent/status.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/status.rs
@@ -3,26 +3,26 @@
 use std::time::Instant;
 
 use super::FlowAgent;
-use super::report_series::{ReportVerdict, is_plausible};
+use super::report_series::{ReportVerdict, is_from_future, is_plausible};
 use super::target_process::{Confirmation, StatusReport, TargetProcess};
+use crate::flow::cause::IgnoredReportCause;
 use crate::flow::event::FlowEvent;
 use crate::flow::load::LoadMeter;
 use crate::flow::message::Action;
 use crate::ids::ServiceName;
 use crate::target::TargetState;
 
+/// The time between the first and the last report of a process, in report intervals, from which on the process
+/// is confirmed.
+const MIN_REPORTED_INTERVALS: f64 = 0.5;
+
 impl FlowAgent {
     /// Processes a status report. A report that is late, or that may be of another writer, has no effect
     /// beyond a log line.
     pub fn on_status_report(&mut self, report: StatusReport, now: Instant) -> Vec<Action<'static>> {
-        let unix_time_ms = self.unix_time_ms(now);
-        let current = self.target.as_ref();
-        let verdict =
-            self.report_series
-                .verdict(current, &report, &self.options, unix_time_ms, now);
-        match verdict {
+        match self.report_verdict(&report, now) {
             ReportVerdict::Continues => self.on_next_report(report, now),
-            ReportVerdict::FirstReport => self.on_first_report(report, unix_time_ms, now),
+            ReportVerdict::FirstReport => self.on_first_report(report, now),
             ReportVerdict::Replaces => self.on_replacement(report, now),
             ReportVerdict::Ignored(cause) => {
                 vec![Action::RecordEvent(FlowEvent::StatusReportIgnored {
@@ -35,6 +35,21 @@
         }
     }
 
+    fn report_verdict(&mut self, report: &StatusReport, now: Instant) -> ReportVerdict {
+        if is_from_future(report, self.unix_time_ms(now)) {
+            return ReportVerdict::Ignored(IgnoredReportCause::FutureStart);
+        }
+        let is_plausible = self.is_plausible(report, now);
+        let current = self.target.as_ref();
+        self.report_series
+            .verdict(current, report, is_plausible, &self.options, now)
+    }
+
+    /// Returns whether a report agrees with what the agent knows of its target.
+    fn is_plausible(&self, report: &StatusReport, now: Instant) -> bool {
+        is_plausible(report, &self.identity.service, self.unix_time_ms(now))
+    }
+
     /// Returns the Unix time in milliseconds by the clock of the VM at the start of the agent, which later
     /// steps of that clock do not change.
     fn unix_time_ms(&self, now: Instant) -> u64 {
@@ -49,7 +64,11 @@
             return Vec::new();
         };
         let is_changed = target.update(report, self.options.status_interval, now);
-        if let Some(until) = target.confirm() {
+        // Late reports of one process arrive together.
+        let min_time = self.options.status_interval.mul_f64(MIN_REPORTED_INTERVALS);
+        if target.reported_for() >= min_time
+            && let Some(until) = target.confirm()
+        {
             self.on_earlier_process_ended(until, now);
         }
         if is_changed {
@@ -62,18 +81,13 @@
     /// Processes the first report of a process. Until the next one, flows of the process before it are
     /// kept, unless that one has announced its exit: the target returns packets of flows that it does not
     /// hold.
-    fn on_first_report(
-        &mut self,
-        report: StatusReport,
-        unix_time_ms: u64,
-        now: Instant,
-    ) -> Vec<Action<'static>> {
-        let earlier = self.target.as_ref();
+    fn on_first_report(&mut self, report: StatusReport, now: Instant) -> Vec<Action<'static>> {
+        let earlier = self.target.as_ref().filter(|target| !target.is_doubtful());
         let has_exited = earlier.is_some_and(|target| target.state() == TargetState::Gone);
         let earlier_flows_until = earlier
             .map(|earlier| self.earliest_start_of_next_process(earlier, &report.service, now));
         let confirmation = Confirmation::Unconfirmed {
-            is_plausible: is_plausible(&report, &self.identity.service, unix_time_ms),
+            is_plausible: self.is_plausible(&report, now),
             earlier_flows_until: earlier_flows_until.filter(|_| !has_exited),
         };
         let ended_flows_until = earlier_flows_until.filter(|_| has_exited);
--- a/crates/cranberrypitch-core/src/flow/agent/target_process.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/target_process.rs
@@ -31,6 +31,15 @@
     pub warmup_left: Duration,
 }
 
+impl StatusReport {
+    /// Returns whether both reports are of one process, which never changes its service.
+    pub(super) fn is_same_process(&self, other: &Self) -> bool {
+        self.id == other.id
+            && self.started_unix_ms == other.started_unix_ms
+            && self.service == other.service
+    }
+}
+
 /// The process of a target from its first status report to its exit.
 #[derive(Clone, Debug)]
 pub struct TargetProcess {
@@ -38,6 +47,7 @@
     is_draining: bool,
     is_older_than_agent: bool,
     confirmation: Confirmation,
+    first_reported_at: Instant,
     reported_at: Instant,
     /// The time at which the target announced its exit.
     exited_at: Option<Instant>,
@@ -72,6 +82,7 @@
             confirmation,
             is_draining: report.state == TargetState::Draining,
             report,
+            first_reported_at: now,
             reported_at: now,
             exited_at: None,
         }
@@ -112,14 +123,18 @@
     /// Returns whether the target may have been running before the agent, so that it may hold unknown
     /// flows.
     pub(super) const fn may_be_older_than_agent(&self) -> bool {
-        let is_doubtful = matches!(
+        self.is_older_than_agent || self.is_doubtful()
+    }
+
+    /// Returns whether the only report of the process disagrees with what the agent knows of its target.
+    pub(super) const fn is_doubtful(&self) -> bool {
+        matches!(
             self.confirmation,
             Confirmation::Unconfirmed {
                 is_plausible: false,
                 ..
             }
-        );
-        self.is_older_than_agent || is_doubtful
+        )
     }
 
     /// Returns whether more than a single report shows the process.
@@ -149,8 +164,15 @@
         self.reported_at
     }
 
+    /// Returns the time between the first and the last report of the process. It is short if late reports
+    /// arrived together.
+    pub(super) fn reported_for(&self) -> Duration {
+        self.reported_at
+            .saturating_duration_since(self.first_reported_at)
+    }
+
     pub(super) fn is_same_process(&self, report: &StatusReport) -> bool {
-        self.report.id == report.id && self.report.started_unix_ms == report.started_unix_ms
+        self.report.is_same_process(report)
     }
 
     /// Returns whether this process started later than the one of a report.
--- a/crates/cranberrypitch-core/tests/flow/agent.rs
+++ b/crates/cranberrypitch-core/tests/flow/agent.rs
@@ -4,9 +4,9 @@
 
 use cranberrypitch_core::flow::{
     Action, AgentIdentity, FlowAgent, FlowAgentOptions, FlowEvent, LookupAnswer, Message,
-    PacketFlags, PacketHeader, RefusalCause, StatusReport,
+    OpenParams, PacketFlags, PacketHeader, RefusalCause, StatusReport,
 };
-use cranberrypitch_core::{Incarnation, TargetState};
+use cranberrypitch_core::{Incarnation, ServiceTag, TargetState};
 
 use crate::support::{
     agent_address, balancer_address, domain, encode, events, flow, from_target, params, request,
@@ -49,10 +49,32 @@
     port: u16,
     expected: Option<u16>,
     now: Instant,
+) -> Option<RefusalCause> {
+    open_with(agent, port, params(0, expected), now)
+}
+
+/// Opens a flow for a service.
+pub(crate) fn open_for(
+    agent: &mut FlowAgent,
+    port: u16,
+    service: ServiceTag,
+    now: Instant,
+) -> Option<RefusalCause> {
+    let params = OpenParams {
+        service,
+        ..params(0, None)
+    };
+    open_with(agent, port, params, now)
+}
+
+fn open_with(
+    agent: &mut FlowAgent,
+    port: u16,
+    params: OpenParams,
+    now: Instant,
 ) -> Option<RefusalCause> {
     let header = syn(flow(port), 0);
     let packet = encode(&header);
-    let params = params(0, expected);
     let actions = agent.on_open(balancer_address(1), params, &header, &packet, now);
     let refused = sent_messages(&actions)
         .iter()
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -12,6 +12,7 @@
 mod lookup;
 mod odd_reports;
 mod reports;
+mod reused_address;
 mod routes;
 mod selection;
 mod store_retry;
