Let the random model of flows pause agents, restart them late and deliver late reports

Agents stay away for 0.2 to 15 s after a planned stop, are silent for up to 8 s without one, and a new agent at a reused address gets reports of the lost target first.

--- a/crates/cranberrypitch-core/tests/flow/world.rs
+++ b/crates/cranberrypitch-core/tests/flow/world.rs
@@ -3,7 +3,7 @@
 //!
 //! The properties under test: while the process of the target of an open flow runs, that target responds
 //! to the caller's next request, and the flow is not reset unless its route was dropped. A SYN reaches only
-//! targets of the service that its route names. A flow whose target is gone is reset in time.
+//! targets of the service that its route names, whichever service their address had before. A flow whose target is gone is reset in time.
 
 mod callers;
 mod delivery;
@@ -38,8 +38,10 @@
     AddAgent(Service),
     /// An agent restarts while its target keeps running, or starts again.
     RestartAgent(usize),
-    /// An agent stops as planned while its target keeps running.
-    StopAgent(usize),
+    /// An agent stops as planned while its target keeps running, and starts again later.
+    StopAgent { agent: usize, away_ms: u64 },
+    /// An agent neither receives nor sends anything for a time.
+    PauseAgent { agent: usize, ms: u64 },
     /// A target restarts and loses its flows.
     RestartTarget(usize),
     /// A VM is lost, and its address goes to a target of the other service.
@@ -47,6 +49,7 @@
         agent: usize,
         balancer: u8,
         syn_lead_ms: u64,
+        late_reports: u8,
     },
     /// A route is added or dropped.
     ToggleRoute,
@@ -69,11 +72,15 @@
         1 => balancer.clone().prop_map(Change::ReadConfig),
         1 => service.prop_map(Change::AddAgent),
         1 => any::<usize>().prop_map(Change::RestartAgent),
-        1 => any::<usize>().prop_map(Change::StopAgent),
+        1 => (any::<usize>(), 200_u64..15_000)
+            .prop_map(|(agent, away_ms)| Change::StopAgent { agent, away_ms }),
+        1 => (any::<usize>(), 50_u64..8000).prop_map(|(agent, ms)| Change::PauseAgent { agent, ms }),
         1 => any::<usize>().prop_map(Change::RestartTarget),
-        1 => (any::<usize>(), balancer, 1_u64..1200).prop_map(|(agent, balancer, syn_lead_ms)| {
-            Change::ReuseAddress { agent, balancer, syn_lead_ms }
-        }),
+        1 => (any::<usize>(), balancer, 1_u64..1200, 0_u8..3).prop_map(
+            |(agent, balancer, syn_lead_ms, late_reports)| {
+                Change::ReuseAddress { agent, balancer, syn_lead_ms, late_reports }
+            }
+        ),
         1 => Just(Change::ToggleRoute),
         1 => Just(Change::DiscardHistory),
         3 => (1_u64..700).prop_map(|ms| Change::Advance { ms }),
@@ -104,7 +111,14 @@
         Change::RestartAgent(agent) => {
             simulation.restart_agent(agent_index(simulation, *agent));
         }
-        Change::StopAgent(agent) => simulation.stop_agent(agent_index(simulation, *agent)),
+        Change::StopAgent { agent, away_ms } => {
+            let away = Duration::from_millis(*away_ms);
+            simulation.stop_agent(agent_index(simulation, *agent), away);
+        }
+        Change::PauseAgent { agent, ms } => {
+            let time = Duration::from_millis(*ms);
+            simulation.pause_agent(agent_index(simulation, *agent), time);
+        }
         Change::RestartTarget(agent) => {
             simulation.restart_target(agent_index(simulation, *agent));
         }
@@ -112,9 +126,11 @@
             agent,
             balancer,
             syn_lead_ms,
+            late_reports,
         } => {
             let agent = agent_index(simulation, *agent);
-            simulation.reuse_address(agent, *balancer, *syn_lead_ms);
+            let lead = Duration::from_millis(*syn_lead_ms);
+            simulation.reuse_address(agent, *balancer, lead, *late_reports);
         }
         Change::ToggleRoute => simulation.toggle_route(),
         Change::DiscardHistory => simulation.discard_history(),
--- a/crates/cranberrypitch-core/tests/flow/world/callers.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/callers.rs
@@ -66,7 +66,7 @@
     /// Returns whether all balancers have the route of a service, and know a target of it that runs and
     /// accepts flows.
     fn is_known_everywhere(&self, service: Service) -> bool {
-        let serves = |agent: &Agent| agent.process.is_some() && agent.target.service == service;
+        let serves = |agent: &Agent| !agent.is_away(self.now) && agent.target.service == service;
         let is_ready = |(index, agent): (&u8, &Agent)| {
             serves(agent)
                 && self.store.records[index].state == TargetState::Ready
@@ -92,19 +92,21 @@
         let holder = caller.holder.unwrap();
         let key = caller.service.flow(port);
         let may_be_elsewhere = caller.syn_count > 1;
-        let is_restarting = |agent: &Agent| agent.process.is_none() && agent.stopped_at.is_some();
         loop {
             // Callers retransmit while the agent of their flow is away, or another one that accepted a copy
             // of the SYN: a balancer that passed on that copy awaits it.
-            let was_restarting = is_restarting(&self.agents[&holder.0])
-                || may_be_elsewhere && self.agents.values().any(is_restarting);
+            let now = self.now;
+            let is_awaited = |agent: &Agent| agent.is_awaited(now);
+            let was_awaited = is_awaited(&self.agents[&holder.0])
+                || may_be_elsewhere && self.agents.values().any(is_awaited);
             self.send(balancer, &request(key, target_seq));
             self.settle();
-            if !was_restarting || self.callers[&port].is_reset {
+            if !was_awaited || self.callers[&port].is_reset {
                 break;
             }
         }
-        let is_agent_away = |agent: &Agent| agent.process.is_none();
+        let now = self.now;
+        let is_agent_away = |agent: &Agent| agent.is_away(now);
         let is_holder_away = is_agent_away(&self.agents[&holder.0]);
         let is_any_away = self.agents.values().any(is_agent_away);
         let is_held = self.is_held(port);
--- a/crates/cranberrypitch-core/tests/flow/world/delivery.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/delivery.rs
@@ -95,10 +95,11 @@
             response = PacketHeader { flags, ..*received };
             packet = encode(received);
         }
-        let Some(process) = &mut agent.process else {
+        let now = self.now;
+        let Some(process) = agent.running(now) else {
             return;
         };
-        let actions = process.on_target_packet(&response, &packet, self.now);
+        let actions = process.on_target_packet(&response, &packet, now);
         self.perform(agent_address(index), actions);
     }
 
@@ -165,7 +166,7 @@
     fn deliver_to_agent(&mut self, from: SocketAddrV4, index: u8, message: &Message<'static>) {
         let now = self.now;
         let agent = self.agents.get_mut(&index).unwrap();
-        let Some(process) = &mut agent.process else {
+        let Some(process) = agent.running(now) else {
             return;
         };
         let actions = match message {
--- a/crates/cranberrypitch-core/tests/flow/world/simulation.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/simulation.rs
@@ -40,8 +40,8 @@
 /// The time after which the platform gives the address of a lost VM to another one.
 const ADDRESS_REUSE_TIME: Duration = Duration::from_secs(2);
 
-/// The time after which the platform has started a stopped agent again.
-const MAX_RESTART_TIME: Duration = Duration::from_secs(3);
+/// The sequence number of the last report of a lost target that arrived in time.
+const LATE_SEQUENCE: u64 = 40;
 
 /// The epoch of the store, which is never restored here.
 const EPOCH: u64 = 1;
@@ -90,11 +90,31 @@
 pub(super) struct Agent {
     /// The agent's process; none while it is stopped or its VM is lost.
     pub(super) process: Option<FlowAgent>,
-    /// The time of a planned stop, after which the platform starts the agent again.
-    pub(super) stopped_at: Option<Instant>,
+    /// The time at which the platform starts the agent again, after a planned stop.
+    pub(super) restart_at: Option<Instant>,
+    /// The time until which the agent neither receives nor sends anything.
+    pub(super) paused_until: Option<Instant>,
     pub(super) target: Target,
 }
 
+impl Agent {
+    /// Returns the process of the agent, unless it is paused.
+    pub(super) fn running(&mut self, now: Instant) -> Option<&mut FlowAgent> {
+        let is_away = self.is_away(now);
+        self.process.as_mut().filter(|_| !is_away)
+    }
+
+    /// Returns whether the agent neither receives nor sends anything.
+    pub(super) fn is_away(&self, now: Instant) -> bool {
+        self.process.is_none() || self.paused_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns whether the agent is away and comes back.
+    pub(super) fn is_awaited(&self, now: Instant) -> bool {
+        self.is_away(now) && (self.process.is_some() || self.restart_at.is_some())
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct Balancer {
     pub(super) dispatcher: Dispatcher,
@@ -243,8 +263,15 @@
         self.start_vm(index, service);
     }
 
-    /// Starts a VM with an agent and a target at an address.
+    /// Starts a VM with an agent and a target at an address, and registers it.
     fn start_vm(&mut self, index: u8, service: Service) {
+        self.start_processes(index, service);
+        self.report_status(index);
+        self.register(index);
+    }
+
+    /// Starts an agent and a target at an address.
+    fn start_processes(&mut self, index: u8, service: Service) {
         self.processes_started += 1;
         let target = Target {
             service,
@@ -255,12 +282,11 @@
         let process = Some(self.flow_agent(index, service, self.processes_started));
         let agent = Agent {
             process,
-            stopped_at: None,
+            restart_at: None,
+            paused_until: None,
             target,
         };
         self.agents.insert(index, agent);
-        self.report_status(index);
-        self.register(index);
     }
 
     fn flow_agent(&self, index: u8, served: Service, process: u64) -> FlowAgent {
@@ -291,16 +317,17 @@
         // The target kept sending reports while the agent restarted.
         agent.target.sequence += 5;
         agent.process = Some(process);
-        agent.stopped_at = None;
+        agent.restart_at = None;
+        agent.paused_until = None;
         self.report_status(index);
         self.register(index);
     }
 
-    /// Stops an agent as planned, while its target keeps running.
-    pub(super) fn stop_agent(&mut self, index: u8) {
+    /// Stops an agent as planned, while its target keeps running. The platform starts it again after a time.
+    pub(super) fn stop_agent(&mut self, index: u8, away: Duration) {
         let now = self.now;
         let agent = self.agents.get_mut(&index).unwrap();
-        let Some(process) = &mut agent.process else {
+        let Some(process) = agent.running(now) else {
             return;
         };
         let actions = process.on_stop(now);
@@ -309,7 +336,16 @@
         self.deliver_messages();
         let agent = self.agents.get_mut(&index).unwrap();
         agent.process = None;
-        agent.stopped_at = Some(now);
+        agent.restart_at = Some(now + away);
+    }
+
+    /// Lets an agent neither receive nor send anything for a time, while its target keeps running.
+    pub(super) fn pause_agent(&mut self, index: u8, time: Duration) {
+        let until = self.now + time;
+        let agent = self.agents.get_mut(&index).unwrap();
+        if agent.process.is_some() {
+            agent.paused_until = agent.paused_until.max(Some(until));
+        }
     }
 
     /// Restarts a target, which loses its flows.
@@ -325,12 +361,20 @@
     }
 
     /// Loses the VM of a target for good, and gives its address to a target of the other service. Two callers
-    /// send transmissions of their SYNs through one balancer before and after the new VM starts.
-    pub(super) fn reuse_address(&mut self, index: u8, balancer: u8, syn_lead_ms: u64) {
+    /// send transmissions of their SYNs through one balancer before and after the new VM starts. Late reports
+    /// of the lost target reach the new agent first.
+    pub(super) fn reuse_address(
+        &mut self,
+        index: u8,
+        balancer: u8,
+        syn_lead: Duration,
+        late_reports: u8,
+    ) {
         let service = self.agents[&index].target.service;
         let lost = self.agents.get_mut(&index).unwrap();
         lost.process = None;
-        lost.stopped_at = None;
+        lost.restart_at = None;
+        let earlier_process = lost.target.process;
         lost.target.flows.clear();
         lost.target.process = u64::MAX;
         self.advance_by(ADDRESS_REUSE_TIME);
@@ -339,8 +383,15 @@
         for key in keys {
             self.send(balancer, &syn(key, 0));
         }
-        self.advance(Duration::from_millis(syn_lead_ms));
-        self.start_vm(index, service.other());
+        self.advance(syn_lead);
+        self.start_processes(index, service.other());
+        for sequence in 1..=u64::from(late_reports) {
+            self.deliver_report(index, service, earlier_process, LATE_SEQUENCE + sequence);
+        }
+        if late_reports == 0 {
+            self.report_status(index);
+        }
+        self.register(index);
         for earlier in 1..=2 {
             // The refusal of the first flow tells the balancer which service the address has now.
             for key in keys {
@@ -356,13 +407,20 @@
     }
 
     fn report_status(&mut self, index: u8) {
+        let target = &mut self.agents.get_mut(&index).unwrap().target;
+        target.sequence += 1;
+        let (service, process, sequence) = (target.service, target.process, target.sequence);
+        self.deliver_report(index, service, process, sequence);
+    }
+
+    /// Delivers a status report of a target's process to an agent.
+    fn deliver_report(&mut self, index: u8, served: Service, process: u64, sequence: u64) {
         let now = self.now;
+        let started_unix_ms = process.saturating_mul(START_INTERVAL_MS);
+        let mut report = status_report("i-1", started_unix_ms, sequence);
+        report.service = service(served.name());
         let agent = self.agents.get_mut(&index).unwrap();
-        agent.target.sequence += 1;
-        let started_unix_ms = agent.target.process.saturating_mul(START_INTERVAL_MS);
-        let mut report = status_report("i-1", started_unix_ms, agent.target.sequence);
-        report.service = service(agent.target.service.name());
-        if let Some(process) = &mut agent.process {
+        if let Some(process) = agent.running(now) {
             let actions = process.on_status_report(report, now);
             self.perform(agent_address(index), actions);
         }
@@ -377,13 +435,14 @@
         self.now += step;
         let agents: Vec<_> = self.agents.keys().copied().collect();
         for index in agents {
-            let is_restart_due = |at| self.now.saturating_duration_since(at) >= MAX_RESTART_TIME;
-            if self.agents[&index].stopped_at.is_some_and(is_restart_due) {
+            let is_restart_due = |at| at <= self.now;
+            if self.agents[&index].restart_at.is_some_and(is_restart_due) {
                 self.restart_agent(index);
             }
             self.report_status(index);
-            if let Some(process) = &mut self.agents.get_mut(&index).unwrap().process {
-                let actions = process.on_tick(self.now);
+            let now = self.now;
+            if let Some(process) = self.agents.get_mut(&index).unwrap().running(now) {
+                let actions = process.on_tick(now);
                 self.perform(agent_address(index), actions);
             }
         }
