Tell all balancers that sent a copy of a SYN that its target accepted it

What callers would see: an open flow is reset at its first requests.

Cause: an attempt without an answer counted like a refusal, and the agent kept one balancer a flow. A lost message of acceptance does the same with one balancer.

Change: the agent informs the balancers of both copies. A balancer that has got another packet of the caller knows that the flow is open, and looks it up instead of resetting it.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -396,8 +396,9 @@
             actions.push(Action::RecordEvent(event));
         }
         let is_acceptance = hosted.on_target_packet(header, &mut self.load_meter, now);
-        if is_acceptance && let Some(balancer) = hosted.balancer() {
-            actions.push(Action::send(balancer, Message::OpenAccepted { flow }));
+        if is_acceptance {
+            let accepted = |balancer| Action::send(balancer, Message::OpenAccepted { flow });
+            actions.extend(hosted.take_opening_balancers().map(accepted));
         }
         actions.push(Action::SendToCaller {
             caller: flow.caller,
--- a/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
@@ -40,6 +40,8 @@
 pub(super) struct HostedFlow {
     state: HostedFlowState,
     balancer: Option<SocketAddrV4>,
+    /// The balancer that sent an earlier copy of the SYN, until the target has accepted the flow.
+    earlier_balancer: Option<SocketAddrV4>,
     /// The first sequence number of the target and the one after its last payload byte. None if the
     /// agent has not seen the SYN-ACK.
     target_seq_range: Option<(u32, u32)>,
@@ -59,6 +61,7 @@
         Self {
             state,
             balancer,
+            earlier_balancer: None,
             target_seq_range: None,
             caller_next_seq: None,
             request_started_at: None,
@@ -69,6 +72,21 @@
         }
     }
 
+    /// Records the balancer that sent a copy of the SYN.
+    fn set_opening_balancer(&mut self, balancer: SocketAddrV4) {
+        let earlier = self.balancer.replace(balancer);
+        if !self.is_accepted() && earlier != Some(balancer) {
+            self.earlier_balancer = earlier;
+        }
+    }
+
+    /// Takes out the balancers that wait for the acceptance of the flow.
+    pub(super) fn take_opening_balancers(&mut self) -> impl Iterator<Item = SocketAddrV4> + use<> {
+        self.balancer
+            .into_iter()
+            .chain(self.earlier_balancer.take())
+    }
+
     pub(super) const fn balancer(&self) -> Option<SocketAddrV4> {
         self.balancer
     }
@@ -259,7 +277,7 @@
         }
         let opening = || HostedFlow::new(HostedFlowState::Opening, Some(balancer), now);
         let hosted = self.flows.entry(flow).or_insert_with(opening);
-        hosted.balancer = Some(balancer);
+        hosted.set_opening_balancer(balancer);
         hosted.last_packet_at = now;
         is_new
     }
--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -343,6 +343,7 @@
             }
             // The caller follows a target that accepted the flow: the last agent, unless that is silent.
             FlowState::Opening(opening) => {
+                opening.is_accepted = true;
                 if let Some(agent) = opening.awaited_agent() {
                     return forward(agent, packet);
                 }
--- a/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
@@ -160,6 +160,7 @@
             priority: route.priority,
             agent: None,
             failed_agents: Vec::new(),
+            is_accepted: false,
             decline_count: 0,
             started_at: now,
             sent_at: now,
@@ -195,9 +196,10 @@
     }
 
     /// Removes a pending flow and resets it at its caller, unless another balancer may have opened it
-    /// with an earlier transmission of the SYN.
+    /// with an earlier transmission of the SYN, or its caller uses it.
     fn abandon_open(&mut self, flow: FlowKey, cause: ResetCause) -> Vec<Action<'static>> {
         if let Some(FlowState::Opening(opening)) = self.flows.remove(&flow)
+            && !opening.is_accepted
             && let Some(evidence) = ResetEvidence::not_opened(&opening.header, cause)
         {
             return reset(&opening.header, evidence);
--- a/crates/cranberrypitch-core/src/flow/dispatcher/pending_open/state.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open/state.rs
@@ -26,6 +26,8 @@
     pub(in crate::flow::dispatcher) agent: Option<SocketAddrV4>,
     /// The agents that refused the flow or did not reply.
     pub(super) failed_agents: Vec<SocketAddrV4>,
+    /// Whether the caller has sent packets other than the SYN, so that a target has accepted the flow.
+    pub(in crate::flow::dispatcher) is_accepted: bool,
     /// The number of times that agents declined the flow for load.
     pub(super) decline_count: u32,
     pub(super) started_at: Instant,
--- a/crates/cranberrypitch-core/tests/flow/agent.rs
+++ b/crates/cranberrypitch-core/tests/flow/agent.rs
@@ -524,3 +524,27 @@
         [(_, Message::PacketReturned { .. })]
     ));
 }
+
+/// Guards against a balancer that tries other targets for an open flow, and resets it when they refuse: two
+/// balancers got copies of a SYN, and the agent told only the second one that the target accepted.
+#[test]
+fn all_balancers_that_sent_a_copy_of_a_syn_learn_of_the_acceptance() {
+    let now = Instant::now();
+    let mut agent = with_target(now);
+    let header = syn(flow(1), 0);
+    let packet = encode(&header);
+    for balancer in [1, 2] {
+        let balancer = balancer_address(balancer);
+        agent.on_open(balancer, params(0, None), &header, &packet, now);
+    }
+    let header = syn_ack(flow(1), 5000);
+    let packet = encode(&header);
+    let actions = agent.on_target_packet(&header, &packet, now);
+    let is_acceptance = |message: &Message<'_>| matches!(message, Message::OpenAccepted { .. });
+    let mut informed: Vec<_> = sent_messages(&actions)
+        .into_iter()
+        .filter_map(|(balancer, message)| is_acceptance(message).then_some(balancer))
+        .collect();
+    informed.sort_unstable();
+    assert_eq!(informed, [balancer_address(1), balancer_address(2)]);
+}
--- a/crates/cranberrypitch-core/tests/flow/syn_copies.rs
+++ b/crates/cranberrypitch-core/tests/flow/syn_copies.rs
@@ -4,10 +4,12 @@
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::ServiceTag;
-use cranberrypitch_core::flow::{Dispatcher, FlowKey, Message};
+use cranberrypitch_core::flow::{Dispatcher, FlowKey, Message, RefusalCause};
 
 use crate::dispatcher::{dispatcher, local_records, open, send_request};
-use crate::support::{agent_address, config, encode, flow, load, record, sent_messages, syn, tag};
+use crate::support::{
+    agent_address, config, encode, flow, load, record, reset_count, sent_messages, syn, tag,
+};
 
 /// Passes a copy of the SYN of a flow to the balancer and returns the services and the receivers of the
 /// requests to open the flow.
@@ -70,3 +72,21 @@
     dispatcher.on_config(&config(2, &["tracer"]));
     assert_eq!(send_syn_copy(&mut dispatcher, flow(1), now), named);
 }
+
+/// Guards against the reset of an open flow: the message that its target accepted it was lost or is late, and
+/// all other targets refuse the SYN. The caller's next packet shows that the flow is open.
+#[test]
+fn flow_that_its_caller_uses_is_not_reset_when_other_targets_refuse_it() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(local_records(2), now);
+    open(&mut dispatcher, flow(1), now);
+    send_request(&mut dispatcher, flow(1), now + Duration::from_millis(20));
+    let later = now + Duration::from_millis(60);
+    let actions = dispatcher.on_tick(later);
+    let (second, _) = sent_messages(&actions)[0];
+    let refusal = RefusalCause::TargetFull;
+    let actions = dispatcher.on_open_refused(second, flow(1), refusal, later);
+    assert_eq!(reset_count(&actions), 0);
+    let queried = send_request(&mut dispatcher, flow(1), later);
+    assert!(!queried.is_empty(), "the flow is not looked up");
+}
