Split admission at agents and failed lookups off, and simplify what is kept of unanswered queries

No change of behaviour. A balancer needs only whether a query has timed out since the agent's last message, so the count of unanswered queries is gone.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -1,6 +1,7 @@
 //! The state machine of an agent, which admits packets to its target and sends the target's packets to
 //! callers.
 
+mod admission;
 mod backlog;
 mod balancers;
 mod hosted_flows;
@@ -14,8 +15,8 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+use self::backlog::SynBacklog;
 pub use self::backlog::{MAX_REQUESTS_PER_SLOT, next_queued_syn};
-use self::backlog::{QueuedSyn, SynBacklog};
 use self::balancers::BalancerEntry;
 use self::hosted_flows::HostedFlows;
 pub use self::options::FlowAgentOptions;
@@ -27,11 +28,11 @@
 use super::directory::AgentRecord;
 use super::event::FlowEvent;
 use super::load::{AgentLoad, LoadMeter};
-use super::message::{Action, LookupAnswer, LookupQuery, Message, OpenParams, dropped, reset};
+use super::message::{Action, LookupAnswer, LookupQuery, Message, dropped, reset};
 use super::packet::{FlowKey, PacketFlags, PacketHeader};
 use super::reset_evidence::ResetEvidence;
 use crate::collections::FastMap;
-use crate::ids::{FailureDomain, Incarnation, ServiceName, ServiceTag};
+use crate::ids::{FailureDomain, Incarnation, ServiceName};
 use crate::target::TargetState;
 use crate::units::Slots;
 
@@ -163,21 +164,6 @@
         self.load_meter.load(0, now).running_requests
     }
 
-    /// Returns the service of the target: the one in the settings, unless several reports of a process name another
-    /// one. A single report may be a late one of the target that had the address before.
-    fn service(&self) -> &ServiceName {
-        let confirmed = self.target.as_ref().filter(|target| target.is_confirmed());
-        confirmed.map_or(&self.identity.service, TargetProcess::service)
-    }
-
-    /// Returns whether a report names another service than [`Self::service`], so that it is open which one the
-    /// target serves.
-    fn may_serve_other(&self) -> bool {
-        let service = self.service();
-        let is_other = |target: &TargetProcess| target.service() != service;
-        self.target.as_ref().is_some_and(is_other) || self.report_series.may_serve_other(service)
-    }
-
     fn state(&self) -> TargetState {
         match &self.target {
             // The target may outlive its agent, and then still holds its flows.
@@ -198,75 +184,6 @@
         actions
     }
 
-    /// Processes a balancer's request to open a flow.
-    pub fn on_open<'a>(
-        &mut self,
-        balancer: SocketAddrV4,
-        params: OpenParams,
-        header: &PacketHeader,
-        packet: &'a [u8],
-        now: Instant,
-    ) -> Vec<Action<'a>> {
-        let flow = header.flow_from_caller();
-        self.on_balancer_message(balancer, now).last_open = Some(now);
-        if !header.is_syn() {
-            return dropped(flow, DropCause::UnexpectedFlags);
-        }
-        // A retransmitted SYN of a flow that the target has is not declined for load.
-        let load_refusal = |agent: &mut Self| {
-            let expected = params
-                .expected_requests
-                .filter(|_| agent.flows.get(&flow).is_none())?;
-            let is_busier = agent.is_busier_than(expected, now);
-            is_busier.then_some(RefusalCause::BusierThanExpected)
-        };
-        if let Some(cause) = self
-            .refusal_cause(params.service, now)
-            .or_else(|| load_refusal(self))
-        {
-            // The report is sent first, so that the balancer selects again with the current load.
-            let mut actions = vec![self.refused_event(flow, cause)];
-            actions.extend(self.report(balancer, now));
-            actions.push(refuse(balancer, flow, cause));
-            return actions;
-        }
-        let syn = QueuedSyn {
-            flow,
-            balancer,
-            params,
-            packet: packet.into(),
-            queued_at: now,
-        };
-        if let Some(actions) = self.queue_syn(syn) {
-            return actions;
-        }
-        let mut actions = self.open_flow(flow, balancer, now);
-        actions.push(Action::SendToTarget(Cow::Borrowed(packet)));
-        actions
-    }
-
-    /// Adds a flow whose SYN is passed to the target. Returns the event, unless the SYN is a copy.
-    fn open_flow<'a>(
-        &mut self,
-        flow: FlowKey,
-        balancer: SocketAddrV4,
-        now: Instant,
-    ) -> Vec<Action<'a>> {
-        if !self.flows.open(flow, balancer, now) {
-            return Vec::new();
-        }
-        let process = |target: &TargetProcess| {
-            let report = target.report();
-            (report.id.clone(), report.started_unix_ms)
-        };
-        vec![Action::RecordEvent(FlowEvent::SynPassed {
-            flow,
-            balancer,
-            service: self.service().clone(),
-            target: self.target.as_ref().map(process),
-        })]
-    }
-
     /// Processes a forwarded packet of a caller other than a SYN.
     pub fn on_forward<'a>(
         &mut self,
@@ -440,33 +357,6 @@
         presumed.into_iter().map(accepted).collect()
     }
 
-    /// Returns why a flow for a service must be refused, or nothing if it may be opened.
-    fn refusal_cause(&self, service: ServiceTag, now: Instant) -> Option<RefusalCause> {
-        if self.is_stopping {
-            return Some(RefusalCause::Draining);
-        }
-        if self.may_serve_other() || ServiceTag::of(self.service()) != service {
-            return Some(RefusalCause::OtherService);
-        }
-        let is_ready = |target: &TargetProcess| target.state() == TargetState::Ready;
-        if !self.target.as_ref().is_none_or(is_ready) {
-            return Some(RefusalCause::Draining);
-        }
-        self.is_status_overdue(now)
-            .then_some(RefusalCause::TargetSilent)
-    }
-
-    /// Returns whether the target has not sent a status report within the timeout, or accepts no flows
-    /// before its first one.
-    fn is_status_overdue(&self, now: Instant) -> bool {
-        let options = &self.options;
-        match &self.target {
-            Some(target) => !target.has_reported_within(options.status_timeout, now),
-            None if self.is_syn_returned_before_report => true,
-            None => now.saturating_duration_since(self.started_at) >= options.first_status_timeout,
-        }
-    }
-
     /// Returns whether the target may hold flows that were opened before the agent started.
     fn may_hold_unknown_flows(&self, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.started_at);
@@ -514,19 +404,6 @@
         }
     }
 
-    fn refuse_bounced_syn(&self, balancer: SocketAddrV4, flow: FlowKey) -> Vec<Action<'static>> {
-        let cause = RefusalCause::TargetFull;
-        vec![
-            self.refused_event(flow, cause),
-            refuse(balancer, flow, cause),
-        ]
-    }
-
-    const fn refused_event<'a>(&self, flow: FlowKey, cause: RefusalCause) -> Action<'a> {
-        let agent = self.identity.address;
-        Action::RecordEvent(FlowEvent::Refused { flow, agent, cause })
-    }
-
     /// Returns whether the target announced its exit and the exit delay has passed.
     fn has_target_exited(&self, now: Instant) -> bool {
         let delay = self.options.exit_delay;
@@ -542,7 +419,3 @@
     }
     reset(header, ResetEvidence::process_ended())
 }
-
-fn refuse<'a>(balancer: SocketAddrV4, flow: FlowKey, cause: RefusalCause) -> Action<'a> {
-    Action::send(balancer, Message::OpenRefused { flow, cause })
-}
--- a/crates/cranberrypitch-core/src/flow/agent/backlog.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/backlog.rs
@@ -10,7 +10,8 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use super::{FlowAgent, refuse};
+use super::FlowAgent;
+use super::admission::refuse;
 use crate::flow::cause::RefusalCause;
 use crate::flow::message::{Action, Message, OpenParams};
 use crate::flow::packet::FlowKey;
--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -318,7 +318,7 @@
         let mut actions = forward(agent, packet);
         let has_lapsed = self.directory.has_lapsed(agent, now);
         if has_lapsed && self.liveness.is_probe_due(agent, timeout, now) {
-            self.liveness.on_query(agent, timeout, now);
+            self.liveness.on_query(agent, now);
             actions.push(Action::send(agent, Message::lookup(header)));
         }
         actions
--- a/crates/cranberrypitch-core/src/flow/dispatcher/liveness.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/liveness.rs
@@ -16,10 +16,17 @@
 struct Activity {
     /// The time of the last message, or of the first packet or query to the agent.
     last_message_at: Instant,
-    /// The number of queries since the last message.
-    unanswered_queries: u32,
-    /// The time of the last query since the last message.
-    last_query_at: Option<Instant>,
+    /// The times of the first and the last query since the last message.
+    queried_at: Option<(Instant, Instant)>,
+}
+
+impl Activity {
+    const fn new(now: Instant) -> Self {
+        Self {
+            last_message_at: now,
+            queried_at: None,
+        }
+    }
 }
 
 /// Tracks which agents reply.
@@ -29,26 +36,14 @@
 impl Liveness {
     /// Records a message of an agent.
     pub(super) fn on_message(&mut self, agent: SocketAddrV4, now: Instant) {
-        let activity = Activity {
-            last_message_at: now,
-            unanswered_queries: 0,
-            last_query_at: None,
-        };
-        self.0.insert(agent, activity);
+        self.0.insert(agent, Activity::new(now));
     }
 
-    /// Records a query to an agent. Queries within one timeout count as one.
-    pub(super) fn on_query(&mut self, agent: SocketAddrV4, timeout: Duration, now: Instant) {
-        let activity = self.0.entry(agent).or_insert(Activity {
-            last_message_at: now,
-            unanswered_queries: 0,
-            last_query_at: None,
-        });
-        let has_timed_out = |at| now.saturating_duration_since(at) >= timeout;
-        if activity.last_query_at.is_none_or(has_timed_out) {
-            activity.unanswered_queries = activity.unanswered_queries.saturating_add(1);
-            activity.last_query_at = Some(now);
-        }
+    /// Records a query to an agent.
+    pub(super) fn on_query(&mut self, agent: SocketAddrV4, now: Instant) {
+        let activity = self.0.entry(agent).or_insert(Activity::new(now));
+        let first = activity.queried_at.map_or(now, |(first, _)| first);
+        activity.queried_at = Some((first, now));
     }
 
     /// Returns whether an agent that is about to get a packet should be probed with a query.
@@ -59,15 +54,10 @@
         now: Instant,
     ) -> bool {
         let elapsed = |at: Instant| now.saturating_duration_since(at);
-        let activity = self.0.entry(agent).or_insert(Activity {
-            last_message_at: now,
-            unanswered_queries: 0,
-            last_query_at: None,
-        });
+        let activity = self.0.entry(agent).or_insert(Activity::new(now));
+        let is_query_due = |(_, last)| elapsed(last) >= timeout;
         elapsed(activity.last_message_at) >= PROBE_DELAY
-            && activity
-                .last_query_at
-                .is_none_or(|at| elapsed(at) >= timeout)
+            && activity.queried_at.is_none_or(is_query_due)
     }
 
     /// Returns whether a query to an agent has timed out since its last message.
@@ -77,12 +67,8 @@
         timeout: Duration,
         now: Instant,
     ) -> bool {
-        self.0.get(&agent).is_some_and(|activity| {
-            let has_timed_out = |at| now.saturating_duration_since(at) >= timeout;
-            activity.unanswered_queries > 1
-                || activity.unanswered_queries == 1
-                    && activity.last_query_at.is_some_and(has_timed_out)
-        })
+        let queried_at = self.0.get(&agent).and_then(|activity| activity.queried_at);
+        queried_at.is_some_and(|(first, _)| now.saturating_duration_since(first) >= timeout)
     }
 
     /// Returns the time since the last message of an agent, or since the first packet or query to it.
--- a/crates/cranberrypitch-core/src/flow/dispatcher/lookup.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/lookup.rs
@@ -4,6 +4,7 @@
 //! domain, those that rank highest in other failure domains, all agents of the services that the
 //! address is or was routed to, and all remaining agents.
 
+mod not_found;
 pub(super) mod state;
 
 use std::borrow::Cow;
@@ -17,10 +18,9 @@
 use crate::flow::cause::DropCause;
 use crate::flow::directory::AgentEntry;
 use crate::flow::event::FlowEvent;
-use crate::flow::message::{Action, LookupAnswer, LookupQuery, Message, dropped, reset};
-use crate::flow::packet::{FlowKey, PacketFlags, PacketHeader};
+use crate::flow::message::{Action, LookupAnswer, LookupQuery, Message, dropped};
+use crate::flow::packet::{FlowKey, PacketHeader};
 use crate::flow::rendezvous;
-use crate::flow::reset_evidence::ResetEvidence;
 
 /// The number of agents in each of the first two stages: one more than the candidates for a new flow,
 /// as an agent may have been added since the flow was opened.
@@ -166,7 +166,6 @@
         agents: Vec<SocketAddrV4>,
         now: Instant,
     ) -> Vec<Action<'a>> {
-        let timeout = self.options.lookup_timeout;
         let Some(lookup) = self.lookup_mut(flow) else {
             return Vec::new();
         };
@@ -182,7 +181,7 @@
             return Vec::new();
         }
         let query = |agent| {
-            self.liveness.on_query(agent, timeout, now);
+            self.liveness.on_query(agent, now);
             Action::send(agent, message.clone())
         };
         agents.into_iter().map(query).collect()
@@ -190,10 +189,9 @@
 
     /// Sends the batched queries, up to [`MAX_BATCH_QUERIES`] to an agent in one message.
     pub(super) fn send_query_batches(&mut self, now: Instant) -> Vec<Action<'static>> {
-        let timeout = self.options.lookup_timeout;
         let mut actions = Vec::new();
         for (agent, queries) in self.query_budget.take_batches() {
-            self.liveness.on_query(agent, timeout, now);
+            self.liveness.on_query(agent, now);
             let batches = queries.chunks(MAX_BATCH_QUERIES);
             let send = |queries: &[_]| Action::send(agent, Message::LookupBatch(queries.into()));
             actions.extend(batches.map(send));
@@ -378,92 +376,6 @@
         }
     }
 
-    /// Ends a lookup without a result. Resets the flow if the agent list is current and all its agents
-    /// were queried.
-    fn on_not_found<'a>(&mut self, flow: FlowKey, now: Instant) -> Vec<Action<'a>> {
-        let Some(lookup) = self.lookup_mut(flow) else {
-            return Vec::new();
-        };
-        lookup.progress = Progress::NotFound { since: now };
-        let unanswered: Vec<_> = lookup.unanswered.iter().copied().collect();
-        let (queried_agents, started_at) = (lookup.queried.len(), lookup.started_at);
-        let silences = unanswered
-            .iter()
-            .map(|agent| (*agent, self.liveness.silence(*agent, now)));
-        let event = FlowEvent::NotLocated {
-            flow,
-            queried_agents,
-            unresponsive_agents: unanswered.len(),
-            longest_silent: silences.max_by_key(|(_, silence)| *silence),
-            elapsed: now.saturating_duration_since(started_at),
-        };
-        let mut actions = vec![Action::RecordEvent(event)];
-        actions.extend(match self.not_held_evidence(flow) {
-            Some(evidence) => self.reset_unless_agents_left(flow, evidence, now),
-            None => vec![Action::RefreshAgents],
-        });
-        actions
-    }
-
-    /// Records that all changes of the agent list before `as_of` are applied. Flows whose lookup started
-    /// before and found no agent are reset, so that their callers open new flows immediately. If agents
-    /// were added that have not been queried, the lookup continues there instead.
-    pub fn on_agents_refreshed(&mut self, as_of: Instant, now: Instant) -> Vec<Action<'static>> {
-        self.agent_list_as_of = self.agent_list_as_of.max(Some(as_of));
-        let mut actions = Vec::new();
-        for flow in self.flows.pending_flows() {
-            let is_not_found = |lookup: &FlowLookup| lookup.progress.is_not_found();
-            if self.lookup(flow).is_some_and(is_not_found)
-                && let Some(evidence) = self.not_held_evidence(flow)
-            {
-                actions.extend(self.reset_unless_agents_left(flow, evidence, now));
-            }
-        }
-        actions
-    }
-
-    /// Returns the evidence that a flow which no known agent holds is not open, if the agent list is
-    /// known as of a time after its lookup began.
-    fn not_held_evidence(&self, flow: FlowKey) -> Option<ResetEvidence> {
-        let needed_as_of = self.lookup(flow)?.list_needed_as_of();
-        ResetEvidence::not_held(needed_as_of, self.agent_list_as_of)
-    }
-
-    /// Resets a flow that was not found, or continues its lookup if the agent list shows agents to wait for:
-    /// one that was not queried, or a silent one that stopped as planned.
-    fn reset_unless_agents_left<'a>(
-        &mut self,
-        flow: FlowKey,
-        evidence: ResetEvidence,
-        now: Instant,
-    ) -> Vec<Action<'a>> {
-        let Some(lookup) = self.lookup(flow) else {
-            return Vec::new();
-        };
-        let is_new = |agent: &AgentEntry| {
-            agent.may_hold_flows(now) && !lookup.queried.contains(&agent.record.address)
-        };
-        let has_new = self.directory.agents().any(is_new);
-        if !has_new && !self.is_awaiting_reply(flow, now) {
-            return self.reset_not_found(flow, evidence);
-        }
-        if let Some(lookup) = self.lookup_mut(flow) {
-            lookup.progress = Progress::Querying;
-        }
-        self.query_stage(flow, now)
-    }
-
-    /// Removes a flow that was not found and resets it, unless its last packet was a reset.
-    fn reset_not_found<'a>(&mut self, flow: FlowKey, evidence: ResetEvidence) -> Vec<Action<'a>> {
-        let Some(FlowState::LookingUp(lookup)) = self.flows.remove(&flow) else {
-            return Vec::new();
-        };
-        if lookup.header.flags.contains(PacketFlags::RST) {
-            return Vec::new();
-        }
-        reset(&lookup.header, evidence)
-    }
-
     fn lookup(&self, flow: FlowKey) -> Option<&FlowLookup> {
         match &self.flows.get(&flow)?.state {
             FlowState::LookingUp(lookup) => Some(lookup),
