Keep a drain in force while a restarted agent waits for its target's report

What callers would see: new flows at a target that is leaving. The agent of a draining target was killed and started again. Until the target's next report, 90 ms later there and up to an interval on the platform, it reported its target as ready, and balancers sent flows there.

Cause: an agent that knows nothing of its target yet reported the usual case for a fact.

Change: such an agent reports the state starting. A balancer takes that for ready, so that targets serve early after a loss of power, unless it knows of a drain at this address.

Test: restarted_agent_without_a_status_report_does_not_end_a_drain fails before.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -172,7 +172,7 @@
             }
             None if self.is_stopping => TargetState::Gone,
             Some(target) => target.state(),
-            None => TargetState::Ready,
+            None => TargetState::Starting,
         }
     }
 
--- a/crates/cranberrypitch-core/src/flow/directory.rs
+++ b/crates/cranberrypitch-core/src/flow/directory.rs
@@ -97,6 +97,7 @@
 
     /// Replaces the record by a newer one.
     fn set_record(&mut self, record: AgentRecord, now: Instant) {
+        let record = with_known_state(record, Some(&self.record));
         self.gone_since = match record.state {
             TargetState::Gone => self.gone_since.or(Some(now)),
             _ => None,
@@ -135,6 +136,20 @@
     }
 }
 
+/// Returns the record of an agent with the state that its target is known to have. An agent whose target has
+/// not reported yet knows nothing of a drain that was acknowledged before the agent started.
+fn with_known_state(record: AgentRecord, previous: Option<&AgentRecord>) -> AgentRecord {
+    if record.state != TargetState::Starting {
+        return record;
+    }
+    let is_same = |previous: &&AgentRecord| previous.service == record.service;
+    let state = match previous.filter(is_same).map(|previous| previous.state) {
+        Some(TargetState::Draining) => TargetState::Draining,
+        _ => TargetState::Ready,
+    };
+    AgentRecord { state, ..record }
+}
+
 /// The agents that a balancer can send flows to, by address and by service.
 #[derive(Debug)]
 pub struct AgentDirectory {
@@ -240,8 +255,9 @@
             if entry.record.is_agent_stopping && !record.is_agent_stopping {
                 return false;
             }
-            let is_changed = entry.record.state != record.state;
+            let state = entry.record.state;
             entry.set_record(record, now);
+            let is_changed = entry.record.state != state;
             entry.load = load;
             entry.reported_at = Some(now);
             return is_changed;
@@ -322,6 +338,7 @@
     fn insert(&mut self, record: AgentRecord, load: Option<AgentLoad>, now: Instant) {
         let address = record.address;
         let previous = self.agents.remove(&address);
+        let record = with_known_state(record, previous.as_ref().map(|entry| &entry.record));
         if let Some(previous) = &previous
             && let Some(addresses) = self.by_service.get_mut(&previous.service_tag)
         {
--- a/crates/cranberrypitch-core/tests/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/tests/flow/dispatcher.rs
@@ -3,15 +3,16 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use cranberrypitch_core::TargetState;
 use cranberrypitch_core::flow::{
     Action, AgentRecord, Dispatcher, DispatcherOptions, DropCause, FlowEvent, FlowKey,
     LookupAnswer, Message, PacketFlags, RefusalCause, ResetCause, ResetEvidenceKind,
 };
+use cranberrypitch_core::{Incarnation, TargetState};
 
+use crate::agent::restarted_agent;
 use crate::support::{
     agent_address, config, domain, encode, events, flow, from_caller, load, record, request,
-    reset_count, sent_messages, syn,
+    reset_count, sent_messages, status_report, syn,
 };
 
 pub(crate) fn dispatcher(records: Vec<AgentRecord>, now: Instant) -> Dispatcher {
@@ -560,3 +561,38 @@
     assert!(events(&actions).contains(&&reset));
     assert!(sent_messages(&actions).is_empty());
 }
+
+/// Guards against new flows at a target that is leaving: its agent is killed and starts again, and reports
+/// before the target has told it of the drain. Found by the soak.
+#[test]
+fn restarted_agent_without_a_status_report_does_not_end_a_drain() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(local_records(2), now);
+    let draining = AgentRecord {
+        state: TargetState::Draining,
+        ..record(2, "matcher", "a")
+    };
+    dispatcher.on_report(&draining, load(0), now);
+    let mut agent = restarted_agent(now);
+    let starting = AgentRecord {
+        address: agent_address(2),
+        incarnation: Incarnation::new(2),
+        ..agent.record(now)
+    };
+    for _ in 0..2 {
+        dispatcher.on_report(&starting, load(0), now);
+        for port in 1..20 {
+            let opened_at = open(&mut dispatcher, flow(port), now);
+            assert_eq!(opened_at, agent_address(1));
+            dispatcher.on_open_accepted(opened_at, flow(port), now);
+        }
+    }
+    agent.on_status_report(status_report("i-1", 1, 1), now);
+    let ready = AgentRecord {
+        state: agent.record(now).state,
+        ..starting
+    };
+    dispatcher.on_report(&ready, load(0), now);
+    let is_used = |port| open(&mut dispatcher, flow(port), now) == agent_address(2);
+    assert!((20..60).any(is_used));
+}
