Do not report a target as gone because it has not reported yet

What callers would see: when restarts overlap, an agent starts beside a running target and is stopped again before the target's next report. It reported the target as gone, and a balancer that looks its flows up 0.6 s later resets them. Found by reading the states that a stopping agent reports.

Cause: the agent took the lack of a report for the lack of a target.

Change: it reports, and writes, that it stops beside a target that may run.

Tests: stopping_agent_reports_its_target_as_gone_only_if_it_is fails before.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -165,14 +165,15 @@
     }
 
     fn state(&self) -> TargetState {
-        match &self.target {
-            // The target may outlive its agent, and then still holds its flows.
-            Some(target) if self.is_stopping && target.state() != TargetState::Gone => {
-                TargetState::Draining
-            }
-            None if self.is_stopping => TargetState::Gone,
+        let state = match &self.target {
             Some(target) => target.state(),
             None => TargetState::Starting,
+        };
+        // The target may outlive its agent, and then still holds its flows.
+        if self.is_stopping && state != TargetState::Gone {
+            TargetState::Draining
+        } else {
+            state
         }
     }
 
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -299,11 +299,7 @@
         let now = self.clock.now();
         let actions = self.agent.on_stop(now);
         self.executor.execute::<P>(actions, now);
-        // An agent whose target never reported has no record to change.
-        let has_record = |sender: &RecordSender| sender.borrow().is_some();
-        if self.record_sender.as_ref().is_some_and(has_record) {
-            self.send_record(now);
-        }
+        self.send_record(now);
         self.record_sender = None;
     }
 
