--- a/crates/cranberrypitch-core/tests/flow/lookup.rs
+++ b/crates/cranberrypitch-core/tests/flow/lookup.rs
@@ -61,37 +61,35 @@
         self.now - start
     }
 
+    fn time_to_reset_within(&mut self, max_ticks: u32) -> Duration {
+        let is_reset = (0..max_ticks).any(|_| self.tick() > 0);
+        assert!(is_reset, "the flow was not reset");
+        self.now - self.started_at
+    }
+
     /// Advances the clock, while the agent list is up to date. Returns the number of resets.
     fn resets_within(&mut self, time: Duration) -> usize {
         let end = self.now + time;
         let mut resets = 0;
         while self.now < end {
-            self.now += TICK;
-            let now = self.now;
-            resets += reset_count(&self.dispatcher.on_tick(now));
-            resets += reset_count(&self.dispatcher.on_agents_refreshed(now, now));
+            resets += self.tick();
         }
         resets
     }
 
+    /// Advances the clock by a tick, and applies a read of the agent list. Returns the number of resets.
+    fn tick(&mut self) -> usize {
+        self.now += TICK;
+        let now = self.now;
+        reset_count(&self.dispatcher.on_tick(now))
+            + reset_count(&self.dispatcher.on_agents_refreshed(now, now))
+    }
+
     /// Ends the registration of an agent.
     fn end_registration(&mut self, agent: u8) {
         self.dispatcher
             .on_unregistered(agent_address(agent), self.now);
     }
-
-    fn time_to_reset_within(&mut self, max_ticks: u32) -> Duration {
-        for _ in 0..max_ticks {
-            self.now += TICK;
-            let now = self.now;
-            let resets = reset_count(&self.dispatcher.on_tick(now))
-                + reset_count(&self.dispatcher.on_agents_refreshed(now, now));
-            if resets > 0 {
-                return now - self.started_at;
-            }
-        }
-        panic!("the flow was not reset");
-    }
 }
 
 fn queried(actions: &[Action<'_>]) -> Vec<SocketAddrV4> {
