Let the model expect new flows only at agents that have got reports since a pause

Trace: the only target of the service was beside an agent that had been paused for 7.6 s. It had returned within the same step and had no report of its target yet, so it refused the flow as target silent, which is what it must do: the address may belong to another service (silent_target_gets_no_new_flow). It now allows the 100 ms in which two reports arrive; all else holds as before.

--- a/crates/cranberrypitch-core/tests/flow/world/callers.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/callers.rs
@@ -66,7 +66,8 @@
     /// Returns whether all balancers have the route of a service, and know a target of it that runs and
     /// accepts flows.
     fn is_known_everywhere(&self, service: Service) -> bool {
-        let serves = |agent: &Agent| !agent.is_away(self.now) && agent.target.service == service;
+        let serves =
+            |agent: &Agent| agent.is_reported_to(self.now) && agent.target.service == service;
         let is_ready = |(index, agent): (&u8, &Agent)| {
             serves(agent)
                 && self.store.records[index].state == TargetState::Ready
--- a/crates/cranberrypitch-core/tests/flow/world/simulation.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/simulation.rs
@@ -40,6 +40,9 @@
 /// The time after which the platform gives the address of a lost VM to another one.
 const ADDRESS_REUSE_TIME: Duration = Duration::from_secs(2);
 
+/// The time within which an agent gets two reports of its target.
+const REPORT_TIME: Duration = Duration::from_millis(100);
+
 /// The sequence number of the last report of a lost target that arrived in time.
 const LATE_SEQUENCE: u64 = 40;
 
@@ -109,6 +112,13 @@
         self.process.is_none() || self.paused_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the agent has run for long enough since its last pause to have got reports of its target
+    /// again. Before that it refuses new flows, as its address may belong to another service.
+    pub(super) fn is_reported_to(&self, now: Instant) -> bool {
+        let is_over = |until| now >= until + REPORT_TIME;
+        self.process.is_some() && self.paused_until.is_none_or(is_over)
+    }
+
     /// Returns whether the agent is away and comes back.
     pub(super) fn is_awaited(&self, now: Instant) -> bool {
         self.is_away(now) && (self.process.is_some() || self.restart_at.is_some())
