Sort the relay's modules into folders, and end three circles of imports

core errors and ids, the agent's admission and backlog, and the dispatcher's table and unrouted imported each other. Errors hold plain values now; the refusal of a flow and the state of an unrouted flow have files of their own.

--- a/crates/cranberrypitch-core/src/acceptance/mod.rs
+++ b/crates/cranberrypitch-core/src/acceptance/mod.rs
@@ -158,7 +158,9 @@
             |other: &ConfigHead| other.revision == head.revision && other.edit_id != head.edit_id;
         if in_force.is_some_and(conflicts) || pending.is_some_and(conflicts) {
             let revision = head.revision;
-            return Err(Error::RevisionConflict { revision });
+            return Err(Error::RevisionConflict {
+                revision: revision.get(),
+            });
         }
         Ok(())
     }
--- a/crates/cranberrypitch-core/src/acceptance/update.rs
+++ b/crates/cranberrypitch-core/src/acceptance/update.rs
@@ -101,7 +101,10 @@
         let in_force = snapshot.map_or(Revision::default(), |s| s.head().revision);
         let Some(snapshot) = snapshot.filter(|_| in_force == self.base) else {
             let base = self.base;
-            return Err(Error::DeltaBaseMismatch { base, in_force });
+            return Err(Error::DeltaBaseMismatch {
+                base: base.get(),
+                in_force: in_force.get(),
+            });
         };
         let mut digests = snapshot.head().shards.clone();
         let count = digests.len();
@@ -118,7 +121,7 @@
         };
         let (expected, found) = (self.shards_digest, head.shards_digest());
         if expected != found {
-            return Err(Error::DigestMismatch { expected, found });
+            return Err(Error::digest_mismatch(expected, found));
         }
         Ok((head, self.changed.into_iter().map(|(_, s)| s).collect()))
     }
--- a/crates/cranberrypitch-core/src/config/shard.rs
+++ b/crates/cranberrypitch-core/src/config/shard.rs
@@ -77,7 +77,7 @@
         let is_misplaced = |s: &&ServiceConfig| count.index_of(s.tag()) != index;
         match self.services.iter().find(is_misplaced) {
             Some(service) => Err(Error::WrongShard {
-                service: service.name.clone(),
+                service: service.name.as_str().into(),
                 index,
             }),
             None => Ok(()),
@@ -128,7 +128,7 @@
         let found = shard.digest();
         if found != *expected {
             let expected = *expected;
-            return Err(Error::DigestMismatch { expected, found });
+            return Err(Error::digest_mismatch(expected, found));
         }
         shard.check_index(index, count)?;
         services.extend(shard.services().iter().cloned());
--- a/crates/cranberrypitch-core/src/errors.rs
+++ b/crates/cranberrypitch-core/src/errors.rs
@@ -1,15 +1,15 @@
-//! The error type of the crate.
+//! The error type of the crate. Its fields hold names and numbers as plain values, as the types of ids report
+//! their own errors by it.
 
-use derive_more::{Display, Error};
+use std::fmt::Display;
 
-use crate::config::Digest;
-use crate::ids::{Revision, ServiceName};
+use derive_more::Error;
 
 /// A result with the error type of this crate.
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// An error of this crate.
-#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[derive(Clone, Debug, derive_more::Display, Error, PartialEq, Eq)]
 #[non_exhaustive]
 pub enum Error {
     /// A text is not a valid value of the requested type.
@@ -49,9 +49,9 @@
     #[display("content has the digest {found}; expected {expected}")]
     DigestMismatch {
         /// The digest in the head or update.
-        expected: Digest,
+        expected: Box<str>,
         /// The digest of the content.
-        found: Digest,
+        found: Box<str>,
     },
     /// The number of shards is not allowed, or differs from that of the head.
     #[display("invalid number of shards {count}; allowed are powers of two up to 32768")]
@@ -63,7 +63,7 @@
     #[display("service {service} does not belong to shard {index}")]
     WrongShard {
         /// The name of the service.
-        service: ServiceName,
+        service: Box<str>,
         /// The index of the shard that contains the service.
         index: usize,
     },
@@ -80,15 +80,15 @@
     #[display("revision {revision} belongs to two different edits")]
     RevisionConflict {
         /// The revision.
-        revision: Revision,
+        revision: u64,
     },
     /// A delta does not start at the revision in force.
     #[display("delta starts at revision {base}, but revision {in_force} is in force")]
     DeltaBaseMismatch {
         /// The revision at which the delta starts.
-        base: Revision,
+        base: u64,
         /// The revision in force, or 0 if there is none.
-        in_force: Revision,
+        in_force: u64,
     },
     /// The format version is unknown.
     #[display("unknown format version {version}")]
@@ -122,6 +122,14 @@
         Self::SettingOutOfRange { setting, rule }
     }
 
+    /// Returns an [`Error::DigestMismatch`] of two digests.
+    pub fn digest_mismatch(expected: impl Display, found: impl Display) -> Self {
+        Self::DigestMismatch {
+            expected: expected.to_string().into(),
+            found: found.to_string().into(),
+        }
+    }
+
     /// Returns an [`Error::Malformed`] with the text of `detail`.
     pub fn malformed(kind: &'static str, detail: &impl ToString) -> Self {
         Self::Malformed {
--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -6,6 +6,7 @@
 mod balancers;
 mod hosted_flows;
 mod options;
+mod refusal;
 mod report_series;
 mod response_meter;
 mod status;
--- a/crates/cranberrypitch-core/src/flow/agent/admission.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/admission.rs
@@ -6,10 +6,11 @@
 
 use super::FlowAgent;
 use super::backlog::QueuedSyn;
+use super::refusal::refuse;
 use super::target_process::TargetProcess;
 use crate::flow::cause::{DropCause, RefusalCause};
 use crate::flow::event::FlowEvent;
-use crate::flow::message::{Action, Message, OpenParams, dropped};
+use crate::flow::message::{Action, OpenParams, dropped};
 use crate::flow::packet::{FlowKey, PacketHeader};
 use crate::ids::{ServiceName, ServiceTag};
 use crate::target::TargetState;
@@ -125,25 +126,4 @@
             None => now.saturating_duration_since(self.started_at) >= options.first_status_timeout,
         }
     }
-
-    pub(super) fn refuse_bounced_syn(
-        &self,
-        balancer: SocketAddrV4,
-        flow: FlowKey,
-    ) -> Vec<Action<'static>> {
-        let cause = RefusalCause::TargetFull;
-        vec![
-            self.refused_event(flow, cause),
-            refuse(balancer, flow, cause),
-        ]
-    }
-
-    pub(super) const fn refused_event<'a>(&self, flow: FlowKey, cause: RefusalCause) -> Action<'a> {
-        let agent = self.identity.address;
-        Action::RecordEvent(FlowEvent::Refused { flow, agent, cause })
-    }
-}
-
-pub(super) fn refuse<'a>(balancer: SocketAddrV4, flow: FlowKey, cause: RefusalCause) -> Action<'a> {
-    Action::send(balancer, Message::OpenRefused { flow, cause })
 }
--- a/crates/cranberrypitch-core/src/flow/agent/backlog.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/backlog.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use super::FlowAgent;
-use super::admission::refuse;
+use super::refusal::refuse;
 use crate::flow::cause::RefusalCause;
 use crate::flow::message::{Action, Message, OpenParams};
 use crate::flow::packet::FlowKey;
--- a/crates/cranberrypitch-core/src/flow/dispatcher/table.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/table.rs
@@ -5,7 +5,7 @@
 use super::established::EstablishedFlow;
 use super::lookup::state::FlowLookup;
 use super::pending_open::state::PendingOpen;
-use super::unrouted::RouteWait;
+use super::unrouted::state::RouteWait;
 use crate::collections::{FastMap, FastSet};
 use crate::flow::packet::FlowKey;
 
--- a/crates/cranberrypitch-core/src/flow/dispatcher/unrouted.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/unrouted.rs
@@ -4,8 +4,11 @@
 //! balancers learn of a change at different times. A packet that may belong to an open flow therefore
 //! waits until the store has been read after its arrival.
 
-use std::time::{Duration, Instant};
+pub(super) mod state;
 
+use std::time::Instant;
+
+use self::state::RouteWait;
 use super::Dispatcher;
 use super::packet_buffer::FlowPacketBuffer;
 use super::table::FlowState;
@@ -17,22 +20,6 @@
 /// The maximum number of flows that wait, which bounds the memory of their packets.
 const MAX_WAITING_FLOWS: usize = 512;
 
-/// A flow whose packets wait until it is known whether its route was dropped.
-#[derive(Debug)]
-pub(super) struct RouteWait {
-    /// The header of the latest packet.
-    header: PacketHeader,
-    packets: FlowPacketBuffer,
-    /// The arrival of the first packet.
-    started_at: Instant,
-}
-
-impl RouteWait {
-    pub(super) fn is_expired(&self, lifetime: Duration, now: Instant) -> bool {
-        now.saturating_duration_since(self.started_at) >= lifetime
-    }
-}
-
 impl Dispatcher {
     /// Processes a packet to an address without a route. A new flow is refused at once; any other packet
     /// waits for a read of the configuration.
--- a/crates/cranberrypitch-net/src/config_store.rs
+++ b/crates/cranberrypitch-net/src/config_store.rs
@@ -97,7 +97,7 @@
     let found = shard.digest();
     if found != digest {
         let expected = digest;
-        return Err(CoreError::DigestMismatch { expected, found }.into());
+        return Err(CoreError::digest_mismatch(expected, found).into());
     }
     Ok(shard)
 }
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -21,13 +21,13 @@
 
 use crate::daemon::{ActionExecutor, DaemonContext, Readiness, check_settings_file};
 use crate::errors::{Error, Result};
-use crate::http_server::{self, Call};
+use crate::io::http_server::{self, Call};
+use crate::io::sockets::{MAX_BATCH_DATAGRAMS, MAX_DATAGRAM_BYTES, bind, log_unreadable, receive};
 use crate::log;
 use crate::metrics::RelayMetrics;
 use crate::platform::{Platform, StoreOptions, TargetRequest};
-use crate::registration::{Registration, RegistrationOptions};
 use crate::settings::{RelaySettings, TargetSettings};
-use crate::sockets::{MAX_BATCH_DATAGRAMS, MAX_DATAGRAM_BYTES, bind, log_unreadable, receive};
+use crate::store::registration::{Registration, RegistrationOptions};
 
 /// The tick interval. It is shorter than the interval of load reports.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -136,7 +136,7 @@
     };
     let is_registered = Arc::clone(is_registered);
     // An invalid key must stop the agent, which the task could not do.
-    crate::registration::store_key(&record)?;
+    crate::store::registration::store_key(&record)?;
     let task = tokio::spawn(async move {
         match Registration::try_new(&store, &record, options, is_registered) {
             Ok(registration) => registration.run(receiver).await,
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -1,5 +1,11 @@
 //! The balancer, which receives the packets of callers and forwards them to agents.
 
+mod agent_watch;
+mod config_watch;
+mod snapshot;
+mod snapshot_fetch;
+mod state_update;
+
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,19 +20,19 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc, watch};
 
-use crate::config_watch::{ConfigNotice, ConfigWatchInputs, watch_config};
+use self::agent_watch::{AgentWatchInputs, watch_agents};
+use self::config_watch::{ConfigNotice, ConfigWatchInputs, watch_config};
+use self::snapshot::SharedSnapshot;
+use self::snapshot_fetch::{MissingState, SnapshotSources};
+use self::state_update::StateUpdate;
 use crate::daemon::{ActionExecutor, DaemonContext, Readiness, check_settings_file};
 use crate::errors::Result;
+use crate::io::sockets::{MAX_BATCH_DATAGRAMS, MAX_DATAGRAM_BYTES, bind, log_unreadable, receive};
 use crate::log;
 use crate::metrics::RelayMetrics;
 use crate::platform::{Platform, StoreOptions};
-use crate::registration;
 use crate::settings::RelaySettings;
-use crate::snapshot::{self, SharedSnapshot};
-use crate::snapshot_fetch::{self, MissingState, SnapshotSources};
-use crate::sockets::{MAX_BATCH_DATAGRAMS, MAX_DATAGRAM_BYTES, bind, log_unreadable, receive};
-use crate::state_update::StateUpdate;
-use crate::store_watch::{AgentWatchInputs, watch_agents};
+use crate::store::registration;
 
 /// The tick interval while a flow waits for the answer of an agent.
 const PENDING_TICK_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/cranberrypitch-relay/src/config_watch.rs
+++ b/crates/cranberrypitch-relay/src/balancer/config_watch.rs
@@ -14,13 +14,13 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
 
+use super::snapshot_fetch::MissingState;
+use super::state_update::StateUpdate;
 use crate::errors::Result;
 use crate::log;
 use crate::metrics::RelayMetrics;
 use crate::platform::Platform;
-use crate::snapshot_fetch::MissingState;
-use crate::state_update::StateUpdate;
-use crate::store_watch::{POLL_WAIT, PrefixRead, PrefixWatcher};
+use crate::store::prefix_watcher::{POLL_WAIT, PrefixRead, PrefixWatcher};
 
 /// The upper bound of the random time by which balancers differ in the maximum age of a check.
 const MAX_JITTER: Duration = Duration::from_millis(400);
--- a/crates/cranberrypitch-relay/src/snapshot.rs
+++ b/crates/cranberrypitch-relay/src/balancer/snapshot.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::errors::Result;
-use crate::http_server::{self, Call};
+use crate::io::http_server::{self, Call};
 
 /// The path of the whole snapshot.
 pub(crate) const PATH: &str = "/snapshot";
--- a/crates/cranberrypitch-relay/src/snapshot_fetch.rs
+++ b/crates/cranberrypitch-relay/src/balancer/snapshot_fetch.rs
@@ -13,9 +13,9 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
+use super::snapshot::{AGENTS_PATH, PATH, SharedSnapshot};
+use super::state_update::StateUpdate;
 use crate::errors::{Error, Result};
-use crate::snapshot::{AGENTS_PATH, PATH, SharedSnapshot};
-use crate::state_update::StateUpdate;
 
 /// The time for which a starting balancer waits for the store before it fetches a snapshot.
 const STORE_WAIT: Duration = Duration::from_millis(800);
--- a/crates/cranberrypitch-relay/src/state_update.rs
+++ b/crates/cranberrypitch-relay/src/balancer/state_update.rs
@@ -5,7 +5,7 @@
 use cranberrypitch_core::flow::{AgentRecord, ConfigCheck, RouteConfig};
 use cranberrypitch_net::store::StoreKey;
 
-use crate::snapshot::Snapshot;
+use super::snapshot::Snapshot;
 
 /// A change of a balancer's state, received from the store or from another balancer.
 #[derive(Debug)]
--- a/crates/cranberrypitch-relay/src/daemon.rs
+++ b/crates/cranberrypitch-relay/src/daemon.rs
@@ -16,12 +16,12 @@
 use tokio::sync::Notify;
 
 use crate::errors::Result;
-use crate::http_server::{self, Call};
+use crate::io::http_server::{self, Call};
+use crate::io::sockets::MAX_DATAGRAM_BYTES;
 use crate::log::{self, EventLog};
 use crate::metrics::{self, RelayMetrics};
 use crate::platform::Platform;
 use crate::settings::RelaySettings;
-use crate::sockets::MAX_DATAGRAM_BYTES;
 
 /// The time between two log lines about suppressed lines.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(5);
--- a/crates/cranberrypitch-relay/src/lib.rs
+++ b/crates/cranberrypitch-relay/src/lib.rs
@@ -6,35 +6,26 @@
 //! the configuration format and the protocols of the surrounding platform.
 
 mod agent;
-mod backoff;
 mod balancer;
-mod clock;
-mod command;
-mod config_watch;
 mod daemon;
 mod errors;
-pub mod explain;
-mod http_server;
-pub mod inspect;
+mod io;
 mod log;
 mod metrics;
+mod operator;
 mod platform;
-mod registration;
 mod run;
 mod settings;
-mod snapshot;
-mod snapshot_fetch;
-mod sockets;
-mod state_update;
-mod store_watch;
+mod store;
 
 pub use crate::agent::run_agent;
 pub use crate::balancer::run_balancer;
-pub use crate::clock::BoottimeClock;
-pub use crate::command::run_command;
 pub use crate::errors::{Error, Result};
+pub use crate::io::clock::BoottimeClock;
 pub use crate::log::LineRateLimiter;
 pub use crate::metrics::metrics_page;
+pub use crate::operator::command::run_command;
+pub use crate::operator::{explain, inspect};
 pub use crate::platform::{Platform, StoreOptions, TargetRequest};
 pub use crate::run::{Role, run_daemon};
 pub use crate::settings::RelaySettings;
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -20,7 +20,7 @@
 
 use self::register::{register, register_histogram};
 use self::store::StoreMetrics;
-use crate::http_server::{self, Call};
+use crate::io::http_server::{self, Call};
 
 /// The HTTP path of the metrics.
 pub(crate) const PATH: &str = "/metrics";
--- a/crates/cranberrypitch-relay/src/command.rs
+++ b/crates/cranberrypitch-relay/src/operator/command.rs
@@ -6,7 +6,7 @@
 use cranberrypitch_net::daemon::ExitStatus;
 
 use crate::errors::Result;
-use crate::inspect::{StatusTable, check_config, check_settings};
+use crate::operator::inspect::{StatusTable, check_config, check_settings};
 use crate::platform::Platform;
 use crate::run::{Role, run_daemon};
 
--- a/crates/cranberrypitch-relay/src/run.rs
+++ b/crates/cranberrypitch-relay/src/run.rs
@@ -8,9 +8,9 @@
 
 use crate::agent::run_agent;
 use crate::balancer::run_balancer;
-use crate::clock::BoottimeClock;
 use crate::daemon::DaemonContext;
 use crate::errors::{Error, Result};
+use crate::io::clock::BoottimeClock;
 use crate::log;
 use crate::platform::Platform;
 use crate::settings::RelaySettings;
--- a/crates/cranberrypitch-relay/src/registration.rs
+++ b/crates/cranberrypitch-relay/src/store/registration.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch::Receiver;
 use tokio::time::{sleep, timeout};
 
-use crate::backoff::Backoff;
+use super::backoff::Backoff;
 use crate::errors::{Error, Result};
 
 /// The prefix of the agents' keys in the store.
