Carry time limits, warm-up rates and service times between the daemons

Routes keep the timeout of their requests, and configurations the rate that cold targets bear. A request to open a flow passes both on to the agent, and a report has the service time of the target. Nothing uses them yet.

--- a/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
@@ -158,6 +158,7 @@
             service: service.clone(),
             is_bulk: route.is_bulk,
             priority: route.priority,
+            limits: route.limits,
             agent: None,
             failed_agents: Vec::new(),
             is_accepted: false,
@@ -252,6 +253,8 @@
             service: opening.service_tag(),
             priority: opening.priority,
             expected_requests: opening.may_decline().then_some(selected.expected_requests),
+            limits: opening.limits,
+            warmup_rate: self.routes.warmup_rate(opening.service_tag()),
         };
         let message = Message::Open {
             params,
@@ -284,6 +287,8 @@
             service,
             priority: route.map_or(u8::MAX, |route| route.priority),
             expected_requests: None,
+            limits: route.map(|route| route.limits).unwrap_or_default(),
+            warmup_rate: self.routes.warmup_rate(service),
         };
         let message = Message::Open {
             params,
--- a/crates/cranberrypitch-core/src/flow/dispatcher/pending_open/state.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open/state.rs
@@ -5,6 +5,7 @@
 
 use crate::flow::dispatcher::established::EstablishedFlow;
 use crate::flow::packet::PacketHeader;
+use crate::flow::routes::RequestLimits;
 use crate::ids::{ServiceName, ServiceTag};
 
 /// The number of times that agents may decline a flow for load. The balancer selects again from a fresh
@@ -22,6 +23,7 @@
     pub(super) service: ServiceName,
     pub(super) is_bulk: bool,
     pub(super) priority: u8,
+    pub(super) limits: RequestLimits,
     /// The agent that the SYN was last sent to, or none while there is no ready target.
     pub(in crate::flow::dispatcher) agent: Option<SocketAddrV4>,
     /// The agents that refused the flow or did not reply.
--- a/crates/cranberrypitch-core/src/flow/message.rs
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -12,7 +12,9 @@
 use super::load::AgentLoad;
 use super::packet::{FlowKey, PacketHeader, Reset};
 use super::reset_evidence::ResetEvidence;
+use super::routes::RequestLimits;
 use crate::ids::ServiceTag;
+use crate::units::RequestRate;
 
 /// The answer of an agent to a flow lookup.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
@@ -38,6 +40,10 @@
     /// The number of requests that the balancer expects the target to run. An agent whose target runs
     /// clearly more declines the flow; if none, the agent must not decline it for load.
     pub expected_requests: Option<u16>,
+    /// The time limits of the requests of the flow.
+    pub limits: RequestLimits,
+    /// The rate of requests that the target bears while it is slow after its start; none without a limit.
+    pub warmup_rate: Option<RequestRate>,
 }
 
 /// A query whether a target holds a flow.
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -37,6 +37,6 @@
 pub use self::load::{AgentLoad, LoadMeter};
 pub use self::message::{Action, LookupAnswer, LookupQuery, Message, OpenParams};
 pub use self::packet::{FlowKey, PacketFlags, PacketHeader, Reset};
-pub use self::routes::{Backend, Route, RouteConfig, RouteTable};
+pub use self::routes::{Backend, RequestLimits, Route, RouteConfig, RouteTable, ServicePolicy};
 pub use self::selection::{AgentSelector, AgentSelectorOptions, SelectedAgent, SelectionRequest};
 pub use self::store_retry::retry_wait;
--- a/crates/cranberrypitch-core/src/flow/routes.rs
+++ b/crates/cranberrypitch-core/src/flow/routes.rs
@@ -11,6 +11,7 @@
 use super::packet::FlowKey;
 use crate::collections::{FastMap, FastSet};
 use crate::ids::{Revision, ServiceName, ServiceTag};
+use crate::units::RequestRate;
 
 /// A service that a route sends new flows to, with its weight.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,8 +22,31 @@
     pub weight: u32,
 }
 
-/// The mapping from a destination address to weighted services.
+/// The time limits of the requests of a route.
 #[serde_as]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestLimits {
+    /// The objective for the time from a request to its response; zero if there is none.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "latency_objective_ms")]
+    pub latency_objective: Duration,
+    /// The time after which the caller no longer waits for a response; zero if it is not known.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "timeout_ms", default)]
+    pub timeout: Duration,
+}
+
+/// What operators configure for a service as a whole.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServicePolicy {
+    /// The name of the service.
+    pub service: ServiceName,
+    /// The rate of requests that a target bears while it is slow after its start; none if it has no limit.
+    #[serde(rename = "warmup_requests_per_s")]
+    pub warmup_rate: Option<RequestRate>,
+}
+
+/// The mapping from a destination address to weighted services.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// The destination address and port of the flows.
@@ -33,10 +57,9 @@
     pub is_bulk: bool,
     /// The priority of the requests when targets are overloaded; 0 is the highest.
     pub priority: u8,
-    /// The objective for the time from a request to its response.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(rename = "latency_objective_ms")]
-    pub latency_objective: Duration,
+    /// The time limits of the requests.
+    #[serde(flatten)]
+    pub limits: RequestLimits,
 }
 
 impl Route {
@@ -76,6 +99,9 @@
     pub version: Revision,
     /// All routes, at most one for each address.
     pub routes: Box<[Route]>,
+    /// The policies of services, at most one for each.
+    #[serde(default)]
+    pub services: Box<[ServicePolicy]>,
     /// The time without packets after which a flow may be removed from flow tables.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "idle_timeout_ms")]
@@ -91,6 +117,7 @@
     /// The services of each address in this and earlier configurations: open flows stay at the
     /// service that they were opened at.
     services_by_address: FastMap<SocketAddrV4, FastSet<ServiceTag>>,
+    warmup_rates: FastMap<ServiceTag, RequestRate>,
 }
 
 impl RouteTable {
@@ -109,6 +136,10 @@
             .iter()
             .map(|route| (route.address, route.clone()))
             .collect();
+        let policies = config.services.iter();
+        self.warmup_rates = policies
+            .filter_map(|policy| Some((ServiceTag::of(&policy.service), policy.warmup_rate?)))
+            .collect();
         // Flows to an address without a route are reset, so they are never looked up.
         self.services_by_address
             .retain(|address, _| self.by_address.contains_key(address));
@@ -134,6 +165,12 @@
         self.by_address.get(&address)
     }
 
+    /// Returns the rate of requests that a target of the service bears while it is slow after its start, if
+    /// the configuration limits it.
+    pub fn warmup_rate(&self, service: ServiceTag) -> Option<RequestRate> {
+        self.warmup_rates.get(&service).copied()
+    }
+
     /// Returns whether the address is or was routed to the service.
     pub fn was_routed_to(&self, address: SocketAddrV4, service: ServiceTag) -> bool {
         self.services_by_address
--- a/crates/cranberrypitch-core/src/lib.rs
+++ b/crates/cranberrypitch-core/src/lib.rs
@@ -36,4 +36,4 @@
 pub use crate::request::{NotRunReason, Outcome, RequestClass, Reservation};
 pub use crate::target::{Announcement, TargetLoad, TargetState};
 pub use crate::token::{RoutingToken, TokenKeys};
-pub use crate::units::{ByteSize, ConnectionLimit, QueueLimit, Slots};
+pub use crate::units::{ByteSize, ConnectionLimit, QueueLimit, RequestRate, Slots};
--- a/crates/cranberrypitch-core/src/units.rs
+++ b/crates/cranberrypitch-core/src/units.rs
@@ -13,6 +13,10 @@
     /// The maximum number of concurrent connections of a backend server.
     ConnectionLimit, u32, "number of connections"
 }
+number_type! {
+    /// A rate of requests, per second.
+    RequestRate, u32, "number of requests per second"
+}
 number_type! {
     /// A size in bytes.
     ByteSize, u64, "size in bytes"
--- a/crates/cranberrypitch-core/tests/flow/selection.rs
+++ b/crates/cranberrypitch-core/tests/flow/selection.rs
@@ -171,6 +171,7 @@
         mean_requests_hundredths: running_requests * 100,
         failed_responses_percent: 0,
         open_flows,
+        service_time: Duration::ZERO,
     };
     directory.on_report(few, with_flows(10, 1), now);
     directory.on_report(many, with_flows(40, 1), now);
--- a/crates/cranberrypitch-core/tests/flow/support.rs
+++ b/crates/cranberrypitch-core/tests/flow/support.rs
@@ -5,7 +5,7 @@
 
 use cranberrypitch_core::flow::{
     Action, AgentLoad, AgentRecord, Backend, FlowEvent, FlowKey, Message, OpenParams, PacketFlags,
-    PacketHeader, Route, RouteConfig, StatusReport,
+    PacketHeader, RequestLimits, Route, RouteConfig, StatusReport,
 };
 use cranberrypitch_core::{
     FailureDomain, Incarnation, Revision, ServiceName, ServiceTag, Slots, TargetState,
@@ -63,6 +63,7 @@
         mean_requests_hundredths: running_requests * 100,
         failed_responses_percent: 0,
         open_flows: running_requests,
+        service_time: Duration::ZERO,
     }
 }
 
@@ -78,8 +79,12 @@
             backends: backends.collect(),
             is_bulk: false,
             priority: 0,
-            latency_objective: Duration::from_millis(200),
+            limits: RequestLimits {
+                latency_objective: Duration::from_millis(200),
+                timeout: Duration::from_secs(1),
+            },
         }]),
+        services: Box::new([]),
         idle_timeout: Duration::from_secs(12),
     }
 }
@@ -240,5 +245,7 @@
         service: tag("matcher"),
         priority,
         expected_requests,
+        limits: RequestLimits::default(),
+        warmup_rate: None,
     }
 }
--- a/crates/cranberrypitch-proto/src/relay.rs
+++ b/crates/cranberrypitch-proto/src/relay.rs
@@ -12,10 +12,10 @@
 use bytes::{Buf, BufMut};
 use cranberrypitch_core::flow::{
     AgentLoad, AgentRecord, ConfigCheck, FlowKey, LookupAnswer, LookupQuery, Message, OpenParams,
-    RefusalCause,
+    RefusalCause, RequestLimits,
 };
 use cranberrypitch_core::{
-    FailureDomain, Incarnation, Revision, ServiceName, ServiceTag, Slots, TargetState,
+    FailureDomain, Incarnation, RequestRate, Revision, ServiceName, ServiceTag, Slots, TargetState,
 };
 
 use crate::errors::{Error, Result};
@@ -24,7 +24,7 @@
 const FORMAT: u8 = 0xd2;
 
 /// The length of the header of [`Message::Open`], the longest header before a packet.
-pub const MAX_HEADER_BYTES: usize = 9;
+pub const MAX_HEADER_BYTES: usize = 15;
 
 // The kinds of messages, in the second byte.
 const OPEN: u8 = 1;
@@ -43,9 +43,15 @@
 const LOOKUP_BATCH_REPLY: u8 = 14;
 const CONFIG_CHECK: u8 = 15;
 
+/// The unit of short times in reports, in microseconds.
+const TENTH_MILLI_MICROS: u128 = 100;
+
 /// The wire value of [`OpenParams::expected_requests`] for `None`.
 const NO_EXPECTED_REQUESTS: u16 = u16::MAX;
 
+/// The wire value of [`OpenParams::warmup_rate`] for `None`.
+const NO_WARMUP_RATE: u32 = 0;
+
 /// Replaces the content of `datagram` by an encoded message.
 pub fn encode(message: &Message<'_>, datagram: &mut Vec<u8>) {
     datagram.clear();
@@ -56,6 +62,10 @@
             datagram.put_u32(params.service.get());
             datagram.put_u8(params.priority);
             datagram.put_u16(params.expected_requests.unwrap_or(NO_EXPECTED_REQUESTS));
+            put_short_millis(datagram, params.limits.latency_objective);
+            put_short_millis(datagram, params.limits.timeout);
+            let rate = params.warmup_rate.map_or(NO_WARMUP_RATE, RequestRate::get);
+            datagram.put_u16(u16::try_from(rate).unwrap_or(u16::MAX));
             datagram.put_slice(packet);
         }
         Message::Forward { packet } => {
@@ -147,6 +157,12 @@
                 priority: reader.u8()?,
                 expected_requests: Some(reader.u16()?)
                     .filter(|number| *number != NO_EXPECTED_REQUESTS),
+                limits: RequestLimits {
+                    latency_objective: reader.short_millis()?,
+                    timeout: reader.short_millis()?,
+                },
+                warmup_rate: Some(RequestRate::new(u32::from(reader.u16()?)))
+                    .filter(|rate| rate.get() != NO_WARMUP_RATE),
             },
             packet: reader.rest(),
         },
@@ -208,6 +224,17 @@
     datagram.put_u32(u32::try_from(duration.as_millis()).unwrap_or(u32::MAX));
 }
 
+/// Writes a duration in whole milliseconds, at most 65.5 s.
+fn put_short_millis(datagram: &mut Vec<u8>, duration: Duration) {
+    datagram.put_u16(u16::try_from(duration.as_millis()).unwrap_or(u16::MAX));
+}
+
+/// Writes a duration in tenths of a millisecond, at most 6.5 s.
+fn put_tenth_millis(datagram: &mut Vec<u8>, duration: Duration) {
+    let tenths = duration.as_micros() / TENTH_MILLI_MICROS;
+    datagram.put_u16(u16::try_from(tenths).unwrap_or(u16::MAX));
+}
+
 fn put_addresses(datagram: &mut Vec<u8>, addresses: &[SocketAddrV4]) {
     for address in addresses {
         put_address(datagram, *address);
@@ -235,6 +262,7 @@
     datagram.put_u16(load.mean_requests_hundredths);
     datagram.put_u8(load.failed_responses_percent);
     datagram.put_u16(load.open_flows);
+    put_tenth_millis(datagram, load.service_time);
     put_name(datagram, record.service.as_str());
     put_name(datagram, record.failure_domain.as_str());
 }
@@ -263,6 +291,17 @@
         Ok(Duration::from_millis(u64::from(self.u32()?)))
     }
 
+    fn short_millis(&mut self) -> Result<Duration> {
+        Ok(Duration::from_millis(u64::from(self.u16()?)))
+    }
+
+    fn tenth_millis(&mut self) -> Result<Duration> {
+        let micros = u128::from(self.u16()?) * TENTH_MILLI_MICROS;
+        Ok(Duration::from_micros(
+            u64::try_from(micros).unwrap_or(u64::MAX),
+        ))
+    }
+
     fn address(&mut self) -> Result<SocketAddrV4> {
         let ip = Ipv4Addr::from(self.u32()?);
         Ok(SocketAddrV4::new(ip, self.u16()?))
@@ -320,6 +359,7 @@
             mean_requests_hundredths: self.u16()?,
             failed_responses_percent: self.u8()?,
             open_flows: self.u16()?,
+            service_time: self.tenth_millis()?,
         };
         let record = AgentRecord {
             address,
--- a/crates/cranberrypitch-proto/tests/relay_messages.rs
+++ b/crates/cranberrypitch-proto/tests/relay_messages.rs
@@ -5,10 +5,10 @@
 
 use cranberrypitch_core::flow::{
     AgentLoad, AgentRecord, ConfigCheck, FlowKey, LookupAnswer, LookupQuery, Message, OpenParams,
-    RefusalCause,
+    RefusalCause, RequestLimits,
 };
 use cranberrypitch_core::{
-    FailureDomain, Incarnation, Revision, ServiceName, ServiceTag, Slots, TargetState,
+    FailureDomain, Incarnation, RequestRate, Revision, ServiceName, ServiceTag, Slots, TargetState,
 };
 use cranberrypitch_proto::{Error, relay};
 use proptest::prelude::*;
@@ -91,24 +91,34 @@
             LookupAnswer::MayBeHeld,
         ][..],
     );
-    let load = (any::<u16>(), any::<u16>(), any::<u16>(), any::<u8>()).prop_map(
-        |(running_requests, mean_requests_hundredths, open_flows, failed_responses_percent)| {
-            AgentLoad {
-                running_requests,
-                mean_requests_hundredths,
-                open_flows,
-                failed_responses_percent,
-            }
-        },
-    );
+    let counts = (any::<u16>(), any::<u16>(), any::<u16>(), any::<u8>());
+    let load = (counts, any::<u16>()).prop_map(|(counts, service_time_tenth_ms)| {
+        let (running_requests, mean_requests_hundredths, open_flows, failed_responses_percent) =
+            counts;
+        AgentLoad {
+            running_requests,
+            mean_requests_hundredths,
+            open_flows,
+            failed_responses_percent,
+            service_time: Duration::from_micros(u64::from(service_time_tenth_ms) * 100),
+        }
+    });
+    let limits =
+        (any::<u16>(), any::<u16>()).prop_map(|(objective_ms, timeout_ms)| RequestLimits {
+            latency_objective: Duration::from_millis(u64::from(objective_ms)),
+            timeout: Duration::from_millis(u64::from(timeout_ms)),
+        });
+    let rate = proptest::option::of(1..=u32::from(u16::MAX));
     let expected = proptest::option::of(0..u16::MAX);
     prop_oneof![
-        (any::<u32>(), any::<u8>(), expected, packets()).prop_map(
-            |(tag, priority, expected_requests, packet)| Message::Open {
+        (any::<u32>(), any::<u8>(), expected, limits, rate, packets()).prop_map(
+            |(tag, priority, expected_requests, limits, rate, packet)| Message::Open {
                 params: OpenParams {
                     service: ServiceTag::new(tag),
                     priority,
                     expected_requests,
+                    limits,
+                    warmup_rate: rate.map(RequestRate::new),
                 },
                 packet
             }
