--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod backlog;
 mod balancers;
+mod evacuation;
 mod hosted_flows;
 mod options;
 mod refusal;
@@ -27,6 +28,7 @@
 use super::cause::DropCause;
 use super::cause::RefusalCause;
 use super::directory::AgentRecord;
+use super::evacuation::EvacuationSet;
 use super::event::FlowEvent;
 use super::load::{AgentLoad, LoadMeter};
 use super::message::{Action, LookupAnswer, LookupQuery, Message, dropped, reset};
@@ -71,6 +73,8 @@
     balancers: FastMap<SocketAddrV4, BalancerEntry>,
     /// The balancers that have sent checks of the configuration, with the time of the last one.
     config_checkers: FastMap<SocketAddrV4, Instant>,
+    /// The evacuations that the agent knows of.
+    evacuations: EvacuationSet,
     is_registered: bool,
     /// The time of the last report to the seed balancers.
     seeds_reported_at: Option<Instant>,
@@ -95,6 +99,7 @@
             response_meter: ResponseMeter::new(now),
             balancers: FastMap::default(),
             config_checkers: FastMap::default(),
+            evacuations: EvacuationSet::default(),
             is_registered: false,
             seeds_reported_at: None,
             announced_since: None,
--- a/crates/cranberrypitch-core/src/flow/agent/admission.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/admission.rs
@@ -105,6 +105,9 @@
         if self.is_stopping {
             return Some(RefusalCause::Draining);
         }
+        if self.is_evacuated() {
+            return Some(RefusalCause::Evacuated);
+        }
         if self.may_serve_other() || ServiceTag::of(self.service()) != service {
             return Some(RefusalCause::OtherService);
         }
--- a/crates/cranberrypitch-core/src/flow/agent/balancers.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/balancers.rs
@@ -6,6 +6,7 @@
 use super::{FlowAgent, FlowAgentOptions};
 use crate::collections::FastSet;
 use crate::flow::config_reads::ConfigCheck;
+use crate::flow::evacuation::EvacuationSet;
 use crate::flow::event::FlowEvent;
 use crate::flow::message::{Action, Message};
 
@@ -91,24 +92,32 @@
             .collect()
     }
 
-    /// Relays a balancer's check of the configuration to all other balancers that the agent knows. A
-    /// balancer that only sends checks gets those of others, but no reports.
+    /// Relays a balancer's check of the configuration to all other balancers that the agent knows, and
+    /// applies the evacuations that come with it. A balancer that only sends checks gets those of others,
+    /// but no reports.
     pub fn on_config_check(
         &mut self,
         balancer: SocketAddrV4,
         check: &ConfigCheck,
+        evacuations: &EvacuationSet,
         now: Instant,
     ) -> Vec<Action<'static>> {
+        let mut actions = self.on_evacuations(evacuations.clone());
         // A check is relayed once: balancers must not receive it later with the age that it had here.
         if check.checked_by != balancer {
-            return Vec::new();
+            return actions;
         }
         self.config_checkers.insert(balancer, now);
         let checkers = self.config_checkers.keys();
         let receivers: FastSet<_> = self.balancers.keys().chain(checkers).copied().collect();
-        let relay = |receiver| Action::send(receiver, Message::ConfigCheck(*check));
+        let message = Message::ConfigCheck {
+            check: *check,
+            evacuations: evacuations.clone(),
+        };
+        let relay = |receiver| Action::send(receiver, message.clone());
         let others = receivers.into_iter().filter(|other| *other != balancer);
-        others.map(relay).collect()
+        actions.extend(others.map(relay));
+        actions
     }
 
     /// Removes the balancers that have sent nothing for the lifetime of a balancer.
@@ -140,7 +149,11 @@
         self.seeds_reported_at = Some(now);
         let record = self.record(now);
         let load = self.load(now);
-        let report = Message::Report { record, load };
+        let report = Message::Report {
+            record,
+            load,
+            evacuations: self.evacuations.version,
+        };
         let seeds = self.identity.seed_balancers.iter();
         seeds
             .map(|seed| Action::send(*seed, report.clone()))
@@ -173,7 +186,12 @@
         let record = self.record(now);
         let load = self.load(now);
         self.balancers.get_mut(&balancer)?.reported_at = Some(now);
-        Some(Action::send(balancer, Message::Report { record, load }))
+        let report = Message::Report {
+            record,
+            load,
+            evacuations: self.evacuations.version,
+        };
+        Some(Action::send(balancer, report))
     }
 
     /// Records a message of a balancer, and adds the balancer if it is new.
--- a/crates/cranberrypitch-core/src/flow/cause.rs
+++ b/crates/cranberrypitch-core/src/flow/cause.rs
@@ -24,6 +24,9 @@
     /// The SYN timed out in the backlog of the agent, or the backlog is full.
     #[display("overloaded")]
     Overloaded,
+    /// The failure domain of the agent is evacuated.
+    #[display("evacuated")]
+    Evacuated,
 }
 
 /// Why an agent ignored a status report.
@@ -53,6 +56,9 @@
     /// The SYN timed out in the backlog of a busy target, or the backlog was full.
     #[display("overloaded")]
     Overloaded,
+    /// All targets that accept new flows for the service are in evacuated failure domains.
+    #[display("evacuated")]
+    Evacuated,
     /// The target of the flow has exited.
     #[display("target gone")]
     TargetGone,
--- a/crates/cranberrypitch-core/src/flow/directory.rs
+++ b/crates/cranberrypitch-core/src/flow/directory.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DisplayFromStr, DurationMilliSeconds, serde_as};
 
+use super::evacuation::EvacuationEnforcement;
 use super::load::AgentLoad;
 use crate::collections::FastMap;
 use crate::ids::{FailureDomain, Incarnation, ServiceName, ServiceTag};
@@ -158,6 +159,7 @@
     agents: FastMap<SocketAddrV4, AgentEntry>,
     by_service: FastMap<ServiceTag, Vec<SocketAddrV4>>,
     is_loaded: bool,
+    pub(crate) evacuations: EvacuationEnforcement,
 }
 
 impl AgentDirectory {
@@ -169,6 +171,7 @@
             agents: FastMap::default(),
             by_service: FastMap::default(),
             is_loaded: false,
+            evacuations: EvacuationEnforcement::default(),
         }
     }
 
@@ -292,6 +295,15 @@
             .filter_map(|address| self.agents.get(address))
     }
 
+    /// Returns whether a service has ready targets, and all of them are in evacuated failure domains.
+    pub(crate) fn is_service_evacuated(&self, service: ServiceTag) -> bool {
+        let mut ready = self
+            .agents_of_service(service)
+            .filter(|agent| agent.record.state == TargetState::Ready)
+            .peekable();
+        ready.peek().is_some() && ready.all(|agent| self.evacuations.is_evacuated(agent))
+    }
+
     /// Returns all agents, in no particular order.
     pub(crate) fn agents(&self) -> impl Iterator<Item = &AgentEntry> {
         self.agents.values()
--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod config_checks;
 mod established;
+mod evacuations;
 mod liveness;
 mod lookup;
 mod packet_buffer;
--- a/crates/cranberrypitch-core/src/flow/dispatcher/config_checks.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/config_checks.rs
@@ -36,8 +36,10 @@
             let count = RELAYS_PER_DOMAIN.min(agents.len());
             agents.iter().cycle().skip(first % agents.len()).take(count)
         });
+        let evacuations = self.evacuations().clone();
+        let message = Message::ConfigCheck { check, evacuations };
         relays
-            .map(|agent| Action::send(*agent, Message::ConfigCheck(check)))
+            .map(|agent| Action::send(*agent, message.clone()))
             .collect()
     }
 }
--- a/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
@@ -177,6 +177,9 @@
         if let Some(selected) = self.select_agent(flow, now) {
             return self.send_open(selected, flow, now);
         }
+        if self.is_evacuated(flow) {
+            return self.abandon_open(flow, ResetCause::Evacuated);
+        }
         // Until the store's list has been read, there may be targets that the snapshots of other
         // balancers don't contain.
         let may_wait = !self.has_store_list && self.flows.pending_len() <= MAX_PENDING_FLOWS;
@@ -198,7 +201,11 @@
 
     /// Removes a pending flow and resets it at its caller, unless another balancer may have opened it
     /// with an earlier transmission of the SYN, or its caller uses it.
-    fn abandon_open(&mut self, flow: FlowKey, cause: ResetCause) -> Vec<Action<'static>> {
+    pub(super) fn abandon_open(
+        &mut self,
+        flow: FlowKey,
+        cause: ResetCause,
+    ) -> Vec<Action<'static>> {
         if let Some(FlowState::Opening(opening)) = self.flows.remove(&flow)
             && !opening.is_accepted
             && let Some(evidence) = ResetEvidence::not_opened(&opening.header, cause)
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use super::cause::{DropCause, IgnoredReportCause, RefusalCause, ResetCause, ResetEvidenceKind};
+use super::evacuation::EvacuationVersion;
 use super::packet::FlowKey;
-use crate::ids::{Incarnation, Revision, ServiceName};
+use crate::ids::{FailureDomain, Incarnation, Revision, ServiceName};
 use crate::target::TargetState;
 
 /// An event of a flow, a target or the configuration. The variants are named like the log events.
@@ -126,6 +127,22 @@
         /// The version of the ignored configuration.
         version: Revision,
     },
+    /// A balancer places no new flows in a failure domain, as it is evacuated.
+    EvacuationInForce {
+        /// The failure domain.
+        failure_domain: FailureDomain,
+        /// The version of the set of evacuated failure domains.
+        version: EvacuationVersion,
+        /// The number of agents in the failure domain that the balancer knows.
+        agent_count: usize,
+    },
+    /// A balancer places new flows again in a failure domain whose evacuation ended.
+    EvacuationEnded {
+        /// The failure domain.
+        failure_domain: FailureDomain,
+        /// The version of the set of evacuated failure domains.
+        version: EvacuationVersion,
+    },
     /// A target was added, or its state, slots or process changed.
     TargetChanged {
         /// The agent of the target.
--- a/crates/cranberrypitch-core/src/flow/message.rs
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -8,6 +8,7 @@
 use super::cause::{DropCause, RefusalCause};
 use super::config_reads::ConfigCheck;
 use super::directory::AgentRecord;
+use super::evacuation::{EvacuationSet, EvacuationVersion};
 use super::event::FlowEvent;
 use super::load::AgentLoad;
 use super::packet::{FlowKey, PacketHeader, Reset};
@@ -124,10 +125,19 @@
         record: AgentRecord,
         /// The load of the target.
         load: AgentLoad,
+        /// The version of the agent's set of evacuated failure domains.
+        evacuations: EvacuationVersion,
     },
     /// Balancer to agent to the other balancers that the agent knows: a check of the configuration in
     /// the store.
-    ConfigCheck(ConfigCheck),
+    ConfigCheck {
+        /// The check.
+        check: ConfigCheck,
+        /// The evacuations in force at the balancer that checked.
+        evacuations: EvacuationSet,
+    },
+    /// Balancer to agent: the evacuations in force.
+    Evacuations(EvacuationSet),
 }
 
 impl Message<'_> {
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -14,6 +14,7 @@
 mod config_reads;
 mod directory;
 mod dispatcher;
+mod evacuation;
 mod event;
 mod load;
 mod message;
@@ -33,6 +34,10 @@
 pub use self::config_reads::{ConfigCheck, ConfigRead, ConfigReadOptions, ConfigReadSchedule};
 pub use self::directory::{AgentDirectory, AgentDirectoryOptions, AgentRecord};
 pub use self::dispatcher::{Dispatcher, DispatcherOptions, MAX_DECLINES};
+pub use self::evacuation::{
+    EvacuationChange, EvacuationContents, EvacuationRead, EvacuationSet, EvacuationTracker,
+    EvacuationVersion,
+};
 pub use self::event::FlowEvent;
 pub use self::load::{AgentLoad, LoadMeter};
 pub use self::message::{Action, LookupAnswer, LookupQuery, Message, OpenParams};
--- a/crates/cranberrypitch-core/tests/flow/backlog.rs
+++ b/crates/cranberrypitch-core/tests/flow/backlog.rs
@@ -14,7 +14,7 @@
 };
 
 /// Opens flows with a request each until the target, which has four slots, is busy.
-fn make_busy(agent: &mut FlowAgent, now: Instant) {
+pub(crate) fn make_busy(agent: &mut FlowAgent, now: Instant) {
     for port in 1..=8 {
         open(agent, port, now);
         accept(agent, port, 5000, now);
@@ -23,7 +23,7 @@
 }
 
 /// Requests to open a flow at a busy target and returns the messages to the balancer.
-fn open_queued(agent: &mut FlowAgent, port: u16, now: Instant) -> Vec<Message<'static>> {
+pub(crate) fn open_queued(agent: &mut FlowAgent, port: u16, now: Instant) -> Vec<Message<'static>> {
     open_queued_with_priority(agent, port, 0, now)
 }
 
--- a/crates/cranberrypitch-core/tests/flow/config_checks.rs
+++ b/crates/cranberrypitch-core/tests/flow/config_checks.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use cranberrypitch_core::flow::{Action, Dispatcher, DispatcherOptions, Message};
+use cranberrypitch_core::flow::{Action, Dispatcher, DispatcherOptions, EvacuationSet, Message};
 
 use crate::agent::{open, with_target};
 use crate::config_reads::check;
@@ -12,7 +12,7 @@
 fn receivers(actions: &[Action<'_>]) -> Vec<SocketAddrV4> {
     let sent = sent_messages(actions).into_iter();
     let mut receivers: Vec<_> = sent
-        .filter(|(_, message)| matches!(message, Message::ConfigCheck(_)))
+        .filter(|(_, message)| matches!(message, Message::ConfigCheck { .. }))
         .map(|(receiver, _)| receiver)
         .collect();
     receivers.sort_unstable();
@@ -27,11 +27,21 @@
     let mut agent = with_target(now);
     open(&mut agent, 1, now);
     assert_eq!(
-        receivers(&agent.on_config_check(balancer_address(2), &check(5, 0, 2), now)),
+        receivers(&agent.on_config_check(
+            balancer_address(2),
+            &check(5, 0, 2),
+            &EvacuationSet::default(),
+            now
+        )),
         [balancer_address(1)]
     );
     assert_eq!(
-        receivers(&agent.on_config_check(balancer_address(3), &check(5, 0, 3), now)),
+        receivers(&agent.on_config_check(
+            balancer_address(3),
+            &check(5, 0, 3),
+            &EvacuationSet::default(),
+            now
+        )),
         [balancer_address(1), balancer_address(2)]
     );
 }
@@ -42,7 +52,12 @@
     let now = Instant::now();
     let mut agent = with_target(now);
     open(&mut agent, 1, now);
-    let actions = agent.on_config_check(balancer_address(3), &check(5, 0, 2), now);
+    let actions = agent.on_config_check(
+        balancer_address(3),
+        &check(5, 0, 2),
+        &EvacuationSet::default(),
+        now,
+    );
     assert_eq!(receivers(&actions), []);
 }
 
@@ -59,7 +74,12 @@
         2,
         "to the seed balancers"
     );
-    agent.on_config_check(balancer_address(2), &check(5, 0, 2), now);
+    agent.on_config_check(
+        balancer_address(2),
+        &check(5, 0, 2),
+        &EvacuationSet::default(),
+        now,
+    );
     let later = now + Duration::from_secs(2);
     assert_eq!(sent_messages(&agent.on_tick(later)), []);
 }
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -7,6 +7,7 @@
 mod config_fleet;
 mod config_reads;
 mod dispatcher;
+mod evacuation;
 mod liveness;
 mod load;
 mod lookup;
--- a/crates/cranberrypitch-core/tests/flow/support.rs
+++ b/crates/cranberrypitch-core/tests/flow/support.rs
@@ -234,7 +234,15 @@
         Message::OpenAccepted { flow } => Message::OpenAccepted { flow },
         Message::OpenRefused { flow, cause } => Message::OpenRefused { flow, cause },
         Message::LookupReply { flow, answer } => Message::LookupReply { flow, answer },
-        Message::Report { record, load } => Message::Report { record, load },
+        Message::Report {
+            record,
+            load,
+            evacuations,
+        } => Message::Report {
+            record,
+            load,
+            evacuations,
+        },
         other => panic!("unexpected message: {other:?}"),
     }
 }
--- a/crates/cranberrypitch-core/tests/flow/world/delivery.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/delivery.rs
@@ -157,7 +157,7 @@
             Message::PacketReturned { packet } => {
                 dispatcher.on_packet_returned(from, &decode(&packet), &packet, now)
             }
-            Message::Report { record, load } => dispatcher.on_report(&record, load, now),
+            Message::Report { record, load, .. } => dispatcher.on_report(&record, load, now),
             other => panic!("unexpected message: {other:?}"),
         };
         self.perform(balancer_address(balancer), actions);
--- a/crates/cranberrypitch-proto/src/relay.rs
+++ b/crates/cranberrypitch-proto/src/relay.rs
@@ -6,13 +6,14 @@
 //! delivers them only to its own VMs.
 
 use std::borrow::Cow;
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 use bytes::{Buf, BufMut};
 use cranberrypitch_core::flow::{
-    AgentLoad, AgentRecord, ConfigCheck, FlowKey, LookupAnswer, LookupQuery, Message, OpenParams,
-    RefusalCause, RequestLimits,
+    AgentLoad, AgentRecord, ConfigCheck, EvacuationSet, EvacuationVersion, FlowKey, LookupAnswer,
+    LookupQuery, Message, OpenParams, RefusalCause, RequestLimits,
 };
 use cranberrypitch_core::{
     FailureDomain, Incarnation, RequestRate, Revision, ServiceName, ServiceTag, Slots, TargetState,
@@ -42,6 +43,13 @@
 const LOOKUP_BATCH: u8 = 13;
 const LOOKUP_BATCH_REPLY: u8 = 14;
 const CONFIG_CHECK: u8 = 15;
+const EVACUATIONS: u8 = 16;
+
+/// The byte that stands for the version of evacuations before the first one, which has no further bytes.
+const NO_EVACUATION_VERSION: u8 = 0;
+
+/// The byte before any other version of evacuations.
+const EVACUATION_VERSION: u8 = 1;
 
 /// The unit of short times in reports, in microseconds.
 const TENTH_MILLI_MICROS: u128 = 100;
@@ -122,15 +130,25 @@
             datagram.put_u8(BALANCER_LIST);
             put_addresses(datagram, addresses);
         }
-        Message::Report { record, load } => {
+        Message::Report {
+            record,
+            load,
+            evacuations,
+        } => {
             datagram.put_u8(REPORT);
             put_report(datagram, record, *load);
+            put_evacuation_version(datagram, *evacuations);
+        }
+        Message::Evacuations(set) => {
+            datagram.put_u8(EVACUATIONS);
+            put_evacuations(datagram, set);
         }
-        Message::ConfigCheck(check) => {
+        Message::ConfigCheck { check, evacuations } => {
             datagram.put_u8(CONFIG_CHECK);
             datagram.put_u64(check.version.get());
             put_millis(datagram, check.age);
             put_address(datagram, check.checked_by);
+            put_evacuations(datagram, evacuations);
         }
     }
 }
@@ -200,11 +218,15 @@
             packet: reader.rest(),
         },
         REPORT => reader.report()?,
-        CONFIG_CHECK => Message::ConfigCheck(ConfigCheck {
-            version: Revision::new(reader.u64()?),
-            age: reader.millis()?,
-            checked_by: reader.address()?,
-        }),
+        CONFIG_CHECK => Message::ConfigCheck {
+            check: ConfigCheck {
+                version: Revision::new(reader.u64()?),
+                age: reader.millis()?,
+                checked_by: reader.address()?,
+            },
+            evacuations: reader.evacuations()?,
+        },
+        EVACUATIONS => Message::Evacuations(reader.evacuations()?),
         AGENT_LIST => Message::AgentList(reader.read_all(Reader::address)?),
         BALANCER_QUERY => Message::BalancerQuery,
         BALANCER_LIST => Message::BalancerList(reader.read_all(Reader::address)?),
@@ -252,6 +274,29 @@
     datagram.put_slice(name.as_bytes());
 }
 
+/// Writes the version of a set of evacuated failure domains: one byte before the first evacuation.
+fn put_evacuation_version(datagram: &mut Vec<u8>, version: EvacuationVersion) {
+    if version == EvacuationVersion::default() {
+        return datagram.put_u8(NO_EVACUATION_VERSION);
+    }
+    datagram.put_u8(EVACUATION_VERSION);
+    datagram.put_u64(version.epoch);
+    datagram.put_u64(version.revision);
+}
+
+/// Writes a set of evacuated failure domains, at most 255 of them.
+fn put_evacuations(datagram: &mut Vec<u8>, set: &EvacuationSet) {
+    put_evacuation_version(datagram, set.version);
+    if set.version == EvacuationVersion::default() {
+        return;
+    }
+    let count = u8::try_from(set.failure_domains.len()).unwrap_or(u8::MAX);
+    datagram.put_u8(count);
+    for failure_domain in set.failure_domains.iter().take(usize::from(count)) {
+        put_name(datagram, failure_domain.as_str());
+    }
+}
+
 fn put_report(datagram: &mut Vec<u8>, record: &AgentRecord, load: AgentLoad) {
     put_address(datagram, record.address);
     datagram.put_u64(record.incarnation.get());
@@ -364,14 +409,47 @@
         let record = AgentRecord {
             address,
             service: ServiceName::try_new(self.name()?).map_err(|e| malformed(&e))?,
-            failure_domain: FailureDomain::try_new(self.name()?).map_err(|e| malformed(&e))?,
+            failure_domain: self.failure_domain()?,
             incarnation,
             state,
             slots,
             warmup_left,
             is_agent_stopping,
         };
-        Ok(Message::Report { record, load })
+        Ok(Message::Report {
+            record,
+            load,
+            evacuations: self.evacuation_version()?,
+        })
+    }
+
+    fn evacuation_version(&mut self) -> Result<EvacuationVersion> {
+        match self.u8()? {
+            NO_EVACUATION_VERSION => Ok(EvacuationVersion::default()),
+            EVACUATION_VERSION => Ok(EvacuationVersion {
+                epoch: self.u64()?,
+                revision: self.u64()?,
+            }),
+            code => Err(malformed(&format!("unknown evacuation version {code}"))),
+        }
+    }
+
+    fn evacuations(&mut self) -> Result<EvacuationSet> {
+        let version = self.evacuation_version()?;
+        if version == EvacuationVersion::default() {
+            return Ok(EvacuationSet::default());
+        }
+        let count = self.u8()?;
+        let failure_domains: Result<BTreeSet<_>> =
+            (0..count).map(|_| self.failure_domain()).collect();
+        Ok(EvacuationSet {
+            version,
+            failure_domains: failure_domains?,
+        })
+    }
+
+    fn failure_domain(&mut self) -> Result<FailureDomain> {
+        FailureDomain::try_new(self.name()?).map_err(|e| malformed(&e))
     }
 }
 
@@ -387,6 +465,7 @@
         RefusalCause::TargetFull => 4,
         RefusalCause::BusierThanExpected => 5,
         RefusalCause::Overloaded => 6,
+        RefusalCause::Evacuated => 7,
     }
 }
 
@@ -398,6 +477,7 @@
         4 => RefusalCause::TargetFull,
         5 => RefusalCause::BusierThanExpected,
         6 => RefusalCause::Overloaded,
+        7 => RefusalCause::Evacuated,
         _ => return Err(malformed(&format!("unknown refusal cause {code}"))),
     })
 }
--- a/crates/cranberrypitch-proto/tests/relay_messages.rs
+++ b/crates/cranberrypitch-proto/tests/relay_messages.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use cranberrypitch_core::flow::{
-    AgentLoad, AgentRecord, ConfigCheck, FlowKey, LookupAnswer, LookupQuery, Message, OpenParams,
-    RefusalCause, RequestLimits,
+    AgentLoad, AgentRecord, ConfigCheck, EvacuationSet, EvacuationVersion, FlowKey, LookupAnswer,
+    LookupQuery, Message, OpenParams, RefusalCause, RequestLimits,
 };
 use cranberrypitch_core::{
     FailureDomain, Incarnation, RequestRate, Revision, ServiceName, ServiceTag, Slots, TargetState,
@@ -73,6 +73,22 @@
         )
 }
 
+/// Sets before the first evacuation, and later ones.
+fn evacuations() -> impl Strategy<Value = EvacuationSet> {
+    let names = prop::collection::btree_set("[a-z0-9-]{1,63}", 0..5);
+    let set = |(epoch, revision, names): (u64, u64, std::collections::BTreeSet<String>)| {
+        let domain = |name: String| FailureDomain::try_new(&name).unwrap();
+        EvacuationSet {
+            version: EvacuationVersion { epoch, revision },
+            failure_domains: names.into_iter().map(domain).collect(),
+        }
+    };
+    prop_oneof![
+        Just(EvacuationSet::default()),
+        (any::<u64>(), 1..=u64::MAX, names).prop_map(set),
+    ]
+}
+
 fn messages() -> impl Strategy<Value = Message<'static>> {
     let causes = prop::sample::select(
         &[
@@ -82,6 +98,7 @@
             RefusalCause::TargetFull,
             RefusalCause::BusierThanExpected,
             RefusalCause::Overloaded,
+            RefusalCause::Evacuated,
         ][..],
     );
     let answers = prop::sample::select(
@@ -139,14 +156,22 @@
         prop::collection::vec(addresses(), 0..40).prop_map(|a| Message::AgentList(a.into())),
         Just(Message::BalancerQuery),
         prop::collection::vec(addresses(), 0..40).prop_map(|a| Message::BalancerList(a.into())),
-        (records(), load).prop_map(|(record, load)| Message::Report { record, load }),
-        (any::<u64>(), any::<u32>(), addresses()).prop_map(|(version, age_ms, checked_by)| {
-            Message::ConfigCheck(ConfigCheck {
-                version: Revision::new(version),
-                age: Duration::from_millis(u64::from(age_ms)),
-                checked_by,
-            })
+        (records(), load, evacuations()).prop_map(|(record, load, set)| Message::Report {
+            record,
+            load,
+            evacuations: set.version,
         }),
+        evacuations().prop_map(Message::Evacuations),
+        (any::<u64>(), any::<u32>(), addresses(), evacuations()).prop_map(
+            |(version, age_ms, checked_by, evacuations)| Message::ConfigCheck {
+                check: ConfigCheck {
+                    version: Revision::new(version),
+                    age: Duration::from_millis(u64::from(age_ms)),
+                    checked_by,
+                },
+                evacuations,
+            }
+        ),
     ]
 }
 
@@ -189,6 +214,18 @@
     }
 }
 
+/// Guards against longer checks and reports in deployments that evacuate nothing: a set before the first
+/// evacuation takes one byte.
+#[test]
+fn set_before_the_first_evacuation_takes_one_byte() {
+    let mut datagram = Vec::new();
+    relay::encode(
+        &Message::Evacuations(EvacuationSet::default()),
+        &mut datagram,
+    );
+    assert_eq!(datagram.len(), 3);
+}
+
 /// Guards against datagrams that are too short or of another protocol and decode as a message.
 #[test]
 fn foreign_datagrams_are_refused() {
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -359,10 +359,13 @@
         Message::BalancerQuery => {
             return executor.execute::<P>(agent.on_balancer_query(peer), now);
         }
-        Message::ConfigCheck(check) => {
-            let actions = agent.on_config_check(peer, check, now);
+        Message::ConfigCheck { check, evacuations } => {
+            let actions = agent.on_config_check(peer, check, evacuations, now);
             return executor.execute::<P>(actions, now);
         }
+        Message::Evacuations(set) => {
+            return executor.execute::<P>(agent.on_evacuations(set.clone()), now);
+        }
         Message::BalancerList(balancers) => {
             let actions = agent.on_balancer_list(balancers, now);
             return executor.execute::<P>(actions, now);
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -2,6 +2,7 @@
 
 mod agent_watch;
 mod config_watch;
+mod evacuation_keys;
 mod snapshot;
 mod snapshot_fetch;
 mod state_update;
@@ -298,8 +299,10 @@
                 return false;
             };
             match relay::decode(datagram) {
-                Ok(Message::ConfigCheck(check)) => {
+                Ok(Message::ConfigCheck { check, evacuations }) => {
                     self.executor.metrics.add_config_check();
+                    let actions = self.dispatcher.on_evacuations(evacuations, now);
+                    self.executor.execute::<P>(actions, now);
                     self.notify_config_watch(ConfigNotice::Checked(check));
                 }
                 Ok(message) => {
@@ -318,6 +321,7 @@
         let now = self.clock.now();
         let actions = match update {
             StateUpdate::Config(config) => self.on_config(config),
+            StateUpdate::Evacuations(read) => self.dispatcher.on_evacuation_read(read, now),
             StateUpdate::ConfigReadUpTo(as_of) => self.dispatcher.on_config_read(as_of),
             StateUpdate::ConfigChecked(check) => self.dispatcher.announce_config_check(check),
             StateUpdate::Agents(records) => self.dispatcher.on_agent_list(records, now),
@@ -325,7 +329,8 @@
                 if !self.dispatcher.is_ready() {
                     tracing::info!(target: log::TARGET, event = "SnapshotTaken", agents = snapshot.agents.len());
                 }
-                let mut actions = self.on_config(snapshot.config);
+                let mut actions = self.dispatcher.on_evacuations(snapshot.evacuations, now);
+                actions.extend(self.on_config(snapshot.config));
                 if let Some(version) = self.dispatcher.routes().version() {
                     self.notify_config_watch(ConfigNotice::InForce(version));
                 }
@@ -402,6 +407,10 @@
         let list_age = self.dispatcher.agent_list_age(now);
         self.executor.metrics.set_balancer(flows, agents, version);
         self.executor.metrics.set_agent_list_age(list_age);
+        let evacuations = self.dispatcher.evacuations();
+        let evacuated_domains = evacuations.failure_domains.len();
+        self.executor.metrics.set_evacuations(evacuated_domains);
+        self.snapshot.set_evacuations(evacuations);
         self.snapshot.set_agents(|| self.dispatcher.snapshot(), now);
     }
 }
@@ -436,8 +445,14 @@
                 Vec::new()
             }
         },
-        Message::Report { record, load } if record.address == agent => {
-            dispatcher.on_report(&record, load, now)
+        Message::Report {
+            record,
+            load,
+            evacuations,
+        } if record.address == agent => {
+            let mut actions = dispatcher.on_report(&record, load, now);
+            actions.extend(dispatcher.on_evacuation_report(agent, evacuations));
+            actions
         }
         Message::Open { .. }
         | Message::Forward { .. }
@@ -446,7 +461,8 @@
         | Message::AgentList(_)
         | Message::BalancerQuery
         | Message::BalancerList(_)
-        | Message::ConfigCheck(_)
+        | Message::ConfigCheck { .. }
+        | Message::Evacuations(_)
         | Message::Report { .. } => {
             tracing::debug!(target: log::TARGET, %agent, "message that balancers do not accept dropped");
             Vec::new()
--- a/crates/cranberrypitch-relay/src/balancer/config_watch.rs
+++ b/crates/cranberrypitch-relay/src/balancer/config_watch.rs
@@ -1,11 +1,11 @@
-//! Reads of the operators' configuration from the store.
+//! Reads of the operators' configuration and evacuations from the store.
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::flow::{
-    ConfigCheck, ConfigRead, ConfigReadOptions, ConfigReadSchedule, RouteConfig,
+    ConfigCheck, ConfigRead, ConfigReadOptions, ConfigReadSchedule, EvacuationRead, RouteConfig,
 };
 use cranberrypitch_core::{Clock, Revision};
 use cranberrypitch_net::store::{Entry, Result as StoreResult, Store, Version};
@@ -14,12 +14,13 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
 
+use super::evacuation_keys::evacuation_read;
 use super::snapshot_fetch::MissingState;
 use super::state_update::StateUpdate;
 use crate::errors::Result;
 use crate::log;
 use crate::metrics::RelayMetrics;
-use crate::platform::Platform;
+use crate::platform::{OperatorKey, Platform};
 use crate::store::prefix_watcher::{POLL_WAIT, PrefixRead, PrefixWatcher};
 
 /// The upper bound of the random time by which balancers differ in the maximum age of a check.
@@ -50,16 +51,16 @@
     pub(crate) metrics: RelayMetrics,
 }
 
-/// Sends each version of the configuration until the receiver is dropped.
+/// Sends each version of the configuration, and the evacuations, until the receiver is dropped.
 ///
 /// # Errors
 ///
-/// Returns an error if the platform's configuration key is invalid.
+/// Returns an error if the platform's prefix of operators' keys is invalid.
 pub(crate) async fn watch_config<P: Platform, S: Store>(
     store: &S,
     inputs: ConfigWatchInputs,
 ) -> Result<()> {
-    let watcher = PrefixWatcher::new(store, P::config_key()?);
+    let watcher = PrefixWatcher::new(store, P::operator_prefix()?);
     let jitter = MAX_JITTER.mul_f64(rand::rng().random_range(0.0..=1.0));
     let schedule = ConfigReadSchedule::new(ConfigReadOptions::default(), inputs.balancer, jitter);
     let mut watch = ConfigWatch {
@@ -93,6 +94,7 @@
 /// The result of a successful read of the store.
 struct ConfigAnswer {
     configs: Vec<RouteConfig>,
+    evacuations: Option<EvacuationRead>,
     started_at: Instant,
     /// The time at which the store had no newer configuration.
     checked_at: Instant,
@@ -177,8 +179,10 @@
             Ok(answer) => {
                 let version = answer.configs.iter().map(|config| config.version).max();
                 let announced = self.schedule.announced_version();
-                let updates = answer.configs.into_iter().map(StateUpdate::Config);
-                let mut updates: Vec<_> = updates.collect();
+                // A balancer is ready from the first configuration on, and must know the evacuations then.
+                let evacuations = answer.evacuations.map(StateUpdate::Evacuations);
+                let mut updates: Vec<_> = evacuations.into_iter().collect();
+                updates.extend(answer.configs.into_iter().map(StateUpdate::Config));
                 updates.extend(self.on_read(version, answer.checked_at));
                 updates.extend(self.answer_request(answer.started_at));
                 self.log_not_in_store(announced, read_after);
@@ -221,48 +225,57 @@
         is_answered.then_some(StateUpdate::ConfigReadUpTo(started_at))
     }
 
-    /// Calls the store: lists the configuration before the first watch and after a loss of history, and
-    /// watches it otherwise. Returns nothing if a read becomes due during the watch: another balancer
+    /// Calls the store: lists the operators' keys before the first watch and after a loss of history, and
+    /// watches them otherwise. Returns nothing if a read becomes due during the watch: another balancer
     /// announces a newer version, or this one requests a read.
     async fn call<P: Platform>(&mut self, wait: Duration) -> Option<StoreResult<ConfigAnswer>> {
         let started_at = self.clock.now();
         let is_watch = self.watcher.is_listed() && wait > POLL_WAIT;
-        let read = self.watcher.read(wait);
-        tokio::pin!(read);
-        let read = loop {
-            tokio::select! {
-                read = &mut read => break read,
-                Some(notice) = self.notices.recv() => {
-                    apply_notice(&mut self.schedule, notice, self.clock.now());
-                    if is_watch && self.schedule.is_outdated() {
-                        return None;
+        let read = {
+            let read = self.watcher.read(wait);
+            tokio::pin!(read);
+            loop {
+                tokio::select! {
+                    read = &mut read => break read,
+                    Some(notice) = self.notices.recv() => {
+                        apply_notice(&mut self.schedule, notice, self.clock.now());
+                        if is_watch && self.schedule.is_outdated() {
+                            return None;
+                        }
                     }
-                }
-                () = self.read_request.notified() => {
-                    self.schedule.on_read_request(self.clock.now());
-                    if is_watch {
-                        return None;
+                    () = self.read_request.notified() => {
+                        self.schedule.on_read_request(self.clock.now());
+                        if is_watch {
+                            return None;
+                        }
                     }
                 }
             }
         };
-        let received_at = self.clock.now();
         Some(read.map(|read| {
             let checked_at = match &read {
                 PrefixRead::Listing(_) => started_at,
                 PrefixRead::Changes(changes) if changes.is_empty() => started_at + wait,
-                PrefixRead::Changes(_) => received_at,
+                PrefixRead::Changes(_) => self.clock.now(),
             };
-            let configs = entries(read).filter_map(|entry| parse::<P>(&entry));
+            let read_up_to = self.watcher.after();
             ConfigAnswer {
                 started_at,
                 checked_at,
-                configs: configs.collect(),
+                evacuations: read_up_to.map(|version| evacuation_read::<P>(&read, version)),
+                configs: configs::<P>(read),
             }
         }))
     }
 }
 
+/// Returns the valid configurations of a read.
+fn configs<P: Platform>(read: PrefixRead) -> Vec<RouteConfig> {
+    let is_config = |entry: &Entry| P::operator_key(&entry.key) == OperatorKey::Configuration;
+    let entries = entries(read).filter(is_config);
+    entries.filter_map(|entry| parse::<P>(&entry)).collect()
+}
+
 /// Returns the entries of a read, without deleted ones.
 fn entries(read: PrefixRead) -> impl Iterator<Item = Entry> {
     let (listed, changed) = match read {
--- a/crates/cranberrypitch-relay/src/balancer/snapshot.rs
+++ b/crates/cranberrypitch-relay/src/balancer/snapshot.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cranberrypitch_core::flow::{AgentRecord, RouteConfig};
+use cranberrypitch_core::flow::{AgentRecord, EvacuationSet, RouteConfig};
 use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
 
@@ -21,11 +21,14 @@
 /// The minimum time between two copies of the agent list.
 const COPY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The configuration in force at a balancer and its list of agents.
+/// The configuration and the evacuations in force at a balancer and its list of agents.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct Snapshot {
     pub(crate) config: RouteConfig,
     pub(crate) agents: Vec<AgentRecord>,
+    /// The evacuations in force; an earlier release leaves them out.
+    #[serde(default)]
+    pub(crate) evacuations: EvacuationSet,
 }
 
 #[derive(Debug, Default)]
@@ -33,6 +36,7 @@
     config: Option<RouteConfig>,
     agents: Option<Vec<AgentRecord>>,
     agents_copied_at: Option<Instant>,
+    evacuations: EvacuationSet,
 }
 
 /// The latest snapshot of this balancer. Clones share the content.
@@ -44,6 +48,14 @@
         self.lock().config = Some(config);
     }
 
+    /// Replaces the evacuations, if they have changed.
+    pub(crate) fn set_evacuations(&self, evacuations: &EvacuationSet) {
+        let mut parts = self.lock();
+        if parts.evacuations.version != evacuations.version {
+            parts.evacuations = evacuations.clone();
+        }
+    }
+
     /// Replaces the agent list if the last copy is older than [`COPY_INTERVAL`]. `agents` returns
     /// `None` until the balancer has its first list.
     pub(crate) fn set_agents(
@@ -66,6 +78,7 @@
             PATH => encode(&Snapshot {
                 config: parts.config.clone()?,
                 agents: parts.agents.clone()?,
+                evacuations: parts.evacuations.clone(),
             }),
             AGENTS_PATH => encode(parts.agents.as_ref()?),
             _ => None,
--- a/crates/cranberrypitch-relay/src/balancer/state_update.rs
+++ b/crates/cranberrypitch-relay/src/balancer/state_update.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use cranberrypitch_core::flow::{AgentRecord, ConfigCheck, RouteConfig};
+use cranberrypitch_core::flow::{AgentRecord, ConfigCheck, EvacuationRead, RouteConfig};
 use cranberrypitch_net::store::StoreKey;
 
 use super::snapshot::Snapshot;
@@ -12,6 +12,8 @@
 pub(crate) enum StateUpdate {
     /// A configuration from the store.
     Config(RouteConfig),
+    /// What a read of the store returned about evacuations.
+    Evacuations(EvacuationRead),
     /// The store had no newer configuration than the one in force at this time.
     ConfigReadUpTo(Instant),
     /// A check of the configuration in the store, for the other balancers.
--- a/crates/cranberrypitch-relay/src/log.rs
+++ b/crates/cranberrypitch-relay/src/log.rs
@@ -5,7 +5,8 @@
 
 use std::time::{Duration, Instant};
 
-use cranberrypitch_core::flow::FlowEvent;
+use cranberrypitch_core::FailureDomain;
+use cranberrypitch_core::flow::{EvacuationVersion, FlowEvent};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 
 /// The `tracing` target of all log lines of the daemons.
@@ -236,6 +237,17 @@
         FlowEvent::ConfigurationStale { version } => {
             tracing::warn!(target: TARGET, event = "ConfigurationStale", %version);
         }
+        FlowEvent::EvacuationInForce {
+            failure_domain,
+            version,
+            agent_count,
+        } => write_evacuation(failure_domain, *version, *agent_count),
+        FlowEvent::EvacuationEnded {
+            failure_domain,
+            version,
+        } => {
+            tracing::info!(target: TARGET, event = "EvacuationEnded", %failure_domain, %version);
+        }
         FlowEvent::TargetChanged {
             agent,
             service,
@@ -267,6 +279,19 @@
     }
 }
 
+/// Writes a line for an evacuation: a warning if no agent is in the failure domain, as its name may be wrong.
+fn write_evacuation(
+    failure_domain: &FailureDomain,
+    version: EvacuationVersion,
+    agent_count: usize,
+) {
+    if agent_count == 0 {
+        tracing::warn!(target: TARGET, event = "EvacuationInForce", %failure_domain, %version, agents = agent_count);
+    } else {
+        tracing::info!(target: TARGET, event = "EvacuationInForce", %failure_domain, %version, agents = agent_count);
+    }
+}
+
 fn milliseconds(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use cranberrypitch_core::Revision;
-use cranberrypitch_core::flow::{Action, FlowEvent, Message};
+use cranberrypitch_core::flow::{Action, FlowEvent, Message, RefusalCause};
 use cranberrypitch_net::store::{Epoch, Error as StoreError, Operation, StoreObserver};
 use hyper::StatusCode;
 use prometheus_client::encoding::text::encode;
@@ -35,6 +35,7 @@
     store: StoreMetrics,
     flows_placed: Counter,
     flows_refused: Counter,
+    flows_refused_evacuated: Counter,
     openings_unanswered: Counter,
     flows_located: Counter,
     flows_not_located: Counter,
@@ -55,6 +56,7 @@
     agent_list_age_ms: Gauge,
     flows: Gauge,
     agents: Gauge,
+    evacuated_domains: Gauge,
     requests_running: Gauge,
     config_version: Gauge,
     locate_time: Histogram,
@@ -68,6 +70,10 @@
         let mut counter = |name, help| register::<Counter>(&mut registry, name, help);
         let flows_placed = counter("flows_placed", "Flow openings sent to an agent");
         let flows_refused = counter("flows_refused", "Flow openings refused by an agent");
+        let flows_refused_evacuated = counter(
+            "flows_refused_evacuated",
+            "Flow openings refused by an agent because its failure domain is evacuated",
+        );
         let openings_unanswered = counter(
             "openings_unanswered",
             "Flow openings not answered before the timeout",
@@ -119,6 +125,10 @@
         );
         let flows = gauge("flows", "Flows in the flow table");
         let agents = gauge("agents", "Agents in the directory of the balancer");
+        let evacuated_domains = gauge(
+            "evacuated_domains",
+            "Failure domains whose evacuation is in force at the balancer",
+        );
         let requests_running = gauge("requests_running", "Requests running at the target");
         let config_version = gauge(
             "configuration_version",
@@ -137,6 +147,7 @@
             store,
             flows_placed,
             flows_refused,
+            flows_refused_evacuated,
             openings_unanswered,
             flows_located,
             flows_not_located,
@@ -157,6 +168,7 @@
             agent_list_age_ms,
             flows,
             agents,
+            evacuated_domains,
             requests_running,
             config_version,
             locate_time,
@@ -198,7 +210,7 @@
             Message::Lookup { .. } | Message::LookupBatch(_) => {
                 self.lookup_messages.inc();
             }
-            Message::ConfigCheck(_) => {
+            Message::ConfigCheck { .. } => {
                 self.config_checks_sent.inc();
             }
             _ => {}
@@ -220,8 +232,11 @@
             FlowEvent::NotLocated { .. } => {
                 self.flows_not_located.inc();
             }
-            FlowEvent::Refused { .. } => {
+            FlowEvent::Refused { cause, .. } => {
                 self.flows_refused.inc();
+                if *cause == RefusalCause::Evacuated {
+                    self.flows_refused_evacuated.inc();
+                }
             }
             FlowEvent::Unanswered { .. } => {
                 self.openings_unanswered.inc();
@@ -269,6 +284,11 @@
         self.requests_running.set(i64::from(running));
     }
 
+    pub(crate) fn set_evacuations(&self, failure_domains: usize) {
+        let failure_domains = i64::try_from(failure_domains).unwrap_or(i64::MAX);
+        self.evacuated_domains.set(failure_domains);
+    }
+
     pub(crate) fn set_balancer(&self, flows: usize, agents: usize, version: Option<Revision>) {
         self.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
         self.agents.set(i64::try_from(agents).unwrap_or(i64::MAX));
--- a/crates/cranberrypitch-relay/src/platform.rs
+++ b/crates/cranberrypitch-relay/src/platform.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use cranberrypitch_core::FailureDomain;
 use cranberrypitch_core::flow::{PacketHeader, Reset, RouteConfig, StatusReport};
 use cranberrypitch_net::store::{Store, StoreKey};
 
@@ -17,6 +18,19 @@
     Exit(Box<str>),
 }
 
+/// What a key that operators write stands for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OperatorKey {
+    /// The configuration.
+    Configuration,
+    /// The evacuation of a failure domain. The value has no meaning.
+    Evacuation(FailureDomain),
+    /// The key of an evacuation without a valid name of a failure domain.
+    MalformedEvacuation,
+    /// Any other key, which has no effect.
+    Other,
+}
+
 /// The address and the limits of calls to the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreOptions {
@@ -56,8 +70,11 @@
     /// Returns a client of the store. It connects with the first call.
     fn new_store(options: StoreOptions) -> Self::Store;
 
-    /// Returns the store key of the operators' configuration.
-    fn config_key() -> Result<StoreKey>;
+    /// Returns the prefix of the store keys that operators write.
+    fn operator_prefix() -> Result<StoreKey>;
+
+    /// Returns what a key with that prefix stands for.
+    fn operator_key(key: &StoreKey) -> OperatorKey;
 
     /// Parses the value of the operators' configuration.
     ///
