Write the flows of a draining agent to the store, and await no agent that excludes a flow

After a power failure of all VMs, a lookup awaits every registered agent, and VMs that were draining never return: dead flows waited for the end of their lease (9 s).

The record of an agent whose target drains or has exited gains held_flows, the hashes of all flows that the agent has passed packets of and that are not closed. Lookups skip agents whose record in the store excludes the flow, and no longer await those that a list excludes which was read after the query. The agent refuses flows from the time at which it passes such a record to the registration until a later record without the set is known to be written; a restoration of the store counts as an unknown write. The registration task reports the number of the last record that is written. A write without an answer no longer lets the task take an earlier, equal record for written.

The set is left out when an agent stops beside a target that does not drain: its next process admits flows, and the store would have the set until that process has registered. For the same reason the first SYNs of an agent wait in its backlog while its first record is written.

A new listing of the agents voids the age of the list until the changes after it are read, as the records may come from a restored copy.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod backlog;
 mod balancers;
+mod flow_list;
 mod hosted_flows;
 mod options;
 mod refusal;
@@ -19,6 +20,8 @@
 use self::backlog::SynBacklog;
 pub use self::backlog::{MAX_REQUESTS_PER_SLOT, next_queued_syn};
 use self::balancers::BalancerEntry;
+use self::flow_list::FlowList;
+pub use self::flow_list::{NumberedRecord, RecordNumber};
 use self::hosted_flows::HostedFlows;
 pub use self::options::FlowAgentOptions;
 use self::report_series::ReportSeries;
@@ -65,6 +68,7 @@
     /// Whether a SYN was returned before the first status report. Nothing accepts flows then.
     is_syn_returned_before_report: bool,
     flows: HostedFlows,
+    flow_list: FlowList,
     backlog: SynBacklog,
     load_meter: LoadMeter,
     response_meter: ResponseMeter,
@@ -90,6 +94,7 @@
             report_series: ReportSeries::default(),
             is_syn_returned_before_report: false,
             flows: HostedFlows::default(),
+            flow_list: FlowList::default(),
             backlog: SynBacklog::default(),
             load_meter: LoadMeter::new(now),
             response_meter: ResponseMeter::new(now),
@@ -102,7 +107,8 @@
         }
     }
 
-    /// Returns the record of the agent and its target for registration and reports.
+    /// Returns the record of the agent and its target for reports. It lacks the set of held flows, which only
+    /// the store has: see [`Self::registration_record`].
     pub fn record(&self, now: Instant) -> AgentRecord {
         let target = self.target.as_ref();
         AgentRecord {
@@ -114,6 +120,7 @@
             slots: self.slots(),
             warmup_left: target.map_or(Duration::ZERO, |t| t.warmup_left(now)),
             is_agent_stopping: self.is_stopping && self.state() != TargetState::Gone,
+            held_flows: None,
         }
     }
 
@@ -303,6 +310,11 @@
             return self.on_bounced(header, packet, now);
         }
         let flow = header.flow_from_target();
+        // The flow opens only if its caller gets the SYN-ACK, and balancers may know a set that excludes it.
+        if header.is_syn_ack() && self.flow_list.may_be_stored() && self.flows.get(&flow).is_none()
+        {
+            return dropped(flow, DropCause::FlowNotFound);
+        }
         let mut actions = Vec::with_capacity(3);
         let hosted = self.flows.get_or_insert(flow, now);
         if header.flags.contains(PacketFlags::RST) && hosted.request_age(now).is_some() {
--- a/crates/cranberrypitch-core/src/flow/agent/admission.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/admission.rs
@@ -109,7 +109,7 @@
             return Some(RefusalCause::OtherService);
         }
         let is_ready = |target: &TargetProcess| target.state() == TargetState::Ready;
-        if !self.target.as_ref().is_none_or(is_ready) {
+        if !self.target.as_ref().is_none_or(is_ready) || self.flow_list.may_be_stored() {
             return Some(RefusalCause::Draining);
         }
         self.is_status_overdue(now)
--- a/crates/cranberrypitch-core/src/flow/agent/backlog.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/backlog.rs
@@ -78,7 +78,7 @@
         if self.backlog.contains(&flow) {
             return Some(vec![queued]);
         }
-        if self.flows.get(&flow).is_some() || !self.is_target_busy(now) {
+        if self.flows.get(&flow).is_some() || !self.must_queue(now) {
             return None;
         }
         if self.backlog.len() >= MAX_QUEUED_SYNS {
@@ -91,7 +91,7 @@
     /// Passes queued SYNs to the target while it has capacity, and refuses those that timed out.
     pub(super) fn admit_queued_syns(&mut self, now: Instant) -> Vec<Action<'static>> {
         let mut actions = Vec::new();
-        while !self.is_target_busy(now)
+        while !self.must_queue(now)
             && let Some(syn) = self.backlog.take_next()
         {
             if let Some(cause) = self.refusal_cause(syn.params.service, now) {
@@ -101,11 +101,17 @@
             actions.extend(self.open_flow(syn.flow, syn.balancer, now));
             actions.push(Action::SendToTarget(syn.packet.into_vec().into()));
         }
+        // A SYN that waited for the registration may be admitted by another agent.
+        let cause = if self.flow_list.is_first_write_pending() {
+            RefusalCause::Draining
+        } else {
+            RefusalCause::Overloaded
+        };
         for syn in self
             .backlog
             .take_timed_out(self.options.backlog_timeout, now)
         {
-            actions.extend(self.refuse_queued_syn(&syn, RefusalCause::Overloaded));
+            actions.extend(self.refuse_queued_syn(&syn, cause));
         }
         actions
     }
@@ -125,6 +131,12 @@
         ]
     }
 
+    /// Returns whether a SYN has to wait: for capacity of the target, or for the first write of the registration,
+    /// until which the store may hold the flows of an earlier process at the address.
+    fn must_queue(&mut self, now: Instant) -> bool {
+        self.flow_list.is_first_write_pending() || self.is_target_busy(now)
+    }
+
     /// Returns whether the target has at least [`MAX_REQUESTS_PER_SLOT`] requests for each slot.
     fn is_target_busy(&mut self, now: Instant) -> bool {
         let limit = self
--- a/crates/cranberrypitch-core/src/flow/agent/balancers.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/balancers.rs
@@ -149,6 +149,7 @@
 
     /// Records a change of the target and reports it to all balancers immediately.
     pub(super) fn report_change(&mut self, now: Instant) -> Vec<Action<'static>> {
+        self.update_flow_list(now);
         let record = self.record(now);
         let event = FlowEvent::TargetChanged {
             agent: record.address,
--- a/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
@@ -259,6 +259,12 @@
         self.open_len
     }
 
+    /// Returns the flows that are not closed, including those being opened or probed.
+    pub(super) fn open_flows(&self) -> impl Iterator<Item = FlowKey> {
+        let open = self.flows.iter().filter(|(_, hosted)| !hosted.is_closed());
+        open.map(|(flow, _)| *flow)
+    }
+
     pub(super) fn get(&self, flow: &FlowKey) -> Option<&HostedFlow> {
         self.flows.get(flow)
     }
@@ -277,6 +283,11 @@
         }
         let opening = || HostedFlow::new(HostedFlowState::Opening, Some(balancer), now);
         let hosted = self.flows.entry(flow).or_insert_with(opening);
+        // A caller may use the port of a closed flow again.
+        if hosted.is_closed() {
+            hosted.has_caller_finished = false;
+            hosted.has_target_finished = false;
+        }
         hosted.set_opening_balancer(balancer);
         hosted.last_packet_at = now;
         is_new
--- a/crates/cranberrypitch-core/src/flow/directory.rs
+++ b/crates/cranberrypitch-core/src/flow/directory.rs
@@ -9,7 +9,9 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DisplayFromStr, DurationMilliSeconds, serde_as};
 
+use super::held_flows::{self, HeldFlows};
 use super::load::AgentLoad;
+use super::packet::FlowKey;
 use crate::collections::FastMap;
 use crate::ids::{FailureDomain, Incarnation, ServiceName, ServiceTag};
 use crate::target::TargetState;
@@ -39,6 +41,14 @@
     /// Whether the agent is stopping while its target keeps running, with its flows, for the next agent.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_agent_stopping: bool,
+    /// The flows that the target may hold, if the agent has ended admission and knows all of them. Only the
+    /// store has it: no report carries it.
+    #[serde(
+        default,
+        deserialize_with = "held_flows::deserialize_or_absent",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub held_flows: Option<HeldFlows>,
 }
 
 /// Time limits for keeping agents in an [`AgentDirectory`].
@@ -89,10 +99,18 @@
 }
 
 impl AgentEntry {
-    /// Returns whether the target may hold open flows.
-    pub(crate) fn may_hold_flows(&self, now: Instant) -> bool {
+    fn may_hold_flow(&self, flow: &FlowKey, options: &AgentDirectoryOptions, now: Instant) -> bool {
         let has_exited = |since| now.saturating_duration_since(since) >= EXIT_TIME;
-        !self.gone_since.is_some_and(has_exited)
+        !self.gone_since.is_some_and(has_exited) && !self.excludes(flow, options, now)
+    }
+
+    /// Returns whether the store has the set of the target's flows without this one. While reports say that the
+    /// agent is ready again, the set is out of date.
+    fn excludes(&self, flow: &FlowKey, options: &AgentDirectoryOptions, now: Instant) -> bool {
+        let is_ready = self.record.state == TargetState::Ready;
+        let held = self.record.held_flows.as_ref();
+        held.is_some_and(|held| !held.may_contain(flow))
+            && !(is_ready && self.has_recent_report(options, now))
     }
 
     /// Replaces the record by a newer one.
@@ -122,6 +140,13 @@
         self.reported_at.is_some_and(is_recent)
     }
 
+    /// Records that the store does not list the agent. Without its record, the set of held flows is unknown.
+    fn unlist(&mut self, now: Instant) {
+        self.is_listed = false;
+        self.unlisted_at = now;
+        self.record.held_flows = None;
+    }
+
     fn is_kept(&self, options: &AgentDirectoryOptions, now: Instant) -> bool {
         let unlisted_for = now.saturating_duration_since(self.unlisted_at);
         match self.record.state {
@@ -183,8 +208,7 @@
         let listed: crate::FastSet<_> = records.iter().map(|record| record.address).collect();
         for (address, agent) in &mut self.agents {
             if agent.is_listed && !listed.contains(address) {
-                agent.is_listed = false;
-                agent.unlisted_at = now;
+                agent.unlist(now);
             }
         }
         let changed = records
@@ -207,12 +231,14 @@
                 entry.is_listed = true;
                 true
             }
-            // A recent report of the agent is newer than its registration in the store.
+            // A recent report of the agent is newer than its registration in the store, but has no set of held
+            // flows.
             Some(entry)
                 if entry.record.incarnation == record.incarnation
                     && entry.has_recent_report(&self.options, now) =>
             {
                 entry.is_listed = true;
+                entry.record.held_flows = record.held_flows;
                 false
             }
             Some(entry) if entry.record == record => {
@@ -229,18 +255,19 @@
         }
     }
 
-    /// Keeps the last record of an agent whose key the store has with a value that can't be read.
+    /// Keeps the last record of an agent whose key the store has with a value that can't be read, except the
+    /// set of held flows, which the agent may have removed before.
     pub fn on_unreadable(&mut self, address: SocketAddrV4) {
         if let Some(entry) = self.agents.get_mut(&address) {
             entry.is_listed = true;
+            entry.record.held_flows = None;
         }
     }
 
     /// Marks an agent as no longer listed by the store.
     pub fn on_unregistered(&mut self, address: SocketAddrV4, now: Instant) {
         if let Some(entry) = self.agents.get_mut(&address) {
-            entry.is_listed = false;
-            entry.unlisted_at = now;
+            entry.unlist(now);
         }
     }
 
@@ -256,12 +283,20 @@
                 return false;
             }
             let state = entry.record.state;
+            let held_flows = entry.record.held_flows.take();
             entry.set_record(record, now);
+            // The set holds until the agent may admit flows again.
+            let is_ready = entry.record.state == TargetState::Ready;
+            entry.record.held_flows = held_flows.filter(|_| !is_ready);
             let is_changed = entry.record.state != state;
             entry.load = load;
             entry.reported_at = Some(now);
             return is_changed;
         }
+        let record = AgentRecord {
+            held_flows: None,
+            ..record
+        };
         self.insert(record, Some(load), now);
         true
     }
@@ -302,6 +337,18 @@
         self.agents.get(&address)
     }
 
+    /// Returns whether the target of an agent may hold a flow. It does not after its exit, or if the store has
+    /// the set of its flows without this one.
+    pub(crate) fn may_hold_flow(&self, agent: &AgentEntry, flow: &FlowKey, now: Instant) -> bool {
+        agent.may_hold_flow(flow, &self.options, now)
+    }
+
+    /// Returns whether the store has the set of the flows that the target of an agent holds, without this one.
+    pub(crate) fn excludes(&self, address: SocketAddrV4, flow: &FlowKey, now: Instant) -> bool {
+        let agent = self.agents.get(&address);
+        agent.is_some_and(|agent| agent.excludes(flow, &self.options, now))
+    }
+
     /// Returns whether the store lists an agent.
     pub(crate) fn is_listed(&self, address: SocketAddrV4) -> bool {
         self.agents
@@ -338,7 +385,14 @@
     fn insert(&mut self, record: AgentRecord, load: Option<AgentLoad>, now: Instant) {
         let address = record.address;
         let previous = self.agents.remove(&address);
-        let record = with_known_state(record, previous.as_ref().map(|entry| &entry.record));
+        let mut record = with_known_state(record, previous.as_ref().map(|entry| &entry.record));
+        // The set of an earlier process says nothing about the flows that the known one has admitted.
+        if previous
+            .as_ref()
+            .is_some_and(|entry| entry.record.incarnation > record.incarnation)
+        {
+            record.held_flows = None;
+        }
         if let Some(previous) = &previous
             && let Some(addresses) = self.by_service.get_mut(&previous.service_tag)
         {
--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -300,8 +300,8 @@
         self.liveness.on_message(agent, now);
     }
 
-    /// Forwards a packet to the agent that holds the flow, or starts a lookup if the agent was removed
-    /// or is unresponsive.
+    /// Forwards a packet to the agent that holds the flow, or starts a lookup if the agent was removed, or is
+    /// silent and its registration has ended or excludes the flow.
     fn forward_to_holder<'a>(
         &mut self,
         holder: EstablishedFlow,
@@ -311,13 +311,16 @@
     ) -> Vec<Action<'a>> {
         let agent = holder.agent;
         let timeout = self.options.lookup_timeout;
-        if self.directory.agent(agent).is_none() || self.is_unresponsive(agent, now) {
+        let flow = header.flow_from_caller();
+        let is_doubtful =
+            self.directory.has_lapsed(agent, now) || self.directory.excludes(agent, &flow, now);
+        let is_silent = self.liveness.is_query_unanswered(agent, timeout, now);
+        if self.directory.agent(agent).is_none() || is_doubtful && is_silent {
             self.selector.on_open_timeout(agent, now);
             return self.start_lookup(header, packet, Some(holder), now);
         }
         let mut actions = forward(agent, packet);
-        let has_lapsed = self.directory.has_lapsed(agent, now);
-        if has_lapsed && self.liveness.is_probe_due(agent, timeout, now) {
+        if is_doubtful && self.liveness.is_probe_due(agent, timeout, now) {
             self.liveness.on_query(agent, now);
             actions.push(Action::send(agent, Message::lookup(header)));
         }
--- a/crates/cranberrypitch-core/src/flow/dispatcher/agent_updates.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/agent_updates.rs
@@ -20,6 +20,9 @@
         now: Instant,
     ) -> Vec<Action<'static>> {
         self.has_store_list = true;
+        // The records may be older than those before, if the store was restored from a copy. The changes that
+        // are read next show as of when they hold.
+        self.agent_list_as_of = None;
         self.apply_agent_list(records, now)
     }
 
@@ -42,7 +45,13 @@
             return self.apply_agent_list(records, now);
         }
         let is_new = |record: &AgentRecord| self.directory.agent(record.address).is_none();
-        let new_records: Vec<_> = records.into_iter().filter(is_new).collect();
+        // The store does not list them, so it does not show that their sets of held flows are current.
+        let without_flows = |record| AgentRecord {
+            held_flows: None,
+            ..record
+        };
+        let new_records = records.into_iter().filter(is_new).map(without_flows);
+        let new_records: Vec<_> = new_records.collect();
         new_records
             .iter()
             .flat_map(|record| self.on_registered(record, now))
--- a/crates/cranberrypitch-core/src/flow/dispatcher/lookup.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/lookup.rs
@@ -95,13 +95,21 @@
 
     /// Returns whether a responsive agent of the stage has not replied yet.
     fn is_awaiting_reply(&self, flow: FlowKey, now: Instant) -> bool {
-        let is_responsive = |agent: &SocketAddrV4| !self.is_unresponsive(*agent, now);
+        let is_awaited = |agent: &SocketAddrV4| {
+            !self.is_unresponsive(*agent, now) && !self.is_ruled_out_by_list(*agent, flow, now)
+        };
         self.lookup(flow).is_some_and(|lookup| {
             let mut of_stage = lookup.unanswered.difference(&lookup.queried_ahead);
-            of_stage.any(is_responsive)
+            of_stage.any(is_awaited)
         })
     }
 
+    /// Returns whether a list that was read after the last agent was queried shows that the target of an agent
+    /// does not hold the flow.
+    fn is_ruled_out_by_list(&self, agent: SocketAddrV4, flow: FlowKey, now: Instant) -> bool {
+        self.not_held_evidence(flow).is_some() && self.directory.excludes(agent, &flow, now)
+    }
+
     /// Adds the agents of the last stage to the queried ones, ahead of that stage.
     fn query_last_stage_ahead(&mut self, flow: FlowKey, now: Instant) {
         let agents = self.agents_of_stage(Stage::All, &flow, now);
@@ -119,7 +127,8 @@
     /// Returns the agents of a stage whose targets may hold the flow.
     fn agents_of_stage(&self, stage: Stage, flow: &FlowKey, now: Instant) -> Vec<SocketAddrV4> {
         let address = flow.service_address;
-        let holders = || self.directory.agents().filter(|a| a.may_hold_flows(now));
+        let may_hold = |agent: &&AgentEntry| self.directory.may_hold_flow(agent, flow, now);
+        let holders = || self.directory.agents().filter(may_hold);
         let routed =
             || holders().filter(move |a| self.routes.was_routed_to(address, a.service_tag));
         let top_ranked = |is_local: bool| {
--- a/crates/cranberrypitch-core/src/flow/dispatcher/lookup/not_found.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/lookup/not_found.rs
@@ -75,7 +75,8 @@
             return Vec::new();
         };
         let is_new = |agent: &AgentEntry| {
-            agent.may_hold_flows(now) && !lookup.queried.contains(&agent.record.address)
+            self.directory.may_hold_flow(agent, &flow, now)
+                && !lookup.queried.contains(&agent.record.address)
         };
         let has_new = self.directory.agents().any(is_new);
         if !has_new && !self.is_awaiting_reply(flow, now) {
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -15,6 +15,7 @@
 mod directory;
 mod dispatcher;
 mod event;
+mod held_flows;
 mod load;
 mod message;
 mod packet;
@@ -25,8 +26,8 @@
 mod store_retry;
 
 pub use self::agent::{
-    AgentIdentity, FlowAgent, FlowAgentOptions, MAX_REQUESTS_PER_SLOT, StatusReport, TargetProcess,
-    next_queued_syn,
+    AgentIdentity, FlowAgent, FlowAgentOptions, MAX_REQUESTS_PER_SLOT, NumberedRecord,
+    RecordNumber, StatusReport, TargetProcess, next_queued_syn,
 };
 pub use self::agent_list::AgentListProgress;
 pub use self::cause::{DropCause, IgnoredReportCause, RefusalCause, ResetCause, ResetEvidenceKind};
@@ -34,6 +35,7 @@
 pub use self::directory::{AgentDirectory, AgentDirectoryOptions, AgentRecord};
 pub use self::dispatcher::{Dispatcher, DispatcherOptions, MAX_DECLINES};
 pub use self::event::FlowEvent;
+pub use self::held_flows::HeldFlows;
 pub use self::load::{AgentLoad, LoadMeter};
 pub use self::message::{Action, LookupAnswer, LookupQuery, Message, OpenParams};
 pub use self::packet::{FlowKey, PacketFlags, PacketHeader, Reset};
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -7,6 +7,7 @@
 mod config_fleet;
 mod config_reads;
 mod dispatcher;
+mod held_flows;
 mod liveness;
 mod load;
 mod lookup;
--- a/crates/cranberrypitch-core/tests/flow/support.rs
+++ b/crates/cranberrypitch-core/tests/flow/support.rs
@@ -54,6 +54,7 @@
         slots: Slots::new(4),
         warmup_left: Duration::ZERO,
         is_agent_stopping: false,
+        held_flows: None,
     }
 }
 
--- a/crates/cranberrypitch-core/tests/flow/world/simulation.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/simulation.rs
@@ -9,7 +9,7 @@
 
 use cranberrypitch_core::flow::{
     AgentIdentity, AgentListProgress, AgentRecord, Dispatcher, DispatcherOptions, FlowAgent,
-    FlowAgentOptions, FlowKey, Message, PacketHeader, RouteConfig,
+    FlowAgentOptions, FlowKey, Message, NumberedRecord, PacketHeader, RouteConfig,
 };
 use cranberrypitch_core::{FastMap, Incarnation};
 
@@ -312,9 +312,14 @@
     }
 
     fn register(&mut self, index: u8) {
-        if let Some(process) = &self.agents[&index].process {
-            let record = process.record(self.now);
+        let now = self.now;
+        let agent = self.agents.get_mut(&index).unwrap();
+        if let Some(process) = &mut agent.process {
+            let NumberedRecord { number, record } = process.registration_record(now);
             self.store.records.insert(index, record);
+            process.set_written_record(Some(number));
+            let actions = process.on_first_write_ended(now);
+            self.perform(agent_address(index), actions);
         }
     }
 
--- a/crates/cranberrypitch-measure/src/selection/target_selector.rs
+++ b/crates/cranberrypitch-measure/src/selection/target_selector.rs
@@ -149,6 +149,7 @@
         slots: Slots::new(slots),
         warmup_left: Duration::ZERO,
         is_agent_stopping: false,
+        held_flows: None,
     })
 }
 
--- a/crates/cranberrypitch-proto/src/relay.rs
+++ b/crates/cranberrypitch-proto/src/relay.rs
@@ -370,6 +370,7 @@
             slots,
             warmup_left,
             is_agent_stopping,
+            held_flows: None,
         };
         Ok(Message::Report { record, load })
     }
--- a/crates/cranberrypitch-proto/tests/relay_messages.rs
+++ b/crates/cranberrypitch-proto/tests/relay_messages.rs
@@ -68,6 +68,7 @@
                     slots: Slots::new(slots),
                     warmup_left: Duration::from_millis(u64::from(warmup_ms)),
                     is_agent_stopping,
+                    held_flows: None,
                 }
             },
         )
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -3,13 +3,13 @@
 use std::marker::PhantomData;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use bytes::Bytes;
 use cranberrypitch_core::Clock;
 use cranberrypitch_core::flow::{
-    Action, AgentIdentity, AgentRecord, FlowAgent, FlowAgentOptions, Message, PacketFlags,
+    Action, AgentIdentity, AgentRecord, FlowAgent, FlowAgentOptions, Message, NumberedRecord,
+    PacketFlags,
 };
 use cranberrypitch_net::daemon::{Signal, new_incarnation};
 use cranberrypitch_net::store::ObservedStore;
@@ -27,7 +27,7 @@
 use crate::metrics::RelayMetrics;
 use crate::platform::{Platform, StoreOptions, TargetRequest};
 use crate::settings::{RelaySettings, TargetSettings};
-use crate::store::registration::{Registration, RegistrationOptions};
+use crate::store::registration::{Registration, RegistrationOptions, RegistrationStatus};
 
 /// The tick interval. It is shorter than the interval of load reports.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -61,11 +61,10 @@
         seed_balancers: settings.seed_balancers(),
     };
     let agent = FlowAgent::new(flow_agent_options(settings), identity, now);
-    let is_registered = Arc::new(AtomicBool::new(false));
     let record = agent.record(now);
     let metrics = RelayMetrics::default();
-    let (record_sender, registration) =
-        spawn_registration::<P>(settings, &record, &is_registered, metrics.clone())?;
+    let (record_sender, registration, registration_status) =
+        spawn_registration::<P>(settings, &record, metrics.clone())?;
     let target_socket = (Arc::clone(&outbound_socket), target.backend_address);
     let caller_port = settings.datagram_address.port();
     let mut daemon = AgentDaemon::<P> {
@@ -81,7 +80,7 @@
         clock: Arc::clone(&context.clock),
         record_sender: Some(record_sender),
         registration: Some(registration),
-        is_registered,
+        registration_status,
         buffer: vec![0; MAX_DATAGRAM_BYTES],
         platform: PhantomData,
     };
@@ -114,16 +113,26 @@
     *registration = None;
 }
 
-type RecordSender = watch::Sender<Option<AgentRecord>>;
+type RecordSender = watch::Sender<Option<NumberedRecord>>;
 
-/// Spawns the task that keeps the registration of the agent. Returns the sender of its records.
+type StatusReceiver = watch::Receiver<RegistrationStatus>;
+
+/// Waits until the status of the registration changes. Does not return after the end of its task.
+async fn wait_for_change(status: &mut StatusReceiver) {
+    if status.changed().await.is_err() {
+        std::future::pending().await
+    }
+}
+
+/// Spawns the task that keeps the registration of the agent. Returns the sender of its records and the receiver
+/// of its status.
 fn spawn_registration<P: Platform>(
     settings: &RelaySettings,
     record: &AgentRecord,
-    is_registered: &Arc<AtomicBool>,
     metrics: RelayMetrics,
-) -> Result<(RecordSender, JoinHandle<()>)> {
+) -> Result<(RecordSender, JoinHandle<()>, StatusReceiver)> {
     let (sender, receiver) = watch::channel(None);
+    let (status_sender, status) = watch::channel(RegistrationStatus::default());
     let store = ObservedStore::new(
         P::new_store(StoreOptions::new(settings.store_address)),
         metrics,
@@ -134,16 +143,15 @@
         stopped_ttl: settings.flow_lifetime_s,
         stop_timeout: settings.stop_time(),
     };
-    let is_registered = Arc::clone(is_registered);
     // An invalid key must stop the agent, which the task could not do.
     crate::store::registration::store_key(&record)?;
     let task = tokio::spawn(async move {
-        match Registration::try_new(&store, &record, options, is_registered) {
+        match Registration::try_new(&store, &record, options, status_sender) {
             Ok(registration) => registration.run(receiver).await,
             Err(error) => tracing::error!(target: log::TARGET, %error, "registration not started"),
         }
     });
-    Ok((sender, task))
+    Ok((sender, task, status))
 }
 
 /// A request of the target and the channel that acknowledges it.
@@ -188,7 +196,7 @@
     record_sender: Option<RecordSender>,
     /// The task that keeps the registration, until it has ended.
     registration: Option<JoinHandle<()>>,
-    is_registered: Arc<AtomicBool>,
+    registration_status: StatusReceiver,
     buffer: Vec<u8>,
     platform: PhantomData<P>,
 }
@@ -229,6 +237,7 @@
                         self.on_stop();
                     }
                 },
+                () = wait_for_change(&mut self.registration_status) => self.on_registration_status(),
                 () = wait_for_end(&mut self.registration) => {}
             }
             if self.record_sender.is_none() && self.registration.is_none() {
@@ -304,29 +313,42 @@
     }
 
     /// Passes the record of the agent to its registration, if it has changed.
-    fn send_record(&self, now: Instant) {
-        let record = self.agent.record(now);
+    fn send_record(&mut self, now: Instant) {
         let Some(sender) = &self.record_sender else {
             return;
         };
+        // The agent counts the record as stored from here on, whether or not it is sent.
+        let next = self.agent.registration_record(now);
         sender.send_if_modified(|current| {
             let is_changed = current.as_ref().is_none_or(|current| {
+                let (current, record) = (&current.record, &next.record);
                 current.state != record.state
                     || current.service != record.service
                     || current.slots != record.slots
                     || current.is_agent_stopping != record.is_agent_stopping
+                    || current.held_flows != record.held_flows
             });
             if is_changed {
-                *current = Some(record);
+                *current = Some(next);
             }
             is_changed
         });
     }
 
+    /// Passes what the store holds to the agent.
+    fn on_registration_status(&mut self) {
+        let now = self.clock.now();
+        let status = *self.registration_status.borrow_and_update();
+        self.agent.set_registered(status.is_registered);
+        self.agent.set_written_record(status.written_record);
+        if status.is_first_attempt_over {
+            let actions = self.agent.on_first_write_ended(now);
+            self.executor.execute::<P>(actions, now);
+        }
+    }
+
     fn on_tick(&mut self) {
         let now = self.clock.now();
-        let is_registered = self.is_registered.load(Ordering::Relaxed);
-        self.agent.set_registered(is_registered);
         let actions = self.agent.on_tick(now);
         self.executor.execute::<P>(actions, now);
         let flows = self.agent.flow_count();
--- a/crates/cranberrypitch-relay/src/balancer/agent_watch.rs
+++ b/crates/cranberrypitch-relay/src/balancer/agent_watch.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::Clock;
-use cranberrypitch_core::flow::AgentListProgress;
+use cranberrypitch_core::flow::{AgentListProgress, AgentRecord};
 use cranberrypitch_net::store::{Entry, KeyChange, Store, StoreKey, Version};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::Sender;
@@ -137,7 +137,10 @@
     let mut unreadable = Vec::new();
     for entry in entries {
         match registration::parse_record(&entry) {
-            Ok(record) => records.push(record),
+            Ok(record) => {
+                refused.check_flows(&entry, &record);
+                records.push(record);
+            }
             Err(error) => {
                 refused.add(&entry.key, error);
                 unreadable.push(StateUpdate::AgentUnreadable(entry.key));
@@ -154,7 +157,10 @@
         return StateUpdate::AgentUnregistered(change.key);
     };
     match registration::parse_record(&entry) {
-        Ok(record) => StateUpdate::AgentRegistered(record),
+        Ok(record) => {
+            refused.check_flows(&entry, &record);
+            StateUpdate::AgentRegistered(record)
+        }
         Err(error) => {
             refused.add(&entry.key, error);
             StateUpdate::AgentUnreadable(entry.key)
@@ -162,12 +168,14 @@
     }
 }
 
-/// The entries of an answer that are no records of agents. There may be thousands, so one log line shows
-/// their number and the first error.
+/// The entries of an answer that are no records of agents, and the records whose set of held flows is malformed.
+/// There may be thousands, so one log line of each kind shows their number and the first one.
 #[derive(Debug, Default)]
 struct RefusedEntries {
     count: usize,
     first: Option<(StoreKey, Error)>,
+    malformed_flows: usize,
+    first_malformed_flows: Option<StoreKey>,
 }
 
 impl RefusedEntries {
@@ -176,12 +184,25 @@
         self.first.get_or_insert_with(|| (key.clone(), error));
     }
 
-    /// Counts the entries and writes the log line.
+    /// Counts a record with a malformed set of held flows, which is used without the set.
+    fn check_flows(&mut self, entry: &Entry, record: &AgentRecord) {
+        if registration::has_malformed_flows(entry, record) {
+            self.malformed_flows += 1;
+            self.first_malformed_flows
+                .get_or_insert_with(|| entry.key.clone());
+        }
+    }
+
+    /// Counts the entries and writes the log lines.
     fn record(&self, metrics: &RelayMetrics) {
         metrics.add_refused_registrations(self.count);
         if let Some((key, error)) = &self.first {
             let count = self.count;
             tracing::warn!(target: crate::log::TARGET, event = "RegistrationRefused", count, %key, %error);
         }
+        if let Some(key) = &self.first_malformed_flows {
+            let count = self.malformed_flows;
+            tracing::warn!(target: crate::log::TARGET, event = "HeldFlowsRefused", count, %key);
+        }
     }
 }
--- a/crates/cranberrypitch-relay/src/store/registration.rs
+++ b/crates/cranberrypitch-relay/src/store/registration.rs
@@ -1,16 +1,16 @@
 //! The registration of an agent in the store, under a lease.
 
 use std::net::SocketAddrV4;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use cranberrypitch_core::flow::AgentRecord;
+use cranberrypitch_core::flow::{AgentRecord, NumberedRecord, RecordNumber};
 use cranberrypitch_net::store::{
     Entry, Error as StoreError, ExpectedVersion, LeaseId, Put, Store, StoreKey, Version,
 };
-use tokio::sync::watch::Receiver;
+use serde::Deserialize;
+use serde::de::IgnoredAny;
+use tokio::sync::watch::{Receiver, Sender};
 use tokio::time::{sleep, timeout};
 
 use super::backoff::Backoff;
@@ -40,6 +40,18 @@
     pub(crate) stop_timeout: Duration,
 }
 
+/// What is known of the agent's record in the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct RegistrationStatus {
+    /// Whether the last call to the store succeeded and the record is written.
+    pub(crate) is_registered: bool,
+    /// The last record that the store is known to hold; none before the first write, and from the time at which
+    /// the store is found to have lost its latest writes until the record is verified or written again.
+    pub(crate) written_record: Option<RecordNumber>,
+    /// Whether the first attempt to write a record has ended.
+    pub(crate) is_first_attempt_over: bool,
+}
+
 /// A lease that the agent holds.
 #[derive(Clone, Copy, Debug)]
 struct Lease {
@@ -53,10 +65,12 @@
     store: &'a S,
     key: StoreKey,
     options: RegistrationOptions,
-    /// Whether the last call to the store succeeded and the record is written. Shared with the agent.
-    is_registered: Arc<AtomicBool>,
+    /// Tells the agent what the store holds.
+    status: Sender<RegistrationStatus>,
     lease: Option<Lease>,
     written: Option<(Version, AgentRecord)>,
+    /// Whether a write has no answer, so that it may have replaced `written` or may still do so.
+    is_write_unanswered: bool,
 }
 
 /// Returns the store key of an agent.
@@ -89,6 +103,18 @@
     Ok(record)
 }
 
+/// Returns whether an entry has a set of held flows that its record lacks, as it is malformed.
+pub(crate) fn has_malformed_flows(entry: &Entry, record: &AgentRecord) -> bool {
+    #[derive(Deserialize)]
+    struct Field {
+        held_flows: Option<IgnoredAny>,
+    }
+    let has_field = || {
+        serde_json::from_slice(&entry.value).is_ok_and(|field: Field| field.held_flows.is_some())
+    };
+    record.held_flows.is_none() && has_field()
+}
+
 impl<'a, S: Store> Registration<'a, S> {
     /// Returns a registration that has not been written yet.
     ///
@@ -99,36 +125,37 @@
         store: &'a S,
         record: &AgentRecord,
         options: RegistrationOptions,
-        is_registered: Arc<AtomicBool>,
+        status: Sender<RegistrationStatus>,
     ) -> Result<Self> {
         Ok(Self {
             store,
             key: store_key(record)?,
             options,
-            is_registered,
+            status,
             lease: None,
             written: None,
+            is_write_unanswered: false,
         })
     }
 
     /// Writes the latest record and renews its lease until the sender is dropped. Then it releases the lease,
     /// unless the last record says that the agent stops beside a running target: it stays listed for the
     /// next agent. Nothing is written before the first record.
-    pub(crate) async fn run(mut self, mut records: Receiver<Option<AgentRecord>>) {
+    pub(crate) async fn run(mut self, mut records: Receiver<Option<NumberedRecord>>) {
         let mut backoff = Backoff::default();
         let mut is_renewal_due = false;
         // The check precedes each call, so that a stop of the agent ends the loop also while the store
         // is unavailable.
         while records.has_changed().is_ok() {
-            let Some(record) = records.borrow_and_update().clone() else {
+            let Some(NumberedRecord { number, record }) = records.borrow_and_update().clone()
+            else {
                 if records.changed().await.is_err() {
                     break;
                 }
                 continue;
             };
             let result = self.update(record, is_renewal_due).await;
-            let is_registered = result.is_ok() && self.written.is_some();
-            self.is_registered.store(is_registered, Ordering::Relaxed);
+            self.report_status(number, result.is_ok());
             match result {
                 Ok(()) => {
                     backoff.reset(&self.key);
@@ -145,11 +172,31 @@
         }
         let last = records.borrow().clone();
         match last {
-            Some(record) if record.is_agent_stopping => self.write_last(record).await,
+            Some(NumberedRecord { record, .. }) if record.is_agent_stopping => {
+                self.write_last(record).await;
+            }
             _ => self.release().await,
         }
     }
 
+    /// Reports the result of an update with a record to the agent.
+    fn report_status(&self, number: RecordNumber, is_updated: bool) {
+        let is_registered = is_updated && self.written.is_some();
+        self.status.send_modify(|status| {
+            status.is_registered = is_registered;
+            status.is_first_attempt_over = true;
+            if is_registered {
+                status.written_record = Some(number);
+            }
+        });
+    }
+
+    /// Reports that the store may hold another record than the last one that was written.
+    fn report_lost_writes(&self) {
+        self.status
+            .send_modify(|status| status.written_record = None);
+    }
+
     /// Writes the record of an agent that stops, as often as the stop timeout allows.
     async fn write_last(mut self, record: AgentRecord) {
         let stop_timeout = self.options.stop_timeout;
@@ -187,7 +234,11 @@
         let ttl = self.ttl(&record);
         self.lease = self.lease.filter(|lease| lease.ttl == ttl);
         let is_written = |(_, written): &(Version, AgentRecord)| has_same_content(written, &record);
-        if self.lease.is_some() && self.written.as_ref().is_some_and(is_written) {
+        // A write without an answer may take effect late. The next one either makes it fail or replaces it.
+        if self.lease.is_some()
+            && !self.is_write_unanswered
+            && self.written.as_ref().is_some_and(is_written)
+        {
             return Ok(());
         }
         self.write(record, ttl).await
@@ -232,8 +283,10 @@
                 expected,
                 lease: Some(lease.id),
             };
+            self.is_write_unanswered = true;
             match self.store.put(put).await {
                 Ok(version) => {
+                    self.is_write_unanswered = false;
                     tracing::info!(target: crate::log::TARGET, key = %self.key, "agent registered in the store");
                     self.written = Some((version, record));
                     return Ok(());
@@ -258,6 +311,7 @@
         match error {
             StoreError::LeaseLapsed { .. } => {
                 tracing::warn!(target: crate::log::TARGET, %error, "lease of the registration lapsed");
+                self.report_lost_writes();
                 self.lease = None;
                 self.written = None;
                 Ok(())
@@ -270,6 +324,7 @@
     /// Reads the record in the present epoch. If the copy of the store has the last write, its lease and
     /// version hold on, and many agents do not write at the same time. Otherwise the agent registers again.
     async fn verify(&mut self) -> std::result::Result<(), StoreError> {
+        self.report_lost_writes();
         let found = self.store.get(&self.key).await?;
         let (lease, written) = (self.lease.take(), self.written.take());
         let is_kept = |found: &Entry, version: Version| {
@@ -313,4 +368,5 @@
         && a.slots == b.slots
         && a.incarnation == b.incarnation
         && a.is_agent_stopping == b.is_agent_stopping
+        && a.held_flows == b.held_flows
 }
