--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -16,6 +16,7 @@
 mod dispatcher;
 mod evacuation;
 mod event;
+mod held_flows;
 mod load;
 mod message;
 mod packet;
@@ -26,8 +27,8 @@
 mod store_retry;
 
 pub use self::agent::{
-    AgentIdentity, FlowAgent, FlowAgentOptions, MAX_REQUESTS_PER_SLOT, StatusReport, TargetProcess,
-    next_queued_syn,
+    AgentIdentity, FlowAgent, FlowAgentOptions, MAX_REQUESTS_PER_SLOT, NumberedRecord,
+    RecordNumber, StatusReport, TargetProcess, next_queued_syn,
 };
 pub use self::agent_list::AgentListProgress;
 pub use self::cause::{DropCause, IgnoredReportCause, RefusalCause, ResetCause, ResetEvidenceKind};
@@ -39,6 +40,7 @@
     EvacuationVersion,
 };
 pub use self::event::FlowEvent;
+pub use self::held_flows::HeldFlows;
 pub use self::load::{AgentLoad, LoadMeter};
 pub use self::message::{Action, LookupAnswer, LookupQuery, Message, OpenParams};
 pub use self::packet::{FlowKey, PacketFlags, PacketHeader, Reset};
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -8,6 +8,7 @@
 mod config_reads;
 mod dispatcher;
 mod evacuation;
+mod held_flows;
 mod liveness;
 mod load;
 mod lookup;
