Weigh targets by their measured service time

Selection compared requests per slot, so targets at 0.55 and 1.2 of the nominal speed got the same number of requests and those at the slow ones waited longest.

The agent integrates the slots in use over time and divides by the responses, as a moving average over 2 s of busy time. Failed and refused responses are not counted, as a target that fails at once would seem fast. Selection multiplies the load of a target by its service time relative to the mean of the service; ratios from 0.8 to 1.25 count as 1. The service time of the request itself is part of the comparison, so an idle slow target is not selected like an idle fast one.

The model of measure selection gains uneven speeds and waves.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -37,6 +37,10 @@
 use crate::target::TargetState;
 use crate::units::Slots;
 
+/// The lowest HTTP status code of responses that do not show how fast a target serves requests: it
+/// failed, or refused the request.
+const MIN_FAILURE_STATUS: u16 = 500;
+
 /// The address and settings of an agent that do not change while it runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AgentIdentity {
@@ -91,7 +95,7 @@
             is_syn_returned_before_report: false,
             flows: HostedFlows::default(),
             backlog: SynBacklog::default(),
-            load_meter: LoadMeter::new(now),
+            load_meter: LoadMeter::new(Slots::new(1), now),
             response_meter: ResponseMeter::new(now),
             balancers: FastMap::default(),
             config_checkers: FastMap::default(),
@@ -158,6 +162,9 @@
     /// Counts a response by its HTTP status code. Balancers avoid targets whose responses fail.
     pub fn on_response(&mut self, status: u16, now: Instant) {
         self.response_meter.on_response(is_failure(status), now);
+        if status >= MIN_FAILURE_STATUS {
+            self.load_meter.on_failed_response();
+        }
     }
 
     /// Returns the number of requests that the target has not responded to.
--- a/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
@@ -133,7 +133,7 @@
             self.state = HostedFlowState::Confirmed;
         }
         if header.flags.contains(PacketFlags::RST) {
-            self.finish_request(meter, now);
+            self.abandon_request(meter, now);
             self.has_caller_finished = true;
             self.has_target_finished = true;
         }
@@ -183,8 +183,10 @@
         let is_closing =
             header.flags.contains(PacketFlags::FIN) || header.flags.contains(PacketFlags::RST);
         // A target that closes a flow sends no response to the request that its caller gave up.
-        if header.payload_len_bytes > 0 || is_closing {
-            self.finish_request(meter, now);
+        if header.payload_len_bytes > 0 {
+            self.complete_request(meter, now);
+        } else if is_closing {
+            self.abandon_request(meter, now);
         }
         self.has_caller_finished |= header.flags.contains(PacketFlags::RST);
         self.has_target_finished |= is_closing;
@@ -214,10 +216,17 @@
         }
     }
 
-    /// Removes the request of the flow from the running ones, after its response or when it is given up.
-    fn finish_request(&mut self, meter: &mut LoadMeter, now: Instant) {
+    /// Removes the request of the flow from the running ones after its response.
+    fn complete_request(&mut self, meter: &mut LoadMeter, now: Instant) {
         if self.request_started_at.take().is_some() {
-            meter.end_request(now);
+            meter.complete_request(now);
+        }
+    }
+
+    /// Removes the request of the flow from the running ones when it is given up.
+    fn abandon_request(&mut self, meter: &mut LoadMeter, now: Instant) {
+        if self.request_started_at.take().is_some() {
+            meter.abandon_request(now);
         }
     }
 
@@ -341,7 +350,7 @@
 
     pub(super) fn remove(&mut self, flow: &FlowKey, meter: &mut LoadMeter, now: Instant) {
         if let Some(mut hosted) = self.flows.remove(flow) {
-            hosted.finish_request(meter, now);
+            hosted.abandon_request(meter, now);
             self.open_len = self.open_len.saturating_sub(1);
         }
     }
@@ -383,11 +392,11 @@
         self.swept_at = Some(now);
         self.flows.retain(|_, hosted| {
             if hosted.request_age(now) >= Some(options.request_timeout) {
-                hosted.finish_request(meter, now);
+                hosted.abandon_request(meter, now);
             }
             let is_kept = hosted.is_kept(options, now);
             if !is_kept {
-                hosted.finish_request(meter, now);
+                hosted.abandon_request(meter, now);
             }
             is_kept
         });
--- a/crates/cranberrypitch-core/src/flow/agent/status.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/status.rs
@@ -20,6 +20,12 @@
     /// Processes a status report. A report that is late, or that may be of another writer, has no effect
     /// beyond a log line.
     pub fn on_status_report(&mut self, report: StatusReport, now: Instant) -> Vec<Action<'static>> {
+        let actions = self.apply_status_report(report, now);
+        self.load_meter.set_slots(self.slots(), now);
+        actions
+    }
+
+    fn apply_status_report(&mut self, report: StatusReport, now: Instant) -> Vec<Action<'static>> {
         match self.report_verdict(&report, now) {
             ReportVerdict::Continues => self.on_next_report(report, now),
             ReportVerdict::FirstReport => self.on_first_report(report, now),
@@ -143,7 +149,7 @@
 
     /// Ends the flows that were opened before `until`, at the process before the present one.
     fn on_earlier_process_ended(&mut self, until: Instant, now: Instant) {
-        self.load_meter = LoadMeter::new(now);
+        self.load_meter = LoadMeter::new(self.slots(), now);
         self.flows.orphan(until, &mut self.load_meter, now);
     }
 
--- a/crates/cranberrypitch-core/src/flow/load.rs
+++ b/crates/cranberrypitch-core/src/flow/load.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::service_time::ServiceTimeMeter;
 use crate::units::Slots;
 
 /// The time constant of the moving average of running requests.
@@ -50,36 +51,55 @@
     }
 }
 
-/// Counts running requests and keeps their moving average.
+/// Counts running requests, keeps their moving average, and measures their service time.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadMeter {
     running_requests: u16,
     mean_requests: f64,
+    service_time: ServiceTimeMeter,
     updated_at: Instant,
 }
 
 impl LoadMeter {
     /// Returns the meter of an idle target.
-    pub const fn new(now: Instant) -> Self {
+    pub fn new(slots: Slots, now: Instant) -> Self {
         Self {
             running_requests: 0,
             mean_requests: 0.0,
+            service_time: ServiceTimeMeter::new(slots),
             updated_at: now,
         }
     }
 
+    /// Sets the number of requests that the target runs concurrently.
+    pub(super) fn set_slots(&mut self, slots: Slots, now: Instant) {
+        self.update(now);
+        self.service_time.set_slots(slots);
+    }
+
     /// Counts a request that was passed to the target.
     pub fn begin_request(&mut self, now: Instant) {
-        self.update_mean(now);
+        self.update(now);
         self.running_requests = self.running_requests.saturating_add(1);
     }
 
-    /// Removes a request that the target responded to or that was given up.
-    pub fn end_request(&mut self, now: Instant) {
-        self.update_mean(now);
+    /// Removes a request that the target responded to.
+    pub fn complete_request(&mut self, now: Instant) {
+        self.abandon_request(now);
+        self.service_time.on_response();
+    }
+
+    /// Removes a request that was given up without a response.
+    pub fn abandon_request(&mut self, now: Instant) {
+        self.update(now);
         self.running_requests = self.running_requests.saturating_sub(1);
     }
 
+    /// Excludes a failed response from the service time. Targets that fail at once would seem fast.
+    pub(super) fn on_failed_response(&mut self) {
+        self.service_time.remove_response();
+    }
+
     /// Returns the load with the given number of open flows and no failed responses.
     #[expect(
         clippy::cast_possible_truncation,
@@ -87,20 +107,21 @@
         reason = "the value is clamped to the range"
     )]
     pub fn load(&mut self, open_flows: usize, now: Instant) -> AgentLoad {
-        self.update_mean(now);
+        self.update(now);
         let hundredths = (self.mean_requests * HUNDREDTHS).clamp(0.0, f64::from(u16::MAX));
         AgentLoad {
             running_requests: self.running_requests,
             mean_requests_hundredths: hundredths as u16,
             open_flows: u16::try_from(open_flows).unwrap_or(u16::MAX),
             failed_responses_percent: 0,
-            service_time: Duration::ZERO,
+            service_time: self.service_time.service_time(),
         }
     }
 
-    /// Moves the exponential average towards the number of requests since the last update.
-    fn update_mean(&mut self, now: Instant) {
+    /// Adds the time since the last update to the averages.
+    fn update(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.updated_at);
+        self.service_time.on_period(self.running_requests, elapsed);
         let decay = (-elapsed.div_duration_f64(MEAN_TIME_CONSTANT)).exp();
         self.mean_requests = f64::from(self.running_requests)
             + (self.mean_requests - f64::from(self.running_requests)) * decay;
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -22,6 +22,7 @@
 mod reset_evidence;
 mod routes;
 mod selection;
+mod service_time;
 mod store_retry;
 
 pub use self::agent::{
--- a/crates/cranberrypitch-core/src/flow/selection.rs
+++ b/crates/cranberrypitch-core/src/flow/selection.rs
@@ -4,12 +4,18 @@
 //! busier than a remote one. The candidates are the agents that rank highest for the flow by
 //! rendezvous hashing, and the least loaded candidate is selected. So balancers with the same load
 //! reports do not all select the same target, and a lookup finds the flow with a few queries.
+//!
+//! The load of a target is its number of requests per slot, weighted by its measured service time
+//! relative to that of the others.
+
+mod load_averages;
+mod scoring;
 
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+use self::load_averages::{LoadAverages, slots};
 use super::directory::{AgentDirectory, AgentEntry};
-use super::load::AgentLoad;
 use super::packet::FlowKey;
 use super::rendezvous;
 use crate::collections::FastMap;
@@ -130,7 +136,14 @@
         } else {
             responsive
         };
-        let averages = self.load_averages(&eligible, now);
+        let reporting = |agent: &&AgentEntry| self.has_valid_load(agent, now);
+        let averages = LoadAverages::of(
+            eligible.iter().copied().filter(reporting),
+            directory
+                .agents_of_service(request.service)
+                .filter(reporting),
+            self.options.min_requests_per_flow,
+        );
         let least_loaded = |is_local: bool| {
             let agents = eligible.iter().copied().filter(|a| a.is_local == is_local);
             let candidates =
@@ -196,51 +209,6 @@
             .is_some_and(|at| now.saturating_duration_since(at) < lifetime)
     }
 
-    fn load_averages(&self, agents: &[&AgentEntry], now: Instant) -> LoadAverages {
-        let reporting = || {
-            agents
-                .iter()
-                .filter(|agent| self.has_valid_load(agent, now))
-        };
-        let (requests, flows) = reporting().fold((0.0, 0.0), |(requests, flows), agent| {
-            let load = agent.load;
-            (
-                requests + load.mean_requests(),
-                flows + f64::from(load.open_flows),
-            )
-        });
-        let measured = if flows > 0.0 { requests / flows } else { 0.0 };
-        let requests_per_flow = measured.max(self.options.min_requests_per_flow);
-        let (sum, count) = reporting().fold((0.0, 0_u32), |(sum, count), agent| {
-            (sum + reported_load(agent, requests_per_flow), count + 1)
-        });
-        let mean_load = if count == 0 {
-            0.0
-        } else {
-            sum / f64::from(count)
-        };
-        LoadAverages {
-            requests_per_flow,
-            mean_load,
-        }
-    }
-
-    /// Returns the expected load with penalties, in requests per slot.
-    fn score(&self, agent: &AgentEntry, averages: &LoadAverages, now: Instant) -> f64 {
-        let load = if self.has_valid_load(agent, now) {
-            reported_load(agent, averages.requests_per_flow)
-                + agent.load.failure_ratio() * self.options.failure_penalty
-        } else {
-            averages.mean_load
-        };
-        let warmup = if agent.record.warmup_left.is_zero() {
-            0.0
-        } else {
-            self.options.warmup_penalty
-        };
-        load + f64::from(self.recent_selections(agent, now)) / slots(agent) + warmup
-    }
-
     /// Returns the number of requests that a target is expected to run.
     #[expect(
         clippy::cast_possible_truncation,
@@ -269,28 +237,3 @@
         u32::try_from(state.selected_at.iter().filter(is_recent).count()).unwrap_or(u32::MAX)
     }
 }
-
-/// Averages over the valid load reports of the eligible agents.
-#[derive(Clone, Copy, Debug)]
-struct LoadAverages {
-    /// The average number of requests that an open flow runs.
-    requests_per_flow: f64,
-    /// The mean load, in requests per slot.
-    mean_load: f64,
-}
-
-/// Returns the load by the last report, in requests per slot: half from the running requests, half
-/// from the open flows, which send more requests later.
-fn reported_load(agent: &AgentEntry, requests_per_flow: f64) -> f64 {
-    let AgentLoad {
-        running_requests,
-        open_flows,
-        ..
-    } = agent.load;
-    let requests = f64::midpoint(f64::from(running_requests), agent.load.mean_requests());
-    f64::midpoint(requests, f64::from(open_flows) * requests_per_flow) / slots(agent)
-}
-
-fn slots(agent: &AgentEntry) -> f64 {
-    f64::from(agent.record.slots.get().max(1))
-}
--- /dev/null
+++ b/crates/cranberrypitch-core/src/flow/selection/scoring.rs
@@ -0,0 +1,35 @@
+//! The score of a target, by which candidates are compared.
+
+use std::time::Instant;
+
+use super::AgentSelector;
+use super::load_averages::{LoadAverages, slots};
+use crate::flow::directory::AgentEntry;
+
+impl AgentSelector {
+    /// Returns the expected time until the next request is answered, with penalties. The unit is the
+    /// mean service time of the service, and the service time of the request at a target of mean speed
+    /// is left out. For targets of equal speed this is the load in requests per slot.
+    pub(super) fn score(&self, agent: &AgentEntry, averages: &LoadAverages, now: Instant) -> f64 {
+        let is_load_valid = self.has_valid_load(agent, now);
+        let (load, relative_service_time, failure_ratio) = if is_load_valid {
+            (
+                averages.load(agent),
+                averages.relative_service_time(agent),
+                agent.load.failure_ratio(),
+            )
+        } else {
+            (averages.mean_load, 1.0, 0.0)
+        };
+        let warmup = if agent.record.warmup_left.is_zero() {
+            0.0
+        } else {
+            self.options.warmup_penalty
+        };
+        let ahead = load + f64::from(self.recent_selections(agent, now)) / slots(agent);
+        ahead * relative_service_time
+            + (relative_service_time - 1.0)
+            + failure_ratio * self.options.failure_penalty
+            + warmup
+    }
+}
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod agent_list;
 mod backlog;
+mod capacity;
 mod config_checks;
 mod config_fleet;
 mod config_reads;
--- a/crates/cranberrypitch-measure/src/selection.rs
+++ b/crates/cranberrypitch-measure/src/selection.rs
@@ -110,17 +110,23 @@
     /// All VMs lose power for [`OUTAGE_DURATION`] halfway through the run; callers retry when power
     /// returns.
     Outage,
+    /// A quarter of the targets runs at 0.55 of the nominal speed and the others at 1.2.
+    UnevenSpeeds,
+    /// The load of each failure domain rises and falls by 55%, with shifted phases.
+    Waves,
 }
 
 impl LoadPattern {
     /// All patterns.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 8] = [
         Self::Usual,
         Self::HeavyDomain,
         Self::DoubleLoad,
         Self::SlowDomain,
         Self::Restart,
         Self::Outage,
+        Self::UnevenSpeeds,
+        Self::Waves,
     ];
 }
 
--- a/crates/cranberrypitch-measure/src/selection/simulation.rs
+++ b/crates/cranberrypitch-measure/src/selection/simulation.rs
@@ -30,6 +30,22 @@
 /// The factor on the service time in the slow failure domain of [`LoadPattern::SlowDomain`].
 const SLOW_DOMAIN_SERVICE_TIME_FACTOR: f64 = 3.0;
 
+/// In [`LoadPattern::UnevenSpeeds`], one target in this number is slow.
+const TARGETS_PER_SLOW_TARGET: usize = 4;
+
+/// The speeds of the slow targets and of the others in [`LoadPattern::UnevenSpeeds`].
+const UNEVEN_SPEEDS: (f64, f64) = (0.55, 1.2);
+
+/// The factor on the load in [`LoadPattern::UnevenSpeeds`] and [`LoadPattern::Waves`]. Slow targets and
+/// failure domains at the peak of their wave are then overloaded, and all targets together are not.
+const HIGH_LOAD_FACTOR: f64 = 1.7;
+
+/// The amplitude of the waves relative to the mean load.
+const WAVE_AMPLITUDE: f64 = 0.55;
+
+/// The period of the waves.
+const WAVE_PERIOD: Duration = Duration::from_secs(16);
+
 /// The time after which a caller stops retrying.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -157,10 +173,22 @@
             * match self.pattern {
                 LoadPattern::HeavyDomain if domain == 0 => HEAVY_DOMAIN_LOAD_FACTOR,
                 LoadPattern::DoubleLoad => 2.0,
+                LoadPattern::UnevenSpeeds | LoadPattern::Waves => HIGH_LOAD_FACTOR,
                 _ => 1.0,
             }
     }
 
+    /// Returns the factor on the rates of a failure domain at a time.
+    fn wave(&self, domain: usize, now: Instant) -> f64 {
+        if self.pattern != LoadPattern::Waves {
+            return 1.0;
+        }
+        let elapsed = now.saturating_duration_since(self.start);
+        let phase = to_f64(domain) / to_f64(self.options.targets_per_domain.len());
+        let turns = elapsed.div_duration_f64(WAVE_PERIOD) + phase;
+        1.0 + WAVE_AMPLITUDE * (turns * std::f64::consts::TAU).sin()
+    }
+
     fn schedule_initial_events(&mut self) {
         for domain in 0..self.options.targets_per_domain.len() {
             let load = self.load(domain);
@@ -195,7 +223,7 @@
     }
 
     fn schedule_order(&mut self, domain: usize, now: Instant) {
-        let rate = self.options.orders_per_second * self.load(domain);
+        let rate = self.options.orders_per_second * self.load(domain) * self.wave(domain, now);
         let interarrival = exponential(Duration::from_secs_f64(1.0 / rate), &mut self.rng);
         self.event_queue
             .schedule(now + interarrival, SimulationEvent::OrderArrival { domain });
@@ -210,7 +238,8 @@
 
     /// Schedules the next request of a feed and sends the current one.
     fn on_feed_request(&mut self, feed: usize, now: Instant) {
-        let interarrival = exponential(FEED_INTERVAL, &mut self.rng);
+        let wave = self.wave(self.feeds[feed].domain, now);
+        let interarrival = exponential(FEED_INTERVAL.div_f64(wave), &mut self.rng);
         let generation = self.feeds[feed].generation;
         self.event_queue.schedule(
             now + interarrival,
@@ -348,11 +377,12 @@
         } else {
             target
         };
-        let is_slow = self.pattern == LoadPattern::SlowDomain && self.domains[target_of_slot] == 0;
-        let slow_factor = if is_slow {
-            SLOW_DOMAIN_SERVICE_TIME_FACTOR
-        } else {
-            1.0
+        let slow_factor = match self.pattern {
+            LoadPattern::SlowDomain if self.domains[target_of_slot] == 0 => {
+                SLOW_DOMAIN_SERVICE_TIME_FACTOR
+            }
+            LoadPattern::UnevenSpeeds => 1.0 / uneven_speed(target_of_slot),
+            _ => 1.0,
         };
         let is_cold = !self.warmup_left(target, now).is_zero();
         slow_factor
@@ -522,6 +552,16 @@
     }
 }
 
+/// Returns the speed of a target in [`LoadPattern::UnevenSpeeds`].
+const fn uneven_speed(target: usize) -> f64 {
+    let (slow, fast) = UNEVEN_SPEEDS;
+    if target.is_multiple_of(TARGETS_PER_SLOW_TARGET) {
+        slow
+    } else {
+        fast
+    }
+}
+
 /// Returns the targets, or for the shared queue one with the slots and queue length of all.
 fn targets(
     options: &SelectionMeasureOptions,
--- a/crates/cranberrypitch-measure/src/selection/target.rs
+++ b/crates/cranberrypitch-measure/src/selection/target.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use cranberrypitch_core::Slots;
 use cranberrypitch_core::flow::{AgentLoad, LoadMeter, MAX_REQUESTS_PER_SLOT, next_queued_syn};
 
 /// The result of an arrival at a target.
@@ -28,14 +29,14 @@
 }
 
 impl Target {
-    pub(super) const fn new(slots: u32, queue_len_max: usize, now: Instant) -> Self {
+    pub(super) fn new(slots: u32, queue_len_max: usize, now: Instant) -> Self {
         Self {
             free_slots: slots,
             queue_len_max,
             waiting: VecDeque::new(),
             held_requests: Vec::new(),
             slots,
-            meter: LoadMeter::new(now),
+            meter: LoadMeter::new(Slots::new(slots), now),
             open_flows: 0,
             started_at: None,
         }
@@ -89,7 +90,7 @@
 
     /// Ends a request and returns the queued one that takes over its slot.
     pub(super) fn finish(&mut self, now: Instant) -> Option<usize> {
-        self.meter.end_request(now);
+        self.meter.complete_request(now);
         let next = self.waiting.pop_front();
         if next.is_none() {
             self.free_slots += 1;
