Schedule requests of open flows at the agent together with SYNs

Requests of open flows passed to the target as they arrived, so in a burst they took all slots and filled its FIFO queue. The agent now holds them while the target has two requests a slot, and chooses among them and the queued SYNs by objective, weighted turns of the priorities, the caller's recent requests, and age.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -2,13 +2,13 @@
 //! callers.
 
 mod admission;
-mod backlog;
 mod balancers;
 mod hosted_flows;
 mod options;
 mod refusal;
 mod report_series;
 mod response_meter;
+mod schedule;
 mod status;
 mod target_process;
 
@@ -16,13 +16,15 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use self::backlog::SynBacklog;
-pub use self::backlog::{MAX_REQUESTS_PER_SLOT, next_queued_syn};
 use self::balancers::BalancerEntry;
 use self::hosted_flows::HostedFlows;
 pub use self::options::FlowAgentOptions;
 use self::report_series::ReportSeries;
 use self::response_meter::{ResponseMeter, is_failure};
+use self::schedule::RequestQueue;
+pub use self::schedule::{
+    FairTurns, MAX_REQUESTS_PER_SLOT, RequestKind, TargetCapacity, WaitingRequest,
+};
 pub use self::target_process::{StatusReport, TargetProcess};
 use super::cause::DropCause;
 use super::cause::RefusalCause;
@@ -65,7 +67,7 @@
     /// Whether a SYN was returned before the first status report. Nothing accepts flows then.
     is_syn_returned_before_report: bool,
     flows: HostedFlows,
-    backlog: SynBacklog,
+    queue: RequestQueue,
     load_meter: LoadMeter,
     response_meter: ResponseMeter,
     balancers: FastMap<SocketAddrV4, BalancerEntry>,
@@ -90,7 +92,7 @@
             report_series: ReportSeries::default(),
             is_syn_returned_before_report: false,
             flows: HostedFlows::default(),
-            backlog: SynBacklog::default(),
+            queue: RequestQueue::default(),
             load_meter: LoadMeter::new(now),
             response_meter: ResponseMeter::new(now),
             balancers: FastMap::default(),
@@ -130,7 +132,7 @@
         } else {
             self.response_meter.failed_responses_percent(now)
         };
-        let queued_requests = u16::try_from(self.backlog.len()).unwrap_or(u16::MAX);
+        let queued_requests = u16::try_from(self.queue.len()).unwrap_or(u16::MAX);
         AgentLoad {
             running_requests: self.requests(now).saturating_add(queued_requests),
             failed_responses_percent,
@@ -178,10 +180,12 @@
         }
     }
 
-    /// Processes the stop of the agent: refuses queued SYNs and reports to all balancers.
+    /// Processes the stop of the agent: refuses queued SYNs, passes the waiting requests of open flows and
+    /// reports to all balancers.
     pub fn on_stop(&mut self, now: Instant) -> Vec<Action<'static>> {
         self.is_stopping = true;
         let mut actions = self.refuse_queued_syns(RefusalCause::Draining);
+        actions.extend(self.pass_all_held_requests(now));
         actions.extend(self.report_change(now));
         actions
     }
@@ -202,30 +206,18 @@
         if self.flows.is_orphan(&flow, header.ack_number) {
             return reset_orphan(header);
         }
-        let packet = Cow::Borrowed(packet);
         match self.holds_flow(&flow, header.ack_number, now) {
-            LookupAnswer::Held if self.has_target_exited(now) => reset_orphan(header),
-            LookupAnswer::Held => {
-                let hosted = self.flows.get_mut(&flow);
-                let begins_request = hosted.is_some_and(|h| {
-                    h.on_caller_packet(balancer, header, &mut self.load_meter, now)
-                });
-                let mut actions = vec![Action::SendToTarget(packet)];
-                if begins_request {
-                    let running_requests = self.load_meter.load(0, now).running_requests;
-                    actions.push(Action::RecordEvent(FlowEvent::RequestPassed {
-                        flow,
-                        balancer,
-                        running_requests,
-                    }));
-                }
-                actions
+            LookupAnswer::Held if self.has_target_exited(now) => {
+                self.queue.remove_held(&flow);
+                reset_orphan(header)
             }
+            LookupAnswer::Held => self.on_packet_of_held_flow(balancer, header, packet, now),
             LookupAnswer::MayBeHeld => {
                 self.flows.probe(flow, balancer, now);
-                vec![Action::SendToTarget(packet)]
+                vec![Action::SendToTarget(Cow::Borrowed(packet))]
             }
             LookupAnswer::NotHeld => {
+                let packet = Cow::Borrowed(packet);
                 vec![Action::send(balancer, Message::PacketReturned { packet })]
             }
         }
@@ -323,18 +315,19 @@
             caller: flow.caller,
             packet: Cow::Borrowed(packet),
         });
-        actions.extend(self.admit_queued_syns(now));
+        actions.extend(self.pass_waiting_requests(now));
         actions
     }
 
-    /// Processes timeouts: removes expired flows and balancers, admits or refuses queued SYNs, and sends
-    /// the reports that are due.
+    /// Processes timeouts: removes expired flows and balancers, passes or gives up waiting requests, and
+    /// sends the reports that are due.
     pub fn on_tick(&mut self, now: Instant) -> Vec<Action<'static>> {
         self.flows.sweep(&self.options, &mut self.load_meter, now);
         let options = self.options;
         self.remove_silent_balancers(now);
         let mut actions = self.report_to_seeds(now);
-        actions.extend(self.admit_queued_syns(now));
+        actions.extend(self.pass_waiting_requests(now));
+        actions.extend(self.give_up_requests(now));
         actions.extend(self.presume_held(now));
         let due: Vec<_> = self
             .balancers
@@ -394,6 +387,7 @@
             return vec![Action::send(balancer, Message::PacketReturned { packet })];
         }
         self.flows.remove(&flow, &mut self.load_meter, now);
+        self.queue.remove_held(&flow);
         match balancer {
             Some(balancer) if header.is_syn() => self.refuse_bounced_syn(balancer, flow),
             // Only a flow that the target had accepted is certain to have ended.
--- a/crates/cranberrypitch-core/src/flow/agent/admission.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/admission.rs
@@ -5,8 +5,9 @@
 use std::time::Instant;
 
 use super::FlowAgent;
-use super::backlog::QueuedSyn;
+use super::hosted_flows::FlowTerms;
 use super::refusal::refuse;
+use super::schedule::QueuedSyn;
 use super::target_process::TargetProcess;
 use crate::flow::cause::{DropCause, RefusalCause};
 use crate::flow::event::FlowEvent;
@@ -58,7 +59,7 @@
         if let Some(actions) = self.queue_syn(syn) {
             return actions;
         }
-        let mut actions = self.open_flow(flow, balancer, now);
+        let mut actions = self.open_flow(flow, balancer, FlowTerms::from(&params), now);
         actions.push(Action::SendToTarget(Cow::Borrowed(packet)));
         actions
     }
@@ -68,11 +69,13 @@
         &mut self,
         flow: FlowKey,
         balancer: SocketAddrV4,
+        terms: FlowTerms,
         now: Instant,
     ) -> Vec<Action<'a>> {
-        if !self.flows.open(flow, balancer, now) {
+        if !self.flows.open(flow, balancer, terms, now) {
             return Vec::new();
         }
+        self.queue.on_passed(*flow.caller.ip(), now);
         let process = |target: &TargetProcess| {
             let report = target.report();
             (report.id.clone(), report.started_unix_ms)
--- a/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
@@ -7,7 +7,9 @@
 use super::FlowAgentOptions;
 use crate::collections::FastMap;
 use crate::flow::load::LoadMeter;
+use crate::flow::message::OpenParams;
 use crate::flow::packet::{FlowKey, PacketFlags, PacketHeader};
+use crate::flow::routes::RequestLimits;
 
 /// The number of sequence numbers beyond the last payload byte that a caller may acknowledge, for flags
 /// that each occupy a sequence number.
@@ -35,6 +37,22 @@
     Confirmed,
 }
 
+/// What the route of a flow says about its requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct FlowTerms {
+    pub(super) priority: u8,
+    pub(super) limits: RequestLimits,
+}
+
+impl From<&OpenParams> for FlowTerms {
+    fn from(params: &OpenParams) -> Self {
+        Self {
+            priority: params.priority,
+            limits: params.limits,
+        }
+    }
+}
+
 /// A flow that the target holds or is asked to open.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct HostedFlow {
@@ -45,7 +63,11 @@
     /// The first sequence number of the target and the one after its last payload byte. None if the
     /// agent has not seen the SYN-ACK.
     target_seq_range: Option<(u32, u32)>,
-    /// The sequence number after the caller's last payload byte.
+    /// The priority and limits of its requests. None if another incarnation of the agent admitted the SYN.
+    terms: Option<FlowTerms>,
+    /// Whether a request was given up before it was passed, so that its data is missing at the target.
+    is_abandoned: bool,
+    /// The sequence number after the caller's last payload byte that was passed.
     caller_next_seq: Option<u32>,
     /// The time at which the request that the target has not responded to was passed to it.
     request_started_at: Option<Instant>,
@@ -63,6 +85,8 @@
             balancer,
             earlier_balancer: None,
             target_seq_range: None,
+            terms: None,
+            is_abandoned: false,
             caller_next_seq: None,
             request_started_at: None,
             has_caller_finished: false,
@@ -139,7 +163,7 @@
         }
         self.has_caller_finished |= header.flags.contains(PacketFlags::FIN);
         let has_new_data = self.track_caller_data(header);
-        let begins_request = has_new_data && self.request_started_at.is_none() && !self.is_closed();
+        let begins_request = has_new_data && self.may_begin_request();
         if begins_request {
             self.request_started_at = Some(now);
             meter.begin_request(now);
@@ -147,18 +171,39 @@
         begins_request
     }
 
-    /// Tracks the payload of a caller's packet. Returns whether it contains new data: a retransmission
-    /// of a request that crosses its response is not a new request.
-    fn track_caller_data(&mut self, header: &PacketHeader) -> bool {
-        let next = header
-            .seq_number
-            .wrapping_add(u32::from(header.payload_len_bytes));
-        let has_new_data = header.payload_len_bytes > 0
+    pub(super) const fn terms(&self) -> Option<FlowTerms> {
+        self.terms
+    }
+
+    pub(super) const fn is_abandoned(&self) -> bool {
+        self.is_abandoned
+    }
+
+    /// Returns whether the caller has not sent a request yet.
+    pub(super) const fn awaits_first_request(&self) -> bool {
+        self.caller_next_seq.is_none()
+    }
+
+    /// Returns whether new data of the caller begins a request.
+    pub(super) const fn may_begin_request(&self) -> bool {
+        self.request_started_at.is_none() && !self.is_closed()
+    }
+
+    /// Returns whether a caller's packet contains data that was not passed yet: a retransmission of a
+    /// request that crosses its response is not a new request.
+    pub(super) fn has_new_data(&self, header: &PacketHeader) -> bool {
+        let next = next_seq(header);
+        header.payload_len_bytes > 0
             && self
                 .caller_next_seq
-                .is_none_or(|last| (1..u32::MAX / 2).contains(&next.wrapping_sub(last)));
+                .is_none_or(|last| (1..u32::MAX / 2).contains(&next.wrapping_sub(last)))
+    }
+
+    /// Tracks the payload of a caller's packet. Returns whether it contains new data.
+    fn track_caller_data(&mut self, header: &PacketHeader) -> bool {
+        let has_new_data = self.has_new_data(header);
         if has_new_data {
-            self.caller_next_seq = Some(next);
+            self.caller_next_seq = Some(next_seq(header));
         }
         has_new_data
     }
@@ -238,6 +283,13 @@
     }
 }
 
+/// Returns the sequence number after the payload of a packet.
+fn next_seq(header: &PacketHeader) -> u32 {
+    header
+        .seq_number
+        .wrapping_add(u32::from(header.payload_len_bytes))
+}
+
 /// The flows of a target.
 #[derive(Debug, Default)]
 pub(super) struct HostedFlows {
@@ -268,7 +320,13 @@
     }
 
     /// Adds a flow whose SYN is passed to the target. Returns whether it is new.
-    pub(super) fn open(&mut self, flow: FlowKey, balancer: SocketAddrV4, now: Instant) -> bool {
+    pub(super) fn open(
+        &mut self,
+        flow: FlowKey,
+        balancer: SocketAddrV4,
+        terms: FlowTerms,
+        now: Instant,
+    ) -> bool {
         self.orphans.remove(&flow);
         let is_new = !self.flows.contains_key(&flow);
         if is_new {
@@ -278,6 +336,7 @@
         let opening = || HostedFlow::new(HostedFlowState::Opening, Some(balancer), now);
         let hosted = self.flows.entry(flow).or_insert_with(opening);
         hosted.set_opening_balancer(balancer);
+        hosted.terms.get_or_insert(terms);
         hosted.last_packet_at = now;
         is_new
     }
@@ -300,6 +359,24 @@
             .count()
     }
 
+    /// Returns whether the first request of a flow counts among [`Self::expected_requests`].
+    pub(super) fn is_request_expected(&mut self, flow: &FlowKey, now: Instant) -> bool {
+        let awaits_first = self.get(flow).is_some_and(HostedFlow::awaits_first_request);
+        awaits_first
+            && self.expected_requests(now) > 0
+            && self
+                .recently_opened
+                .iter()
+                .any(|(_, opened)| opened == flow)
+    }
+
+    /// Marks a flow whose waiting request is given up.
+    pub(super) fn abandon_request(&mut self, flow: &FlowKey) {
+        if let Some(hosted) = self.flows.get_mut(flow) {
+            hosted.is_abandoned = true;
+        }
+    }
+
     /// Adds a flow that the target may hold from before the agent started.
     pub(super) fn probe(&mut self, flow: FlowKey, balancer: SocketAddrV4, now: Instant) {
         let hosted = HostedFlow::new(HostedFlowState::Probing, Some(balancer), now);
--- a/crates/cranberrypitch-core/src/flow/agent/status.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/status.rs
@@ -5,7 +5,7 @@
 use super::FlowAgent;
 use super::report_series::{ReportVerdict, is_from_future, is_plausible};
 use super::target_process::{Confirmation, StatusReport, TargetProcess};
-use crate::flow::cause::IgnoredReportCause;
+use crate::flow::cause::{IgnoredReportCause, RefusalCause};
 use crate::flow::event::FlowEvent;
 use crate::flow::load::LoadMeter;
 use crate::flow::message::Action;
@@ -137,6 +137,7 @@
             self.on_earlier_process_ended(until, now);
         }
         let mut actions = vec![Action::RecordEvent(event)];
+        actions.extend(self.pass_all_held_requests(now));
         actions.extend(self.report_change(now));
         actions
     }
@@ -164,12 +165,15 @@
         reported_at.checked_sub(max_delay).unwrap_or(reported_at)
     }
 
-    /// Processes the announcement that the target with the given id exits.
+    /// Processes the announcement that the target with the given id exits. Nothing waits for it any longer.
     pub fn on_target_exit(&mut self, id: &str, now: Instant) -> Vec<Action<'static>> {
         match &mut self.target {
             Some(target) if target.id() == id => target.mark_exited(now),
             _ => return Vec::new(),
         }
-        self.report_change(now)
+        let mut actions = self.refuse_queued_syns(RefusalCause::Draining);
+        actions.extend(self.pass_all_held_requests(now));
+        actions.extend(self.report_change(now));
+        actions
     }
 }
--- a/crates/cranberrypitch-core/src/flow/cause.rs
+++ b/crates/cranberrypitch-core/src/flow/cause.rs
@@ -21,7 +21,7 @@
     /// again from the latest reports.
     #[display("busier than expected")]
     BusierThanExpected,
-    /// The SYN timed out in the backlog of the agent, or the backlog is full.
+    /// The SYN timed out in the backlog of the agent or is expected to, or the backlog is full.
     #[display("overloaded")]
     Overloaded,
 }
@@ -95,11 +95,14 @@
     #[display("flow not found")]
     FlowNotFound,
     /// The flow already has the maximum number of packets buffered while its agent or its route is being
-    /// looked up.
+    /// looked up, or while its request waits at the agent.
     #[display("waiting packets full")]
     BufferFull,
     /// The configuration in force has no route for the flow, and the store could not be read in time to
     /// show whether the route was dropped or is new.
     #[display("route unknown")]
     RouteUnknown,
+    /// An earlier request of the flow was given up while it waited at the agent.
+    #[display("request given up")]
+    RequestTimedOut,
 }
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -88,6 +88,14 @@
         /// The number of requests that the target has not responded to, including this one.
         running_requests: u16,
     },
+    /// An agent dropped a waiting request of an open flow that could no longer be answered before its
+    /// timeout.
+    RequestTimedOut {
+        /// The flow.
+        flow: FlowKey,
+        /// The time for which the request waited at the agent.
+        waited: Duration,
+    },
     /// A target sent the first packet of a response.
     RequestAnswered {
         /// The flow.
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -25,8 +25,8 @@
 mod store_retry;
 
 pub use self::agent::{
-    AgentIdentity, FlowAgent, FlowAgentOptions, MAX_REQUESTS_PER_SLOT, StatusReport, TargetProcess,
-    next_queued_syn,
+    AgentIdentity, FairTurns, FlowAgent, FlowAgentOptions, MAX_REQUESTS_PER_SLOT, RequestKind,
+    StatusReport, TargetCapacity, TargetProcess, WaitingRequest,
 };
 pub use self::agent_list::AgentListProgress;
 pub use self::cause::{DropCause, IgnoredReportCause, RefusalCause, ResetCause, ResetEvidenceKind};
--- a/crates/cranberrypitch-measure/src/selection/target.rs
+++ b/crates/cranberrypitch-measure/src/selection/target.rs
@@ -1,9 +1,13 @@
 //! A simulated target with slots and a bounded queue.
 
 use std::collections::VecDeque;
+use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use cranberrypitch_core::flow::{AgentLoad, LoadMeter, MAX_REQUESTS_PER_SLOT, next_queued_syn};
+use cranberrypitch_core::flow::{
+    AgentLoad, FairTurns, LoadMeter, MAX_REQUESTS_PER_SLOT, RequestKind, RequestLimits,
+    TargetCapacity, WaitingRequest,
+};
 
 /// The result of an arrival at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,6 +25,7 @@
     waiting: VecDeque<usize>,
     /// Requests whose new flows are held until the target is below its load limit, by arrival.
     held_requests: Vec<(Instant, usize)>,
+    turns: FairTurns,
     slots: u32,
     meter: LoadMeter,
     pub(super) open_flows: usize,
@@ -28,12 +33,13 @@
 }
 
 impl Target {
-    pub(super) const fn new(slots: u32, queue_len_max: usize, now: Instant) -> Self {
+    pub(super) fn new(slots: u32, queue_len_max: usize, now: Instant) -> Self {
         Self {
             free_slots: slots,
             queue_len_max,
             waiting: VecDeque::new(),
             held_requests: Vec::new(),
+            turns: FairTurns::default(),
             slots,
             meter: LoadMeter::new(now),
             open_flows: 0,
@@ -74,13 +80,31 @@
         let next_held = if self.is_busy() {
             None
         } else {
-            // All requests of the model have the same priority.
-            let next = next_queued_syn(self.held_requests.iter().map(|_| 0));
-            next.map(|next| self.held_requests.remove(next).1)
+            self.take_next_held(limit, now)
         };
         (next_held, overdue)
     }
 
+    /// Takes out the next held request. All requests of the model have the same priority and caller, and
+    /// the agents don't know their service time.
+    fn take_next_held(&mut self, limit: Duration, now: Instant) -> Option<usize> {
+        let waiting_request = |(arrived_at, _): &(Instant, usize)| WaitingRequest {
+            kind: RequestKind::Syn,
+            priority: 0,
+            limits: RequestLimits::default(),
+            caller: Ipv4Addr::LOCALHOST,
+            arrived_at: *arrived_at,
+        };
+        let waiting: Vec<_> = self.held_requests.iter().map(waiting_request).collect();
+        let capacity = TargetCapacity {
+            service_time: Duration::ZERO,
+            slots: self.slots,
+            syn_wait_max: limit,
+        };
+        let next = self.turns.next(&waiting, &capacity, now)?;
+        Some(self.held_requests.remove(next).1)
+    }
+
     fn is_busy(&self) -> bool {
         let running = self.slots - self.free_slots;
         let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -32,6 +32,10 @@
 /// The tick interval. It is shorter than the interval of load reports.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The tick interval while requests wait at the agent. Their turns are due when the target answers; ticks
+/// only end waits that no answer ends, and the objectives of requests are at least 200 ms.
+const WAITING_TICK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The capacity of the channel for requests of the target, in requests.
 const REQUEST_QUEUE_LEN: usize = 16;
 
@@ -206,6 +210,8 @@
     ) {
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut waiting_ticks = tokio::time::interval(WAITING_TICK_INTERVAL);
+        waiting_ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 result = peer_socket.readable() => {
@@ -222,6 +228,7 @@
                     let _ = acknowledge.send(());
                 }
                 _ = ticks.tick() => self.on_tick(),
+                _ = waiting_ticks.tick(), if self.agent.has_waiting_requests() => self.on_tick(),
                 signal = context.signals.next() => match signal {
                     Signal::ReloadKeys => check_settings_file(&context.settings_file),
                     Signal::Terminate | Signal::Interrupt => {
@@ -331,7 +338,8 @@
         self.executor.execute::<P>(actions, now);
         let flows = self.agent.flow_count();
         let running = self.agent.running_requests(now);
-        self.executor.metrics.set_agent(flows, running);
+        let waiting = self.agent.waiting_requests();
+        self.executor.metrics.set_agent(flows, running, waiting);
         self.executor.summarize(now);
     }
 }
@@ -383,7 +391,7 @@
         Message::Open { params, .. } => agent.on_open(peer, *params, &header, packet, now),
         _ => agent.on_forward(peer, &header, packet, now),
     };
-    executor.execute_for_request::<P>(packet, actions, now);
+    executor.execute::<P>(actions, now);
 }
 
 /// Returns the Unix time in milliseconds, the unit in which targets report their start.
--- a/crates/cranberrypitch-relay/src/daemon.rs
+++ b/crates/cranberrypitch-relay/src/daemon.rs
@@ -139,27 +139,13 @@
         self
     }
 
-    /// Executes the actions for a caller's packet at an agent. Logs a passed request with the request
-    /// id from `packet`.
-    pub(crate) fn execute_for_request<P: Platform>(
-        &mut self,
-        packet: &[u8],
-        actions: Vec<Action<'_>>,
-        now: Instant,
-    ) {
-        for action in &actions {
-            if let Action::RecordEvent(event @ FlowEvent::RequestPassed { .. }) = action {
-                self.log.record_request(event, P::request_id(packet), now);
-            }
-        }
-        self.execute::<P>(actions, now);
-    }
-
+    /// Executes actions and logs their events. The packet that begins a request precedes its event.
     pub(crate) fn execute<P: Platform>(&mut self, actions: Vec<Action<'_>>, now: Instant) {
+        self.log_requests::<P>(&actions, now);
         for action in actions {
             self.metrics.count(&action);
             match action {
-                // Logged by `execute_for_request`, with the request id.
+                // Logged by `log_requests`, with the request id.
                 Action::RecordEvent(FlowEvent::RequestPassed { .. }) => {}
                 Action::Send { peer, message } => {
                     relay::encode(&message, &mut self.buffer);
@@ -185,6 +171,21 @@
         }
     }
 
+    /// Logs the requests that are passed to the target, with the request id of the packet before the event.
+    fn log_requests<P: Platform>(&mut self, actions: &[Action<'_>], now: Instant) {
+        let mut packet = None;
+        for action in actions {
+            match action {
+                Action::SendToTarget(sent) => packet = Some(sent),
+                Action::RecordEvent(event @ FlowEvent::RequestPassed { .. }) => {
+                    let request_id = packet.and_then(|packet| P::request_id(packet));
+                    self.log.record_request(event, request_id, now);
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// Serves the metrics if an address is given. A failure is logged and does not stop the daemon.
     pub(crate) async fn serve_metrics(&self, address: Option<SocketAddrV4>) {
         let Some(address) = address else { return };
--- a/crates/cranberrypitch-relay/src/log.rs
+++ b/crates/cranberrypitch-relay/src/log.rs
@@ -198,6 +198,10 @@
             let elapsed_ms = milliseconds(*elapsed);
             tracing::info!(target: TARGET, event = "RequestAnswered", %flow, elapsed_ms);
         }
+        FlowEvent::RequestTimedOut { flow, waited } => {
+            let waited_ms = milliseconds(*waited);
+            tracing::info!(target: TARGET, event = "RequestTimedOut", %flow, waited_ms);
+        }
         FlowEvent::SynPassed {
             flow,
             balancer,
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the daemons, served in the `OpenMetrics` text format.
 
 mod register;
+mod schedule;
 mod store;
 
 use std::net::SocketAddrV4;
@@ -9,7 +10,7 @@
 
 use bytes::Bytes;
 use cranberrypitch_core::Revision;
-use cranberrypitch_core::flow::{Action, FlowEvent, Message};
+use cranberrypitch_core::flow::{Action, FlowEvent, Message, RefusalCause};
 use cranberrypitch_net::store::{Epoch, Error as StoreError, Operation, StoreObserver};
 use hyper::StatusCode;
 use prometheus_client::encoding::text::encode;
@@ -19,6 +20,7 @@
 use prometheus_client::registry::Registry;
 
 use self::register::{register, register_histogram};
+use self::schedule::ScheduleMetrics;
 use self::store::StoreMetrics;
 use crate::io::http_server::{self, Call};
 
@@ -33,6 +35,7 @@
 pub(crate) struct RelayMetrics {
     registry: Arc<Registry>,
     store: StoreMetrics,
+    schedule: ScheduleMetrics,
     flows_placed: Counter,
     flows_refused: Counter,
     openings_unanswered: Counter,
@@ -55,7 +58,6 @@
     agent_list_age_ms: Gauge,
     flows: Gauge,
     agents: Gauge,
-    requests_running: Gauge,
     config_version: Gauge,
     locate_time: Histogram,
     answer_time: Histogram,
@@ -119,7 +121,6 @@
         );
         let flows = gauge("flows", "Flows in the flow table");
         let agents = gauge("agents", "Agents in the directory of the balancer");
-        let requests_running = gauge("requests_running", "Requests running at the target");
         let config_version = gauge(
             "configuration_version",
             "Version of the configuration in force",
@@ -132,9 +133,11 @@
         );
         let load_age = histogram("load_age", "Age of the load report that placed a flow");
         let store = StoreMetrics::register(&mut registry);
+        let schedule = ScheduleMetrics::register(&mut registry);
         Self {
             registry: Arc::new(registry),
             store,
+            schedule,
             flows_placed,
             flows_refused,
             openings_unanswered,
@@ -157,7 +160,6 @@
             agent_list_age_ms,
             flows,
             agents,
-            requests_running,
             config_version,
             locate_time,
             answer_time,
@@ -220,8 +222,11 @@
             FlowEvent::NotLocated { .. } => {
                 self.flows_not_located.inc();
             }
-            FlowEvent::Refused { .. } => {
+            FlowEvent::Refused { cause, .. } => {
                 self.flows_refused.inc();
+                if *cause == RefusalCause::Overloaded {
+                    self.schedule.flows_refused_overloaded.inc();
+                }
             }
             FlowEvent::Unanswered { .. } => {
                 self.openings_unanswered.inc();
@@ -232,6 +237,9 @@
             FlowEvent::RequestPassed { .. } => {
                 self.requests_passed.inc();
             }
+            FlowEvent::RequestTimedOut { .. } => {
+                self.schedule.requests_timed_out.inc();
+            }
             FlowEvent::StatusReportIgnored { .. } => {
                 self.status_reports_ignored.inc();
             }
@@ -264,9 +272,9 @@
         self.agent_list_age_ms.set(age_ms(age));
     }
 
-    pub(crate) fn set_agent(&self, flows: usize, running: u16) {
+    pub(crate) fn set_agent(&self, flows: usize, running: u16, waiting: usize) {
         self.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
-        self.requests_running.set(i64::from(running));
+        self.schedule.set_requests(running, waiting);
     }
 
     pub(crate) fn set_balancer(&self, flows: usize, agents: usize, version: Option<Revision>) {
