--- a/crates/cranberrypitch-core/src/flow/agent/schedule/decision.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/schedule/decision.rs
@@ -75,11 +75,12 @@
     /// Returns the time for which the request may still wait to be passed, or nothing if that is over.
     fn wait_left(&self, capacity: &TargetCapacity, now: Instant) -> Option<Duration> {
         let timeout = self.limits.timeout;
-        // A service time beyond the timeout does not fit the request and says nothing about it.
+        let response_time = capacity.response_time();
+        // A response time beyond the timeout does not fit the request and says nothing about it.
         let timeout_wait = if timeout.is_zero() {
             Duration::MAX
-        } else if capacity.service_time < timeout {
-            timeout.saturating_sub(capacity.service_time)
+        } else if response_time < timeout {
+            timeout.saturating_sub(response_time)
         } else {
             timeout
         };
--- a/crates/cranberrypitch-core/src/flow/load.rs
+++ b/crates/cranberrypitch-core/src/flow/load.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct AgentLoad {
     /// The number of requests that the target has not responded to, including those on their way to
-    /// it and in the backlog of the agent.
+    /// it and those that wait at the agent.
     pub running_requests: u16,
     /// The moving average of the requests that the target has not responded to, over about a second,
     /// in hundredths of a request.
