--- a/crates/cranberrypitch-core/src/flow/agent/flow_list.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/flow_list.rs
@@ -99,7 +99,7 @@
     /// of an earlier process at balancers.
     pub fn on_first_write_ended(&mut self, now: Instant) -> Vec<Action<'static>> {
         self.flow_list.is_first_write_pending = false;
-        self.admit_queued_syns(now)
+        self.pass_waiting_requests(now)
     }
 
     /// Takes the set of the target's flows if the target accepts no new ones, or drops it if the agent may admit
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -28,8 +28,8 @@
 mod store_retry;
 
 pub use self::agent::{
-    AgentIdentity, FlowAgent, FlowAgentOptions, MAX_REQUESTS_PER_SLOT, NumberedRecord,
-    RecordNumber, StatusReport, TargetProcess, next_queued_syn,
+    AgentIdentity, FairTurns, FlowAgent, FlowAgentOptions, MAX_REQUESTS_PER_SLOT, NumberedRecord,
+    RecordNumber, RequestKind, StatusReport, TargetCapacity, TargetProcess, WaitingRequest,
 };
 pub use self::agent_list::AgentListProgress;
 pub use self::cause::{DropCause, IgnoredReportCause, RefusalCause, ResetCause, ResetEvidenceKind};
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the daemons, served in the `OpenMetrics` text format.
 
 mod register;
+mod schedule;
 mod store;
 
 use std::net::SocketAddrV4;
@@ -19,6 +20,7 @@
 use prometheus_client::registry::Registry;
 
 use self::register::{register, register_histogram};
+use self::schedule::ScheduleMetrics;
 use self::store::StoreMetrics;
 use crate::io::http_server::{self, Call};
 
@@ -33,6 +35,7 @@
 pub(crate) struct RelayMetrics {
     registry: Arc<Registry>,
     store: StoreMetrics,
+    schedule: ScheduleMetrics,
     flows_placed: Counter,
     flows_refused: Counter,
     flows_refused_evacuated: Counter,
@@ -57,7 +60,6 @@
     flows: Gauge,
     agents: Gauge,
     evacuated_domains: Gauge,
-    requests_running: Gauge,
     config_version: Gauge,
     locate_time: Histogram,
     answer_time: Histogram,
@@ -129,7 +131,6 @@
             "evacuated_domains",
             "Failure domains whose evacuation is in force at the balancer",
         );
-        let requests_running = gauge("requests_running", "Requests running at the target");
         let config_version = gauge(
             "configuration_version",
             "Version of the configuration in force",
@@ -142,9 +143,11 @@
         );
         let load_age = histogram("load_age", "Age of the load report that placed a flow");
         let store = StoreMetrics::register(&mut registry);
+        let schedule = ScheduleMetrics::register(&mut registry);
         Self {
             registry: Arc::new(registry),
             store,
+            schedule,
             flows_placed,
             flows_refused,
             flows_refused_evacuated,
@@ -169,7 +172,6 @@
             flows,
             agents,
             evacuated_domains,
-            requests_running,
             config_version,
             locate_time,
             answer_time,
@@ -234,8 +236,14 @@
             }
             FlowEvent::Refused { cause, .. } => {
                 self.flows_refused.inc();
-                if *cause == RefusalCause::Evacuated {
-                    self.flows_refused_evacuated.inc();
+                match cause {
+                    RefusalCause::Evacuated => {
+                        self.flows_refused_evacuated.inc();
+                    }
+                    RefusalCause::Overloaded => {
+                        self.schedule.flows_refused_overloaded.inc();
+                    }
+                    _ => {}
                 }
             }
             FlowEvent::Unanswered { .. } => {
@@ -247,6 +255,9 @@
             FlowEvent::RequestPassed { .. } => {
                 self.requests_passed.inc();
             }
+            FlowEvent::RequestTimedOut { .. } => {
+                self.schedule.requests_timed_out.inc();
+            }
             FlowEvent::StatusReportIgnored { .. } => {
                 self.status_reports_ignored.inc();
             }
@@ -279,9 +290,9 @@
         self.agent_list_age_ms.set(age_ms(age));
     }
 
-    pub(crate) fn set_agent(&self, flows: usize, running: u16) {
+    pub(crate) fn set_agent(&self, flows: usize, running: u16, waiting: usize) {
         self.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
-        self.requests_running.set(i64::from(running));
+        self.schedule.set_requests(running, waiting);
     }
 
     pub(crate) fn set_evacuations(&self, failure_domains: usize) {
