Show by a refused connection that a target is gone after the start of its agent

After a loss of power, agents on VMs that were taken out of service started again without a target. They got no status report, so they answered to each lookup that the flow may be held, and balancers waited for packets that no target returned, until the lease of the VM ended: 300 to 500 failed requests in each two seconds. The agent now connects to the target's address at its start. A refusal shows that no process is there, so no earlier flow is open.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -76,6 +76,8 @@
     /// Whether a SYN was returned before the first status report. Nothing accepts flows then.
     is_syn_returned_before_report: bool,
     flows: HostedFlows,
+    /// Whether no process had the address of the target after the start of the agent.
+    was_target_absent: bool,
     flow_list: FlowList,
     queue: RequestQueue,
     load_meter: LoadMeter,
@@ -104,6 +106,7 @@
             report_series: ReportSeries::default(),
             is_syn_returned_before_report: false,
             flows: HostedFlows::default(),
+            was_target_absent: false,
             flow_list: FlowList::default(),
             load_meter: LoadMeter::new(Slots::new(1), now),
             queue: RequestQueue::default(),
@@ -376,10 +379,22 @@
         presumed.into_iter().map(accepted).collect()
     }
 
+    /// Records that no process has the address of the target: its port refuses connections. A process that
+    /// starts there later gets all its flows through this agent, so no flow of before is open. This is the case
+    /// after a loss of power, and while a VM is taken out of service.
+    pub fn on_target_absent(&mut self) -> Vec<Action<'static>> {
+        if std::mem::replace(&mut self.was_target_absent, true) {
+            return Vec::new();
+        }
+        let agent = self.identity.address;
+        vec![Action::RecordEvent(FlowEvent::TargetAbsent { agent })]
+    }
+
     /// Returns whether the target may hold flows that were opened before the agent started.
     fn may_hold_unknown_flows(&self, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.started_at);
-        age < self.options.flow_lifetime
+        !self.was_target_absent
+            && age < self.options.flow_lifetime
             && self
                 .target
                 .as_ref()
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -162,6 +162,11 @@
         /// The state of the target.
         state: TargetState,
     },
+    /// No process had the address of the target after the start of its agent, so no earlier flow is open there.
+    TargetAbsent {
+        /// The agent.
+        agent: SocketAddrV4,
+    },
     /// An agent takes another process for its target than before.
     TargetReported {
         /// The id of the target.
--- a/crates/cranberrypitch-core/tests/flow/held_flows.rs
+++ b/crates/cranberrypitch-core/tests/flow/held_flows.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::flow::{
-    Action, AgentRecord, Dispatcher, FlowAgent, FlowKey, HeldFlows, LookupAnswer, NumberedRecord,
-    RefusalCause, StatusReport,
+    Action, AgentRecord, Dispatcher, FlowAgent, FlowKey, HeldFlows, LookupAnswer, Message,
+    NumberedRecord, RefusalCause, StatusReport,
 };
 use cranberrypitch_core::{Incarnation, TargetState};
 
@@ -316,3 +316,22 @@
     assert!(HeldFlows::new((0..4000).map(flow)).is_some());
     assert!(HeldFlows::new((0..5000).map(flow)).is_none());
 }
+
+/// An agent that starts on a VM whose target is gone gets no status report. It answered that each flow may be
+/// held until its lease ended, so dead flows were not reset.
+#[test]
+fn absent_target_holds_no_earlier_flow() {
+    let now = Instant::now();
+    let mut agent = restarted_agent(now);
+    let answer = |agent: &mut FlowAgent| {
+        let actions = agent.on_lookup(balancer_address(1), flow(1), 501, now);
+        sent_messages(&actions)[0].1.clone()
+    };
+    let reply = |answer| Message::LookupReply {
+        flow: flow(1),
+        answer,
+    };
+    assert_eq!(answer(&mut agent), reply(LookupAnswer::MayBeHeld));
+    agent.on_target_absent();
+    assert_eq!(answer(&mut agent), reply(LookupAnswer::NotHeld));
+}
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -1,5 +1,7 @@
 //! The agent, which relays all packets of the backend server on its VM.
 
+mod target_check;
+
 use std::marker::PhantomData;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -19,6 +21,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
+use self::target_check::{TargetPresence, check_target};
 use crate::daemon::{ActionExecutor, DaemonContext, Readiness, check_settings_file};
 use crate::errors::{Error, Result};
 use crate::io::http_server::{self, Call};
@@ -220,8 +223,15 @@
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut waiting_ticks = tokio::time::interval(WAITING_TICK_INTERVAL);
         waiting_ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let target_check = check_target(target_settings.backend_address);
+        tokio::pin!(target_check);
+        let mut is_target_checked = false;
         loop {
             tokio::select! {
+                presence = &mut target_check, if !is_target_checked => {
+                    is_target_checked = true;
+                    self.on_target_checked(presence);
+                }
                 result = peer_socket.readable() => {
                     log_unreadable(result);
                     self.read_peers(peer_socket);
@@ -253,6 +263,14 @@
         }
     }
 
+    fn on_target_checked(&mut self, presence: TargetPresence) {
+        if presence == TargetPresence::Absent {
+            let now = self.clock.now();
+            let actions = self.agent.on_target_absent();
+            self.executor.execute::<P>(actions, now);
+        }
+    }
+
     fn read_peers(&mut self, socket: &UdpSocket) {
         let now = self.clock.now();
         for _ in 0..MAX_BATCH_DATAGRAMS {
--- a/crates/cranberrypitch-relay/src/log.rs
+++ b/crates/cranberrypitch-relay/src/log.rs
@@ -260,6 +260,9 @@
         } => {
             tracing::info!(target: TARGET, event = "TargetChanged", %agent, %service, %incarnation, ?state);
         }
+        FlowEvent::TargetAbsent { agent } => {
+            tracing::info!(target: TARGET, event = "TargetAbsent", %agent);
+        }
         FlowEvent::TargetGone { agent } => {
             tracing::warn!(target: TARGET, event = "TargetGone", %agent);
         }
