Random model of flows: drains, losses of power, lost VMs and blocked writes

The model had no drain, no power failure and no VM that is lost for good, so it could not find a reset that follows from a wrong set of held flows, nor a dead flow that waits for its lease. It gains these changes and a store that carries out no writes for a time. A flow whose target is gone must now be reset unless the balancer knows an agent that is away and whose record does not exclude the flow; before, any agent that was away excused it.

SYNs wait for the first write of an agent for 100 ms instead of 400 ms, and then go to another agent: in the model, two restarted agents with a slow store let a SYN wait for 0.8 s.

--- a/crates/cranberrypitch-core/src/flow/agent/backlog.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/backlog.rs
@@ -20,6 +20,10 @@
 /// request keeps the slot busy while the next flow is opened.
 pub const MAX_REQUESTS_PER_SLOT: u32 = 2;
 
+/// The time for which a SYN waits for the first write of the registration. That takes a few round trips to the
+/// store; if it takes longer, another agent may be registered already.
+const FIRST_WRITE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The capacity of the backlog.
 const MAX_QUEUED_SYNS: usize = 256;
 
@@ -102,15 +106,12 @@
             actions.push(Action::SendToTarget(syn.packet.into_vec().into()));
         }
         // A SYN that waited for the registration may be admitted by another agent.
-        let cause = if self.flow_list.is_first_write_pending() {
-            RefusalCause::Draining
+        let (timeout, cause) = if self.flow_list.is_first_write_pending() {
+            (FIRST_WRITE_TIMEOUT, RefusalCause::Draining)
         } else {
-            RefusalCause::Overloaded
+            (self.options.backlog_timeout, RefusalCause::Overloaded)
         };
-        for syn in self
-            .backlog
-            .take_timed_out(self.options.backlog_timeout, now)
-        {
+        for syn in self.backlog.take_timed_out(timeout, now) {
             actions.extend(self.refuse_queued_syn(&syn, cause));
         }
         actions
--- a/crates/cranberrypitch-core/tests/flow/support.rs
+++ b/crates/cranberrypitch-core/tests/flow/support.rs
@@ -236,6 +236,7 @@
         Message::OpenRefused { flow, cause } => Message::OpenRefused { flow, cause },
         Message::LookupReply { flow, answer } => Message::LookupReply { flow, answer },
         Message::Report { record, load } => Message::Report { record, load },
+        Message::AgentList(agents) => Message::AgentList(agents),
         other => panic!("unexpected message: {other:?}"),
     }
 }
--- a/crates/cranberrypitch-core/tests/flow/world.rs
+++ b/crates/cranberrypitch-core/tests/flow/world.rs
@@ -1,5 +1,5 @@
 //! A simulation of random joins, stops, restarts, reused addresses, changes of routes, lost histories of
-//! the store and rotations of balancers while flows are open.
+//! the store, drains, losses of power and rotations of balancers while flows are open.
 //!
 //! The properties under test: while the process of the target of an open flow runs, that target responds
 //! to the caller's next request, and the flow is not reset unless its route was dropped. A SYN reaches only
@@ -51,6 +51,16 @@
         syn_lead_ms: u64,
         late_reports: u8,
     },
+    /// A target begins to drain, or takes its drain back.
+    ToggleDrain(usize),
+    /// A target drains and takes that back while the store carries out no write.
+    TakeBackDrain { agent: usize, blocked_ms: u64 },
+    /// All VMs lose power. Those whose targets drain never return, and perhaps another one.
+    LosePower { lost: Option<usize> },
+    /// A VM is lost for good.
+    LoseVm(usize),
+    /// The store carries out no write for a time.
+    BlockWrites { ms: u64 },
     /// A route is added or dropped.
     ToggleRoute,
     /// The store discards its history.
@@ -81,6 +91,12 @@
                 Change::ReuseAddress { agent, balancer, syn_lead_ms, late_reports }
             }
         ),
+        3 => any::<usize>().prop_map(Change::ToggleDrain),
+        1 => (any::<usize>(), 100_u64..5000)
+            .prop_map(|(agent, blocked_ms)| Change::TakeBackDrain { agent, blocked_ms }),
+        1 => prop::option::of(any::<usize>()).prop_map(|lost| Change::LosePower { lost }),
+        1 => any::<usize>().prop_map(Change::LoseVm),
+        1 => (100_u64..5000).prop_map(|ms| Change::BlockWrites { ms }),
         1 => Just(Change::ToggleRoute),
         1 => Just(Change::DiscardHistory),
         3 => (1_u64..700).prop_map(|ms| Change::Advance { ms }),
@@ -132,6 +148,19 @@
             let lead = Duration::from_millis(*syn_lead_ms);
             simulation.reuse_address(agent, *balancer, lead, *late_reports);
         }
+        Change::ToggleDrain(agent) => {
+            simulation.toggle_drain(agent_index(simulation, *agent));
+        }
+        Change::TakeBackDrain { agent, blocked_ms } => {
+            let blocked = Duration::from_millis(*blocked_ms);
+            simulation.take_back_drain(agent_index(simulation, *agent), blocked);
+        }
+        Change::LosePower { lost } => {
+            let lost = lost.map(|agent| agent_index(simulation, agent));
+            simulation.lose_power(|index| Some(index) == lost);
+        }
+        Change::LoseVm(agent) => simulation.lose_vm(agent_index(simulation, *agent)),
+        Change::BlockWrites { ms } => simulation.block_writes(Duration::from_millis(*ms)),
         Change::ToggleRoute => simulation.toggle_route(),
         Change::DiscardHistory => simulation.discard_history(),
         Change::Advance { ms } => simulation.advance(Duration::from_millis(*ms)),
--- a/crates/cranberrypitch-core/tests/flow/world/callers.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/callers.rs
@@ -1,10 +1,15 @@
 //! The callers of a simulated deployment, with the checks of what they see.
 
 use cranberrypitch_core::TargetState;
+use cranberrypitch_core::flow::{AgentRecord, FlowKey};
 
 use super::simulation::{Agent, Balancer, Service, Simulation};
 use crate::support::{request, syn};
 
+/// The maximum number of agents that wait for a write of the store, with which a flow opens in time: a SYN waits at
+/// each of them.
+const MAX_WAITING_AGENTS: usize = 2;
+
 /// A caller with one flow.
 #[derive(Debug)]
 pub(super) struct Caller {
@@ -70,15 +75,20 @@
             |agent: &Agent| agent.is_reported_to(self.now) && agent.target.service == service;
         let is_ready = |(index, agent): (&u8, &Agent)| {
             serves(agent)
-                && self.store.records[index].state == TargetState::Ready
-                && self.balancers.values().all(|balancer| {
-                    let records = balancer.dispatcher.directory().records();
-                    records.contains(&self.store.records[index])
+                && self.store.records.get(index).is_some_and(|record| {
+                    let is_known = |balancer: &Balancer| {
+                        let records = balancer.dispatcher.directory().records();
+                        records.contains(record)
+                    };
+                    record.state == TargetState::Ready && self.balancers.values().all(is_known)
                 })
         };
+        let is_waiting = |agent: &&Agent| agent.is_write_pending;
+        let waiting_agents = self.agents.values().filter(is_waiting).count();
         let address = service.flow(1).service_address;
         let has_route = |balancer: &Balancer| balancer.dispatcher.routes().route(address).is_some();
         self.store.has_route(service)
+            && waiting_agents <= MAX_WAITING_AGENTS
             && self.balancers.values().all(has_route)
             && self.agents.iter().any(is_ready)
     }
@@ -106,6 +116,12 @@
                 break;
             }
         }
+        // A balancer learns that the agent of an established flow is silent from the first packet, and acts on it
+        // at the next one.
+        if !self.is_held(port) && !self.callers[&port].is_reset {
+            self.send(balancer, &request(key, target_seq));
+            self.settle();
+        }
         let now = self.now;
         let is_agent_away = |agent: &Agent| agent.is_away(now);
         let is_holder_away = is_agent_away(&self.agents[&holder.0]);
@@ -127,12 +143,29 @@
             );
         } else {
             assert!(
-                caller.is_reset || is_any_away,
-                "flow {port} was not reset after its target restarted"
+                caller.is_reset || self.is_awaited(&key, balancer),
+                "flow {port} was not reset after its target ended"
             );
         }
     }
 
+    /// Returns whether a balancer has to await an agent that is away before it can reset a flow: one that it
+    /// knows, and whose record in the store does not exclude the flow.
+    fn is_awaited(&self, key: &FlowKey, balancer: u8) -> bool {
+        let records = self.balancers[&balancer].dispatcher.directory().records();
+        let may_hold = |record: &AgentRecord| {
+            let held = record.held_flows.as_ref();
+            held.is_none_or(|held| held.may_contain(key))
+        };
+        let is_away = |record: &AgentRecord| {
+            let index = record.address.ip().octets()[3];
+            self.agents[&index].is_away(self.now)
+        };
+        records
+            .iter()
+            .any(|record| is_away(record) && may_hold(record))
+    }
+
     pub(super) fn caller_count(&self) -> usize {
         self.callers.len()
     }
--- a/crates/cranberrypitch-core/tests/flow/world/simulation.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/simulation.rs
@@ -3,7 +3,7 @@
 //! Each balancer knows what it has read from the store and what agents have reported to it, so balancers
 //! know of joins, drains and changes of routes at different times.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
@@ -11,7 +11,7 @@
     AgentIdentity, AgentListProgress, AgentRecord, Dispatcher, DispatcherOptions, FlowAgent,
     FlowAgentOptions, FlowKey, Message, NumberedRecord, PacketHeader, RouteConfig,
 };
-use cranberrypitch_core::{FastMap, Incarnation};
+use cranberrypitch_core::{FastMap, Incarnation, TargetState};
 
 use super::callers::Caller;
 use crate::support::{
@@ -46,6 +46,13 @@
 /// The sequence number of the last report of a lost target that arrived in time.
 const LATE_SEQUENCE: u64 = 40;
 
+/// The maximum number of lost VMs that balancers may still select. With a third one, the timeouts of a SYN at them
+/// exceed the time that a flow has to open here.
+const MAX_SELECTABLE_LOST_VMS: usize = 2;
+
+/// The time to live of the lease of a registration.
+const LEASE_TTL: Duration = Duration::from_secs(9);
+
 /// The epoch of the store, which is never restored here.
 const EPOCH: u64 = 1;
 
@@ -86,6 +93,7 @@
     pub(super) service: Service,
     pub(super) process: u64,
     pub(super) sequence: u64,
+    pub(super) is_draining: bool,
     pub(super) flows: HashMap<FlowKey, u32>,
 }
 
@@ -97,10 +105,21 @@
     pub(super) restart_at: Option<Instant>,
     /// The time until which the agent neither receives nor sends anything.
     pub(super) paused_until: Option<Instant>,
+    /// The last record that the agent passed to its registration.
+    passed_record: Option<NumberedRecord>,
+    /// Whether the last record is not written yet.
+    pub(super) is_write_pending: bool,
+    /// The end of the lease of an agent whose VM is lost for good; none for other agents.
+    lost_until: Option<Instant>,
     pub(super) target: Target,
 }
 
 impl Agent {
+    /// Returns whether the VM of the agent is lost for good.
+    pub(super) const fn is_lost(&self) -> bool {
+        self.lost_until.is_some()
+    }
+
     /// Returns the process of the agent, unless it is paused.
     pub(super) fn running(&mut self, now: Instant) -> Option<&mut FlowAgent> {
         let is_away = self.is_away(now);
@@ -113,10 +132,11 @@
     }
 
     /// Returns whether the agent has run for long enough since its last pause to have got reports of its target
-    /// again. Before that it refuses new flows, as its address may belong to another service.
+    /// again, and its record is written. Before that it refuses new flows, as its address may belong to another
+    /// service, or the store may have the set of flows of an earlier record.
     pub(super) fn is_reported_to(&self, now: Instant) -> bool {
         let is_over = |until| now >= until + REPORT_TIME;
-        self.process.is_some() && self.paused_until.is_none_or(is_over)
+        self.process.is_some() && self.paused_until.is_none_or(is_over) && !self.is_write_pending
     }
 
     /// Returns whether the agent is away and comes back.
@@ -129,6 +149,8 @@
 pub(super) struct Balancer {
     pub(super) dispatcher: Dispatcher,
     pub(super) list: AgentListProgress,
+    /// The agents that the store listed at the last read.
+    listed: BTreeSet<u8>,
     /// Whether the store still has the changes of the list since the last read.
     pub(super) has_history: bool,
     pub(super) is_agents_read_due: bool,
@@ -169,6 +191,8 @@
     pub(super) callers: FastMap<u16, Caller>,
     pub(super) messages: VecDeque<(SocketAddrV4, SocketAddrV4, Message<'static>)>,
     pub(super) processes_started: u64,
+    /// The time until which the store carries out no write.
+    writes_blocked_until: Option<Instant>,
 }
 
 impl Simulation {
@@ -185,6 +209,7 @@
             callers: FastMap::default(),
             messages: VecDeque::new(),
             processes_started: 0,
+            writes_blocked_until: None,
         };
         for service in INITIAL_SERVICES {
             simulation.add_agent(service);
@@ -201,6 +226,7 @@
         let started = Balancer {
             dispatcher,
             list: AgentListProgress::default(),
+            listed: BTreeSet::new(),
             has_history: false,
             is_agents_read_due: false,
             is_config_read_due: false,
@@ -219,14 +245,19 @@
         entry.is_agents_read_due = false;
         let dispatcher = &mut entry.dispatcher;
         let mut actions = Vec::new();
+        let listed: BTreeSet<_> = self.store.records.keys().copied().collect();
         if std::mem::replace(&mut entry.has_history, true) {
             for record in &records {
                 actions.extend(dispatcher.on_registered(record, now));
             }
+            for index in entry.listed.difference(&listed) {
+                dispatcher.on_unregistered(agent_address(*index), now);
+            }
         } else {
             actions.extend(dispatcher.on_agent_list(records, now));
             entry.list.on_listing(EPOCH, now);
         }
+        entry.listed = listed;
         if let Some(as_of) = entry.list.on_changes(now) {
             actions.extend(dispatcher.on_agents_refreshed(as_of, now));
         }
@@ -287,6 +318,7 @@
             service,
             process: self.processes_started,
             sequence: 0,
+            is_draining: false,
             flows: HashMap::new(),
         };
         let process = Some(self.flow_agent(index, service, self.processes_started));
@@ -294,6 +326,9 @@
             process,
             restart_at: None,
             paused_until: None,
+            passed_record: None,
+            is_write_pending: false,
+            lost_until: None,
             target,
         };
         self.agents.insert(index, agent);
@@ -311,14 +346,54 @@
         FlowAgent::new(FlowAgentOptions::default(), identity, self.now)
     }
 
+    /// Passes the record of an agent to its registration, if it has changed since the last one.
     fn register(&mut self, index: u8) {
         let now = self.now;
         let agent = self.agents.get_mut(&index).unwrap();
-        if let Some(process) = &mut agent.process {
-            let NumberedRecord { number, record } = process.registration_record(now);
-            self.store.records.insert(index, record);
-            process.set_written_record(Some(number));
-            let actions = process.on_first_write_ended(now);
+        let Some(process) = &mut agent.process else {
+            return;
+        };
+        let next = process.registration_record(now);
+        let is_same = |passed: &NumberedRecord| passed.record == next.record;
+        if !agent.passed_record.as_ref().is_some_and(is_same) {
+            agent.passed_record = Some(next);
+            agent.is_write_pending = true;
+            self.write_records();
+        }
+    }
+
+    /// Lets the store carry out no write for a time. Reads go on.
+    pub(super) fn block_writes(&mut self, time: Duration) {
+        self.writes_blocked_until = self.writes_blocked_until.max(Some(self.now + time));
+    }
+
+    fn are_writes_blocked(&self) -> bool {
+        self.writes_blocked_until
+            .is_some_and(|until| self.now < until)
+    }
+
+    /// Carries out the pending writes of agents, unless writes are blocked, and ends the leases of lost VMs.
+    fn write_records(&mut self) {
+        let now = self.now;
+        let is_over = |agent: &Agent| agent.lost_until.is_some_and(|until| until <= now);
+        for (index, _) in self.agents.iter().filter(|(_, agent)| is_over(agent)) {
+            self.store.records.remove(index);
+        }
+        if self.are_writes_blocked() {
+            return;
+        }
+        let mut admitted = Vec::new();
+        for (index, agent) in &mut self.agents {
+            if let Some(process) = &mut agent.process
+                && std::mem::take(&mut agent.is_write_pending)
+                && let Some(NumberedRecord { number, record }) = &agent.passed_record
+            {
+                self.store.records.insert(*index, record.clone());
+                process.set_written_record(Some(*number));
+                admitted.push((*index, process.on_first_write_ended(now)));
+            }
+        }
+        for (index, actions) in admitted {
             self.perform(agent_address(index), actions);
         }
     }
@@ -329,18 +404,27 @@
         let service = self.agents[&index].target.service;
         let process = self.flow_agent(index, service, self.processes_started);
         let agent = self.agents.get_mut(&index).unwrap();
+        if agent.is_lost() {
+            return;
+        }
         // The target kept sending reports while the agent restarted.
         agent.target.sequence += 5;
         agent.process = Some(process);
         agent.restart_at = None;
         agent.paused_until = None;
+        agent.passed_record = None;
+        agent.is_write_pending = false;
         self.report_status(index);
         self.register(index);
     }
 
-    /// Stops an agent as planned, while its target keeps running. The platform starts it again after a time.
+    /// Stops an agent as planned, while its target keeps running. The platform starts it again after a time. An
+    /// agent serves until its stop is written, so it does not stop while writes are blocked.
     pub(super) fn stop_agent(&mut self, index: u8, away: Duration) {
         let now = self.now;
+        if self.are_writes_blocked() {
+            return;
+        }
         let agent = self.agents.get_mut(&index).unwrap();
         let Some(process) = agent.running(now) else {
             return;
@@ -365,16 +449,89 @@
 
     /// Restarts a target, which loses its flows.
     pub(super) fn restart_target(&mut self, index: u8) {
+        let agent = self.agents.get_mut(&index).unwrap();
+        if agent.is_lost() {
+            return;
+        }
         self.processes_started += 1;
-        let target = &mut self.agents.get_mut(&index).unwrap().target;
-        *target = Target {
-            service: target.service,
+        agent.target = Target {
+            service: agent.target.service,
             process: self.processes_started,
             sequence: 0,
+            is_draining: false,
             flows: HashMap::new(),
         };
     }
 
+    /// Lets a target begin to drain, or takes its drain back.
+    pub(super) fn toggle_drain(&mut self, index: u8) {
+        let target = &mut self.agents.get_mut(&index).unwrap().target;
+        target.is_draining = !target.is_draining;
+        self.report_status(index);
+    }
+
+    /// Lets a target drain, and take that back while the store carries out no write.
+    pub(super) fn take_back_drain(&mut self, index: u8, blocked: Duration) {
+        if !self.agents[&index].target.is_draining {
+            self.toggle_drain(index);
+        }
+        self.advance(REPORT_TIME / 2);
+        self.block_writes(blocked);
+        // The drain ends with the second report that does not name it.
+        self.toggle_drain(index);
+        self.advance(REPORT_TIME / 2);
+    }
+
+    /// Lets all VMs lose power. Those whose targets drain never return, and of the others those that are chosen by
+    /// `is_lost`. The others start again at once, without flows.
+    pub(super) fn lose_power(&mut self, is_lost: impl Fn(u8) -> bool) {
+        self.messages.clear();
+        let agents: Vec<_> = self.agents.keys().copied().collect();
+        for index in agents {
+            let agent = &self.agents[&index];
+            if agent.is_lost() {
+                continue;
+            }
+            let service = agent.target.service;
+            if agent.target.is_draining || is_lost(index) {
+                self.lose_vm(index);
+            }
+            if !self.agents[&index].is_lost() {
+                self.start_vm(index, service);
+            }
+        }
+        for balancer in 1..=BALANCERS {
+            self.start_balancer(balancer);
+        }
+    }
+
+    /// Returns the number of lost VMs that balancers may select, as the store lists them as ready.
+    fn selectable_lost_vms(&self) -> usize {
+        let is_selectable = |(index, agent): &(&u8, &Agent)| {
+            let record = self.store.records.get(index);
+            agent.is_lost() && record.is_some_and(|record| record.state == TargetState::Ready)
+        };
+        self.agents.iter().filter(is_selectable).count()
+    }
+
+    /// Loses a VM for good. Its registration ends with its lease. No more than [`MAX_SELECTABLE_LOST_VMS`] are lost
+    /// at a time unless they drain.
+    pub(super) fn lose_vm(&mut self, index: u8) {
+        let lease_end = self.now + LEASE_TTL;
+        let may_be_lost = self.selectable_lost_vms() < MAX_SELECTABLE_LOST_VMS
+            || self.agents[&index].target.is_draining;
+        let agent = self.agents.get_mut(&index).unwrap();
+        if agent.is_lost() || !may_be_lost {
+            return;
+        }
+        agent.process = None;
+        agent.restart_at = None;
+        agent.is_write_pending = false;
+        agent.lost_until = Some(lease_end);
+        agent.target.flows.clear();
+        agent.target.process = u64::MAX;
+    }
+
     /// Loses the VM of a target for good, and gives its address to a target of the other service. Two callers
     /// send transmissions of their SYNs through one balancer before and after the new VM starts. Late reports
     /// of the lost target reach the new agent first.
@@ -422,7 +579,11 @@
     }
 
     fn report_status(&mut self, index: u8) {
-        let target = &mut self.agents.get_mut(&index).unwrap().target;
+        let agent = self.agents.get_mut(&index).unwrap();
+        if agent.is_lost() {
+            return;
+        }
+        let target = &mut agent.target;
         target.sequence += 1;
         let (service, process, sequence) = (target.service, target.process, target.sequence);
         self.deliver_report(index, service, process, sequence);
@@ -435,9 +596,13 @@
         let mut report = status_report("i-1", started_unix_ms, sequence);
         report.service = service(served.name());
         let agent = self.agents.get_mut(&index).unwrap();
+        if agent.target.is_draining {
+            report.state = TargetState::Draining;
+        }
         if let Some(process) = agent.running(now) {
             let actions = process.on_status_report(report, now);
             self.perform(agent_address(index), actions);
+            self.register(index);
         }
     }
 
@@ -448,6 +613,7 @@
 
     pub(super) fn advance(&mut self, step: Duration) {
         self.now += step;
+        self.write_records();
         let agents: Vec<_> = self.agents.keys().copied().collect();
         for index in agents {
             let is_restart_due = |at| at <= self.now;
