--- a/crates/cranberrypitch-core/src/flow/directory.rs
+++ b/crates/cranberrypitch-core/src/flow/directory.rs
@@ -349,6 +349,14 @@
         agent.is_some_and(|agent| agent.excludes(flow, &self.options, now))
     }
 
+    /// Returns the number of agents whose records in the store exclude a flow.
+    pub(crate) fn excluding_agents(&self, flow: &FlowKey, now: Instant) -> usize {
+        let agents = self.agents.values();
+        agents
+            .filter(|agent| agent.excludes(flow, &self.options, now))
+            .count()
+    }
+
     /// Returns whether the store lists an agent.
     pub(crate) fn is_listed(&self, address: SocketAddrV4) -> bool {
         self.agents
--- a/crates/cranberrypitch-core/src/flow/dispatcher/lookup/not_found.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/lookup/not_found.rs
@@ -28,6 +28,7 @@
             flow,
             queried_agents,
             unresponsive_agents: unanswered.len(),
+            excluding_agents: self.directory.excluding_agents(&flow, now),
             longest_silent: silences.max_by_key(|(_, silence)| *silence),
             elapsed: now.saturating_duration_since(started_at),
         };
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -46,6 +46,8 @@
         queried_agents: usize,
         /// The number of queried agents that did not reply in time.
         unresponsive_agents: usize,
+        /// The number of agents whose records in the store exclude the flow.
+        excluding_agents: usize,
         /// The one of them that has sent nothing for the longest time, with that time.
         longest_silent: Option<(SocketAddrV4, Duration)>,
         /// The time since the lookup began.
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -120,7 +120,7 @@
 /// Waits until the status of the registration changes. Does not return after the end of its task.
 async fn wait_for_change(status: &mut StatusReceiver) {
     if status.changed().await.is_err() {
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
 
--- a/crates/cranberrypitch-relay/src/log.rs
+++ b/crates/cranberrypitch-relay/src/log.rs
@@ -180,13 +180,14 @@
             flow,
             queried_agents,
             unresponsive_agents,
+            excluding_agents,
             longest_silent,
             elapsed,
         } => {
             let agent = longest_silent.map(|(agent, _)| tracing::field::display(agent));
             let silent_ms = longest_silent.map(|(_, silence)| milliseconds(silence));
             let elapsed_ms = milliseconds(*elapsed);
-            tracing::warn!(target: TARGET, event = "NotLocated", %flow, asked = queried_agents, silent = unresponsive_agents, agent, silent_ms, elapsed_ms);
+            tracing::warn!(target: TARGET, event = "NotLocated", %flow, asked = queried_agents, silent = unresponsive_agents, excluding = excluding_agents, agent, silent_ms, elapsed_ms);
         }
         FlowEvent::Refused { flow, agent, cause } => {
             tracing::info!(target: TARGET, event = "Refused", %flow, %agent, %cause);
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -38,6 +38,7 @@
     openings_unanswered: Counter,
     flows_located: Counter,
     flows_not_located: Counter,
+    agents_excluded: Counter,
     flows_reset: Counter,
     packets_dropped: Counter,
     packets_forwarded: Counter,
@@ -74,6 +75,10 @@
         );
         let flows_located = counter("flows_located", "Flows whose agent was found");
         let flows_not_located = counter("flows_not_located", "Flows that no agent holds");
+        let agents_excluded = counter(
+            "agents_excluded",
+            "Agents not awaited by failed lookups, as their records exclude the flow",
+        );
         let flows_reset = counter("flows_reset", "Flows reset by the daemon");
         let packets_dropped = counter("packets_dropped", "Packets dropped");
         let packets_forwarded = counter("packets_forwarded", "Packets of callers sent to an agent");
@@ -140,6 +145,7 @@
             openings_unanswered,
             flows_located,
             flows_not_located,
+            agents_excluded,
             flows_reset,
             packets_dropped,
             packets_forwarded,
@@ -217,8 +223,12 @@
                 self.flows_located.inc();
                 self.locate_time.observe(elapsed.as_secs_f64());
             }
-            FlowEvent::NotLocated { .. } => {
+            FlowEvent::NotLocated {
+                excluding_agents, ..
+            } => {
                 self.flows_not_located.inc();
+                let excluded = u64::try_from(*excluding_agents).unwrap_or(u64::MAX);
+                self.agents_excluded.inc_by(excluded);
             }
             FlowEvent::Refused { .. } => {
                 self.flows_refused.inc();
