--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the daemons, served in the `OpenMetrics` text format.
 
+mod lookups;
 mod register;
 mod store;
 
@@ -18,6 +19,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use self::lookups::LookupMetrics;
 use self::register::{register, register_histogram};
 use self::store::StoreMetrics;
 use crate::io::http_server::{self, Call};
@@ -33,12 +35,10 @@
 pub(crate) struct RelayMetrics {
     registry: Arc<Registry>,
     store: StoreMetrics,
+    lookups: LookupMetrics,
     flows_placed: Counter,
     flows_refused: Counter,
     openings_unanswered: Counter,
-    flows_located: Counter,
-    flows_not_located: Counter,
-    agents_excluded: Counter,
     flows_reset: Counter,
     packets_dropped: Counter,
     packets_forwarded: Counter,
@@ -58,7 +58,6 @@
     agents: Gauge,
     requests_running: Gauge,
     config_version: Gauge,
-    locate_time: Histogram,
     answer_time: Histogram,
     load_age: Histogram,
 }
@@ -73,12 +72,6 @@
             "openings_unanswered",
             "Flow openings not answered before the timeout",
         );
-        let flows_located = counter("flows_located", "Flows whose agent was found");
-        let flows_not_located = counter("flows_not_located", "Flows that no agent holds");
-        let agents_excluded = counter(
-            "agents_excluded",
-            "Agents not awaited by failed lookups, as their records exclude the flow",
-        );
         let flows_reset = counter("flows_reset", "Flows reset by the daemon");
         let packets_dropped = counter("packets_dropped", "Packets dropped");
         let packets_forwarded = counter("packets_forwarded", "Packets of callers sent to an agent");
@@ -130,22 +123,20 @@
             "Version of the configuration in force",
         );
         let mut histogram = |name, help| register_histogram(&mut registry, name, help);
-        let locate_time = histogram("locate_time", "Time to locate the agent of a flow");
         let answer_time = histogram(
             "answer_time",
             "Time from a request to the first packet of its answer",
         );
         let load_age = histogram("load_age", "Age of the load report that placed a flow");
+        let lookups = LookupMetrics::register(&mut registry);
         let store = StoreMetrics::register(&mut registry);
         Self {
             registry: Arc::new(registry),
             store,
+            lookups,
             flows_placed,
             flows_refused,
             openings_unanswered,
-            flows_located,
-            flows_not_located,
-            agents_excluded,
             flows_reset,
             packets_dropped,
             packets_forwarded,
@@ -165,7 +156,6 @@
             agents,
             requests_running,
             config_version,
-            locate_time,
             answer_time,
             load_age,
         }
@@ -220,15 +210,12 @@
                 }
             }
             FlowEvent::Located { elapsed, .. } => {
-                self.flows_located.inc();
-                self.locate_time.observe(elapsed.as_secs_f64());
+                self.lookups.on_located(*elapsed);
             }
             FlowEvent::NotLocated {
                 excluding_agents, ..
             } => {
-                self.flows_not_located.inc();
-                let excluded = u64::try_from(*excluding_agents).unwrap_or(u64::MAX);
-                self.agents_excluded.inc_by(excluded);
+                self.lookups.on_not_located(*excluding_agents);
             }
             FlowEvent::Refused { .. } => {
                 self.flows_refused.inc();
