--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -78,6 +78,8 @@
     flows: HostedFlows,
     /// Whether no process had the address of the target after the start of the agent.
     was_target_absent: bool,
+    /// Whether the last check found no process at the address, and no report has arrived since.
+    is_target_absent: bool,
     flow_list: FlowList,
     queue: RequestQueue,
     load_meter: LoadMeter,
@@ -107,6 +109,7 @@
             is_syn_returned_before_report: false,
             flows: HostedFlows::default(),
             was_target_absent: false,
+            is_target_absent: false,
             flow_list: FlowList::default(),
             load_meter: LoadMeter::new(Slots::new(1), now),
             queue: RequestQueue::default(),
@@ -192,6 +195,7 @@
     fn state(&self) -> TargetState {
         let state = match &self.target {
             Some(target) => target.state(),
+            None if self.is_stopping && self.is_target_absent => TargetState::Gone,
             None => TargetState::Starting,
         };
         // The target may outlive its agent, and then still holds its flows.
@@ -383,6 +387,7 @@
     /// starts there later gets all its flows through this agent, so no flow of before is open. This is the case
     /// after a loss of power, and while a VM is taken out of service.
     pub fn on_target_absent(&mut self) -> Vec<Action<'static>> {
+        self.is_target_absent = self.target.is_none();
         if std::mem::replace(&mut self.was_target_absent, true) {
             return Vec::new();
         }
@@ -390,6 +395,16 @@
         vec![Action::RecordEvent(FlowEvent::TargetAbsent { agent })]
     }
 
+    /// Records that a process may have the address of the target by now.
+    pub const fn on_target_maybe_present(&mut self) {
+        self.is_target_absent = false;
+    }
+
+    /// Returns whether the target has sent no status report to this agent.
+    pub const fn awaits_first_report(&self) -> bool {
+        self.target.is_none()
+    }
+
     /// Returns whether the target may hold flows that were opened before the agent started.
     fn may_hold_unknown_flows(&self, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.started_at);
--- a/crates/cranberrypitch-core/src/flow/agent/schedule/syns.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/schedule/syns.rs
@@ -15,6 +15,10 @@
 use crate::flow::message::{Action, Message, OpenParams};
 use crate::flow::packet::FlowKey;
 
+/// The time for which a SYN waits for the first write of the registration. That takes a few round trips to the
+/// store; if it takes longer, another agent may be registered already.
+const FIRST_WRITE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// A SYN in the backlog.
 #[derive(Debug)]
 pub(in super::super) struct QueuedSyn {
@@ -43,11 +47,19 @@
         self.load_meter.load(0, now).service_time
     }
 
+    fn syn_wait_max(&self) -> Duration {
+        if self.flow_list.is_first_write_pending() {
+            FIRST_WRITE_TIMEOUT
+        } else {
+            self.options.backlog_timeout
+        }
+    }
+
     pub(super) fn capacity(&mut self, now: Instant) -> TargetCapacity {
         TargetCapacity {
             service_time: self.service_time(now),
             slots: self.slots().get(),
-            syn_wait_max: self.options.backlog_timeout,
+            syn_wait_max: self.syn_wait_max(),
         }
     }
 
--- a/crates/cranberrypitch-core/tests/flow/held_flows.rs
+++ b/crates/cranberrypitch-core/tests/flow/held_flows.rs
@@ -15,8 +15,8 @@
 use crate::agent::{accept, agent, open, restarted_agent, with_target};
 use crate::dispatcher::{dispatcher, local_records};
 use crate::support::{
-    agent_address, balancer_address, encode, flow, load, params, record, request, reset_count,
-    sent_messages, status_report, syn,
+    agent_address, balancer_address, encode, flow, load, owned_message, params, record, request,
+    reset_count, sent_messages, status_report, syn,
 };
 
 /// The time between two ticks of a balancer while a lookup is in progress.
@@ -325,7 +325,7 @@
     let mut agent = restarted_agent(now);
     let answer = |agent: &mut FlowAgent| {
         let actions = agent.on_lookup(balancer_address(1), flow(1), 501, now);
-        sent_messages(&actions)[0].1.clone()
+        owned_message(sent_messages(&actions)[0].1.clone())
     };
     let reply = |answer| Message::LookupReply {
         flow: flow(1),
@@ -335,3 +335,16 @@
     agent.on_target_absent();
     assert_eq!(answer(&mut agent), reply(LookupAnswer::NotHeld));
 }
+
+/// An agent that is stopped on a VM whose target is gone was awaited as one that stops beside a running target,
+/// for the maximum age of a flow.
+#[test]
+fn agent_that_stops_after_its_target_reports_it_as_gone() {
+    let now = Instant::now();
+    let mut agent = restarted_agent(now);
+    agent.on_target_absent();
+    agent.on_stop(now);
+    let record = agent.record(now);
+    assert_eq!(record.state, TargetState::Gone);
+    assert!(!record.is_agent_stopping);
+}
--- a/crates/cranberrypitch-core/tests/flow/support.rs
+++ b/crates/cranberrypitch-core/tests/flow/support.rs
@@ -244,6 +244,7 @@
             load,
             evacuations,
         },
+        Message::AgentList(agents) => Message::AgentList(agents),
         other => panic!("unexpected message: {other:?}"),
     }
 }
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -20,6 +20,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 use self::target_check::{TargetPresence, check_target};
 use crate::daemon::{ActionExecutor, DaemonContext, Readiness, check_settings_file};
@@ -39,6 +40,9 @@
 /// only end waits that no answer ends, and the objectives of requests are at least 200 ms.
 const WAITING_TICK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The timeout of the check of the target when the agent stops.
+const STOP_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// The capacity of the channel for requests of the target, in requests.
 const REQUEST_QUEUE_LEN: usize = 16;
 
@@ -127,7 +131,7 @@
 /// Waits until the status of the registration changes. Does not return after the end of its task.
 async fn wait_for_change(status: &mut StatusReceiver) {
     if status.changed().await.is_err() {
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
 
@@ -251,6 +255,7 @@
                     Signal::ReloadKeys => check_settings_file(&context.settings_file),
                     Signal::Terminate | Signal::Interrupt => {
                         tracing::info!(target: log::TARGET, event = "StopRequested", signal = signal.name());
+                        self.check_target_before_stop(target_settings.backend_address).await;
                         self.on_stop();
                     }
                 },
@@ -263,6 +268,19 @@
         }
     }
 
+    /// Checks whether a target that has not reported is there. Otherwise balancers would await the next agent for
+    /// the maximum age of a flow.
+    async fn check_target_before_stop(&mut self, target: SocketAddrV4) {
+        if !self.agent.awaits_first_report() {
+            return;
+        }
+        // The first check is out of date, and the second one may have no result.
+        self.agent.on_target_maybe_present();
+        if let Ok(presence) = timeout(STOP_CHECK_TIMEOUT, check_target(target)).await {
+            self.on_target_checked(presence);
+        }
+    }
+
     fn on_target_checked(&mut self, presence: TargetPresence) {
         if presence == TargetPresence::Absent {
             let now = self.clock.now();
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the daemons, served in the `OpenMetrics` text format.
 
+mod lookups;
 mod register;
 mod schedule;
 mod store;
@@ -19,6 +20,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use self::lookups::LookupMetrics;
 use self::register::{register, register_histogram};
 use self::schedule::ScheduleMetrics;
 use self::store::StoreMetrics;
@@ -36,12 +38,11 @@
     registry: Arc<Registry>,
     store: StoreMetrics,
     schedule: ScheduleMetrics,
+    lookups: LookupMetrics,
     flows_placed: Counter,
     flows_refused: Counter,
     flows_refused_evacuated: Counter,
     openings_unanswered: Counter,
-    flows_located: Counter,
-    flows_not_located: Counter,
     flows_reset: Counter,
     packets_dropped: Counter,
     packets_forwarded: Counter,
@@ -61,7 +62,6 @@
     agents: Gauge,
     evacuated_domains: Gauge,
     config_version: Gauge,
-    locate_time: Histogram,
     answer_time: Histogram,
     load_age: Histogram,
 }
@@ -80,8 +80,6 @@
             "openings_unanswered",
             "Flow openings not answered before the timeout",
         );
-        let flows_located = counter("flows_located", "Flows whose agent was found");
-        let flows_not_located = counter("flows_not_located", "Flows that no agent holds");
         let flows_reset = counter("flows_reset", "Flows reset by the daemon");
         let packets_dropped = counter("packets_dropped", "Packets dropped");
         let packets_forwarded = counter("packets_forwarded", "Packets of callers sent to an agent");
@@ -136,24 +134,23 @@
             "Version of the configuration in force",
         );
         let mut histogram = |name, help| register_histogram(&mut registry, name, help);
-        let locate_time = histogram("locate_time", "Time to locate the agent of a flow");
         let answer_time = histogram(
             "answer_time",
             "Time from a request to the first packet of its answer",
         );
         let load_age = histogram("load_age", "Age of the load report that placed a flow");
+        let lookups = LookupMetrics::register(&mut registry);
         let store = StoreMetrics::register(&mut registry);
         let schedule = ScheduleMetrics::register(&mut registry);
         Self {
             registry: Arc::new(registry),
             store,
             schedule,
+            lookups,
             flows_placed,
             flows_refused,
             flows_refused_evacuated,
             openings_unanswered,
-            flows_located,
-            flows_not_located,
             flows_reset,
             packets_dropped,
             packets_forwarded,
@@ -173,7 +170,6 @@
             agents,
             evacuated_domains,
             config_version,
-            locate_time,
             answer_time,
             load_age,
         }
@@ -228,11 +224,12 @@
                 }
             }
             FlowEvent::Located { elapsed, .. } => {
-                self.flows_located.inc();
-                self.locate_time.observe(elapsed.as_secs_f64());
+                self.lookups.on_located(*elapsed);
             }
-            FlowEvent::NotLocated { .. } => {
-                self.flows_not_located.inc();
+            FlowEvent::NotLocated {
+                excluding_agents, ..
+            } => {
+                self.lookups.on_not_located(*excluding_agents);
             }
             FlowEvent::Refused { cause, .. } => {
                 self.flows_refused.inc();
