--- a/crates/cranberrypitch-core/tests/flow/schedule_overload.rs
+++ b/crates/cranberrypitch-core/tests/flow/schedule_overload.rs
@@ -319,6 +319,32 @@
     }
 }
 
+/// Requests of the higher priority that fill the target alone took all turns.
+#[test]
+fn lower_priority_is_served_while_the_higher_one_fills_the_target() {
+    const MOSTLY_HIGHER: &[Class] = &[
+        (RequestKind::OpenFlow, 325.0, 40.0, 300, 3000, 2),
+        (RequestKind::Syn, 1138.0, 52.0, 400, 4000, 1),
+    ];
+    let site = site(3, 1.0, MOSTLY_HIGHER);
+    for (site, load, seed) in cases_of(&site) {
+        let share = run(site, load, SCHEDULE, seed).share(|priority, _| priority == 2);
+        assert!(share > 0.3, "{share}");
+    }
+}
+
+/// One caller that sends a third of all requests took a third of the turns.
+#[test]
+fn busiest_caller_gets_the_smallest_share() {
+    for (site, load, seed) in cases() {
+        let outcome = run(&SITES[site], load, SCHEDULE, seed);
+        let is_busiest = |caller: Ipv4Addr| caller.octets()[3] == 0;
+        let busiest = outcome.share(|_, caller| is_busiest(caller));
+        let others = outcome.share(|_, caller| !is_busiest(caller));
+        assert!(others > busiest + 0.1, "{others}, {busiest}");
+    }
+}
+
 /// A lower priority gets a turn in five, also while requests of the higher one would fill the target.
 #[test]
 fn no_priority_is_shut_out() {
