Eject outliers, and ramp the penalty of cold targets

A target that failed its requests, restarted repeatedly or was stuck was detected by a penalty alone, and a cold target had a constant penalty.

Each balancer ejects a target whose failure ratio is above 0.5 and twice the mean of its service, or whose service time is above four times the median, for 2 to 16 s. At most a third of the ready targets is ejected, and a target returns by a trial of three flows. Reports gain the number of weighted responses behind the failure percentage, in one byte. The penalty of a cold target falls with the rest of its warm-up.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -138,6 +138,7 @@
         AgentLoad {
             running_requests: self.requests(now).saturating_add(queued_requests),
             failed_responses_percent,
+            weighted_responses: self.response_meter.weighted_responses(now),
             ..self.load_meter.load(self.flows.open_len(), now)
         }
     }
--- a/crates/cranberrypitch-core/src/flow/agent/response_meter.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/response_meter.rs
@@ -63,6 +63,17 @@
         (100.0 * self.failures / (self.failures + self.successes + ASSUMED_SUCCESSES)) as u8
     }
 
+    /// Returns the number of responses, weighted by their age.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the value is clamped to the range"
+    )]
+    pub(super) fn weighted_responses(&mut self, now: Instant) -> u8 {
+        self.decay(now);
+        (self.failures + self.successes).min(f64::from(u8::MAX)) as u8
+    }
+
     fn decay(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.decayed_at);
         let factor = (-elapsed.div_duration_f64(DECAY_TIME_CONSTANT)).exp();
--- a/crates/cranberrypitch-core/src/flow/directory.rs
+++ b/crates/cranberrypitch-core/src/flow/directory.rs
@@ -79,6 +79,10 @@
     pub(crate) is_local: bool,
     /// The time of the last report, if any arrived.
     pub(crate) reported_at: Option<Instant>,
+    /// The longest warm-up time that the target had left since it started; zero if it is warm.
+    warmup: Duration,
+    /// The time of the record that has the rest of the warm-up time.
+    warmup_as_of: Instant,
     /// Whether the store lists the agent.
     is_listed: bool,
     unlisted_at: Instant,
@@ -95,9 +99,27 @@
         !self.gone_since.is_some_and(has_exited)
     }
 
+    /// Returns the rest of the warm-up time as a fraction of the whole, from 1 after the start of the target
+    /// to 0.
+    pub(crate) fn warmup_fraction_left(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.warmup_as_of);
+        let left = self.record.warmup_left.saturating_sub(elapsed);
+        if left.is_zero() {
+            0.0
+        } else {
+            left.div_duration_f64(self.warmup)
+        }
+    }
+
     /// Replaces the record by a newer one.
     fn set_record(&mut self, record: AgentRecord, now: Instant) {
         let record = with_known_state(record, Some(&self.record));
+        self.warmup = if record.warmup_left.is_zero() {
+            Duration::ZERO
+        } else {
+            self.warmup.max(record.warmup_left)
+        };
+        self.warmup_as_of = now;
         self.gone_since = match record.state {
             TargetState::Gone => self.gone_since.or(Some(now)),
             _ => None,
@@ -280,6 +302,11 @@
         removed
     }
 
+    /// Returns the services that agents serve or served, in no particular order.
+    pub(crate) fn services(&self) -> impl Iterator<Item = ServiceTag> + '_ {
+        self.by_service.keys().copied()
+    }
+
     /// Returns the agents whose targets serve a service.
     pub(crate) fn agents_of_service(
         &self,
@@ -354,6 +381,8 @@
             service_tag,
             load: load.unwrap_or_default(),
             reported_at: load.map(|_| now),
+            warmup: record.warmup_left,
+            warmup_as_of: now,
             is_listed: previous.is_some_and(|previous| previous.is_listed),
             unlisted_at: now,
             gone_since: (record.state == TargetState::Gone).then_some(now),
--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -124,6 +124,11 @@
         self.flows.len()
     }
 
+    /// Returns the number of targets that are ejected or on trial.
+    pub fn ejected_targets(&self) -> usize {
+        self.selector.ejected_targets()
+    }
+
     /// Returns whether the balancer has a configuration and an agent list.
     pub const fn is_ready(&self) -> bool {
         self.routes.version().is_some() && self.directory.is_loaded()
@@ -189,6 +194,7 @@
     /// Records that the target of an agent accepted a flow.
     pub fn on_open_accepted(&mut self, agent: SocketAddrV4, flow: FlowKey, now: Instant) {
         self.on_agent_message(agent, now);
+        self.selector.on_open_accepted(agent, now);
         let service = match self.flows.get(&flow).map(|entry| &entry.state) {
             // If several targets accept, the caller most likely uses the first one.
             Some(FlowState::Established(_) | FlowState::AwaitingRoute(_)) => return,
@@ -241,6 +247,9 @@
             self.liveness.remove(agent);
             actions.push(Action::RecordEvent(FlowEvent::TargetGone { agent }));
         }
+        let changes = self.selector.update_outliers(&self.directory, now);
+        let recorded = |change| Action::RecordEvent(FlowEvent::from(change));
+        actions.extend(changes.into_iter().map(recorded));
         for flow in self.flows.pending_flows() {
             actions.extend(self.on_pending_flow_tick(flow, now));
         }
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -5,6 +5,7 @@
 
 use super::cause::{DropCause, IgnoredReportCause, RefusalCause, ResetCause, ResetEvidenceKind};
 use super::packet::FlowKey;
+use super::selection::{EjectionCause, OutlierChange};
 use crate::ids::{Incarnation, Revision, ServiceName};
 use crate::target::TargetState;
 
@@ -159,9 +160,40 @@
         /// The reason.
         cause: IgnoredReportCause,
     },
+    /// A balancer gives a target no new flows for a time, because it fails or is slow.
+    TargetEjected {
+        /// The agent of the target.
+        agent: SocketAddrV4,
+        /// The reason.
+        cause: EjectionCause,
+        /// The time until the trial of the target.
+        duration: Duration,
+    },
+    /// A balancer gives a target flows as before its ejection.
+    TargetReadmitted {
+        /// The agent of the target.
+        agent: SocketAddrV4,
+    },
     /// A balancer removed an agent whose registration ended and whose reports stopped.
     TargetGone {
         /// The agent of the target.
         agent: SocketAddrV4,
     },
 }
+
+impl From<OutlierChange> for FlowEvent {
+    fn from(change: OutlierChange) -> Self {
+        match change {
+            OutlierChange::Ejected {
+                agent,
+                cause,
+                duration,
+            } => Self::TargetEjected {
+                agent,
+                cause,
+                duration,
+            },
+            OutlierChange::Readmitted { agent } => Self::TargetReadmitted { agent },
+        }
+    }
+}
--- a/crates/cranberrypitch-core/src/flow/load.rs
+++ b/crates/cranberrypitch-core/src/flow/load.rs
@@ -24,6 +24,9 @@
     pub open_flows: u16,
     /// The share of the target's recent responses that failed, in percent.
     pub failed_responses_percent: u8,
+    /// The number of recent responses, weighted by their age like the share that failed. The maximum
+    /// stands for higher numbers too.
+    pub weighted_responses: u8,
     /// The mean time for which a request occupies a slot; zero if it is not known.
     pub service_time: Duration,
 }
@@ -114,6 +117,7 @@
             mean_requests_hundredths: hundredths as u16,
             open_flows: u16::try_from(open_flows).unwrap_or(u16::MAX),
             failed_responses_percent: 0,
+            weighted_responses: 0,
             service_time: self.service_time.service_time(),
         }
     }
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -39,5 +39,8 @@
 pub use self::message::{Action, LookupAnswer, LookupQuery, Message, OpenParams};
 pub use self::packet::{FlowKey, PacketFlags, PacketHeader, Reset};
 pub use self::routes::{Backend, RequestLimits, Route, RouteConfig, RouteTable, ServicePolicy};
-pub use self::selection::{AgentSelector, AgentSelectorOptions, SelectedAgent, SelectionRequest};
+pub use self::selection::{
+    AgentSelector, AgentSelectorOptions, EjectionCause, OutlierChange, SelectedAgent,
+    SelectionRequest,
+};
 pub use self::store_retry::retry_wait;
--- a/crates/cranberrypitch-core/src/flow/selection.rs
+++ b/crates/cranberrypitch-core/src/flow/selection.rs
@@ -9,12 +9,15 @@
 //! relative to that of the others.
 
 mod load_averages;
+mod outliers;
 mod scoring;
 
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
 use self::load_averages::{LoadAverages, slots};
+use self::outliers::OutlierDetector;
+pub use self::outliers::{EjectionCause, OutlierChange};
 use super::directory::{AgentDirectory, AgentEntry};
 use super::packet::FlowKey;
 use super::rendezvous;
@@ -22,6 +25,9 @@
 use crate::ids::ServiceTag;
 use crate::target::TargetState;
 
+/// The minimum time between two decisions on ejections, which is that between two reports.
+const OUTLIER_UPDATE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Settings of a [`AgentSelector`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AgentSelectorOptions {
@@ -33,7 +39,8 @@
     pub remote_penalty: f64,
     /// The same difference for routes with large bodies, in requests per slot.
     pub bulk_remote_penalty: f64,
-    /// The load that is added to a target while it is slow after its start, in requests per slot.
+    /// The load that is added to a target that has just started, in requests per slot. It falls with the
+    /// rest of the time for which the target is slow.
     pub warmup_penalty: f64,
     /// The load that is added to a target whose responses all fail, in requests per slot; it scales
     /// with the share of failed responses. If all targets fail alike, the selection stays the same.
@@ -102,6 +109,8 @@
 pub struct AgentSelector {
     options: AgentSelectorOptions,
     states: FastMap<SocketAddrV4, SelectionState>,
+    outliers: OutlierDetector,
+    outliers_updated_at: Option<Instant>,
 }
 
 impl AgentSelector {
@@ -110,6 +119,8 @@
         Self {
             options,
             states: FastMap::default(),
+            outliers: OutlierDetector::default(),
+            outliers_updated_at: None,
         }
     }
 
@@ -131,11 +142,14 @@
             .copied()
             .filter(|agent| !self.is_suspected(agent.record.address, now))
             .collect();
-        let eligible = if responsive.is_empty() {
-            ready
-        } else {
-            responsive
-        };
+        let admitted: Vec<_> = responsive
+            .iter()
+            .copied()
+            .filter(|agent| self.outliers.admits(agent.record.address))
+            .collect();
+        let eligible = [admitted, responsive, ready]
+            .into_iter()
+            .find(|agents| !agents.is_empty())?;
         let reporting = |agent: &&AgentEntry| self.has_valid_load(agent, now);
         let averages = LoadAverages::of(
             eligible.iter().copied().filter(reporting),
@@ -144,32 +158,90 @@
                 .filter(reporting),
             self.options.min_requests_per_flow,
         );
-        let least_loaded = |is_local: bool| {
-            let agents = eligible.iter().copied().filter(|a| a.is_local == is_local);
-            let candidates =
-                rendezvous::top_ranked(&request.flow, agents, self.options.candidate_count);
-            let scored = candidates.into_iter().map(|agent| {
-                let score = self.score(agent, &averages, now);
-                (agent, score)
-            });
-            scored.min_by(|a, b| a.1.total_cmp(&b.1))
+        let agent = self.nearest_or_less_loaded(request, &eligible, &averages, now)?;
+        let selected = SelectedAgent {
+            address: agent.record.address,
+            expected_requests: self.expected_requests(agent, &averages, now),
         };
+        self.record_selection(selected.address, now);
+        Some(selected)
+    }
+
+    /// Returns the least loaded local candidate, or the least loaded remote one if its load is lower by
+    /// the remote penalty.
+    fn nearest_or_less_loaded<'a>(
+        &self,
+        request: &SelectionRequest<'_>,
+        eligible: &[&'a AgentEntry],
+        averages: &LoadAverages,
+        now: Instant,
+    ) -> Option<&'a AgentEntry> {
+        let local = self.least_loaded(request, eligible, true, averages, now);
+        let remote = self.least_loaded(request, eligible, false, averages, now);
         let penalty = if request.is_bulk {
             self.options.bulk_remote_penalty
         } else {
             self.options.remote_penalty
         };
-        let (agent, _) = match (least_loaded(true), least_loaded(false)) {
-            (Some(local), Some(remote)) if remote.1 + penalty < local.1 => remote,
-            (Some(local), _) => local,
-            (None, remote) => remote?,
-        };
-        let selected = SelectedAgent {
-            address: agent.record.address,
-            expected_requests: self.expected_requests(agent, &averages, now),
+        let selected = match (local, remote) {
+            (Some(local), Some(remote)) if remote.1 + penalty < local.1 => Some(remote),
+            (Some(local), _) => Some(local),
+            (None, remote) => remote,
         };
-        self.record_selection(selected.address, now);
-        Some(selected)
+        selected.map(|(agent, _)| agent)
+    }
+
+    /// Returns the candidate with the lowest score, with its score, among the local or the remote agents.
+    fn least_loaded<'a>(
+        &self,
+        request: &SelectionRequest<'_>,
+        eligible: &[&'a AgentEntry],
+        is_local: bool,
+        averages: &LoadAverages,
+        now: Instant,
+    ) -> Option<(&'a AgentEntry, f64)> {
+        let agents = eligible.iter().copied().filter(|a| a.is_local == is_local);
+        let candidates =
+            rendezvous::top_ranked(&request.flow, agents, self.options.candidate_count);
+        let scored = candidates
+            .into_iter()
+            .map(|agent| (agent, self.score(agent, averages, now)));
+        scored.min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    /// Ejects and readmits targets by the last reports of their agents, at most once in
+    /// [`OUTLIER_UPDATE_INTERVAL`].
+    pub fn update_outliers(
+        &mut self,
+        directory: &AgentDirectory,
+        now: Instant,
+    ) -> Vec<OutlierChange> {
+        let elapsed = |at: Instant| now.saturating_duration_since(at);
+        let updated_at = self.outliers_updated_at;
+        if updated_at.is_some_and(|at| elapsed(at) < OUTLIER_UPDATE_INTERVAL) {
+            return Vec::new();
+        }
+        self.outliers_updated_at = Some(now);
+        let mut changes = Vec::new();
+        for service in directory.services() {
+            let agents = directory.agents_of_service(service);
+            let is_ready = |agent: &&AgentEntry| agent.record.state == TargetState::Ready;
+            let ready: Vec<_> = agents.filter(is_ready).collect();
+            let mut reporting = ready.clone();
+            reporting.retain(|agent| self.has_valid_load(agent, now));
+            changes.extend(self.outliers.update(&ready, &reporting, now));
+        }
+        changes
+    }
+
+    /// Returns the number of targets that are ejected or on trial.
+    pub fn ejected_targets(&self) -> usize {
+        self.outliers.ejected_len()
+    }
+
+    /// Records that a target accepted a flow.
+    pub fn on_open_accepted(&mut self, address: SocketAddrV4, now: Instant) {
+        self.outliers.on_accepted(address, now);
     }
 
     /// Marks an agent that did not reply in time as suspected.
@@ -188,6 +260,7 @@
     /// Removes the state of an agent that is no longer in the directory.
     pub fn remove(&mut self, address: SocketAddrV4) {
         self.states.remove(&address);
+        self.outliers.remove(address);
     }
 
     fn record_selection(&mut self, address: SocketAddrV4, now: Instant) {
@@ -195,6 +268,7 @@
         let selected_at = &mut self.states.entry(address).or_default().selected_at;
         selected_at.retain(|at| now.saturating_duration_since(*at) < lifetime);
         selected_at.push(now);
+        self.outliers.on_selected(address, now);
     }
 
     fn is_suspected(&self, address: SocketAddrV4, now: Instant) -> bool {
--- a/crates/cranberrypitch-core/src/flow/selection/load_averages.rs
+++ b/crates/cranberrypitch-core/src/flow/selection/load_averages.rs
@@ -82,7 +82,7 @@
 
 fn service_time_s(agent: &AgentEntry) -> Option<f64> {
     let service_time = agent.load.service_time;
-    (!service_time.is_zero()).then(|| service_time.as_secs_f64())
+    (!service_time.is_zero()).then_some(service_time.as_secs_f64())
 }
 
 /// Returns the mean, or zero if there are no values.
--- a/crates/cranberrypitch-core/src/flow/selection/scoring.rs
+++ b/crates/cranberrypitch-core/src/flow/selection/scoring.rs
@@ -16,20 +16,26 @@
             (
                 averages.load(agent),
                 averages.relative_service_time(agent),
-                agent.load.failure_ratio(),
+                self.failure_ratio(agent),
             )
         } else {
             (averages.mean_load, 1.0, 0.0)
         };
-        let warmup = if agent.record.warmup_left.is_zero() {
-            0.0
-        } else {
-            self.options.warmup_penalty
-        };
+        let warmup = agent.warmup_fraction_left(now) * self.options.warmup_penalty;
         let ahead = load + f64::from(self.recent_selections(agent, now)) / slots(agent);
         ahead * relative_service_time
             + (relative_service_time - 1.0)
             + failure_ratio * self.options.failure_penalty
             + warmup
     }
+
+    /// Returns the failure ratio that counts against a target. The failures before its ejection would
+    /// keep a target on trial from the flows by which it is judged.
+    fn failure_ratio(&self, agent: &AgentEntry) -> f64 {
+        if self.outliers.is_on_trial(agent.record.address) {
+            0.0
+        } else {
+            agent.load.failure_ratio()
+        }
+    }
 }
--- a/crates/cranberrypitch-core/tests/flow/capacity.rs
+++ b/crates/cranberrypitch-core/tests/flow/capacity.rs
@@ -153,7 +153,7 @@
     let mut meter = LoadMeter::new(Slots::new(2), now);
     let end = run_requests(&mut meter, 2, Duration::from_millis(25), now);
     let busy = meter.load(0, end).service_time;
-    let idle = meter.load(0, end + Duration::from_secs(60)).service_time;
+    let idle = meter.load(0, end + Duration::from_mins(1)).service_time;
     assert_eq!(busy, idle);
     assert!(
         busy.abs_diff(Duration::from_millis(25)) < Duration::from_millis(1),
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -12,6 +12,7 @@
 mod load;
 mod lookup;
 mod odd_reports;
+mod outliers;
 mod reports;
 mod reused_address;
 mod routes;
--- a/crates/cranberrypitch-core/tests/flow/reports.rs
+++ b/crates/cranberrypitch-core/tests/flow/reports.rs
@@ -2,12 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use cranberrypitch_core::flow::{Action, FlowAgent, Message, RefusalCause};
+use cranberrypitch_core::flow::{Action, AgentLoad, FlowAgent, Message, PacketFlags, RefusalCause};
 
-use crate::agent::{agent, bounce, lookup, open, with_target};
+use crate::agent::{accept, agent, bounce, lookup, open, with_target};
 use crate::dispatcher::{dispatcher, local_records};
 use crate::support::{
-    agent_address, balancer_address, flow, load, record, sent_messages, status_report, syn,
+    agent_address, balancer_address, encode, flow, from_target, load, record, request,
+    sent_messages, status_report, syn,
 };
 
 /// During an outage of the store, a new agent reports to seed balancers and to the balancers of the agents
@@ -81,15 +82,65 @@
 
 /// Returns the percentage of failed responses in a report.
 fn reported_failures(agent: &mut FlowAgent, now: Instant) -> u8 {
+    reported_load(agent, now).failed_responses_percent
+}
+
+/// Returns the load in a report.
+fn reported_load(agent: &mut FlowAgent, now: Instant) -> AgentLoad {
     agent.on_lookup(balancer_address(1), flow(99), 1, now);
     let actions = agent.on_tick(now + Duration::from_secs(1));
-    let failed = sent_messages(&actions)
+    let load = sent_messages(&actions)
         .iter()
         .find_map(|(_, message)| match message {
-            Message::Report { load, .. } => Some(load.failed_responses_percent),
+            Message::Report { load, .. } => Some(*load),
             _ => None,
         });
-    failed.expect("a report is due")
+    load.expect("a report is due")
+}
+
+/// Guards against an ejection by a ratio of a few responses: the report has their number, which decays
+/// like the failures.
+#[test]
+fn weighted_responses_are_reported() {
+    let now = Instant::now();
+    let mut agent = with_target(now);
+    for _ in 0..20 {
+        agent.on_response(200, now);
+        agent.on_response(500, now);
+    }
+    let soon = reported_load(&mut agent, now).weighted_responses;
+    assert!((25..=40).contains(&soon), "{soon}");
+    let later = now + Duration::from_secs(9);
+    let decayed = reported_load(&mut agent, later).weighted_responses;
+    assert!(decayed <= 2, "{decayed}");
+}
+
+/// Guards against a target that fails at once and seems fast. Load: on one flow, a successful response
+/// of 30 ms and an immediate failure in turn.
+#[test]
+fn failures_do_not_make_a_target_seem_fast() {
+    let mut now = Instant::now();
+    let mut agent = with_target(now);
+    open(&mut agent, 1, now);
+    accept(&mut agent, 1, 5000, now);
+    let mut next = request(flow(1), 5001);
+    for _ in 0..50 {
+        for (status, elapsed_ms) in [(200, 30), (500, 0)] {
+            agent.on_forward(balancer_address(1), &next, &encode(&next), now);
+            next.seq_number += u32::from(next.payload_len_bytes);
+            now += Duration::from_millis(elapsed_ms);
+            agent.on_response(status, now);
+            let response = from_target(flow(1), PacketFlags::ACK, next.ack_number, 500);
+            agent.on_target_packet(&response, &encode(&response), now);
+            next.ack_number += 500;
+        }
+    }
+    let measured = reported_load(&mut agent, now).service_time;
+    let expected = Duration::from_millis(30);
+    assert!(
+        measured.abs_diff(expected) <= Duration::from_millis(1),
+        "{measured:?}"
+    );
 }
 
 /// A target that passes its health checks while its responses fail would get flows all the time. A busy
--- a/crates/cranberrypitch-core/tests/flow/selection.rs
+++ b/crates/cranberrypitch-core/tests/flow/selection.rs
@@ -170,6 +170,7 @@
         running_requests,
         mean_requests_hundredths: running_requests * 100,
         failed_responses_percent: 0,
+        weighted_responses: 0,
         open_flows,
         service_time: Duration::ZERO,
     };
@@ -247,3 +248,52 @@
     }
     assert_eq!(local_flows(&directory, false, now), 1000);
 }
+
+/// Waves of load reach one failure domain after the other. Guards against balancers that all select the
+/// same remote target: six balancers of an overloaded failure domain have the same reports of equal
+/// remote targets, and none of them knows the selections of the others.
+#[test]
+fn overflow_of_several_balancers_is_spread_over_remote_targets() {
+    let now = Instant::now();
+    let directory = two_domains(12, 1, now);
+    let mut counts = [0_u32; 5];
+    for balancer in 0..6 {
+        let mut selector = AgentSelector::new(AgentSelectorOptions::default());
+        for flow in 0..20 {
+            let request = selection_request(balancer * 20 + flow, false);
+            let agent = select(&mut selector, &request, &directory, now).unwrap();
+            let last_octet = agent.ip().octets()[3];
+            if let Some(count) = last_octet.checked_sub(10) {
+                counts[usize::from(count)] += 1;
+            }
+        }
+    }
+    let remote: u32 = counts.iter().sum();
+    assert!(remote >= 60, "{counts:?}");
+    assert!(
+        counts.iter().all(|count| *count * 5 <= remote * 2),
+        "{counts:?}"
+    );
+}
+
+/// A cold target gets no flows until it is warm, and all of them at once when it is. Guards against that
+/// step: its penalty falls with the rest of the warm-up. Load: the other target runs one request more.
+#[test]
+fn penalty_of_a_cold_target_falls_with_its_warmup() {
+    let now = Instant::now();
+    let warm = record(1, "matcher", "a");
+    let cold = |left_ms| AgentRecord {
+        warmup_left: Duration::from_millis(left_ms),
+        ..record(2, "matcher", "a")
+    };
+    let mut directory = directory(&[warm.clone(), cold(2000)], now);
+    let mut select_at = |left_ms| {
+        directory.on_report(warm.clone(), load(1), now);
+        directory.on_report(cold(left_ms), load(0), now);
+        let mut selector = AgentSelector::new(AgentSelectorOptions::default());
+        select(&mut selector, &selection_request(1, false), &directory, now)
+    };
+    assert_eq!(select_at(2000), Some(agent_address(1)));
+    assert_eq!(select_at(1500), Some(agent_address(1)));
+    assert_eq!(select_at(500), Some(agent_address(2)));
+}
--- a/crates/cranberrypitch-core/tests/flow/support.rs
+++ b/crates/cranberrypitch-core/tests/flow/support.rs
@@ -62,6 +62,7 @@
         running_requests,
         mean_requests_hundredths: running_requests * 100,
         failed_responses_percent: 0,
+        weighted_responses: 0,
         open_flows: running_requests,
         service_time: Duration::ZERO,
     }
--- a/crates/cranberrypitch-measure/src/selection/simulation.rs
+++ b/crates/cranberrypitch-measure/src/selection/simulation.rs
@@ -428,6 +428,9 @@
                 selector.on_report(target, target_load, warmup_left, now);
             }
         }
+        for selector in &mut self.selectors {
+            selector.update_outliers(now);
+        }
         let next = now + self.options.report_interval;
         self.event_queue.schedule(next, SimulationEvent::Report);
     }
--- a/crates/cranberrypitch-measure/src/selection/target_selector.rs
+++ b/crates/cranberrypitch-measure/src/selection/target_selector.rs
@@ -82,6 +82,11 @@
         self.directory.on_report(record, load, now);
     }
 
+    /// Ejects and readmits targets by the last reports.
+    pub(super) fn update_outliers(&mut self, now: Instant) {
+        self.selector.update_outliers(&self.directory, now);
+    }
+
     /// Selects a target for a flow. If the target may decline, the number of requests that it is
     /// expected to run is returned too.
     pub(super) fn select_target(&mut self, flow: FlowKey, now: Instant) -> (usize, Option<u16>) {
--- a/crates/cranberrypitch-measure/tests/selection.rs
+++ b/crates/cranberrypitch-measure/tests/selection.rs
@@ -95,7 +95,11 @@
             );
             let is_uneven = matches!(
                 pattern,
-                LoadPattern::HeavyDomain | LoadPattern::DoubleLoad | LoadPattern::SlowDomain
+                LoadPattern::HeavyDomain
+                    | LoadPattern::DoubleLoad
+                    | LoadPattern::SlowDomain
+                    | LoadPattern::UnevenSpeeds
+                    | LoadPattern::Waves
             );
             if is_uneven {
                 let undeclined = in_time(pattern, Policy::WithoutDecline);
--- a/crates/cranberrypitch-proto/src/relay.rs
+++ b/crates/cranberrypitch-proto/src/relay.rs
@@ -261,6 +261,7 @@
     datagram.put_u16(load.running_requests);
     datagram.put_u16(load.mean_requests_hundredths);
     datagram.put_u8(load.failed_responses_percent);
+    datagram.put_u8(load.weighted_responses);
     datagram.put_u16(load.open_flows);
     put_tenth_millis(datagram, load.service_time);
     put_name(datagram, record.service.as_str());
@@ -358,6 +359,7 @@
             running_requests: self.u16()?,
             mean_requests_hundredths: self.u16()?,
             failed_responses_percent: self.u8()?,
+            weighted_responses: self.u8()?,
             open_flows: self.u16()?,
             service_time: self.tenth_millis()?,
         };
--- a/crates/cranberrypitch-proto/tests/relay_messages.rs
+++ b/crates/cranberrypitch-proto/tests/relay_messages.rs
@@ -91,15 +91,27 @@
             LookupAnswer::MayBeHeld,
         ][..],
     );
-    let counts = (any::<u16>(), any::<u16>(), any::<u16>(), any::<u8>());
+    let counts = (
+        any::<u16>(),
+        any::<u16>(),
+        any::<u16>(),
+        any::<u8>(),
+        any::<u8>(),
+    );
     let load = (counts, any::<u16>()).prop_map(|(counts, service_time_tenth_ms)| {
-        let (running_requests, mean_requests_hundredths, open_flows, failed_responses_percent) =
-            counts;
+        let (
+            running_requests,
+            mean_requests_hundredths,
+            open_flows,
+            failed_responses_percent,
+            weighted_responses,
+        ) = counts;
         AgentLoad {
             running_requests,
             mean_requests_hundredths,
             open_flows,
             failed_responses_percent,
+            weighted_responses,
             service_time: Duration::from_micros(u64::from(service_time_tenth_ms) * 100),
         }
     });
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -402,6 +402,8 @@
         let list_age = self.dispatcher.agent_list_age(now);
         self.executor.metrics.set_balancer(flows, agents, version);
         self.executor.metrics.set_agent_list_age(list_age);
+        let ejected = self.dispatcher.ejected_targets();
+        self.executor.metrics.set_ejected_targets(ejected);
         self.snapshot.set_agents(|| self.dispatcher.snapshot(), now);
     }
 }
--- a/crates/cranberrypitch-relay/src/log.rs
+++ b/crates/cranberrypitch-relay/src/log.rs
@@ -247,6 +247,17 @@
         FlowEvent::TargetGone { agent } => {
             tracing::warn!(target: TARGET, event = "TargetGone", %agent);
         }
+        FlowEvent::TargetEjected {
+            agent,
+            cause,
+            duration,
+        } => {
+            let duration_ms = milliseconds(*duration);
+            tracing::warn!(target: TARGET, event = "TargetEjected", %agent, %cause, duration_ms);
+        }
+        FlowEvent::TargetReadmitted { agent } => {
+            tracing::info!(target: TARGET, event = "TargetReadmitted", %agent);
+        }
         FlowEvent::TargetReported {
             id,
             started_unix_ms,
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -55,6 +55,7 @@
     agent_list_age_ms: Gauge,
     flows: Gauge,
     agents: Gauge,
+    ejected_targets: Gauge,
     requests_running: Gauge,
     config_version: Gauge,
     locate_time: Histogram,
@@ -119,6 +120,10 @@
         );
         let flows = gauge("flows", "Flows in the flow table");
         let agents = gauge("agents", "Agents in the directory of the balancer");
+        let ejected_targets = gauge(
+            "ejected_targets",
+            "Targets that get no new flows of the balancer, or one at a time, because they fail or are slow",
+        );
         let requests_running = gauge("requests_running", "Requests running at the target");
         let config_version = gauge(
             "configuration_version",
@@ -157,6 +162,7 @@
             agent_list_age_ms,
             flows,
             agents,
+            ejected_targets,
             requests_running,
             config_version,
             locate_time,
@@ -277,6 +283,11 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn set_ejected_targets(&self, count: usize) {
+        self.ejected_targets
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     fn encode_text(&self) -> Option<String> {
         let mut text = String::new();
         match encode(&mut text, &self.registry) {
