--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -2,6 +2,7 @@
 
 mod register;
 mod store;
+mod targets;
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -20,6 +21,7 @@
 
 use self::register::{register, register_histogram};
 use self::store::StoreMetrics;
+use self::targets::TargetMetrics;
 use crate::io::http_server::{self, Call};
 
 /// The HTTP path of the metrics.
@@ -33,6 +35,7 @@
 pub(crate) struct RelayMetrics {
     registry: Arc<Registry>,
     store: StoreMetrics,
+    targets: TargetMetrics,
     flows_placed: Counter,
     flows_refused: Counter,
     openings_unanswered: Counter,
@@ -54,8 +57,6 @@
     config_watching: Gauge,
     agent_list_age_ms: Gauge,
     flows: Gauge,
-    agents: Gauge,
-    ejected_targets: Gauge,
     requests_running: Gauge,
     config_version: Gauge,
     locate_time: Histogram,
@@ -119,11 +120,6 @@
             "Time since the list of agents was read from the store, or -1",
         );
         let flows = gauge("flows", "Flows in the flow table");
-        let agents = gauge("agents", "Agents in the directory of the balancer");
-        let ejected_targets = gauge(
-            "ejected_targets",
-            "Targets that get no new flows of the balancer, or one at a time, because they fail or are slow",
-        );
         let requests_running = gauge("requests_running", "Requests running at the target");
         let config_version = gauge(
             "configuration_version",
@@ -136,10 +132,12 @@
             "Time from a request to the first packet of its answer",
         );
         let load_age = histogram("load_age", "Age of the load report that placed a flow");
+        let targets = TargetMetrics::register(&mut registry);
         let store = StoreMetrics::register(&mut registry);
         Self {
             registry: Arc::new(registry),
             store,
+            targets,
             flows_placed,
             flows_refused,
             openings_unanswered,
@@ -161,8 +159,6 @@
             config_watching,
             agent_list_age_ms,
             flows,
-            agents,
-            ejected_targets,
             requests_running,
             config_version,
             locate_time,
@@ -277,15 +273,14 @@
 
     pub(crate) fn set_balancer(&self, flows: usize, agents: usize, version: Option<Revision>) {
         self.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
-        self.agents.set(i64::try_from(agents).unwrap_or(i64::MAX));
+        self.targets.set_agents(agents);
         let version = version.map_or(0, Revision::get);
         self.config_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
     pub(crate) fn set_ejected_targets(&self, count: usize) {
-        self.ejected_targets
-            .set(i64::try_from(count).unwrap_or(i64::MAX));
+        self.targets.set_ejected(count);
     }
 
     fn encode_text(&self) -> Option<String> {
