--- a/crates/cranberrypitch-core/src/flow/selection/scoring.rs
+++ b/crates/cranberrypitch-core/src/flow/selection/scoring.rs
@@ -7,9 +7,9 @@
 use crate::flow::directory::AgentEntry;
 
 impl AgentSelector {
-    /// Returns the expected time until the next request is answered, with penalties. The unit is the
-    /// mean service time of the service, and the service time of the request at a target of mean speed
-    /// is left out. For targets of equal speed this is the load in requests per slot.
+    /// Returns the expected time for which the next request waits for the requests ahead of it, in mean
+    /// service times of the service, with penalties. For targets of equal speed this is the load in
+    /// requests per slot.
     pub(super) fn score(&self, agent: &AgentEntry, averages: &LoadAverages, now: Instant) -> f64 {
         let is_load_valid = self.has_valid_load(agent, now);
         let (load, relative_service_time, failure_ratio) = if is_load_valid {
@@ -23,10 +23,7 @@
         };
         let warmup = agent.warmup_fraction_left(now) * self.options.warmup_penalty;
         let ahead = load + f64::from(self.recent_selections(agent, now)) / slots(agent);
-        ahead * relative_service_time
-            + (relative_service_time - 1.0)
-            + failure_ratio * self.options.failure_penalty
-            + warmup
+        ahead * relative_service_time + failure_ratio * self.options.failure_penalty + warmup
     }
 
     /// Returns the failure ratio that counts against a target. The failures before its ejection would
