--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -7,6 +7,7 @@
 use super::evacuation::EvacuationVersion;
 use super::packet::FlowKey;
 use crate::ids::{FailureDomain, Incarnation, Revision, ServiceName};
+use super::selection::{EjectionCause, OutlierChange};
 use crate::target::TargetState;
 
 /// An event of a flow, a target or the configuration. The variants are named like the log events.
@@ -191,9 +192,40 @@
         /// The reason.
         cause: IgnoredReportCause,
     },
+    /// A balancer gives a target no new flows for a time, because it fails or is slow.
+    TargetEjected {
+        /// The agent of the target.
+        agent: SocketAddrV4,
+        /// The reason.
+        cause: EjectionCause,
+        /// The time until the trial of the target.
+        duration: Duration,
+    },
+    /// A balancer gives a target flows as before its ejection.
+    TargetReadmitted {
+        /// The agent of the target.
+        agent: SocketAddrV4,
+    },
     /// A balancer removed an agent whose registration ended and whose reports stopped.
     TargetGone {
         /// The agent of the target.
         agent: SocketAddrV4,
     },
 }
+
+impl From<OutlierChange> for FlowEvent {
+    fn from(change: OutlierChange) -> Self {
+        match change {
+            OutlierChange::Ejected {
+                agent,
+                cause,
+                duration,
+            } => Self::TargetEjected {
+                agent,
+                cause,
+                duration,
+            },
+            OutlierChange::Readmitted { agent } => Self::TargetReadmitted { agent },
+        }
+    }
+}
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -411,6 +411,8 @@
         let evacuated_domains = evacuations.failure_domains.len();
         self.executor.metrics.set_evacuations(evacuated_domains);
         self.snapshot.set_evacuations(evacuations);
+        let ejected = self.dispatcher.ejected_targets();
+        self.executor.metrics.set_ejected_targets(ejected);
         self.snapshot.set_agents(|| self.dispatcher.snapshot(), now);
     }
 }
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -4,6 +4,7 @@
 mod register;
 mod schedule;
 mod store;
+mod targets;
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 use self::register::{register, register_histogram};
 use self::schedule::ScheduleMetrics;
 use self::store::StoreMetrics;
+use self::targets::TargetMetrics;
 use crate::io::http_server::{self, Call};
 
 /// The HTTP path of the metrics.
@@ -39,6 +41,7 @@
     store: StoreMetrics,
     schedule: ScheduleMetrics,
     lookups: LookupMetrics,
+    targets: TargetMetrics,
     flows_placed: Counter,
     flows_refused: Counter,
     flows_refused_evacuated: Counter,
@@ -59,7 +62,6 @@
     config_watching: Gauge,
     agent_list_age_ms: Gauge,
     flows: Gauge,
-    agents: Gauge,
     evacuated_domains: Gauge,
     config_version: Gauge,
     answer_time: Histogram,
@@ -124,7 +126,6 @@
             "Time since the list of agents was read from the store, or -1",
         );
         let flows = gauge("flows", "Flows in the flow table");
-        let agents = gauge("agents", "Agents in the directory of the balancer");
         let evacuated_domains = gauge(
             "evacuated_domains",
             "Failure domains whose evacuation is in force at the balancer",
@@ -140,6 +141,7 @@
         );
         let load_age = histogram("load_age", "Age of the load report that placed a flow");
         let lookups = LookupMetrics::register(&mut registry);
+        let targets = TargetMetrics::register(&mut registry);
         let store = StoreMetrics::register(&mut registry);
         let schedule = ScheduleMetrics::register(&mut registry);
         Self {
@@ -147,6 +149,7 @@
             store,
             schedule,
             lookups,
+            targets,
             flows_placed,
             flows_refused,
             flows_refused_evacuated,
@@ -167,7 +170,6 @@
             config_watching,
             agent_list_age_ms,
             flows,
-            agents,
             evacuated_domains,
             config_version,
             answer_time,
@@ -299,12 +301,16 @@
 
     pub(crate) fn set_balancer(&self, flows: usize, agents: usize, version: Option<Revision>) {
         self.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
-        self.agents.set(i64::try_from(agents).unwrap_or(i64::MAX));
+        self.targets.set_agents(agents);
         let version = version.map_or(0, Revision::get);
         self.config_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn set_ejected_targets(&self, count: usize) {
+        self.targets.set_ejected(count);
+    }
+
     fn encode_text(&self) -> Option<String> {
         let mut text = String::new();
         match encode(&mut text, &self.registry) {
