Limit new flows at the agent while its target is slow after its start

Each balancer counts only its own flows, so many of them together overloaded a target that had just started. The agent counts the SYNs and requests that it passed in the last second, and declines or queues new flows beyond the rate of the service. Before the first status report a target with a rate gets no new flow; without a rate nothing changes.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -9,6 +9,7 @@
 mod refusal;
 mod report_series;
 mod response_meter;
+mod slow_start;
 mod status;
 mod target_process;
 
@@ -23,6 +24,7 @@
 pub use self::options::FlowAgentOptions;
 use self::report_series::ReportSeries;
 use self::response_meter::{ResponseMeter, is_failure};
+use self::slow_start::SlowStart;
 pub use self::target_process::{StatusReport, TargetProcess};
 use super::cause::DropCause;
 use super::cause::RefusalCause;
@@ -66,6 +68,7 @@
     is_syn_returned_before_report: bool,
     flows: HostedFlows,
     backlog: SynBacklog,
+    slow_start: SlowStart,
     load_meter: LoadMeter,
     response_meter: ResponseMeter,
     balancers: FastMap<SocketAddrV4, BalancerEntry>,
@@ -91,6 +94,7 @@
             is_syn_returned_before_report: false,
             flows: HostedFlows::default(),
             backlog: SynBacklog::default(),
+            slow_start: SlowStart::default(),
             load_meter: LoadMeter::new(now),
             response_meter: ResponseMeter::new(now),
             balancers: FastMap::default(),
@@ -212,6 +216,7 @@
                 });
                 let mut actions = vec![Action::SendToTarget(packet)];
                 if begins_request {
+                    self.count_request_in_warmup(flow, now);
                     let running_requests = self.load_meter.load(0, now).running_requests;
                     actions.push(Action::RecordEvent(FlowEvent::RequestPassed {
                         flow,
@@ -223,6 +228,9 @@
             }
             LookupAnswer::MayBeHeld => {
                 self.flows.probe(flow, balancer, now);
+                if header.payload_len_bytes > 0 {
+                    self.count_probe_in_warmup(flow, now);
+                }
                 vec![Action::SendToTarget(packet)]
             }
             LookupAnswer::NotHeld => {
@@ -394,6 +402,9 @@
             return vec![Action::send(balancer, Message::PacketReturned { packet })];
         }
         self.flows.remove(&flow, &mut self.load_meter, now);
+        if header.is_syn() {
+            self.slow_start.remove_syn(&flow);
+        }
         match balancer {
             Some(balancer) if header.is_syn() => self.refuse_bounced_syn(balancer, flow),
             // Only a flow that the target had accepted is certain to have ended.
--- a/crates/cranberrypitch-core/src/flow/agent/admission.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/admission.rs
@@ -30,12 +30,17 @@
         if !header.is_syn() {
             return dropped(flow, DropCause::UnexpectedFlags);
         }
+        let is_new = self.flows.get(&flow).is_none() && !self.backlog.contains(&flow);
+        let limited = is_new
+            .then(|| self.warmup_limit_event(flow, params.warmup_rate, now))
+            .flatten();
+        let is_limited = limited.is_some();
         // A retransmitted SYN of a flow that the target has is not declined for load.
         let load_refusal = |agent: &mut Self| {
             let expected = params
                 .expected_requests
                 .filter(|_| agent.flows.get(&flow).is_none())?;
-            let is_busier = agent.is_busier_than(expected, now);
+            let is_busier = is_limited || agent.is_busier_than(expected, now);
             is_busier.then_some(RefusalCause::BusierThanExpected)
         };
         if let Some(cause) = self
@@ -44,6 +49,8 @@
         {
             // The report is sent first, so that the balancer selects again with the current load.
             let mut actions = vec![self.refused_event(flow, cause)];
+            let is_declined = cause == RefusalCause::BusierThanExpected;
+            actions.extend(limited.filter(|_| is_declined).map(Action::RecordEvent));
             actions.extend(self.report(balancer, now));
             actions.push(refuse(balancer, flow, cause));
             return actions;
@@ -55,7 +62,8 @@
             packet: packet.into(),
             queued_at: now,
         };
-        if let Some(actions) = self.queue_syn(syn) {
+        if let Some(mut actions) = self.queue_syn(syn) {
+            actions.extend(limited.map(Action::RecordEvent));
             return actions;
         }
         let mut actions = self.open_flow(flow, balancer, now);
@@ -73,6 +81,7 @@
         if !self.flows.open(flow, balancer, now) {
             return Vec::new();
         }
+        self.count_syn_in_warmup(flow, now);
         let process = |target: &TargetProcess| {
             let report = target.report();
             (report.id.clone(), report.started_unix_ms)
--- a/crates/cranberrypitch-core/src/flow/agent/backlog.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/backlog.rs
@@ -51,10 +51,16 @@
         self.0.len()
     }
 
-    fn contains(&self, flow: &FlowKey) -> bool {
+    pub(super) fn contains(&self, flow: &FlowKey) -> bool {
         self.0.iter().any(|syn| syn.flow == *flow)
     }
 
+    /// Returns the SYN to admit next.
+    fn next(&self) -> Option<&QueuedSyn> {
+        let next = next_queued_syn(self.0.iter().map(|syn| syn.params.priority))?;
+        self.0.get(next)
+    }
+
     /// Takes out the SYN to admit next.
     fn take_next(&mut self) -> Option<QueuedSyn> {
         let next = next_queued_syn(self.0.iter().map(|syn| syn.params.priority))?;
@@ -70,7 +76,7 @@
 }
 
 impl FlowAgent {
-    /// Queues a SYN if the target is busy, or refuses it if the backlog is full. Returns nothing if the
+    /// Queues a SYN if the target is busy, or cold and at its limit, or refuses it if the backlog is full. Returns nothing if the
     /// SYN should be passed to the target now.
     pub(super) fn queue_syn(&mut self, syn: QueuedSyn) -> Option<Vec<Action<'static>>> {
         let (flow, balancer, now) = (syn.flow, syn.balancer, syn.queued_at);
@@ -78,7 +84,9 @@
         if self.backlog.contains(&flow) {
             return Some(vec![queued]);
         }
-        if self.flows.get(&flow).is_some() || !self.is_target_busy(now) {
+        if self.flows.get(&flow).is_some()
+            || !(self.is_target_busy(now) || self.is_warmup_limited(&syn.params, flow, now))
+        {
             return None;
         }
         if self.backlog.len() >= MAX_QUEUED_SYNS {
@@ -92,6 +100,8 @@
     pub(super) fn admit_queued_syns(&mut self, now: Instant) -> Vec<Action<'static>> {
         let mut actions = Vec::new();
         while !self.is_target_busy(now)
+            && let Some((params, flow)) = self.backlog.next().map(|syn| (syn.params, syn.flow))
+            && !self.is_warmup_limited(&params, flow, now)
             && let Some(syn) = self.backlog.take_next()
         {
             if let Some(cause) = self.refusal_cause(syn.params.service, now) {
@@ -125,6 +135,12 @@
         ]
     }
 
+    /// Returns whether the target is cold and has got the requests that it bears.
+    fn is_warmup_limited(&mut self, params: &OpenParams, flow: FlowKey, now: Instant) -> bool {
+        self.warmup_limit_event(flow, params.warmup_rate, now)
+            .is_some()
+    }
+
     /// Returns whether the target has at least [`MAX_REQUESTS_PER_SLOT`] requests for each slot.
     fn is_target_busy(&mut self, now: Instant) -> bool {
         let limit = self
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -60,6 +60,16 @@
         /// The reason for the refusal.
         cause: RefusalCause,
     },
+    /// An agent declined or queued a SYN, as its target is slow after its start and has got as many requests
+    /// as it bears.
+    WarmupLimited {
+        /// The flow.
+        flow: FlowKey,
+        /// The number of requests that the target got in the last second.
+        passed_requests: u32,
+        /// The number that it may get; 0 before the first status report.
+        limit: u32,
+    },
     /// An agent did not reply to a SYN within the timeout.
     Unanswered {
         /// The flow.
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -15,6 +15,7 @@
 mod reused_address;
 mod routes;
 mod selection;
+mod slow_start;
 mod store_retry;
 mod support;
 mod syn_copies;
--- a/crates/cranberrypitch-relay/src/log.rs
+++ b/crates/cranberrypitch-relay/src/log.rs
@@ -148,6 +148,7 @@
             | FlowEvent::Located { .. }
             | FlowEvent::Dropped { .. }
             | FlowEvent::SynPassed { .. }
+            | FlowEvent::WarmupLimited { .. }
             | FlowEvent::RequestPassed { .. }
             | FlowEvent::RequestAnswered { .. }
     )
@@ -191,6 +192,13 @@
         FlowEvent::Refused { flow, agent, cause } => {
             tracing::info!(target: TARGET, event = "Refused", %flow, %agent, %cause);
         }
+        FlowEvent::WarmupLimited {
+            flow,
+            passed_requests,
+            limit,
+        } => {
+            tracing::info!(target: TARGET, event = "WarmupLimited", %flow, passed = passed_requests, limit);
+        }
         FlowEvent::Unanswered { flow, agent } => {
             tracing::warn!(target: TARGET, event = "Unanswered", %flow, %agent);
         }
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -35,6 +35,7 @@
     store: StoreMetrics,
     flows_placed: Counter,
     flows_refused: Counter,
+    openings_warmup_limited: Counter,
     openings_unanswered: Counter,
     flows_located: Counter,
     flows_not_located: Counter,
@@ -68,6 +69,10 @@
         let mut counter = |name, help| register::<Counter>(&mut registry, name, help);
         let flows_placed = counter("flows_placed", "Flow openings sent to an agent");
         let flows_refused = counter("flows_refused", "Flow openings refused by an agent");
+        let openings_warmup_limited = counter(
+            "openings_warmup_limited",
+            "Flow openings declined or queued by an agent because its target is slow after its start",
+        );
         let openings_unanswered = counter(
             "openings_unanswered",
             "Flow openings not answered before the timeout",
@@ -137,6 +142,7 @@
             store,
             flows_placed,
             flows_refused,
+            openings_warmup_limited,
             openings_unanswered,
             flows_located,
             flows_not_located,
@@ -223,6 +229,9 @@
             FlowEvent::Refused { .. } => {
                 self.flows_refused.inc();
             }
+            FlowEvent::WarmupLimited { .. } => {
+                self.openings_warmup_limited.inc();
+            }
             FlowEvent::Unanswered { .. } => {
                 self.openings_unanswered.inc();
             }
