Warn of rates below 0 and times of 0 in check-config

Both take no effect, and nothing showed it before the next restart of a target. check-config now prints one warning line for each. The counters of flow openings move to a module of their own, as clippy limits the length of the constructor.

--- a/crates/cranberrypitch-relay/src/lib.rs
+++ b/crates/cranberrypitch-relay/src/lib.rs
@@ -26,6 +26,6 @@
 pub use crate::metrics::metrics_page;
 pub use crate::operator::command::run_command;
 pub use crate::operator::{explain, inspect};
-pub use crate::platform::{Platform, StoreOptions, TargetRequest};
+pub use crate::platform::{ConfigWarning, Platform, StoreOptions, TargetRequest};
 pub use crate::run::{Role, run_daemon};
 pub use crate::settings::RelaySettings;
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the daemons, served in the `OpenMetrics` text format.
 
+mod openings;
 mod register;
 mod store;
 
@@ -18,6 +19,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use self::openings::OpeningMetrics;
 use self::register::{register, register_histogram};
 use self::store::StoreMetrics;
 use crate::io::http_server::{self, Call};
@@ -33,10 +35,7 @@
 pub(crate) struct RelayMetrics {
     registry: Arc<Registry>,
     store: StoreMetrics,
-    flows_placed: Counter,
-    flows_refused: Counter,
-    openings_warmup_limited: Counter,
-    openings_unanswered: Counter,
+    openings: OpeningMetrics,
     flows_located: Counter,
     flows_not_located: Counter,
     flows_reset: Counter,
@@ -66,17 +65,8 @@
 impl Default for RelayMetrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix(PREFIX);
+        let openings = OpeningMetrics::register(&mut registry);
         let mut counter = |name, help| register::<Counter>(&mut registry, name, help);
-        let flows_placed = counter("flows_placed", "Flow openings sent to an agent");
-        let flows_refused = counter("flows_refused", "Flow openings refused by an agent");
-        let openings_warmup_limited = counter(
-            "openings_warmup_limited",
-            "Flow openings declined or queued by an agent because its target is slow after its start",
-        );
-        let openings_unanswered = counter(
-            "openings_unanswered",
-            "Flow openings not answered before the timeout",
-        );
         let flows_located = counter("flows_located", "Flows whose agent was found");
         let flows_not_located = counter("flows_not_located", "Flows that no agent holds");
         let flows_reset = counter("flows_reset", "Flows reset by the daemon");
@@ -140,10 +130,7 @@
         Self {
             registry: Arc::new(registry),
             store,
-            flows_placed,
-            flows_refused,
-            openings_warmup_limited,
-            openings_unanswered,
+            openings,
             flows_located,
             flows_not_located,
             flows_reset,
@@ -214,7 +201,7 @@
     fn count_event(&self, event: &FlowEvent) {
         match event {
             FlowEvent::Placed { load_age, .. } => {
-                self.flows_placed.inc();
+                self.openings.placed.inc();
                 if let Some(age) = load_age {
                     self.load_age.observe(age.as_secs_f64());
                 }
@@ -227,13 +214,13 @@
                 self.flows_not_located.inc();
             }
             FlowEvent::Refused { .. } => {
-                self.flows_refused.inc();
+                self.openings.refused.inc();
             }
             FlowEvent::WarmupLimited { .. } => {
-                self.openings_warmup_limited.inc();
+                self.openings.warmup_limited.inc();
             }
             FlowEvent::Unanswered { .. } => {
-                self.openings_unanswered.inc();
+                self.openings.unanswered.inc();
             }
             FlowEvent::Dropped { .. } => {
                 self.packets_dropped.inc();
--- a/crates/cranberrypitch-relay/src/operator/inspect.rs
+++ b/crates/cranberrypitch-relay/src/operator/inspect.rs
@@ -39,7 +39,8 @@
     ))
 }
 
-/// Reads an operators' configuration from a file and returns a summary.
+/// Reads an operators' configuration from a file and returns a summary, with one line for each value that
+/// takes no effect.
 ///
 /// # Errors
 ///
@@ -52,13 +53,17 @@
     let config = P::parse_config(&text)?;
     let backends = config.routes.iter().flat_map(|route| &route.backends);
     let services: FastSet<_> = backends.map(|backend| &backend.service).collect();
-    Ok(format!(
+    let summary = format!(
         "configuration {}: {} routes to {} services, idle timeout of flows {} ms",
         config.version,
         config.routes.len(),
         services.len(),
         config.idle_timeout.as_millis()
-    ))
+    );
+    let warnings = P::config_warnings(&text)?;
+    let warnings = warnings.iter().map(|warning| format!("warning: {warning}"));
+    let lines: Vec<_> = std::iter::once(summary).chain(warnings).collect();
+    Ok(lines.join("\n"))
 }
 
 /// The status of a daemon, read from its metrics.
--- a/crates/cranberrypitch-relay/src/platform.rs
+++ b/crates/cranberrypitch-relay/src/platform.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use cranberrypitch_core::ServiceName;
 use cranberrypitch_core::flow::{PacketHeader, Reset, RouteConfig, StatusReport};
 use cranberrypitch_net::store::{Store, StoreKey};
+use derive_more::Display;
 
 use crate::errors::Result;
 
@@ -45,6 +47,29 @@
     }
 }
 
+/// A value of a configuration that takes no effect and is probably a mistake.
+#[derive(Clone, Debug, Display, PartialEq)]
+pub enum ConfigWarning {
+    /// The rate of cold targets is below 0.
+    #[display(
+        "service {service}: the warm-up rate {rate_per_s} per second is below 0, so no rate is enforced"
+    )]
+    NegativeWarmupRate {
+        /// The name of the service.
+        service: ServiceName,
+        /// The rate in requests per second.
+        rate_per_s: f64,
+    },
+    /// A time is 0.
+    #[display("{place}: the {name} of 0 ms counts as absent")]
+    ZeroTime {
+        /// The route, or the group of values, that has the time.
+        place: Box<str>,
+        /// What the time limits.
+        name: &'static str,
+    },
+}
+
 /// Translates between the surrounding platform and the types of cranberrypitch.
 pub trait Platform: Send + Sync + 'static {
     /// The platform's key-value service.
@@ -66,6 +91,13 @@
     /// Returns an error if any part of it is malformed.
     fn parse_config(value: &[u8]) -> Result<RouteConfig>;
 
+    /// Returns the values of a configuration that take no effect and are probably mistakes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the configuration is malformed.
+    fn config_warnings(value: &[u8]) -> Result<Box<[ConfigWarning]>>;
+
     /// Parses the header of a packet.
     ///
     /// # Errors
