Select another agent after one with a cold target declined a flow

The report of a cold target at its limit shows little load, so the balancer chose the same agent until it could no longer decline, and the SYN then waited in the backlog. In services with a rate, such an agent is now chosen again only if there is no other.

--- a/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
@@ -74,12 +74,22 @@
             cause,
         })];
         self.on_agent_message(agent, now);
+        // An agent sends its report before it declines. Before the first status report of its target, only the
+        // low load in it shows why it declines.
+        let known = self.directory.agent(agent);
+        let is_cold = known.is_some_and(|entry| {
+            let record = &entry.record;
+            !record.warmup_left.is_zero() || !entry.load.is_busier_than(0, record.slots)
+        });
         if let Some(entry) = self.flows.get_mut(&flow)
             && let FlowState::Opening(opening) = &mut entry.state
         {
             let is_current = opening.agent == Some(agent);
             if cause == RefusalCause::BusierThanExpected {
                 opening.decline_count += 1;
+                if is_cold {
+                    opening.cold_agents.push(agent);
+                }
             } else if cause == RefusalCause::Overloaded {
                 actions.extend(self.abandon_open(flow, ResetCause::Overloaded));
                 return actions;
@@ -161,6 +171,7 @@
             limits: route.limits,
             agent: None,
             failed_agents: Vec::new(),
+            cold_agents: Vec::new(),
             is_accepted: false,
             decline_count: 0,
             started_at: now,
@@ -218,6 +229,19 @@
             is_bulk: opening.is_bulk,
             excluded: &opening.failed_agents,
         };
+        // Without a rate, agents decline by load alone, which their reports show.
+        let has_rate = self.routes.warmup_rate(request.service).is_some();
+        if has_rate && !opening.cold_agents.is_empty() {
+            let excluded = [&*opening.failed_agents, &*opening.cold_agents].concat();
+            let elsewhere = SelectionRequest {
+                excluded: &excluded,
+                ..request
+            };
+            let selected = self.selector.select(&elsewhere, &self.directory, now);
+            if selected.is_some() {
+                return selected;
+            }
+        }
         self.selector.select(&request, &self.directory, now)
     }
 
--- a/crates/cranberrypitch-core/src/flow/dispatcher/pending_open/state.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open/state.rs
@@ -28,6 +28,9 @@
     pub(in crate::flow::dispatcher) agent: Option<SocketAddrV4>,
     /// The agents that refused the flow or did not reply.
     pub(super) failed_agents: Vec<SocketAddrV4>,
+    /// The agents that declined the flow because their targets are or may be slow after their start. Their
+    /// reports show little load, so a selection by load alone would choose them again.
+    pub(super) cold_agents: Vec<SocketAddrV4>,
     /// Whether the caller has sent packets other than the SYN, so that a target has accepted the flow.
     pub(in crate::flow::dispatcher) is_accepted: bool,
     /// The number of times that agents declined the flow for load.
--- a/crates/cranberrypitch-core/tests/flow/slow_start.rs
+++ b/crates/cranberrypitch-core/tests/flow/slow_start.rs
@@ -4,12 +4,15 @@
 
 use cranberrypitch_core::RequestRate;
 use cranberrypitch_core::flow::{
-    Action, FlowAgent, FlowEvent, Message, OpenParams, PacketFlags, RefusalCause, StatusReport,
+    Action, AgentRecord, FlowAgent, FlowEvent, Message, OpenParams, PacketFlags, RefusalCause,
+    RouteConfig, ServicePolicy, StatusReport,
 };
 
 use crate::agent::{accept, agent, forward, restarted_agent};
+use crate::dispatcher::{dispatcher, local_records, open as start_opening};
 use crate::support::{
-    balancer_address, encode, events, flow, from_target, params, sent_messages, status_report, syn,
+    balancer_address, config, encode, events, flow, from_target, load, params, record,
+    sent_messages, service, status_report, syn,
 };
 
 /// The rate that a cold target bears, per second.
@@ -136,6 +139,39 @@
     assert!(events(&actions).contains(&&limited));
 }
 
+/// A cold target at its limit shows little load, so a selection by load alone returns to it until its agent
+/// may no longer decline. With no other target, it is still the one to wait for.
+/// Before the first status report, an agent reports no warm-up.
+#[test]
+fn balancer_selects_another_agent_after_a_cold_one_declined() {
+    let now = Instant::now();
+    for (count, warmup_left) in [(1, WARMUP), (2, WARMUP), (2, Duration::ZERO)] {
+        let mut dispatcher = dispatcher(local_records(count), now);
+        let policy = ServicePolicy {
+            service: service("matcher"),
+            warmup_rate: Some(RequestRate::new(RATE)),
+        };
+        dispatcher.on_config(&RouteConfig {
+            services: Box::new([policy]),
+            ..config(2, &["matcher"])
+        });
+        for number in 1..=count {
+            dispatcher.on_report(&record(number, "matcher", "a"), load(3), now);
+        }
+        let first = start_opening(&mut dispatcher, flow(1), now);
+        let cold = AgentRecord {
+            warmup_left,
+            ..record(first.ip().octets()[3], "matcher", "a")
+        };
+        dispatcher.on_report(&cold, load(0), now);
+        let cause = RefusalCause::BusierThanExpected;
+        let actions = dispatcher.on_open_refused(first, flow(1), cause, now);
+        let receivers: Vec<_> = sent_messages(&actions).iter().map(|(to, _)| *to).collect();
+        let is_same = receivers == [first];
+        assert_eq!((receivers.len(), is_same), (1, count == 1));
+    }
+}
+
 /// A SYN that may not be declined must not be lost: it waits until the window has room.
 #[test]
 fn flow_that_may_not_be_declined_waits_for_room() {
