--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -11,6 +11,7 @@
 mod report_series;
 mod response_meter;
 mod schedule;
+mod slow_start;
 mod status;
 mod target_process;
 
@@ -29,6 +30,7 @@
 pub use self::schedule::{
     FairTurns, MAX_REQUESTS_PER_SLOT, RequestKind, TargetCapacity, WaitingRequest,
 };
+use self::slow_start::SlowStart;
 pub use self::target_process::{StatusReport, TargetProcess};
 use super::cause::DropCause;
 use super::cause::RefusalCause;
@@ -82,6 +84,7 @@
     is_target_absent: bool,
     flow_list: FlowList,
     queue: RequestQueue,
+    slow_start: SlowStart,
     load_meter: LoadMeter,
     response_meter: ResponseMeter,
     balancers: FastMap<SocketAddrV4, BalancerEntry>,
@@ -113,6 +116,7 @@
             flow_list: FlowList::default(),
             load_meter: LoadMeter::new(Slots::new(1), now),
             queue: RequestQueue::default(),
+            slow_start: SlowStart::default(),
             response_meter: ResponseMeter::new(now),
             balancers: FastMap::default(),
             config_checkers: FastMap::default(),
@@ -241,6 +245,9 @@
             LookupAnswer::Held => self.on_packet_of_held_flow(balancer, header, packet, now),
             LookupAnswer::MayBeHeld => {
                 self.flows.probe(flow, balancer, now);
+                if header.payload_len_bytes > 0 {
+                    self.count_probe_in_warmup(flow, now);
+                }
                 vec![Action::SendToTarget(Cow::Borrowed(packet))]
             }
             LookupAnswer::NotHeld => {
@@ -443,6 +450,9 @@
         }
         self.flows.remove(&flow, &mut self.load_meter, now);
         self.queue.remove_held(&flow);
+        if header.is_syn() {
+            self.slow_start.remove_syn(&flow);
+        }
         match balancer {
             Some(balancer) if header.is_syn() => self.refuse_bounced_syn(balancer, flow),
             // Only a flow that the target had accepted is certain to have ended.
--- a/crates/cranberrypitch-core/src/flow/agent/schedule/decision.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/schedule/decision.rs
@@ -49,6 +49,8 @@
     pub slots: u32,
     /// The maximum wait of a SYN.
     pub syn_wait_max: Duration,
+    /// Whether the target may get new flows now. A cold target at its limit may not.
+    pub admits_flows: bool,
 }
 
 impl TargetCapacity {
@@ -111,7 +113,10 @@
         now: Instant,
     ) -> Option<usize> {
         self.update(waiting, now);
-        let startable = |request: &WaitingRequest| request.may_start(capacity, now);
+        let startable = |request: &WaitingRequest| {
+            let is_admitted = capacity.admits_flows || request.kind == RequestKind::OpenFlow;
+            is_admitted && request.may_start(capacity, now)
+        };
         let has_in_time = waiting
             .iter()
             .any(|request| startable(request) && request.is_in_time(capacity, now));
--- a/crates/cranberrypitch-core/src/flow/agent/schedule/queue.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/schedule/queue.rs
@@ -77,7 +77,7 @@
         self.held.len() >= MAX_QUEUED
     }
 
-    pub(super) fn has_syn(&self, flow: &FlowKey) -> bool {
+    pub(in super::super) fn has_syn(&self, flow: &FlowKey) -> bool {
         self.syns.iter().any(|syn| syn.flow == *flow)
     }
 
--- a/crates/cranberrypitch-core/src/flow/agent/schedule/requests.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/schedule/requests.rs
@@ -143,6 +143,7 @@
             if !is_first {
                 self.queue.on_passed(*flow.caller.ip(), now);
             }
+            self.count_request_in_warmup(flow, now);
             let running_requests = self.load_meter.load(0, now).running_requests;
             actions.push(Action::RecordEvent(FlowEvent::RequestPassed {
                 flow,
--- a/crates/cranberrypitch-core/src/flow/agent/schedule/syns.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/schedule/syns.rs
@@ -47,6 +47,15 @@
         self.load_meter.load(0, now).service_time
     }
 
+    /// Returns whether queued SYNs may be passed: the target is not cold, or has not got the requests that it bears.
+    fn admits_flows(&mut self, now: Instant) -> bool {
+        let next = self.queue.syns.first();
+        let Some((flow, rate)) = next.map(|syn| (syn.flow, syn.params.warmup_rate)) else {
+            return true;
+        };
+        self.warmup_limit_event(flow, rate, now).is_none()
+    }
+
     fn syn_wait_max(&self) -> Duration {
         if self.flow_list.is_first_write_pending() {
             FIRST_WRITE_TIMEOUT
@@ -60,6 +69,7 @@
             service_time: self.service_time(now),
             slots: self.slots().get(),
             syn_wait_max: self.syn_wait_max(),
+            admits_flows: self.admits_flows(now),
         }
     }
 
@@ -71,7 +81,11 @@
         if self.queue.has_syn(&flow) {
             return Some(vec![queued]);
         }
-        if self.flows.get(&flow).is_some() || !self.must_queue(now) {
+        let is_limited = |agent: &mut Self| {
+            let rate = syn.params.warmup_rate;
+            agent.warmup_limit_event(flow, rate, now).is_some()
+        };
+        if self.flows.get(&flow).is_some() || !(self.must_queue(now) || is_limited(self)) {
             return None;
         }
         if self.queue.is_syn_queue_full() {
@@ -91,10 +105,11 @@
         if self.queue.len() == 0 {
             return actions;
         }
-        let capacity = self.capacity(now);
-        while !self.must_queue(now)
-            && let Some(taken) = self.queue.take_next(&capacity, now)
-        {
+        while !self.must_queue(now) {
+            let capacity = self.capacity(now);
+            let Some(taken) = self.queue.take_next(&capacity, now) else {
+                break;
+            };
             match taken {
                 Taken::Syn(syn) => actions.extend(self.pass_queued_syn(syn, now)),
                 Taken::Held(held) => actions.extend(self.pass_held_request(held, now)),
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -6,8 +6,8 @@
 use super::cause::{DropCause, IgnoredReportCause, RefusalCause, ResetCause, ResetEvidenceKind};
 use super::evacuation::EvacuationVersion;
 use super::packet::FlowKey;
-use crate::ids::{FailureDomain, Incarnation, Revision, ServiceName};
 use super::selection::{EjectionCause, OutlierChange};
+use crate::ids::{FailureDomain, Incarnation, Revision, ServiceName};
 use crate::target::TargetState;
 
 /// An event of a flow, a target or the configuration. The variants are named like the log events.
@@ -64,6 +64,16 @@
         /// The reason for the refusal.
         cause: RefusalCause,
     },
+    /// An agent declined or queued a SYN, as its target is slow after its start and has got as many requests
+    /// as it bears.
+    WarmupLimited {
+        /// The flow.
+        flow: FlowKey,
+        /// The number of requests that the target got in the last second.
+        passed_requests: u32,
+        /// The number that it may get; 0 before the first status report.
+        limit: u32,
+    },
     /// An agent did not reply to a SYN within the timeout.
     Unanswered {
         /// The flow.
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -22,6 +22,7 @@
 mod schedule_decision;
 mod schedule_overload;
 mod selection;
+mod slow_start;
 mod store_retry;
 mod support;
 mod syn_copies;
--- a/crates/cranberrypitch-core/tests/flow/schedule_decision.rs
+++ b/crates/cranberrypitch-core/tests/flow/schedule_decision.rs
@@ -11,6 +11,7 @@
     service_time: Duration::from_millis(40),
     slots: 2,
     syn_wait_max: Duration::from_millis(400),
+    admits_flows: true,
 };
 
 fn ms(ms: u64) -> Duration {
--- a/crates/cranberrypitch-core/tests/flow/schedule_overload.rs
+++ b/crates/cranberrypitch-core/tests/flow/schedule_overload.rs
@@ -149,6 +149,7 @@
         service_time: total_work / count,
         slots: site.slots,
         syn_wait_max: Duration::from_millis(syn_wait_max_ms),
+        admits_flows: true,
     };
     let mut target = Target::new(site.slots);
     let mut turns = FairTurns::default();
--- a/crates/cranberrypitch-measure/src/selection/target.rs
+++ b/crates/cranberrypitch-measure/src/selection/target.rs
@@ -101,6 +101,7 @@
             service_time: Duration::ZERO,
             slots: self.slots,
             syn_wait_max: limit,
+            admits_flows: true,
         };
         let next = self.turns.next(&waiting, &capacity, now)?;
         Some(self.held_requests.remove(next).1)
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the daemons, served in the `OpenMetrics` text format.
 
 mod lookups;
+mod openings;
 mod register;
 mod schedule;
 mod store;
@@ -22,6 +23,7 @@
 use prometheus_client::registry::Registry;
 
 use self::lookups::LookupMetrics;
+use self::openings::OpeningMetrics;
 use self::register::{register, register_histogram};
 use self::schedule::ScheduleMetrics;
 use self::store::StoreMetrics;
@@ -39,13 +41,11 @@
 pub(crate) struct RelayMetrics {
     registry: Arc<Registry>,
     store: StoreMetrics,
+    openings: OpeningMetrics,
     schedule: ScheduleMetrics,
     lookups: LookupMetrics,
     targets: TargetMetrics,
-    flows_placed: Counter,
-    flows_refused: Counter,
     flows_refused_evacuated: Counter,
-    openings_unanswered: Counter,
     flows_reset: Counter,
     packets_dropped: Counter,
     packets_forwarded: Counter,
@@ -71,17 +71,12 @@
 impl Default for RelayMetrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix(PREFIX);
+        let openings = OpeningMetrics::register(&mut registry);
         let mut counter = |name, help| register::<Counter>(&mut registry, name, help);
-        let flows_placed = counter("flows_placed", "Flow openings sent to an agent");
-        let flows_refused = counter("flows_refused", "Flow openings refused by an agent");
         let flows_refused_evacuated = counter(
             "flows_refused_evacuated",
             "Flow openings refused by an agent because its failure domain is evacuated",
         );
-        let openings_unanswered = counter(
-            "openings_unanswered",
-            "Flow openings not answered before the timeout",
-        );
         let flows_reset = counter("flows_reset", "Flows reset by the daemon");
         let packets_dropped = counter("packets_dropped", "Packets dropped");
         let packets_forwarded = counter("packets_forwarded", "Packets of callers sent to an agent");
@@ -147,13 +142,11 @@
         Self {
             registry: Arc::new(registry),
             store,
+            openings,
             schedule,
             lookups,
             targets,
-            flows_placed,
-            flows_refused,
             flows_refused_evacuated,
-            openings_unanswered,
             flows_reset,
             packets_dropped,
             packets_forwarded,
@@ -220,7 +213,7 @@
     fn count_event(&self, event: &FlowEvent) {
         match event {
             FlowEvent::Placed { load_age, .. } => {
-                self.flows_placed.inc();
+                self.openings.placed.inc();
                 if let Some(age) = load_age {
                     self.load_age.observe(age.as_secs_f64());
                 }
@@ -234,7 +227,7 @@
                 self.lookups.on_not_located(*excluding_agents);
             }
             FlowEvent::Refused { cause, .. } => {
-                self.flows_refused.inc();
+                self.openings.refused.inc();
                 match cause {
                     RefusalCause::Evacuated => {
                         self.flows_refused_evacuated.inc();
@@ -245,8 +238,11 @@
                     _ => {}
                 }
             }
+            FlowEvent::WarmupLimited { .. } => {
+                self.openings.warmup_limited.inc();
+            }
             FlowEvent::Unanswered { .. } => {
-                self.openings_unanswered.inc();
+                self.openings.unanswered.inc();
             }
             FlowEvent::Dropped { .. } => {
                 self.packets_dropped.inc();
