--- a/crates/cranberrypitch-core/tests/flow/evacuation.rs
+++ b/crates/cranberrypitch-core/tests/flow/evacuation.rs
@@ -12,6 +12,7 @@
 
 use crate::agent::{open, with_target};
 use crate::backlog::{make_busy, open_queued};
+use crate::config_reads::check;
 use crate::support::{
     agent_address, balancer_address, config, domain, encode, events, flow, load, owned_message,
     record, reset_count, sent_messages, syn,
@@ -154,7 +155,10 @@
     let now = Instant::now();
     let mut tracker = tracker(vec![listing(1, 10, &["a"])], now);
     tracker.on_read(listing(2, 5, &[]), now);
-    tracker.on_read(changes(2, 5, &[]), now + GRACE - Duration::from_millis(1));
+    tracker.on_read(
+        changes(2, 5, &[]),
+        now + GRACE.saturating_sub(Duration::from_millis(1)),
+    );
     assert_eq!(tracker.in_force().failure_domains, domains(&["a"]));
     let graced = tracker.in_force().version;
     assert_eq!(graced.epoch, 2);
@@ -229,6 +233,37 @@
     assert_eq!(open(&mut agent, 1, now), None);
 }
 
+/// Guards against balancers that don't watch the store and never learn of an evacuation.
+#[test]
+fn check_carries_the_set_to_agents_and_other_balancers() {
+    let now = Instant::now();
+    let mut balancer = dispatcher(now);
+    balancer.on_evacuation_read(listing(1, 10, &["b"]), now);
+    let announced = balancer.announce_config_check(check(1, 0, 2));
+    let (_, message) = sent_messages(&announced)[0];
+    let Message::ConfigCheck { check, evacuations } = message else {
+        panic!("unexpected message: {message:?}");
+    };
+    let mut agent = with_target(now);
+    open(&mut agent, 1, now);
+    let relayed = agent.on_config_check(balancer_address(2), check, evacuations, now);
+    assert_eq!(sent_messages(&relayed), [(balancer_address(1), message)]);
+    let reports = agent.on_tick(now + SECOND);
+    let versions: Vec<_> = sent_messages(&reports)
+        .into_iter()
+        .filter_map(|(_, message)| match message {
+            Message::Report { evacuations, .. } => Some(*evacuations),
+            _ => None,
+        })
+        .collect();
+    assert!(!versions.is_empty());
+    assert!(
+        versions
+            .iter()
+            .all(|version| *version == evacuations.version)
+    );
+}
+
 /// Guards against a SYN that is given up because the agent knew of the evacuation first.
 #[test]
 fn refused_syn_is_placed_in_another_domain() {
--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the daemons, served in the `OpenMetrics` text format.
 
+mod evacuation;
 mod register;
 mod store;
 
@@ -9,7 +10,7 @@
 
 use bytes::Bytes;
 use cranberrypitch_core::Revision;
-use cranberrypitch_core::flow::{Action, FlowEvent, Message, RefusalCause};
+use cranberrypitch_core::flow::{Action, FlowEvent, Message};
 use cranberrypitch_net::store::{Epoch, Error as StoreError, Operation, StoreObserver};
 use hyper::StatusCode;
 use prometheus_client::encoding::text::encode;
@@ -18,6 +19,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use self::evacuation::EvacuationMetrics;
 use self::register::{register, register_histogram};
 use self::store::StoreMetrics;
 use crate::io::http_server::{self, Call};
@@ -33,9 +35,9 @@
 pub(crate) struct RelayMetrics {
     registry: Arc<Registry>,
     store: StoreMetrics,
+    evacuations: EvacuationMetrics,
     flows_placed: Counter,
     flows_refused: Counter,
-    flows_refused_evacuated: Counter,
     openings_unanswered: Counter,
     flows_located: Counter,
     flows_not_located: Counter,
@@ -56,7 +58,6 @@
     agent_list_age_ms: Gauge,
     flows: Gauge,
     agents: Gauge,
-    evacuated_domains: Gauge,
     requests_running: Gauge,
     config_version: Gauge,
     locate_time: Histogram,
@@ -70,10 +71,6 @@
         let mut counter = |name, help| register::<Counter>(&mut registry, name, help);
         let flows_placed = counter("flows_placed", "Flow openings sent to an agent");
         let flows_refused = counter("flows_refused", "Flow openings refused by an agent");
-        let flows_refused_evacuated = counter(
-            "flows_refused_evacuated",
-            "Flow openings refused by an agent because its failure domain is evacuated",
-        );
         let openings_unanswered = counter(
             "openings_unanswered",
             "Flow openings not answered before the timeout",
@@ -125,10 +122,6 @@
         );
         let flows = gauge("flows", "Flows in the flow table");
         let agents = gauge("agents", "Agents in the directory of the balancer");
-        let evacuated_domains = gauge(
-            "evacuated_domains",
-            "Failure domains whose evacuation is in force at the balancer",
-        );
         let requests_running = gauge("requests_running", "Requests running at the target");
         let config_version = gauge(
             "configuration_version",
@@ -141,13 +134,12 @@
             "Time from a request to the first packet of its answer",
         );
         let load_age = histogram("load_age", "Age of the load report that placed a flow");
-        let store = StoreMetrics::register(&mut registry);
         Self {
+            evacuations: EvacuationMetrics::register(&mut registry),
+            store: StoreMetrics::register(&mut registry),
             registry: Arc::new(registry),
-            store,
             flows_placed,
             flows_refused,
-            flows_refused_evacuated,
             openings_unanswered,
             flows_located,
             flows_not_located,
@@ -168,7 +160,6 @@
             agent_list_age_ms,
             flows,
             agents,
-            evacuated_domains,
             requests_running,
             config_version,
             locate_time,
@@ -234,9 +225,7 @@
             }
             FlowEvent::Refused { cause, .. } => {
                 self.flows_refused.inc();
-                if *cause == RefusalCause::Evacuated {
-                    self.flows_refused_evacuated.inc();
-                }
+                self.evacuations.on_refusal(*cause);
             }
             FlowEvent::Unanswered { .. } => {
                 self.openings_unanswered.inc();
@@ -285,8 +274,7 @@
     }
 
     pub(crate) fn set_evacuations(&self, failure_domains: usize) {
-        let failure_domains = i64::try_from(failure_domains).unwrap_or(i64::MAX);
-        self.evacuated_domains.set(failure_domains);
+        self.evacuations.set_domains(failure_domains);
     }
 
     pub(crate) fn set_balancer(&self, flows: usize, agents: usize, version: Option<Revision>) {
