Keep the modules of evacuations free of circular imports

The enforcement of evacuations imported the directory, which holds it. It answers for failure domains now, and the directory filters agents.

--- a/crates/cranberrypitch-core/src/flow/directory.rs
+++ b/crates/cranberrypitch-core/src/flow/directory.rs
@@ -11,6 +11,7 @@
 
 use super::evacuation::EvacuationEnforcement;
 use super::load::AgentLoad;
+use super::packet::FlowKey;
 use crate::collections::FastMap;
 use crate::ids::{FailureDomain, Incarnation, ServiceName, ServiceTag};
 use crate::target::TargetState;
@@ -301,7 +302,28 @@
             .agents_of_service(service)
             .filter(|agent| agent.record.state == TargetState::Ready)
             .peekable();
-        ready.peek().is_some() && ready.all(|agent| self.evacuations.is_evacuated(agent))
+        ready.peek().is_some() && ready.all(|agent| self.is_evacuated(agent))
+    }
+
+    fn is_evacuated(&self, agent: &AgentEntry) -> bool {
+        self.evacuations.is_evacuated(&agent.record.failure_domain)
+    }
+
+    /// Returns those of the ready agents that a flow may select. Agents of a domain whose evacuation ended
+    /// recently take only the share of the flows that the ramp allows, unless no other agent is ready.
+    pub(crate) fn without_evacuated<'a>(
+        &self,
+        mut ready: Vec<&'a AgentEntry>,
+        flow: &FlowKey,
+        now: Instant,
+    ) -> Vec<&'a AgentEntry> {
+        ready.retain(|agent| !self.is_evacuated(agent));
+        let is_admitted = |agent: &&AgentEntry| {
+            let domain = &agent.record.failure_domain;
+            self.evacuations.is_admitted_by_ramp(domain, flow, now)
+        };
+        let admitted: Vec<_> = ready.iter().copied().filter(is_admitted).collect();
+        if admitted.is_empty() { ready } else { admitted }
     }
 
     /// Returns all agents, in no particular order.
--- a/crates/cranberrypitch-core/src/flow/evacuation.rs
+++ b/crates/cranberrypitch-core/src/flow/evacuation.rs
@@ -7,7 +7,7 @@
 mod decision;
 mod enforcement;
 mod messages;
-mod state;
+pub(super) mod state;
 
 pub use self::decision::{EvacuationChange, EvacuationContents, EvacuationRead, EvacuationTracker};
 pub(crate) use self::enforcement::{EvacuationDiff, EvacuationEnforcement};
--- a/crates/cranberrypitch-core/src/flow/evacuation/enforcement.rs
+++ b/crates/cranberrypitch-core/src/flow/evacuation/enforcement.rs
@@ -1,13 +1,11 @@
-//! Which agents a balancer may select while failure domains are evacuated, and after an evacuation ends.
+//! Which failure domains a balancer may use for a new flow while some are evacuated, and after that.
 
 use std::time::{Duration, Instant};
 
 use super::decision::{EvacuationRead, EvacuationTracker};
 use super::state::EvacuationSet;
 use crate::collections::FastMap;
-use crate::flow::directory::AgentEntry;
 use crate::flow::packet::FlowKey;
-use crate::flow::rendezvous;
 use crate::ids::FailureDomain;
 
 /// The time after the end of an evacuation within which the share of the flows that may use the domain rises
@@ -50,30 +48,23 @@
         self.update(now, |tracker| tracker.on_read(read, now))
     }
 
-    /// Returns whether new flows must not be sent to an agent.
-    pub(crate) fn is_evacuated(&self, agent: &AgentEntry) -> bool {
-        self.in_force().contains(&agent.record.failure_domain)
+    /// Returns whether no new flow may reach a failure domain.
+    pub(crate) fn is_evacuated(&self, failure_domain: &FailureDomain) -> bool {
+        self.in_force().contains(failure_domain)
     }
 
-    /// Returns those of the ready agents that a flow may select. Agents of a domain whose evacuation ended
-    /// recently take only the share of the flows that the ramp allows, unless no other agent is ready.
-    pub(crate) fn eligible<'a>(
+    /// Returns whether a flow belongs to the share of the flows that may use a domain. It is less than all
+    /// only while the ramp after an evacuation lasts.
+    pub(crate) fn is_admitted_by_ramp(
         &self,
-        mut ready: Vec<&'a AgentEntry>,
+        failure_domain: &FailureDomain,
         flow: &FlowKey,
         now: Instant,
-    ) -> Vec<&'a AgentEntry> {
-        ready.retain(|agent| !self.is_evacuated(agent));
-        let is_admitted = |agent: &&AgentEntry| self.is_admitted_by_ramp(agent, flow, now);
-        let admitted: Vec<_> = ready.iter().copied().filter(is_admitted).collect();
-        if admitted.is_empty() { ready } else { admitted }
-    }
-
-    fn is_admitted_by_ramp(&self, agent: &AgentEntry, flow: &FlowKey, now: Instant) -> bool {
-        let ended_at = self.ended_at.get(&agent.record.failure_domain);
+    ) -> bool {
+        let ended_at = self.ended_at.get(failure_domain);
         ended_at.is_none_or(|at| {
             let elapsed = now.saturating_duration_since(*at);
-            rendezvous::flow_fraction(flow) < elapsed.div_duration_f64(RAMP_TIME)
+            flow.hash_fraction() < elapsed.div_duration_f64(RAMP_TIME)
         })
     }
 
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::cause::{DropCause, IgnoredReportCause, RefusalCause, ResetCause, ResetEvidenceKind};
-use super::evacuation::EvacuationVersion;
+use super::evacuation::state::EvacuationVersion;
 use super::packet::FlowKey;
 use crate::ids::{FailureDomain, Incarnation, Revision, ServiceName};
 use crate::target::TargetState;
--- a/crates/cranberrypitch-core/src/flow/message.rs
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -8,7 +8,7 @@
 use super::cause::{DropCause, RefusalCause};
 use super::config_reads::ConfigCheck;
 use super::directory::AgentRecord;
-use super::evacuation::{EvacuationSet, EvacuationVersion};
+use super::evacuation::state::{EvacuationSet, EvacuationVersion};
 use super::event::FlowEvent;
 use super::load::AgentLoad;
 use super::packet::{FlowKey, PacketHeader, Reset};
--- a/crates/cranberrypitch-core/src/flow/packet.rs
+++ b/crates/cranberrypitch-core/src/flow/packet.rs
@@ -1,9 +1,11 @@
 //! Flow keys and the header fields of packets that forwarding depends on.
 
+use std::hash::Hasher;
 use std::net::SocketAddrV4;
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher24;
 
 /// The pair of addresses that identifies a flow.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -15,6 +17,22 @@
     pub service_address: SocketAddrV4,
 }
 
+impl FlowKey {
+    /// Returns the hash of the flow as a fraction from 0 to 1, which is the same at all balancers.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a fraction with 53 significant bits is precise enough"
+    )]
+    pub(crate) fn hash_fraction(&self) -> f64 {
+        let mut hasher = SipHasher24::new_with_keys(0, 0);
+        for address in [self.caller, self.service_address] {
+            hasher.write(&address.ip().octets());
+            hasher.write(&address.port().to_be_bytes());
+        }
+        hasher.finish() as f64 / u64::MAX as f64
+    }
+}
+
 /// The set of flags of a packet.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct PacketFlags(u8);
--- a/crates/cranberrypitch-core/src/flow/rendezvous.rs
+++ b/crates/cranberrypitch-core/src/flow/rendezvous.rs
@@ -26,23 +26,10 @@
     ranked.into_iter().map(|(_, agent)| agent).collect()
 }
 
-/// Returns the hash of a flow as a fraction from 0 to 1, which is the same at all balancers.
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "a fraction with 53 significant bits is precise enough"
-)]
-pub(super) fn flow_fraction(flow: &FlowKey) -> f64 {
-    hash(&[flow.caller, flow.service_address]) as f64 / u64::MAX as f64
-}
-
 /// Hashes the flow and the agent with fixed keys, so that all balancers compute the same weights.
 fn weight(flow: &FlowKey, agent: SocketAddrV4) -> u64 {
-    hash(&[flow.caller, flow.service_address, agent])
-}
-
-fn hash(addresses: &[SocketAddrV4]) -> u64 {
     let mut hasher = SipHasher24::new_with_keys(0, 0);
-    for address in addresses {
+    for address in [flow.caller, flow.service_address, agent] {
         hasher.write(&address.ip().octets());
         hasher.write(&address.port().to_be_bytes());
     }
--- a/crates/cranberrypitch-core/src/flow/selection.rs
+++ b/crates/cranberrypitch-core/src/flow/selection.rs
@@ -120,7 +120,7 @@
             .filter(|agent| agent.record.state == TargetState::Ready)
             .filter(|agent| !request.excluded.contains(&agent.record.address))
             .collect();
-        let ready = directory.evacuations.eligible(ready, &request.flow, now);
+        let ready = directory.without_evacuated(ready, &request.flow, now);
         let responsive: Vec<_> = ready
             .iter()
             .copied()
