--- a/crates/cranberrypitch-relay/src/metrics.rs
+++ b/crates/cranberrypitch-relay/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the daemons, served in the `OpenMetrics` text format.
 
+mod evacuation;
 mod lookups;
 mod openings;
 mod register;
@@ -22,6 +23,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use self::evacuation::EvacuationMetrics;
 use self::lookups::LookupMetrics;
 use self::openings::OpeningMetrics;
 use self::register::{register, register_histogram};
@@ -45,7 +47,7 @@
     schedule: ScheduleMetrics,
     lookups: LookupMetrics,
     targets: TargetMetrics,
-    flows_refused_evacuated: Counter,
+    evacuations: EvacuationMetrics,
     flows_reset: Counter,
     packets_dropped: Counter,
     packets_forwarded: Counter,
@@ -62,7 +64,6 @@
     config_watching: Gauge,
     agent_list_age_ms: Gauge,
     flows: Gauge,
-    evacuated_domains: Gauge,
     config_version: Gauge,
     answer_time: Histogram,
     load_age: Histogram,
@@ -73,10 +74,6 @@
         let mut registry = Registry::with_prefix(PREFIX);
         let openings = OpeningMetrics::register(&mut registry);
         let mut counter = |name, help| register::<Counter>(&mut registry, name, help);
-        let flows_refused_evacuated = counter(
-            "flows_refused_evacuated",
-            "Flow openings refused by an agent because its failure domain is evacuated",
-        );
         let flows_reset = counter("flows_reset", "Flows reset by the daemon");
         let packets_dropped = counter("packets_dropped", "Packets dropped");
         let packets_forwarded = counter("packets_forwarded", "Packets of callers sent to an agent");
@@ -121,10 +118,6 @@
             "Time since the list of agents was read from the store, or -1",
         );
         let flows = gauge("flows", "Flows in the flow table");
-        let evacuated_domains = gauge(
-            "evacuated_domains",
-            "Failure domains whose evacuation is in force at the balancer",
-        );
         let config_version = gauge(
             "configuration_version",
             "Version of the configuration in force",
@@ -137,16 +130,15 @@
         let load_age = histogram("load_age", "Age of the load report that placed a flow");
         let lookups = LookupMetrics::register(&mut registry);
         let targets = TargetMetrics::register(&mut registry);
-        let store = StoreMetrics::register(&mut registry);
         let schedule = ScheduleMetrics::register(&mut registry);
         Self {
+            evacuations: EvacuationMetrics::register(&mut registry),
+            store: StoreMetrics::register(&mut registry),
             registry: Arc::new(registry),
-            store,
             openings,
             schedule,
             lookups,
             targets,
-            flows_refused_evacuated,
             flows_reset,
             packets_dropped,
             packets_forwarded,
@@ -163,7 +155,6 @@
             config_watching,
             agent_list_age_ms,
             flows,
-            evacuated_domains,
             config_version,
             answer_time,
             load_age,
@@ -228,14 +219,9 @@
             }
             FlowEvent::Refused { cause, .. } => {
                 self.openings.refused.inc();
-                match cause {
-                    RefusalCause::Evacuated => {
-                        self.flows_refused_evacuated.inc();
-                    }
-                    RefusalCause::Overloaded => {
-                        self.schedule.flows_refused_overloaded.inc();
-                    }
-                    _ => {}
+                self.evacuations.on_refusal(*cause);
+                if *cause == RefusalCause::Overloaded {
+                    self.schedule.flows_refused_overloaded.inc();
                 }
             }
             FlowEvent::WarmupLimited { .. } => {
@@ -291,8 +277,7 @@
     }
 
     pub(crate) fn set_evacuations(&self, failure_domains: usize) {
-        let failure_domains = i64::try_from(failure_domains).unwrap_or(i64::MAX);
-        self.evacuated_domains.set(failure_domains);
+        self.evacuations.set_domains(failure_domains);
     }
 
     pub(crate) fn set_balancer(&self, flows: usize, agents: usize, version: Option<Revision>) {
