--- a/crates/cranberrypitch-core/src/flow/agent/schedule/decision.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/schedule/decision.rs
@@ -47,8 +47,11 @@
     pub service_time: Duration,
     /// The number of requests that the target runs concurrently.
     pub slots: u32,
-    /// The maximum wait of a SYN.
-    pub syn_wait_max: Duration,
+    /// The time for which a SYN may wait at least, unless its caller gives up before. Routes with a long timeout
+    /// allow more.
+    pub syn_wait_min: Duration,
+    /// The limit on the wait of all SYNs, if there is one.
+    pub syn_wait_max: Option<Duration>,
     /// Whether the target may get new flows now. A cold target at its limit may not.
     pub admits_flows: bool,
 }
@@ -90,7 +93,8 @@
             RequestKind::OpenFlow => timeout_wait,
             RequestKind::Syn => timeout_wait
                 .min(SYN_ATTEMPT_TIMEOUT)
-                .min(capacity.syn_wait_max),
+                .min(self.limits.syn_wait(capacity.syn_wait_min))
+                .min(capacity.syn_wait_max.unwrap_or(Duration::MAX)),
         };
         wait_max
             .checked_sub(self.wait(now))
--- a/crates/cranberrypitch-core/src/flow/agent/schedule/syns.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/schedule/syns.rs
@@ -56,18 +56,16 @@
         self.warmup_limit_event(flow, rate, now).is_none()
     }
 
-    fn syn_wait_max(&self) -> Duration {
-        if self.flow_list.is_first_write_pending() {
-            FIRST_WRITE_TIMEOUT
-        } else {
-            self.options.backlog_timeout
-        }
+    fn syn_wait_max(&self) -> Option<Duration> {
+        let is_pending = self.flow_list.is_first_write_pending();
+        is_pending.then_some(FIRST_WRITE_TIMEOUT)
     }
 
     pub(super) fn capacity(&mut self, now: Instant) -> TargetCapacity {
         TargetCapacity {
             service_time: self.service_time(now),
             slots: self.slots().get(),
+            syn_wait_min: self.options.backlog_timeout,
             syn_wait_max: self.syn_wait_max(),
             admits_flows: self.admits_flows(now),
         }
--- a/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
@@ -16,15 +16,18 @@
 use crate::flow::message::{Action, Message, OpenParams, dropped, reset};
 use crate::flow::packet::{FlowKey, PacketHeader};
 use crate::flow::reset_evidence::ResetEvidence;
+use crate::flow::routes::RequestLimits;
 use crate::flow::selection::{SelectedAgent, SelectionRequest};
 use crate::ids::ServiceTag;
 
 /// The number of pending flows up to which a SYN waits for the first target instead of being reset.
 const MAX_PENDING_FLOWS: usize = 512;
 
-/// The time added to the timeout of a SYN that an agent has queued. Agents accept or refuse a queued
-/// SYN within half of this.
-const QUEUED_REPLY_TIMEOUT: Duration = Duration::from_millis(800);
+/// The minimum time for which an agent queues a SYN.
+const MIN_QUEUE_TIME: Duration = Duration::from_millis(400);
+
+/// The maximum time added to the timeout of a SYN that an agent has queued: callers give up their attempt then.
+const MAX_QUEUED_REPLY_TIMEOUT: Duration = Duration::from_millis(1400);
 
 impl Dispatcher {
     /// Processes a SYN of a caller.
@@ -56,7 +59,7 @@
             && let FlowState::Opening(opening) = &mut entry.state
             && opening.agent == Some(agent)
         {
-            opening.sent_at = now + QUEUED_REPLY_TIMEOUT;
+            opening.sent_at = now + queued_reply_timeout(&opening.limits);
         }
     }
 
@@ -328,3 +331,9 @@
         vec![Action::send(agent, message)]
     }
 }
+
+/// Returns the time added to the timeout of a SYN that an agent has queued. The agent accepts or refuses it within
+/// half of this, or before its caller gives up.
+fn queued_reply_timeout(limits: &RequestLimits) -> Duration {
+    (limits.syn_wait(MIN_QUEUE_TIME) * 2).min(MAX_QUEUED_REPLY_TIMEOUT)
+}
--- a/crates/cranberrypitch-core/src/flow/routes.rs
+++ b/crates/cranberrypitch-core/src/flow/routes.rs
@@ -13,6 +13,12 @@
 use crate::ids::{Revision, ServiceName, ServiceTag};
 use crate::units::RequestRate;
 
+/// The number of attempts of a caller for a request whose flow does not open.
+const CALLER_ATTEMPTS: u32 = 3;
+
+/// The maximum wait of a SYN. A caller gives up an attempt to open a flow after 1.4 s.
+const MAX_SYN_WAIT: Duration = Duration::from_millis(1200);
+
 /// A service that a route sends new flows to, with its weight.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Backend {
@@ -36,6 +42,16 @@
     pub timeout: Duration,
 }
 
+impl RequestLimits {
+    /// Returns the time for which a SYN may wait for a busy target, at least `min`: the share of the timeout that
+    /// leaves the caller time for its other attempts. A refused caller comes back at once, so a shorter wait
+    /// multiplies the load and uses up its attempts.
+    pub(crate) fn syn_wait(&self, min: Duration) -> Duration {
+        let share = self.timeout / CALLER_ATTEMPTS;
+        share.clamp(min, MAX_SYN_WAIT.max(min))
+    }
+}
+
 /// What operators configure for a service as a whole.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServicePolicy {
--- a/crates/cranberrypitch-core/tests/flow/schedule_decision.rs
+++ b/crates/cranberrypitch-core/tests/flow/schedule_decision.rs
@@ -10,7 +10,8 @@
 const CAPACITY: TargetCapacity = TargetCapacity {
     service_time: Duration::from_millis(40),
     slots: 2,
-    syn_wait_max: Duration::from_millis(400),
+    syn_wait_min: Duration::from_millis(400),
+    syn_wait_max: None,
     admits_flows: true,
 };
 
--- a/crates/cranberrypitch-measure/src/selection/target.rs
+++ b/crates/cranberrypitch-measure/src/selection/target.rs
@@ -100,7 +100,8 @@
         let capacity = TargetCapacity {
             service_time: Duration::ZERO,
             slots: self.slots,
-            syn_wait_max: limit,
+            syn_wait_min: limit,
+            syn_wait_max: Some(limit),
             admits_flows: true,
         };
         let next = self.turns.next(&waiting, &capacity, now)?;
