--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -13,6 +13,7 @@
 mod schedule;
 mod slow_start;
 mod status;
+mod target_presence;
 mod target_process;
 
 use std::borrow::Cow;
@@ -31,6 +32,7 @@
     FairTurns, MAX_REQUESTS_PER_SLOT, RequestKind, TargetCapacity, WaitingRequest,
 };
 use self::slow_start::SlowStart;
+use self::target_presence::TargetPresence;
 pub use self::target_process::{StatusReport, TargetProcess};
 use super::cause::DropCause;
 use super::cause::RefusalCause;
@@ -78,10 +80,7 @@
     /// Whether a SYN was returned before the first status report. Nothing accepts flows then.
     is_syn_returned_before_report: bool,
     flows: HostedFlows,
-    /// Whether no process had the address of the target after the start of the agent.
-    was_target_absent: bool,
-    /// Whether the last check found no process at the address, and no report has arrived since.
-    is_target_absent: bool,
+    target_presence: TargetPresence,
     flow_list: FlowList,
     queue: RequestQueue,
     slow_start: SlowStart,
@@ -111,8 +110,7 @@
             report_series: ReportSeries::default(),
             is_syn_returned_before_report: false,
             flows: HostedFlows::default(),
-            was_target_absent: false,
-            is_target_absent: false,
+            target_presence: TargetPresence::default(),
             flow_list: FlowList::default(),
             load_meter: LoadMeter::new(Slots::new(1), now),
             queue: RequestQueue::default(),
@@ -200,7 +198,7 @@
     fn state(&self) -> TargetState {
         let state = match &self.target {
             Some(target) => target.state(),
-            None if self.is_stopping && self.is_target_absent => TargetState::Gone,
+            None if self.is_stopping && self.target_presence.is_absent => TargetState::Gone,
             None => TargetState::Starting,
         };
         // The target may outlive its agent, and then still holds its flows.
@@ -391,32 +389,10 @@
         presumed.into_iter().map(accepted).collect()
     }
 
-    /// Records that no process has the address of the target: its port refuses connections. A process that
-    /// starts there later gets all its flows through this agent, so no flow of before is open. This is the case
-    /// after a loss of power, and while a VM is taken out of service.
-    pub fn on_target_absent(&mut self) -> Vec<Action<'static>> {
-        self.is_target_absent = self.target.is_none();
-        if std::mem::replace(&mut self.was_target_absent, true) {
-            return Vec::new();
-        }
-        let agent = self.identity.address;
-        vec![Action::RecordEvent(FlowEvent::TargetAbsent { agent })]
-    }
-
-    /// Records that a process may have the address of the target by now.
-    pub const fn on_target_maybe_present(&mut self) {
-        self.is_target_absent = false;
-    }
-
-    /// Returns whether the target has sent no status report to this agent.
-    pub const fn awaits_first_report(&self) -> bool {
-        self.target.is_none()
-    }
-
     /// Returns whether the target may hold flows that were opened before the agent started.
     fn may_hold_unknown_flows(&self, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.started_at);
-        !self.was_target_absent
+        !self.target_presence.was_absent
             && age < self.options.flow_lifetime
             && self
                 .target
--- a/crates/cranberrypitch-core/src/flow/agent/status.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/status.rs
@@ -139,7 +139,7 @@
         };
         let target = TargetProcess::new(report, started_unix_ms, confirmation, now);
         self.target = Some(target);
-        self.is_target_absent = false;
+        self.target_presence.is_absent = false;
         if let Some(until) = ended_flows_until {
             self.on_earlier_process_ended(until, now);
         }
--- a/crates/cranberrypitch-core/tests/flow/schedule_decision.rs
+++ b/crates/cranberrypitch-core/tests/flow/schedule_decision.rs
@@ -11,7 +11,7 @@
     service_time: Duration::from_millis(40),
     slots: 2,
     syn_wait_min: Duration::from_millis(400),
-    syn_wait_max: None,
+    syn_wait_max: Some(Duration::from_millis(400)),
     admits_flows: true,
 };
 
@@ -141,3 +141,28 @@
     assert_eq!(turns.given_up(&syns, &capacity, now + ms(399)), [0; 0]);
     assert_eq!(turns.given_up(&syns, &capacity, now + ms(400)).len(), 256);
 }
+
+/// Callers whose timeout leaves time for a long wait were refused after 400 ms, and used up their attempts
+/// within a second.
+#[test]
+fn syn_waits_for_a_third_of_the_timeout_of_its_route() {
+    let now = Instant::now();
+    let capacity = TargetCapacity {
+        service_time: Duration::ZERO,
+        syn_wait_max: None,
+        ..CAPACITY
+    };
+    let wait_of = |timeout_ms| {
+        let mut syn = waiting(RequestKind::Syn, 1, 1, now);
+        syn.limits.timeout = ms(timeout_ms);
+        let is_refused = |wait: &u64| {
+            let given_up = FairTurns::default().given_up(&[syn], &capacity, now + ms(*wait));
+            !given_up.is_empty()
+        };
+        (0..1500).step_by(100).find(is_refused)
+    };
+    assert_eq!(
+        [900, 3000, 10_000].map(wait_of),
+        [Some(400), Some(1000), Some(1200)]
+    );
+}
