Mend what a reader new to the code stumbled on, and four faults that it found

A flow from a reused port inherited the state of the closed one. Requests of open flows waited for the first write of the registration. A late refusal of an agent that had been given up reset a flow that another one was opening. A report without a service time counted as the fastest one and let a slow target be ejected again. Names of the schedule, of the ejections and of the checks say what they are; one hash of a flow serves all; documents follow the code.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -214,7 +214,7 @@
     pub fn on_stop(&mut self, now: Instant) -> Vec<Action<'static>> {
         self.is_stopping = true;
         let mut actions = self.refuse_queued_syns(RefusalCause::Draining);
-        actions.extend(self.pass_all_held_requests(now));
+        actions.extend(self.pass_all_queued_requests(now));
         actions.extend(self.report_change(now));
         actions
     }
@@ -237,7 +237,7 @@
         }
         match self.holds_flow(&flow, header.ack_number, now) {
             LookupAnswer::Held if self.has_target_exited(now) => {
-                self.queue.remove_held(&flow);
+                self.queue.remove_request(&flow);
                 reset_orphan(header)
             }
             LookupAnswer::Held => self.on_packet_of_held_flow(balancer, header, packet, now),
@@ -425,7 +425,7 @@
             return vec![Action::send(balancer, Message::PacketReturned { packet })];
         }
         self.flows.remove(&flow, &mut self.load_meter, now);
-        self.queue.remove_held(&flow);
+        self.queue.remove_request(&flow);
         if header.is_syn() {
             self.slow_start.remove_syn(&flow);
         }
--- a/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
@@ -10,6 +10,7 @@
 use crate::flow::message::OpenParams;
 use crate::flow::packet::{FlowKey, PacketFlags, PacketHeader};
 use crate::flow::routes::RequestLimits;
+use crate::flow::routes::SYN_ATTEMPT_TIMEOUT;
 
 /// The number of sequence numbers beyond the last payload byte that a caller may acknowledge, for flags
 /// that each occupy a sequence number.
@@ -66,7 +67,7 @@
     /// The priority and limits of its requests. None if another incarnation of the agent admitted the SYN.
     terms: Option<FlowTerms>,
     /// Whether a request was given up before it was passed, so that its data is missing at the target.
-    is_abandoned: bool,
+    is_data_missing: bool,
     /// The sequence number after the caller's last payload byte that was passed.
     caller_next_seq: Option<u32>,
     /// The time at which the request that the target has not responded to was passed to it.
@@ -86,7 +87,7 @@
             earlier_balancer: None,
             target_seq_range: None,
             terms: None,
-            is_abandoned: false,
+            is_data_missing: false,
             caller_next_seq: None,
             request_started_at: None,
             has_caller_finished: false,
@@ -131,6 +132,13 @@
         self.has_caller_finished && self.has_target_finished
     }
 
+    /// Returns whether a SYN that arrives now opens another flow from the same port: the flow is closed, and its own
+    /// SYN has no copies under way.
+    fn is_replaced_by_syn(&self, now: Instant) -> bool {
+        let idle = now.saturating_duration_since(self.last_packet_at);
+        self.is_closed() && idle >= SYN_ATTEMPT_TIMEOUT
+    }
+
     /// Returns whether a caller of this target can send the given acknowledgement number. Several targets
     /// may have accepted retransmissions of a SYN, each with its own sequence numbers.
     pub(super) const fn may_be_acknowledged(&self, ack_number: u32) -> bool {
@@ -175,8 +183,8 @@
         self.terms
     }
 
-    pub(super) const fn is_abandoned(&self) -> bool {
-        self.is_abandoned
+    pub(super) const fn is_data_missing(&self) -> bool {
+        self.is_data_missing
     }
 
     /// Returns whether the caller has not sent a request yet.
@@ -343,6 +351,10 @@
         now: Instant,
     ) -> bool {
         self.orphans.remove(&flow);
+        let is_port_reused = |hosted: &HostedFlow| hosted.is_replaced_by_syn(now);
+        if self.flows.get(&flow).is_some_and(is_port_reused) {
+            self.flows.remove(&flow);
+        }
         let is_new = !self.flows.contains_key(&flow);
         if is_new {
             self.open_len += 1;
@@ -350,7 +362,7 @@
         }
         let opening = || HostedFlow::new(HostedFlowState::Opening, Some(balancer), now);
         let hosted = self.flows.entry(flow).or_insert_with(opening);
-        // A caller may use the port of a closed flow again.
+        // The target may hold the flow again after a copy of its SYN.
         if hosted.is_closed() {
             hosted.has_caller_finished = false;
             hosted.has_target_finished = false;
@@ -391,9 +403,9 @@
     }
 
     /// Marks a flow whose waiting request is given up.
-    pub(super) fn abandon_request(&mut self, flow: &FlowKey) {
+    pub(super) fn mark_data_dropped(&mut self, flow: &FlowKey) {
         if let Some(hosted) = self.flows.get_mut(flow) {
-            hosted.is_abandoned = true;
+            hosted.is_data_missing = true;
         }
     }
 
--- a/crates/cranberrypitch-core/src/flow/agent/options.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/options.rs
@@ -23,8 +23,9 @@
     /// The time after which a request without a response no longer counts as running. Callers have given
     /// up by then, and a target that never responds would otherwise look busy forever.
     pub request_timeout: Duration,
-    /// The time after which a SYN in the backlog is refused, so that its caller can retry.
-    pub backlog_timeout: Duration,
+    /// The lower bound of the maximum wait of a SYN. Routes with a long timeout allow more; see
+    /// [`RequestLimits`](crate::flow::RequestLimits).
+    pub min_syn_wait: Duration,
     /// The time for which a target still gets packets of its flows after it announced its exit.
     pub exit_delay: Duration,
     /// The time after its last message for which a balancer gets reports.
@@ -68,7 +69,7 @@
             closed_flow_lifetime: Duration::from_secs(4),
             bounce_timeout: Duration::from_millis(50),
             request_timeout: Duration::from_secs(10),
-            backlog_timeout: Duration::from_millis(400),
+            min_syn_wait: Duration::from_millis(400),
             exit_delay: Duration::from_millis(500),
             balancer_lifetime: Duration::from_secs(10),
             report_interval: Duration::from_millis(200),
--- a/crates/cranberrypitch-core/src/flow/agent/schedule.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/schedule.rs
@@ -1,7 +1,8 @@
 //! The schedule of requests that wait at an agent: SYNs, and requests of open flows.
 //!
-//! It is designed for overload: more requests than the target can serve in time. Below
-//! [`MAX_REQUESTS_PER_SLOT`] requests a slot nothing waits. `decision` chooses without I/O or state, `turns`
+//! It is designed for overload: more requests than the target can serve in time. Requests wait while the target
+//! has at least [`MAX_REQUESTS_PER_SLOT`] requests per slot. SYNs also wait while a cold target is at its rate
+//! limit, and for the first write of the registration. `decision` chooses without I/O or state, `turns`
 //! keeps what the choice depends on, `queue` holds what waits, and `syns` and `requests` connect it to
 //! [`FlowAgent`](super::FlowAgent).
 
--- a/crates/cranberrypitch-core/src/flow/agent/schedule/decision.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/schedule/decision.rs
@@ -13,9 +13,6 @@
 use super::turns::FairTurns;
 use crate::flow::routes::RequestLimits;
 
-/// The time after which a caller gives up an attempt to open a flow.
-const SYN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1400);
-
 /// What a waiting request asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -47,11 +44,10 @@
     pub service_time: Duration,
     /// The number of requests that the target runs concurrently.
     pub slots: u32,
-    /// The time for which a SYN may wait at least, unless its caller gives up before. Routes with a long timeout
-    /// allow more.
-    pub syn_wait_min: Duration,
+    /// The lower bound of the maximum wait of a SYN.
+    pub min_syn_wait: Duration,
     /// The limit on the wait of all SYNs, if there is one.
-    pub syn_wait_max: Option<Duration>,
+    pub syn_wait_limit: Option<Duration>,
     /// Whether the target may get new flows now. A cold target at its limit may not.
     pub admits_flows: bool,
 }
@@ -92,9 +88,8 @@
         let wait_max = match self.kind {
             RequestKind::OpenFlow => timeout_wait,
             RequestKind::Syn => timeout_wait
-                .min(SYN_ATTEMPT_TIMEOUT)
-                .min(self.limits.syn_wait(capacity.syn_wait_min))
-                .min(capacity.syn_wait_max.unwrap_or(Duration::MAX)),
+                .min(self.limits.syn_wait(capacity.min_syn_wait))
+                .min(capacity.syn_wait_limit.unwrap_or(Duration::MAX)),
         };
         wait_max
             .checked_sub(self.wait(now))
--- a/crates/cranberrypitch-core/src/flow/agent/schedule/queue.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/schedule/queue.rs
@@ -16,7 +16,7 @@
 
 /// A packet of a request that waits.
 #[derive(Clone, Debug)]
-pub(super) struct HeldPacket {
+pub(super) struct QueuedPacket {
     pub(super) balancer: SocketAddrV4,
     pub(super) header: PacketHeader,
     pub(super) packet: Box<[u8]>,
@@ -24,18 +24,18 @@
 
 /// A request of an open flow that waits, with its packets in the order of their arrival.
 #[derive(Debug)]
-pub(super) struct HeldRequest {
+pub(super) struct QueuedRequest {
     pub(super) flow: FlowKey,
     pub(super) request: WaitingRequest,
-    pub(super) packets: Vec<HeldPacket>,
+    pub(super) packets: Vec<QueuedPacket>,
 }
 
-impl HeldRequest {
+impl QueuedRequest {
     /// Returns whether a packet with the same payload waits already.
     pub(super) fn has_copy_of(&self, header: &PacketHeader) -> bool {
-        self.packets.iter().any(|held| {
-            held.header.seq_number == header.seq_number
-                && held.header.payload_len_bytes >= header.payload_len_bytes
+        self.packets.iter().any(|queued| {
+            queued.header.seq_number == header.seq_number
+                && queued.header.payload_len_bytes >= header.payload_len_bytes
         })
     }
 
@@ -48,20 +48,20 @@
 #[derive(Debug)]
 pub(super) enum Taken {
     Syn(QueuedSyn),
-    Held(HeldRequest),
+    Request(QueuedRequest),
 }
 
 /// The waiting requests, each kind in the order of arrival, and the state of their turns.
 #[derive(Debug, Default)]
 pub(in super::super) struct RequestQueue {
     pub(super) syns: Vec<QueuedSyn>,
-    pub(super) held: Vec<HeldRequest>,
+    pub(super) requests: Vec<QueuedRequest>,
     turns: FairTurns,
 }
 
 impl RequestQueue {
     pub(in super::super) const fn len(&self) -> usize {
-        self.syns.len() + self.held.len()
+        self.syns.len() + self.requests.len()
     }
 
     /// Counts a request that was passed to the target, with or without a wait.
@@ -73,23 +73,23 @@
         self.syns.len() >= MAX_QUEUED
     }
 
-    pub(super) const fn is_held_queue_full(&self) -> bool {
-        self.held.len() >= MAX_QUEUED
+    pub(super) const fn is_request_queue_full(&self) -> bool {
+        self.requests.len() >= MAX_QUEUED
     }
 
     pub(in super::super) fn has_syn(&self, flow: &FlowKey) -> bool {
         self.syns.iter().any(|syn| syn.flow == *flow)
     }
 
-    pub(super) fn held_mut(&mut self, flow: &FlowKey) -> Option<&mut HeldRequest> {
-        self.held.iter_mut().find(|held| held.flow == *flow)
+    pub(super) fn request_mut(&mut self, flow: &FlowKey) -> Option<&mut QueuedRequest> {
+        self.requests.iter_mut().find(|queued| queued.flow == *flow)
     }
 
     /// Removes the waiting request of a flow. Returns whether there was one.
-    pub(in super::super) fn remove_held(&mut self, flow: &FlowKey) -> bool {
-        let before = self.held.len();
-        self.held.retain(|held| held.flow != *flow);
-        self.held.len() < before
+    pub(in super::super) fn remove_request(&mut self, flow: &FlowKey) -> bool {
+        let before = self.requests.len();
+        self.requests.retain(|queued| queued.flow != *flow);
+        self.requests.len() < before
     }
 
     /// Takes out the request to pass next.
@@ -128,8 +128,12 @@
     /// Returns all waiting requests in the order of their arrival, with the index within their kind.
     fn entries(&self) -> Vec<(WaitingRequest, usize)> {
         let syns = self.syns.iter().map(QueuedSyn::waiting_request).enumerate();
-        let held = self.held.iter().map(|held| held.request).enumerate();
-        let mut entries: Vec<_> = syns.chain(held).map(|(index, r)| (r, index)).collect();
+        let queued = self
+            .requests
+            .iter()
+            .map(|queued| queued.request)
+            .enumerate();
+        let mut entries: Vec<_> = syns.chain(queued).map(|(index, r)| (r, index)).collect();
         entries.sort_by_key(|(request, _)| request.arrived_at);
         entries
     }
@@ -137,7 +141,7 @@
     fn take(&mut self, kind: RequestKind, index: usize) -> Taken {
         match kind {
             RequestKind::Syn => Taken::Syn(self.syns.remove(index)),
-            RequestKind::OpenFlow => Taken::Held(self.held.remove(index)),
+            RequestKind::OpenFlow => Taken::Request(self.requests.remove(index)),
         }
     }
 }
--- a/crates/cranberrypitch-core/src/flow/agent/schedule/requests.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/schedule/requests.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use super::decision::{RequestKind, WaitingRequest};
-use super::queue::{HeldPacket, HeldRequest};
+use super::queue::{QueuedPacket, QueuedRequest};
 use crate::flow::agent::{FlowAgent, reset_orphan};
 use crate::flow::cause::DropCause;
 use crate::flow::event::FlowEvent;
@@ -46,7 +46,7 @@
         now: Instant,
     ) -> Vec<Action<'a>> {
         let flow = header.flow_from_caller();
-        let held_packet = || HeldPacket {
+        let queued_packet = || QueuedPacket {
             balancer,
             header: *header,
             packet: packet.into(),
@@ -54,23 +54,23 @@
         match self.packet_verdict(&flow, header, now) {
             PacketVerdict::Pass => self.pass_packet(balancer, header, packet.into(), now),
             PacketVerdict::BeginWait(request) => {
-                self.queue.held.push(HeldRequest {
+                self.queue.requests.push(QueuedRequest {
                     flow,
                     request,
-                    packets: vec![held_packet()],
+                    packets: vec![queued_packet()],
                 });
                 Vec::new()
             }
             PacketVerdict::Wait => {
-                if let Some(held) = self.queue.held_mut(&flow) {
-                    held.packets.push(held_packet());
+                if let Some(queued) = self.queue.request_mut(&flow) {
+                    queued.packets.push(queued_packet());
                 }
                 Vec::new()
             }
             PacketVerdict::Ignore => Vec::new(),
             PacketVerdict::GiveUp => {
-                self.queue.remove_held(&flow);
-                self.flows.abandon_request(&flow);
+                self.queue.remove_request(&flow);
+                self.flows.mark_data_dropped(&flow);
                 self.pass_packet(balancer, header, packet.into(), now)
             }
             PacketVerdict::Drop(cause) => dropped(flow, cause),
@@ -89,12 +89,12 @@
         let is_ending =
             header.flags.contains(PacketFlags::FIN) || header.flags.contains(PacketFlags::RST);
         let has_new_data = hosted.has_new_data(header);
-        if let Some(held) = self.queue.held_mut(flow) {
+        if let Some(queued) = self.queue.request_mut(flow) {
             return match () {
                 () if is_ending => PacketVerdict::GiveUp,
                 () if !has_new_data => PacketVerdict::Pass,
-                () if held.has_copy_of(header) => PacketVerdict::Ignore,
-                () if held.is_full() => PacketVerdict::Drop(DropCause::BufferFull),
+                () if queued.has_copy_of(header) => PacketVerdict::Ignore,
+                () if queued.is_full() => PacketVerdict::Drop(DropCause::BufferFull),
                 () => PacketVerdict::Wait,
             };
         }
@@ -102,14 +102,14 @@
             return PacketVerdict::Pass;
         }
         // The target lacks the data of the abandoned request, so it can't read what follows either.
-        if hosted.is_abandoned() {
+        if hosted.is_data_missing() {
             return PacketVerdict::Drop(DropCause::RequestTimedOut);
         }
         // The admission of its SYN has already counted the first request of a flow.
         let may_wait = !self.is_stopping
             && hosted.may_begin_request()
             && !self.flows.is_request_expected(flow, now)
-            && !self.queue.is_held_queue_full()
+            && !self.queue.is_request_queue_full()
             && self.is_target_busy(now);
         match hosted.terms() {
             Some(terms) if may_wait && !terms.limits.timeout.is_zero() => {
@@ -155,19 +155,19 @@
     }
 
     /// Passes the packets of a waiting request in the order of their arrival.
-    pub(super) fn pass_held_request(
+    pub(super) fn pass_queued_request(
         &mut self,
-        held: HeldRequest,
+        queued: QueuedRequest,
         now: Instant,
     ) -> Vec<Action<'static>> {
         let mut actions = Vec::new();
-        for HeldPacket {
+        for QueuedPacket {
             balancer,
             header,
             packet,
-        } in held.packets
+        } in queued.packets
         {
-            if self.flows.is_orphan(&held.flow, header.ack_number) {
+            if self.flows.is_orphan(&queued.flow, header.ack_number) {
                 return reset_orphan(&header);
             }
             let packet = Cow::Owned(packet.into_vec());
@@ -177,27 +177,28 @@
     }
 
     /// Drops a request that can't be answered before its timeout. The flow stays open.
-    pub(super) fn drop_held_request(
+    pub(super) fn drop_queued_request(
         &mut self,
-        held: &HeldRequest,
+        queued: &QueuedRequest,
         now: Instant,
     ) -> Vec<Action<'static>> {
-        self.flows.abandon_request(&held.flow);
+        self.flows.mark_data_dropped(&queued.flow);
         vec![Action::RecordEvent(FlowEvent::RequestTimedOut {
-            flow: held.flow,
-            waited: now.saturating_duration_since(held.request.arrived_at),
+            flow: queued.flow,
+            waited: now.saturating_duration_since(queued.request.arrived_at),
         })]
     }
 
     /// Passes all waiting requests of open flows to the target, which ended or whose agent stops: a target
     /// returns packets of flows that it does not hold.
-    pub(in super::super) fn pass_all_held_requests(
+    pub(in super::super) fn pass_all_queued_requests(
         &mut self,
         now: Instant,
     ) -> Vec<Action<'static>> {
-        let held = std::mem::take(&mut self.queue.held);
-        held.into_iter()
-            .flat_map(|held| self.pass_held_request(held, now))
+        let queued = std::mem::take(&mut self.queue.requests);
+        queued
+            .into_iter()
+            .flat_map(|queued| self.pass_queued_request(queued, now))
             .collect()
     }
 }
--- a/crates/cranberrypitch-core/src/flow/agent/schedule/syns.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/schedule/syns.rs
@@ -1,6 +1,4 @@
-//! The backlog of SYNs that wait at an agent for a slot of its target.
-//!
-//! SYNs that time out in the backlog, or would, are refused, so that their callers can retry.
+//! SYNs that wait at an agent, and their admission to the target or refusal.
 
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -19,7 +17,7 @@
 /// store; if it takes longer, another agent may be registered already.
 const FIRST_WRITE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// A SYN in the backlog.
+/// A SYN that waits at the agent.
 #[derive(Debug)]
 pub(in super::super) struct QueuedSyn {
     pub(in super::super) flow: FlowKey,
@@ -47,7 +45,7 @@
         self.load_meter.load(0, now).service_time
     }
 
-    /// Returns whether queued SYNs may be passed: the target is not cold, or has not got the requests that it bears.
+    /// Returns whether queued SYNs may be passed, which a cold target at its rate limit forbids.
     fn admits_flows(&mut self, now: Instant) -> bool {
         let next = self.queue.syns.first();
         let Some((flow, rate)) = next.map(|syn| (syn.flow, syn.params.warmup_rate)) else {
@@ -56,7 +54,7 @@
         self.warmup_limit_event(flow, rate, now).is_none()
     }
 
-    fn syn_wait_max(&self) -> Option<Duration> {
+    fn syn_wait_limit(&self) -> Option<Duration> {
         let is_pending = self.flow_list.is_first_write_pending();
         is_pending.then_some(FIRST_WRITE_TIMEOUT)
     }
@@ -65,14 +63,15 @@
         TargetCapacity {
             service_time: self.service_time(now),
             slots: self.slots().get(),
-            syn_wait_min: self.options.backlog_timeout,
-            syn_wait_max: self.syn_wait_max(),
-            admits_flows: self.admits_flows(now),
+            min_syn_wait: self.options.min_syn_wait,
+            syn_wait_limit: self.syn_wait_limit(),
+            admits_flows: !self.flow_list.is_first_write_pending() && self.admits_flows(now),
         }
     }
 
-    /// Queues a SYN if the target is busy, or refuses it if the backlog is full. Returns nothing if the
-    /// SYN should be passed to the target now.
+    /// Queues a SYN that can't be passed now: the target is busy or at its warm-up limit, or the first write of
+    /// the registration is pending. Refuses it if the queue is full or its expected wait is too long. Returns
+    /// nothing if the SYN should be passed now.
     pub(in super::super) fn queue_syn(&mut self, syn: QueuedSyn) -> Option<Vec<Action<'static>>> {
         let (flow, balancer, now) = (syn.flow, syn.balancer, syn.queued_at);
         let queued = Action::send(balancer, Message::OpenQueued { flow });
@@ -103,14 +102,14 @@
         if self.queue.len() == 0 {
             return actions;
         }
-        while !self.must_queue(now) {
+        while !self.is_target_busy(now) {
             let capacity = self.capacity(now);
             let Some(taken) = self.queue.take_next(&capacity, now) else {
                 break;
             };
             match taken {
                 Taken::Syn(syn) => actions.extend(self.pass_queued_syn(syn, now)),
-                Taken::Held(held) => actions.extend(self.pass_held_request(held, now)),
+                Taken::Request(request) => actions.extend(self.pass_queued_request(request, now)),
             }
         }
         actions
@@ -146,7 +145,7 @@
                 Taken::Syn(syn) => {
                     actions.extend(self.refuse_queued_syn(&syn, cause));
                 }
-                Taken::Held(held) => actions.extend(self.drop_held_request(&held, now)),
+                Taken::Request(request) => actions.extend(self.drop_queued_request(&request, now)),
             }
         }
         actions
--- a/crates/cranberrypitch-core/src/flow/agent/slow_start.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/slow_start.rs
@@ -53,7 +53,7 @@
         }
     }
 
-    /// Removes the SYN of a flow, which the target returned.
+    /// Removes the SYN of a flow, because the target returned it or the first request replaces it.
     pub(super) fn remove_syn(&mut self, flow: &FlowKey) {
         let is_syn = |passed: &PassedRequest| passed.is_syn && passed.flow == *flow;
         if let Some(index) = self.0.iter().position(is_syn) {
@@ -87,7 +87,7 @@
 
 impl FlowAgent {
     /// Returns the event of a new flow that must not be passed to the target now, because the target is cold
-    /// and has got the requests that it bears. Returns nothing if there is room or no limit.
+    /// and has received as many requests in the window as its rate allows. Returns nothing if there is room or no limit.
     pub(super) fn warmup_limit_event(
         &mut self,
         flow: FlowKey,
--- a/crates/cranberrypitch-core/src/flow/agent/status.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/status.rs
@@ -144,7 +144,7 @@
             self.on_earlier_process_ended(until, now);
         }
         let mut actions = vec![Action::RecordEvent(event)];
-        actions.extend(self.pass_all_held_requests(now));
+        actions.extend(self.pass_all_queued_requests(now));
         actions.extend(self.report_change(now));
         actions
     }
@@ -179,7 +179,7 @@
             _ => return Vec::new(),
         }
         let mut actions = self.refuse_queued_syns(RefusalCause::Draining);
-        actions.extend(self.pass_all_held_requests(now));
+        actions.extend(self.pass_all_queued_requests(now));
         actions.extend(self.report_change(now));
         actions
     }
--- a/crates/cranberrypitch-core/src/flow/directory.rs
+++ b/crates/cranberrypitch-core/src/flow/directory.rs
@@ -372,7 +372,7 @@
 
     /// Returns those of the ready agents that a flow may select. Agents of a domain whose evacuation ended
     /// recently take only the share of the flows that the ramp allows, unless no other agent is ready.
-    pub(crate) fn without_evacuated<'a>(
+    pub(crate) fn selectable<'a>(
         &self,
         mut ready: Vec<&'a AgentEntry>,
         flow: &FlowKey,
--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -27,7 +27,7 @@
 use super::event::FlowEvent;
 use super::message::{Action, Message, dropped};
 use super::packet::{FlowKey, PacketFlags, PacketHeader};
-use super::routes::{RouteConfig, RouteTable};
+use super::routes::{RouteConfig, RouteTable, SYN_ATTEMPT_TIMEOUT};
 use super::selection::{AgentSelector, AgentSelectorOptions};
 use crate::ids::FailureDomain;
 
@@ -61,7 +61,7 @@
             open_timeout: Duration::from_millis(60),
             lookup_timeout: Duration::from_millis(80),
             lookup_retry_interval: Duration::from_millis(250),
-            syn_lifetime: Duration::from_millis(1400),
+            syn_lifetime: SYN_ATTEMPT_TIMEOUT,
             flow_lifetime: Duration::from_secs(20),
         }
     }
--- a/crates/cranberrypitch-core/src/flow/dispatcher/evacuations.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/evacuations.rs
@@ -77,27 +77,26 @@
         let addresses = receivers.map(|record| record.address);
         actions.extend(evacuation_messages(self.evacuations(), addresses));
         actions.extend(self.place_pending_flows(now));
-        actions.extend(self.reset_evacuated_flows());
+        actions.extend(self.reset_flows_without_targets());
         actions
     }
 
     fn agent_count_in(&self, failure_domain: &FailureDomain) -> usize {
-        let is_in = |record: &FailureDomain| record == failure_domain;
         let agents = self.directory.agents();
         agents
-            .filter(|agent| is_in(&agent.record.failure_domain))
+            .filter(|agent| agent.record.failure_domain == *failure_domain)
             .count()
     }
 
     /// Resets the flows that wait for a target of a service whose targets are all evacuated now.
-    fn reset_evacuated_flows(&mut self) -> Vec<Action<'static>> {
+    fn reset_flows_without_targets(&mut self) -> Vec<Action<'static>> {
         let mut actions = Vec::new();
         for flow in self.flows.pending_flows() {
             let is_waiting = matches!(
                 self.flows.get(&flow).map(|entry| &entry.state),
                 Some(FlowState::Opening(opening)) if opening.agent.is_none()
             );
-            if is_waiting && self.is_evacuated(flow) {
+            if is_waiting && self.has_only_evacuated_targets(flow) {
                 actions.extend(self.abandon_open(flow, ResetCause::Evacuated));
             }
         }
@@ -105,7 +104,7 @@
     }
 
     /// Returns whether all ready targets of the service of a flow that is being opened are evacuated.
-    pub(super) fn is_evacuated(&self, flow: FlowKey) -> bool {
+    pub(super) fn has_only_evacuated_targets(&self, flow: FlowKey) -> bool {
         match self.flows.get(&flow).map(|entry| &entry.state) {
             Some(FlowState::Opening(opening)) => {
                 self.directory.is_service_evacuated(opening.service_tag())
--- a/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
@@ -16,18 +16,15 @@
 use crate::flow::message::{Action, Message, OpenParams, dropped, reset};
 use crate::flow::packet::{FlowKey, PacketHeader};
 use crate::flow::reset_evidence::ResetEvidence;
-use crate::flow::routes::RequestLimits;
+use crate::flow::routes::{RequestLimits, SYN_ATTEMPT_TIMEOUT};
 use crate::flow::selection::{SelectedAgent, SelectionRequest};
 use crate::ids::ServiceTag;
 
 /// The number of pending flows up to which a SYN waits for the first target instead of being reset.
 const MAX_PENDING_FLOWS: usize = 512;
 
-/// The minimum time for which an agent queues a SYN.
-const MIN_QUEUE_TIME: Duration = Duration::from_millis(400);
-
-/// The maximum time added to the timeout of a SYN that an agent has queued: callers give up their attempt then.
-const MAX_QUEUED_REPLY_TIMEOUT: Duration = Duration::from_millis(1400);
+/// The lower bound of the maximum wait of a SYN at an agent, as in the options of agents.
+const MIN_SYN_WAIT: Duration = Duration::from_millis(400);
 
 impl Dispatcher {
     /// Processes a SYN of a caller.
@@ -93,7 +90,7 @@
                 if is_cold {
                     opening.cold_agents.push(agent);
                 }
-            } else if cause == RefusalCause::Overloaded {
+            } else if cause == RefusalCause::Overloaded && is_current {
                 actions.extend(self.abandon_open(flow, ResetCause::Overloaded));
                 return actions;
             } else if !opening.failed_agents.contains(&agent) {
@@ -191,7 +188,7 @@
         if let Some(selected) = self.select_agent(flow, now) {
             return self.send_open(selected, flow, now);
         }
-        if self.is_evacuated(flow) {
+        if self.has_only_evacuated_targets(flow) {
             return self.abandon_open(flow, ResetCause::Evacuated);
         }
         // Until the store's list has been read, there may be targets that the snapshots of other
@@ -332,8 +329,8 @@
     }
 }
 
-/// Returns the time added to the timeout of a SYN that an agent has queued. The agent accepts or refuses it within
-/// half of this, or before its caller gives up.
+/// Returns the time added to the timeout of a SYN that an agent has queued. The agent accepts or refuses it
+/// within half of this, or before its caller gives up.
 fn queued_reply_timeout(limits: &RequestLimits) -> Duration {
-    (limits.syn_wait(MIN_QUEUE_TIME) * 2).min(MAX_QUEUED_REPLY_TIMEOUT)
+    (limits.syn_wait(MIN_SYN_WAIT) * 2).min(SYN_ATTEMPT_TIMEOUT)
 }
--- a/crates/cranberrypitch-core/src/flow/evacuation/decision.rs
+++ b/crates/cranberrypitch-core/src/flow/evacuation/decision.rs
@@ -115,15 +115,15 @@
             EvacuationContents::Changes(changes) => self.apply_changes(changes, revision),
         };
         self.read_version = Some(read_version);
-        let graced = self.take_graced(now);
+        let in_grace = self.domains_in_grace(now);
         // A set with domains that the store lacks is older than the store at this revision: the set without
         // them must replace it, also if nothing has been written since.
-        let revision = if graced.is_subset(&self.stored) {
+        let revision = if in_grace.is_subset(&self.stored) {
             revision
         } else {
             revision.saturating_sub(1)
         };
-        let failure_domains: BTreeSet<_> = self.stored.union(&graced).cloned().collect();
+        let failure_domains: BTreeSet<_> = self.stored.union(&in_grace).cloned().collect();
         if failure_domains == self.in_force.failure_domains && !self.is_of_earlier_epoch(epoch) {
             return false;
         }
@@ -169,7 +169,7 @@
     }
 
     /// Returns the domains that stay evacuated because of a restoration.
-    fn take_graced(&mut self, now: Instant) -> BTreeSet<FailureDomain> {
+    fn domains_in_grace(&mut self, now: Instant) -> BTreeSet<FailureDomain> {
         self.grace = self.grace.take().filter(|grace| now < grace.until);
         let grace = self.grace.as_ref();
         grace.map_or_else(BTreeSet::new, |grace| grace.failure_domains.clone())
--- a/crates/cranberrypitch-core/src/flow/held_flows.rs
+++ b/crates/cranberrypitch-core/src/flow/held_flows.rs
@@ -4,12 +4,9 @@
 //! fewer. The set is part of the agent's record in the store and tells balancers which flows need no wait for
 //! an agent that is silent.
 
-use std::hash::Hasher;
-
 use serde::{Deserialize, Deserializer, Serialize, de::IgnoredAny};
 use serde_with::base64::Base64;
 use serde_with::{DeserializeAs, SerializeAs};
-use siphasher::sip::SipHasher24;
 
 use super::packet::FlowKey;
 
@@ -90,13 +87,8 @@
     HeldFlows::from_bytes(&bytes)
 }
 
-/// Hashes a flow with fixed keys, so that agents and balancers compute the same hash.
+/// Returns the part of a flow's hash that a set contains.
 fn flow_hash(flow: &FlowKey) -> u32 {
-    let mut hasher = SipHasher24::new_with_keys(0, 0);
-    for address in [flow.caller, flow.service_address] {
-        hasher.write(&address.ip().octets());
-        hasher.write(&address.port().to_be_bytes());
-    }
-    let [_, _, _, _, hash @ ..] = hasher.finish().to_be_bytes();
+    let [_, _, _, _, hash @ ..] = flow.stable_hash().to_be_bytes();
     u32::from_be_bytes(hash)
 }
--- a/crates/cranberrypitch-core/src/flow/message.rs
+++ b/crates/cranberrypitch-core/src/flow/message.rs
@@ -43,7 +43,7 @@
     pub expected_requests: Option<u16>,
     /// The time limits of the requests of the flow.
     pub limits: RequestLimits,
-    /// The rate of requests that the target bears while it is slow after its start; none without a limit.
+    /// The rate of requests that the target can take while it is slow after its start; none without a limit.
     pub warmup_rate: Option<RequestRate>,
 }
 
--- a/crates/cranberrypitch-core/src/flow/packet.rs
+++ b/crates/cranberrypitch-core/src/flow/packet.rs
@@ -18,18 +18,23 @@
 }
 
 impl FlowKey {
+    /// Hashes the flow with fixed keys, so that all agents and balancers compute the same value.
+    pub(crate) fn stable_hash(&self) -> u64 {
+        let mut hasher = SipHasher24::new_with_keys(0, 0);
+        for address in [self.caller, self.service_address] {
+            hasher.write(&address.ip().octets());
+            hasher.write(&address.port().to_be_bytes());
+        }
+        hasher.finish()
+    }
+
     /// Returns the hash of the flow as a fraction from 0 to 1, which is the same at all balancers.
     #[expect(
         clippy::cast_precision_loss,
         reason = "a fraction with 53 significant bits is precise enough"
     )]
     pub(crate) fn hash_fraction(&self) -> f64 {
-        let mut hasher = SipHasher24::new_with_keys(0, 0);
-        for address in [self.caller, self.service_address] {
-            hasher.write(&address.ip().octets());
-            hasher.write(&address.port().to_be_bytes());
-        }
-        hasher.finish() as f64 / u64::MAX as f64
+        self.stable_hash() as f64 / u64::MAX as f64
     }
 }
 
--- a/crates/cranberrypitch-core/src/flow/routes.rs
+++ b/crates/cranberrypitch-core/src/flow/routes.rs
@@ -1,12 +1,10 @@
 //! Routing of destination addresses to services.
 
-use std::hash::Hasher;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
-use siphasher::sip::SipHasher24;
 
 use super::packet::FlowKey;
 use crate::collections::{FastMap, FastSet};
@@ -16,7 +14,10 @@
 /// The number of attempts of a caller for a request whose flow does not open.
 const CALLER_ATTEMPTS: u32 = 3;
 
-/// The maximum wait of a SYN. A caller gives up an attempt to open a flow after 1.4 s.
+/// The time after which a caller gives up an attempt to open a flow.
+pub(crate) const SYN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1400);
+
+/// The maximum wait of a SYN, which leaves time until its caller gives up the attempt.
 const MAX_SYN_WAIT: Duration = Duration::from_millis(1200);
 
 /// A service that a route sends new flows to, with its weight.
@@ -57,7 +58,7 @@
 pub struct ServicePolicy {
     /// The name of the service.
     pub service: ServiceName,
-    /// The rate of requests that a target bears while it is slow after its start; none if it has no limit.
+    /// The rate of requests that a target can take while it is slow after its start; none if it has no limit.
     #[serde(rename = "warmup_requests_per_s")]
     pub warmup_rate: Option<RequestRate>,
 }
@@ -86,7 +87,7 @@
         if total == 0 {
             return None;
         }
-        let mut remainder = flow_hash(flow) % total;
+        let mut remainder = flow.stable_hash() % total;
         for backend in &self.backends {
             let weight = u64::from(backend.weight);
             if remainder < weight {
@@ -98,15 +99,6 @@
     }
 }
 
-fn flow_hash(flow: &FlowKey) -> u64 {
-    let mut hasher = SipHasher24::new_with_keys(0, 0);
-    for address in [flow.caller, flow.service_address] {
-        hasher.write(&address.ip().octets());
-        hasher.write(&address.port().to_be_bytes());
-    }
-    hasher.finish()
-}
-
 /// A complete configuration of routes.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/cranberrypitch-core/src/flow/selection.rs
+++ b/crates/cranberrypitch-core/src/flow/selection.rs
@@ -137,7 +137,7 @@
             .filter(|agent| agent.record.state == TargetState::Ready)
             .filter(|agent| !request.excluded.contains(&agent.record.address))
             .collect();
-        let ready = directory.without_evacuated(ready, &request.flow, now);
+        let ready = directory.selectable(ready, &request.flow, now);
         let responsive: Vec<_> = ready
             .iter()
             .copied()
--- a/crates/cranberrypitch-core/src/flow/selection/outliers.rs
+++ b/crates/cranberrypitch-core/src/flow/selection/outliers.rs
@@ -82,7 +82,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-enum Standing {
+enum EjectionState {
     Admitted {
         since: Instant,
     },
@@ -97,44 +97,44 @@
 
 /// The lowest values since the last ejection. Only worse ones are evidence for the next.
 #[derive(Clone, Copy, Debug)]
-struct PastEvidence {
+struct EvidenceBaseline {
     failed_responses_percent: u8,
     service_time: Duration,
 }
 
 /// The ejections of a target.
 #[derive(Clone, Copy, Debug)]
-struct TargetHistory {
-    standing: Standing,
+struct EjectionRecord {
+    state: EjectionState,
     consecutive_ejections: u32,
-    past_evidence: PastEvidence,
+    baseline: EvidenceBaseline,
 }
 
-impl TargetHistory {
+impl EjectionRecord {
     const fn is_admitted(&self) -> bool {
-        matches!(self.standing, Standing::Admitted { .. })
+        matches!(self.state, EjectionState::Admitted { .. })
     }
 
     fn has_recovered(&self, now: Instant) -> bool {
         let is_long = |since| now.saturating_duration_since(since) >= RECOVERY_TIME;
-        matches!(self.standing, Standing::Admitted { since } if is_long(since))
+        matches!(self.state, EjectionState::Admitted { since } if is_long(since))
     }
 
     /// Moves a target whose ejection time is over to its trial, and a trial to its next flow or its end.
     /// Returns whether the target is admitted now and was not before.
     fn advance(&mut self, agent: &AgentEntry, now: Instant) -> bool {
         let elapsed = |since: Instant| now.saturating_duration_since(since);
-        match &mut self.standing {
-            Standing::Admitted { .. } => {}
-            Standing::Ejected { until } if now < *until => {}
-            Standing::Ejected { .. } => {
-                self.past_evidence = PastEvidence::of(agent.load);
-                self.standing = Standing::Trial {
+        match &mut self.state {
+            EjectionState::Admitted { .. } => {}
+            EjectionState::Ejected { until } if now < *until => {}
+            EjectionState::Ejected { .. } => {
+                self.baseline = EvidenceBaseline::of(agent.load);
+                self.state = EjectionState::Trial {
                     flow: None,
                     successes: 0,
                 };
             }
-            Standing::Trial { flow, successes } => match *flow {
+            EjectionState::Trial { flow, successes } => match *flow {
                 Some(TrialFlow {
                     accepted_at: Some(at),
                     ..
@@ -144,7 +144,7 @@
                     *flow = None;
                     *successes += 1;
                     if *successes >= TRIAL_FLOWS {
-                        self.standing = Standing::Admitted { since: now };
+                        self.state = EjectionState::Admitted { since: now };
                         return true;
                     }
                 }
@@ -159,29 +159,36 @@
     }
 }
 
-impl PastEvidence {
+impl EvidenceBaseline {
     const fn of(load: AgentLoad) -> Self {
         Self {
             failed_responses_percent: load.failed_responses_percent,
-            service_time: load.service_time,
+            service_time: if load.service_time.is_zero() {
+                Duration::MAX
+            } else {
+                load.service_time
+            },
         }
     }
 
     fn update(&mut self, load: AgentLoad) {
         let percent = &mut self.failed_responses_percent;
         *percent = (*percent).min(load.failed_responses_percent);
-        self.service_time = self.service_time.min(load.service_time);
+        // Zero means that the service time is not known.
+        if !load.service_time.is_zero() {
+            self.service_time = self.service_time.min(load.service_time);
+        }
     }
 }
 
 /// The mean failure ratio and the median service time of a service.
 #[derive(Clone, Copy, Debug)]
-struct ServiceNorm {
+struct ServiceAverages {
     mean_failure_ratio: f64,
     median_service_time: Duration,
 }
 
-impl ServiceNorm {
+impl ServiceAverages {
     fn of(agents: &[&AgentEntry]) -> Self {
         let ratios = agents.iter().map(|agent| agent.load.failure_ratio());
         let (sum, count) =
@@ -202,9 +209,9 @@
     fn outlier(
         &self,
         load: AgentLoad,
-        history: Option<&TargetHistory>,
+        history: Option<&EjectionRecord>,
     ) -> Option<(EjectionCause, f64)> {
-        let past = history.map(|history| history.past_evidence);
+        let past = history.map(|history| history.baseline);
         let is_on_trial = history.is_some_and(|history| !history.is_admitted());
         let ratio = load.failure_ratio();
         let max_ratio = MAX_FAILURE_RATIO.max(self.mean_failure_ratio * MAX_FAILURE_RATIO_TO_MEAN);
@@ -227,23 +234,23 @@
 /// Decides at a balancer which targets are ejected, and when they return.
 #[derive(Debug, Default)]
 pub(super) struct OutlierDetector {
-    histories: FastMap<SocketAddrV4, TargetHistory>,
+    histories: FastMap<SocketAddrV4, EjectionRecord>,
 }
 
 impl OutlierDetector {
     /// Returns whether a target may get a new flow: it is admitted, or on trial without a flow.
     pub(super) fn admits(&self, agent: SocketAddrV4) -> bool {
-        match self.histories.get(&agent).map(|history| history.standing) {
-            None | Some(Standing::Admitted { .. }) => true,
-            Some(Standing::Ejected { .. }) => false,
-            Some(Standing::Trial { flow, .. }) => flow.is_none(),
+        match self.histories.get(&agent).map(|history| history.state) {
+            None | Some(EjectionState::Admitted { .. }) => true,
+            Some(EjectionState::Ejected { .. }) => false,
+            Some(EjectionState::Trial { flow, .. }) => flow.is_none(),
         }
     }
 
     /// Returns whether a target is on trial.
     pub(super) fn is_on_trial(&self, agent: SocketAddrV4) -> bool {
         let history = self.histories.get(&agent);
-        history.is_some_and(|history| matches!(history.standing, Standing::Trial { .. }))
+        history.is_some_and(|history| matches!(history.state, EjectionState::Trial { .. }))
     }
 
     /// Returns the number of targets that are ejected or on trial.
@@ -254,7 +261,7 @@
 
     pub(super) fn on_selected(&mut self, agent: SocketAddrV4, now: Instant) {
         if let Some(history) = self.histories.get_mut(&agent)
-            && let Standing::Trial { flow, .. } = &mut history.standing
+            && let EjectionState::Trial { flow, .. } = &mut history.state
         {
             *flow = Some(TrialFlow {
                 selected_at: now,
@@ -265,9 +272,9 @@
 
     pub(super) fn on_accepted(&mut self, agent: SocketAddrV4, now: Instant) {
         if let Some(history) = self.histories.get_mut(&agent)
-            && let Standing::Trial {
+            && let EjectionState::Trial {
                 flow: Some(flow), ..
-            } = &mut history.standing
+            } = &mut history.state
         {
             flow.accepted_at.get_or_insert(now);
         }
@@ -286,7 +293,7 @@
         now: Instant,
     ) -> Vec<OutlierChange> {
         let mut changes = self.advance(ready, reporting, now);
-        let norm = ServiceNorm::of(reporting);
+        let norm = ServiceAverages::of(reporting);
         let mut outliers: Vec<_> = reporting
             .iter()
             .filter_map(|agent| {
@@ -324,12 +331,12 @@
                 continue;
             };
             let is_readmitted = if reporting.is_empty() && !history.is_admitted() {
-                history.standing = Standing::Admitted { since: now };
+                history.state = EjectionState::Admitted { since: now };
                 true
             } else {
                 history.advance(agent, now)
             };
-            history.past_evidence.update(agent.load);
+            history.baseline.update(agent.load);
             if is_readmitted {
                 changes.push(OutlierChange::Readmitted { agent: address });
             }
@@ -342,12 +349,12 @@
 
     fn is_admitted(&self, agent: SocketAddrV4) -> bool {
         let history = self.histories.get(&agent);
-        history.is_none_or(TargetHistory::is_admitted)
+        history.is_none_or(EjectionRecord::is_admitted)
     }
 
-    fn outlier(&self, agent: &AgentEntry, norm: &ServiceNorm) -> Option<(EjectionCause, f64)> {
+    fn outlier(&self, agent: &AgentEntry, norm: &ServiceAverages) -> Option<(EjectionCause, f64)> {
         let history = self.histories.get(&agent.record.address);
-        if history.is_some_and(|h| matches!(h.standing, Standing::Ejected { .. })) {
+        if history.is_some_and(|h| matches!(h.state, EjectionState::Ejected { .. })) {
             return None;
         }
         norm.outlier(agent.load, history)
@@ -360,12 +367,12 @@
         let duration = MIN_EJECTION_TIME
             .saturating_mul(factor)
             .min(MAX_EJECTION_TIME);
-        let history = TargetHistory {
-            standing: Standing::Ejected {
+        let history = EjectionRecord {
+            state: EjectionState::Ejected {
                 until: now + duration,
             },
             consecutive_ejections: consecutive_ejections.saturating_add(1),
-            past_evidence: PastEvidence {
+            baseline: EvidenceBaseline {
                 failed_responses_percent: u8::MAX,
                 service_time: Duration::MAX,
             },
--- a/crates/cranberrypitch-core/tests/flow/agent.rs
+++ b/crates/cranberrypitch-core/tests/flow/agent.rs
@@ -9,8 +9,8 @@
 use cranberrypitch_core::{Incarnation, ServiceTag, TargetState};
 
 use crate::support::{
-    agent_address, balancer_address, domain, encode, events, flow, from_target, params, request,
-    reset_count, sent_messages, service, status_report, syn, syn_ack,
+    agent_address, balancer_address, domain, encode, events, flow, from_caller, from_target,
+    params, request, reset_count, sent_messages, service, status_report, syn, syn_ack,
 };
 
 pub(crate) fn agent(now: Instant) -> FlowAgent {
@@ -548,3 +548,24 @@
     informed.sort_unstable();
     assert_eq!(informed, [balancer_address(1), balancer_address(2)]);
 }
+
+/// A flow from a port that was used before inherited the closed flow: a SYN that its target returned was not
+/// refused, so the caller waited for its timeout.
+#[test]
+fn flow_from_a_port_that_is_used_again_is_new() {
+    let now = Instant::now();
+    let mut agent = with_target(now);
+    assert_eq!(open(&mut agent, 1, now), None);
+    accept(&mut agent, 1, 5000, now);
+    let fin = from_caller(flow(1), PacketFlags::FIN.with(PacketFlags::ACK), 5001, 0);
+    agent.on_forward(balancer_address(1), &fin, &encode(&fin), now);
+    let fin = from_target(flow(1), PacketFlags::FIN.with(PacketFlags::ACK), 5001, 0);
+    agent.on_target_packet(&fin, &encode(&fin), now);
+    let later = now + Duration::from_millis(1500);
+    assert_eq!(open(&mut agent, 1, later), None);
+    let actions = bounce(&mut agent, syn(flow(1), 0), later);
+    assert!(matches!(
+        sent_messages(&actions)[..],
+        [(_, Message::OpenRefused { .. })]
+    ));
+}
--- a/crates/cranberrypitch-core/tests/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/tests/flow/dispatcher.rs
@@ -596,3 +596,16 @@
     let is_used = |port| open(&mut dispatcher, flow(port), now) == agent_address(2);
     assert!((20..60).any(is_used));
 }
+
+/// An agent that was given up for its silence refused the SYN later, and the flow was reset although another
+/// agent's target was about to accept it.
+#[test]
+fn late_refusal_of_an_earlier_agent_does_not_reset_the_flow() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(local_records(2), now);
+    let first = open(&mut dispatcher, flow(1), now);
+    let later = now + Duration::from_millis(70);
+    dispatcher.on_tick(later);
+    let actions = dispatcher.on_open_refused(first, flow(1), RefusalCause::Overloaded, later);
+    assert_eq!(reset_count(&actions), 0);
+}
--- a/crates/cranberrypitch-core/tests/flow/schedule_decision.rs
+++ b/crates/cranberrypitch-core/tests/flow/schedule_decision.rs
@@ -10,8 +10,8 @@
 const CAPACITY: TargetCapacity = TargetCapacity {
     service_time: Duration::from_millis(40),
     slots: 2,
-    syn_wait_min: Duration::from_millis(400),
-    syn_wait_max: Some(Duration::from_millis(400)),
+    min_syn_wait: Duration::from_millis(400),
+    syn_wait_limit: Some(Duration::from_millis(400)),
     admits_flows: true,
 };
 
@@ -149,7 +149,7 @@
     let now = Instant::now();
     let capacity = TargetCapacity {
         service_time: Duration::ZERO,
-        syn_wait_max: None,
+        syn_wait_limit: None,
         ..CAPACITY
     };
     let wait_of = |timeout_ms| {
--- a/crates/cranberrypitch-core/tests/flow/schedule_overload.rs
+++ b/crates/cranberrypitch-core/tests/flow/schedule_overload.rs
@@ -148,8 +148,8 @@
     let capacity = TargetCapacity {
         service_time: total_work / count,
         slots: site.slots,
-        syn_wait_min: Duration::from_millis(syn_wait_max_ms),
-        syn_wait_max: Some(Duration::from_millis(syn_wait_max_ms)),
+        min_syn_wait: Duration::from_millis(syn_wait_max_ms),
+        syn_wait_limit: Some(Duration::from_millis(syn_wait_max_ms)),
         admits_flows: true,
     };
     let mut target = Target::new(site.slots);
@@ -221,7 +221,7 @@
             waiting.remove(index);
         }
     } else {
-        waiting.retain(|request| now - request.waiting.arrived_at < capacity.syn_wait_min);
+        waiting.retain(|request| now - request.waiting.arrived_at < capacity.min_syn_wait);
     }
 }
 
--- a/crates/cranberrypitch-measure/src/selection/simulation.rs
+++ b/crates/cranberrypitch-measure/src/selection/simulation.rs
@@ -409,7 +409,7 @@
         if let Some(next) = self.targets[target].finish(now) {
             self.start_request(target, next, now);
         }
-        let limit = FlowAgentOptions::default().backlog_timeout;
+        let limit = FlowAgentOptions::default().min_syn_wait;
         let (released, overdue) = self.targets[target].release_held(limit, now);
         self.refused += u32::try_from(overdue).unwrap_or(u32::MAX);
         if let Some(request) = released {
--- a/crates/cranberrypitch-measure/src/selection/target.rs
+++ b/crates/cranberrypitch-measure/src/selection/target.rs
@@ -100,8 +100,8 @@
         let capacity = TargetCapacity {
             service_time: Duration::ZERO,
             slots: self.slots,
-            syn_wait_min: limit,
-            syn_wait_max: Some(limit),
+            min_syn_wait: limit,
+            syn_wait_limit: Some(limit),
             admits_flows: true,
         };
         let next = self.turns.next(&waiting, &capacity, now)?;
--- a/crates/cranberrypitch-relay/src/agent.rs
+++ b/crates/cranberrypitch-relay/src/agent.rs
@@ -22,7 +22,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use self::target_check::{TargetPresence, check_target};
+use self::target_check::{TargetCheck, check_target};
 use crate::daemon::{ActionExecutor, DaemonContext, Readiness, check_settings_file};
 use crate::errors::{Error, Result};
 use crate::io::http_server::{self, Call};
@@ -232,9 +232,9 @@
         let mut is_target_checked = false;
         loop {
             tokio::select! {
-                presence = &mut target_check, if !is_target_checked => {
+                result = &mut target_check, if !is_target_checked => {
                     is_target_checked = true;
-                    self.on_target_checked(presence);
+                    self.on_target_checked(result);
                 }
                 result = peer_socket.readable() => {
                     log_unreadable(result);
@@ -276,13 +276,13 @@
         }
         // The first check is out of date, and the second one may have no result.
         self.agent.on_target_maybe_present();
-        if let Ok(presence) = timeout(STOP_CHECK_TIMEOUT, check_target(target)).await {
-            self.on_target_checked(presence);
+        if let Ok(result) = timeout(STOP_CHECK_TIMEOUT, check_target(target)).await {
+            self.on_target_checked(result);
         }
     }
 
-    fn on_target_checked(&mut self, presence: TargetPresence) {
-        if presence == TargetPresence::Absent {
+    fn on_target_checked(&mut self, result: TargetCheck) {
+        if result == TargetCheck::Refused {
             let now = self.clock.now();
             let actions = self.agent.on_target_absent();
             self.executor.execute::<P>(actions, now);
--- a/crates/cranberrypitch-relay/src/agent/target_check.rs
+++ b/crates/cranberrypitch-relay/src/agent/target_check.rs
@@ -1,4 +1,5 @@
-//! The check whether the target was running before its agent.
+//! The check whether a process listens at the address of the target, made when the agent starts, and when it
+//! stops without a status report.
 //!
 //! An agent that starts beside a running target does not know which flows the target holds. Without status
 //! reports it can't tell that case from a VM whose target is gone, which lasts until the lease of the VM ends.
@@ -19,20 +20,20 @@
 
 /// Whether a process listens at the address of the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum TargetPresence {
+pub(super) enum TargetCheck {
     /// A process accepted a connection.
     Listening,
     /// The connection was refused.
-    Absent,
+    Refused,
 }
 
 /// Connects to the target until it is known whether a process listens there. Sends nothing.
-pub(super) async fn check_target(address: SocketAddrV4) -> TargetPresence {
+pub(super) async fn check_target(address: SocketAddrV4) -> TargetCheck {
     loop {
         match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(_)) => return TargetPresence::Listening,
+            Ok(Ok(_)) => return TargetCheck::Listening,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                return TargetPresence::Absent;
+                return TargetCheck::Refused;
             }
             Ok(Err(error)) => {
                 tracing::debug!(target: crate::log::TARGET, %address, %error, "check of the target failed");
