--- /dev/null
+++ b/crates/cranberrypitch-core/tests/flow/refusals.rs
@@ -0,0 +1,42 @@
+//! Refusals of agents at a balancer.
+
+use std::time::{Duration, Instant};
+
+use cranberrypitch_core::flow::{FlowEvent, RefusalCause, ResetCause, ResetEvidenceKind};
+
+use crate::dispatcher::{dispatcher, local_records, open};
+use crate::support::{events, flow, reset_count, sent_messages};
+
+/// A SYN in the queue of an agent is not sent to other agents, where it would be queued as well. When
+/// the agent refuses it, the flow is reset so that its caller can retry.
+#[test]
+fn queued_syn_is_not_sent_to_other_agents() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(local_records(5), now);
+    let agent = open(&mut dispatcher, flow(1), now);
+    dispatcher.on_open_queued(agent, flow(1), now);
+    let later = now + Duration::from_millis(300);
+    assert!(sent_messages(&dispatcher.on_tick(later)).is_empty());
+    let actions = dispatcher.on_open_refused(agent, flow(1), RefusalCause::Overloaded, later);
+    let reset = FlowEvent::Reset {
+        flow: flow(1),
+        cause: ResetCause::Overloaded,
+        evidence: ResetEvidenceKind::FirstSyn,
+        read_after: None,
+    };
+    assert!(events(&actions).contains(&&reset));
+    assert!(sent_messages(&actions).is_empty());
+}
+
+/// An agent that was given up for its silence refused the SYN later, and the flow was reset although another
+/// agent's target was about to accept it.
+#[test]
+fn late_refusal_of_an_earlier_agent_does_not_reset_the_flow() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(local_records(2), now);
+    let first = open(&mut dispatcher, flow(1), now);
+    let later = now + Duration::from_millis(70);
+    dispatcher.on_tick(later);
+    let actions = dispatcher.on_open_refused(first, flow(1), RefusalCause::Overloaded, later);
+    assert_eq!(reset_count(&actions), 0);
+}
--- a/crates/cranberrypitch-core/tests/flow/world.rs
+++ b/crates/cranberrypitch-core/tests/flow/world.rs
@@ -7,6 +7,7 @@
 
 mod callers;
 mod delivery;
+mod outages;
 mod simulation;
 
 use std::time::Duration;
--- a/crates/cranberrypitch-core/tests/flow/world/simulation.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/simulation.rs
@@ -41,17 +41,17 @@
 const ADDRESS_REUSE_TIME: Duration = Duration::from_secs(2);
 
 /// The time within which an agent gets two reports of its target.
-const REPORT_TIME: Duration = Duration::from_millis(100);
+pub(super) const REPORT_TIME: Duration = Duration::from_millis(100);
 
 /// The sequence number of the last report of a lost target that arrived in time.
 const LATE_SEQUENCE: u64 = 40;
 
 /// The maximum number of lost VMs that balancers may still select. With a third one, the timeouts of a SYN at them
 /// exceed the time that a flow has to open here.
-const MAX_SELECTABLE_LOST_VMS: usize = 2;
+pub(super) const MAX_SELECTABLE_LOST_VMS: usize = 2;
 
 /// The time to live of the lease of a registration.
-const LEASE_TTL: Duration = Duration::from_secs(9);
+pub(super) const LEASE_TTL: Duration = Duration::from_secs(9);
 
 /// The epoch of the store, which is never restored here.
 const EPOCH: u64 = 1;
@@ -110,7 +110,7 @@
     /// Whether the last record is not written yet.
     pub(super) is_write_pending: bool,
     /// The end of the lease of an agent whose VM is lost for good; none for other agents.
-    lost_until: Option<Instant>,
+    pub(super) lost_until: Option<Instant>,
     pub(super) target: Target,
 }
 
@@ -291,13 +291,6 @@
         }
     }
 
-    /// Discards the store's history, so that each balancer has to list the agents again.
-    pub(super) fn discard_history(&mut self) {
-        for balancer in self.balancers.values_mut() {
-            balancer.has_history = false;
-        }
-    }
-
     /// Adds an agent with a target, which no running balancer knows yet.
     pub(super) fn add_agent(&mut self, service: Service) {
         let index = u8::try_from(self.agents.len()).unwrap() + 1;
@@ -305,7 +298,7 @@
     }
 
     /// Starts a VM with an agent and a target at an address, and registers it.
-    fn start_vm(&mut self, index: u8, service: Service) {
+    pub(super) fn start_vm(&mut self, index: u8, service: Service) {
         self.start_processes(index, service);
         self.report_status(index);
         self.register(index);
@@ -463,75 +456,6 @@
         };
     }
 
-    /// Lets a target begin to drain, or takes its drain back.
-    pub(super) fn toggle_drain(&mut self, index: u8) {
-        let target = &mut self.agents.get_mut(&index).unwrap().target;
-        target.is_draining = !target.is_draining;
-        self.report_status(index);
-    }
-
-    /// Lets a target drain, and take that back while the store carries out no write.
-    pub(super) fn take_back_drain(&mut self, index: u8, blocked: Duration) {
-        if !self.agents[&index].target.is_draining {
-            self.toggle_drain(index);
-        }
-        self.advance(REPORT_TIME / 2);
-        self.block_writes(blocked);
-        // The drain ends with the second report that does not name it.
-        self.toggle_drain(index);
-        self.advance(REPORT_TIME / 2);
-    }
-
-    /// Lets all VMs lose power. Those whose targets drain never return, and of the others those that are chosen by
-    /// `is_lost`. The others start again at once, without flows.
-    pub(super) fn lose_power(&mut self, is_lost: impl Fn(u8) -> bool) {
-        self.messages.clear();
-        let agents: Vec<_> = self.agents.keys().copied().collect();
-        for index in agents {
-            let agent = &self.agents[&index];
-            if agent.is_lost() {
-                continue;
-            }
-            let service = agent.target.service;
-            if agent.target.is_draining || is_lost(index) {
-                self.lose_vm(index);
-            }
-            if !self.agents[&index].is_lost() {
-                self.start_vm(index, service);
-            }
-        }
-        for balancer in 1..=BALANCERS {
-            self.start_balancer(balancer);
-        }
-    }
-
-    /// Returns the number of lost VMs that balancers may select, as the store lists them as ready.
-    fn selectable_lost_vms(&self) -> usize {
-        let is_selectable = |(index, agent): &(&u8, &Agent)| {
-            let record = self.store.records.get(index);
-            agent.is_lost() && record.is_some_and(|record| record.state == TargetState::Ready)
-        };
-        self.agents.iter().filter(is_selectable).count()
-    }
-
-    /// Loses a VM for good. Its registration ends with its lease. No more than [`MAX_SELECTABLE_LOST_VMS`] are lost
-    /// at a time unless they drain.
-    pub(super) fn lose_vm(&mut self, index: u8) {
-        let lease_end = self.now + LEASE_TTL;
-        let may_be_lost = self.selectable_lost_vms() < MAX_SELECTABLE_LOST_VMS
-            || self.agents[&index].target.is_draining;
-        let agent = self.agents.get_mut(&index).unwrap();
-        if agent.is_lost() || !may_be_lost {
-            return;
-        }
-        agent.process = None;
-        agent.restart_at = None;
-        agent.is_write_pending = false;
-        agent.lost_until = Some(lease_end);
-        agent.target.flows.clear();
-        agent.target.process = u64::MAX;
-    }
-
     /// Loses the VM of a target for good, and gives its address to a target of the other service. Two callers
     /// send transmissions of their SYNs through one balancer before and after the new VM starts. Late reports
     /// of the lost target reach the new agent first.
@@ -578,7 +502,7 @@
         }
     }
 
-    fn report_status(&mut self, index: u8) {
+    pub(super) fn report_status(&mut self, index: u8) {
         let agent = self.agents.get_mut(&index).unwrap();
         if agent.is_lost() {
             return;
