--- a/crates/cranberrypitch-core/src/flow/selection.rs
+++ b/crates/cranberrypitch-core/src/flow/selection.rs
@@ -210,8 +210,8 @@
         scored.min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
-    /// Ejects and readmits targets by the last reports of their agents, at most once in
-    /// [`OUTLIER_UPDATE_INTERVAL`].
+    /// Ejects and readmits targets by the last reports of their agents, at most once in the
+    /// update interval.
     pub fn update_outliers(
         &mut self,
         directory: &AgentDirectory,
