--- a/crates/cranberrypitch-relay/src/store/registration.rs
+++ b/crates/cranberrypitch-relay/src/store/registration.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cranberrypitch_core::TargetState;
 use cranberrypitch_core::flow::{AgentRecord, NumberedRecord, RecordNumber};
 use cranberrypitch_net::store::{
     Entry, Error as StoreError, ExpectedVersion, LeaseId, Put, Store, StoreKey, Version,
@@ -140,8 +139,8 @@
     }
 
     /// Writes the latest record and renews its lease until the sender is dropped. Then it releases the lease,
-    /// unless the last record must be written: see [`Self::must_write_last`]. Nothing is written before the first
-    /// record.
+    /// unless the last record says that the agent stops beside a running target: it stays listed for the
+    /// next agent. Nothing is written before the first record.
     pub(crate) async fn run(mut self, mut records: Receiver<Option<NumberedRecord>>) {
         let mut backoff = Backoff::default();
         let mut is_renewal_due = false;
@@ -173,20 +172,13 @@
         }
         let last = records.borrow().clone();
         match last {
-            Some(NumberedRecord { record, .. }) if self.must_write_last(&record) => {
+            Some(NumberedRecord { record, .. }) if record.is_agent_stopping => {
                 self.write_last(record).await;
             }
             _ => self.release().await,
         }
     }
 
-    /// Returns whether the last record must be written, and not only the lease be released: the agent stops beside a
-    /// running target, or the target is gone and the store may list the record of an earlier process of the agent,
-    /// whose lease this one does not hold.
-    fn must_write_last(&self, record: &AgentRecord) -> bool {
-        record.is_agent_stopping || (record.state == TargetState::Gone && self.lease.is_none())
-    }
-
     /// Reports the result of an update with a record to the agent.
     fn report_status(&self, number: RecordNumber, is_updated: bool) {
         let is_registered = is_updated && self.written.is_some();
