--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,7 @@
 """A balancer goes on with an old configuration for longer than `config-apply-ms`.
 
-Balancers A and B, three agents with targets. A watches the store for the others and is stopped as planned.
-Two machines beside targets stand still meanwhile. As each wakes, it passes on the checks of the configuration
+Balancers A and B in two zones, and in each of three zones three machines beside targets. A watches the store for the others and is stopped as planned.
+Two of the machines stand still meanwhile. As each wakes, it passes on the checks of the configuration
 that A sent before its stop, and B takes them for new ones.
 """
 
@@ -29,9 +29,11 @@
     ports = machine_ports()
     store = Store(("127.0.0.1", free_ports(1)[0]))
     store.operator_write("op/config", config(5, [ROUTE], "matcher"))
-    front = [Place("front-a", "127.0.11.1", "norte", ports), Place("front-b", "127.0.11.2", "norte", ports)]
-    side = [Place(f"side-{i}", f"127.0.11.{10 + i}", "norte", ports, "matcher") for i in range(3)]
-    system = Deployment(folder, store.address, ports, {"norte"})
+    front = [Place("front-a", "127.0.11.1", "norte", ports), Place("front-b", "127.0.12.1", "sul", ports)]
+    # The first three are in the zone of front-b.
+    side = [Place(f"side-{zone}-{i}", f"127.0.{net}.{10 + i}", zone, ports, "matcher")
+            for zone, net in (("sul", 12), ("norte", 11), ("leste", 13)) for i in range(3)]
+    system = Deployment(folder, store.address, ports, {"norte", "sul", "leste"})
     system.seeds = [f"{place.ip}:{place.control}" for place in front]
     frozen = []
     try:
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -250,6 +250,7 @@
         self.tcp.bind((place.ip, place.app))
         self.tcp.listen(32)
         self.acknowledged = 0
+        self.delay_s = 0.0
         for work in (self.serve_packets, self.serve_health, self.report):
             threading.Thread(target=work, daemon=True).start()
 
@@ -302,12 +303,18 @@
             packet = Packet.decode(raw)
             if packet.sum != SUM:
                 self.record.write(f"target {self.place.name}: altered packet")
-            with self.lock:
-                self.on_packet(packet, raw, moment)
+            self.taken.append((moment, (packet.src, packet.sport, packet.dst, packet.dport), packet.flags))
+            if self.delay_s:
+                threading.Timer(self.delay_s, self.take, (packet, raw)).start()
+            else:
+                self.take(packet, raw)
+
+    def take(self, packet, raw):
+        with self.lock:
+            self.on_packet(packet, raw)
 
-    def on_packet(self, packet, raw, moment):
+    def on_packet(self, packet, raw):
         key = (packet.src, packet.sport, packet.dst, packet.dport)
-        self.taken.append((moment, key, packet.flags))
         flow = self.flows.get(key)
         if packet.flags & SYN:
             if flow is None:
