--- a/review/standins2.py
+++ b/review/standins2.py
@@ -241,7 +241,7 @@
         self.id = f"i-{random.randrange(16**10):010x}"
         self.born = int((time.time() + clock_ahead_s) * 1000)
         self.state, self.sequence = "ready", 0
-        self.flows, self.taken = {}, []
+        self.flows, self.ran = {}, []
         self.lock = threading.Lock()
         self.udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.udp.bind((place.ip, place.app))
@@ -250,15 +250,22 @@
         self.tcp.bind((place.ip, place.app))
         self.tcp.listen(32)
         self.acknowledged = 0
-        self.delay_s = 0.0
+        self.stands_still = False
         for work in (self.serve_packets, self.serve_health, self.report):
             threading.Thread(target=work, daemon=True).start()
 
     def report(self):
+        """Reports at steady intervals. Time for which the machine is suspended doesn't count."""
         while True:
-            began = time.monotonic()
-            self.send_report()
-            time.sleep(max(0.0, self.beat_s - (time.monotonic() - began)))
+            left = self.beat_s
+            if not self.stands_still:
+                began = time.monotonic()
+                self.send_report()
+                left -= time.monotonic() - began
+            while left > 0 or self.stands_still:
+                time.sleep(0.01)
+                if not self.stands_still:
+                    left -= 0.01
 
     def send_report(self):
         self.sequence += 1
@@ -299,19 +306,11 @@
     def serve_packets(self):
         while True:
             raw, _ = self.udp.recvfrom(4096)
-            moment = time.monotonic()
             packet = Packet.decode(raw)
             if packet.sum != SUM:
                 self.record.write(f"target {self.place.name}: altered packet")
-            self.taken.append((moment, (packet.src, packet.sport, packet.dst, packet.dport), packet.flags))
-            if self.delay_s:
-                threading.Timer(self.delay_s, self.take, (packet, raw)).start()
-            else:
-                self.take(packet, raw)
-
-    def take(self, packet, raw):
-        with self.lock:
-            self.on_packet(packet, raw)
+            with self.lock:
+                self.on_packet(packet, raw)
 
     def on_packet(self, packet, raw):
         key = (packet.src, packet.sport, packet.dst, packet.dport)
@@ -360,6 +359,7 @@
             request_id = request.split(b"X-Request-Id: ")[1].split(b"\r\n")[0]
             body = b"ran " + request_id
             data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            self.ran.append((request_id.decode(), key[2]))
             self.record.write(f"target {self.place.name}: ran {request_id.decode()} of {key[0]}:{key[1]}")
             self.reply(key, ACK, flow["seq"], flow["next"], data)
             flow["seq"] += len(data)
