--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,8 @@
 """A live flow is reset after its agent was restarted and a copy of its SYN arrived late.
 
-Balancers A and B and two machines beside targets. A's machine stands still. Callers whose SYNs it
-holds open their flows with a copy of the SYN through B, and use them. The process beside their targets is
-restarted as planned. A's machine wakes and forwards the SYNs that it holds. Later the callers go on with their
+Balancers A and B and eight machines beside targets, two of them in the zone of A and B. A's machine stands still.
+Callers whose SYNs it holds open their flows with a copy of the SYN through B, and use them. The processes beside two
+targets are restarted in turn as planned. A's machine wakes and forwards the SYNs that it holds. Later the callers go on with their
 flows.
 """
 
@@ -21,7 +21,7 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 FLOWS = 140
-FREEZE_S = 3.2
+FREEZE_S = 3.4
 CONTACT_S = 4.0
 ROUTE = ("127.9.0.1", 8443)
 
@@ -34,13 +34,15 @@
     front = [Place("front-a", "127.0.11.1", "norte", ports), Place("front-b", "127.0.11.2", "norte", ports)]
     side = [Place("side-a", "127.0.11.10", "norte", ports, "matcher"),
             Place("side-b", "127.0.11.11", "norte", ports, "matcher")]
-    system = Deployment(folder, store.address, ports, {"norte"})
+    # Ten machines in all, so that one is a share of 0.1. The others belong to a service without traffic.
+    side += [Place(f"side-{i}", f"127.0.12.{10 + i}", "sul", ports, "tracer") for i in range(6)]
+    system = Deployment(folder, store.address, ports, {"norte", "sul"})
     system.seeds = [f"{place.ip}:{place.control}" for place in front]
     a, b = front
     try:
         for place in front + side:
             system.start(place)
-        targets = [Target(place, "matcher", record) for place in side]
+        targets = [Target(place, place.service, record) for place in side]
         wait_until(lambda: all(system.ready(place) for place in front), 15, "balancers are not ready")
         wait_until(lambda: all(target.acknowledged >= 3 for target in targets), 15, "no status report acknowledged")
         consumer = Consumer("127.0.30.1", ports[0], record)
@@ -63,25 +65,30 @@
             if states[index] == "open":
                 flow.request()
 
+        def restart(place, at):
+            time.sleep(max(0.0, at - time.monotonic()))
+            record.write(f"platform: SIGTERM to the process of {place.name} (planned restart)")
+            process = system.processes[place.name]
+            process.send_signal(signal.SIGTERM)
+            process.wait(8)
+            system.start(place)
+            record.write(f"platform: the process of {place.name} is started again")
+
         users = [threading.Thread(target=use, args=(index,)) for index in range(FLOWS)]
+        # A planned restart of two of the daemons beside targets, 1.3 s apart, once the flows are open.
+        restarts = [threading.Thread(target=restart, args=(place, froze_at + 1.75 + 1.3 * index))
+                    for index, place in enumerate(side[:2])]
         time.sleep(0.25)
         for thread in users:
             thread.start()
             time.sleep(0.005)
-        for thread in users:
+        for thread in restarts:
+            thread.start()
+        for thread in users + restarts:
             thread.join()
         record.write(f"consumer: {states.count('open')} of {FLOWS} flows are open")
         if states.count("open") < FLOWS // 2:
             raise RuntimeError("too few flows are open")
-
-        # A planned restart of the daemons beside targets, one after the other.
-        for place in side:
-            record.write(f"platform: SIGTERM to the process of {place.name} (planned restart)")
-            process = system.processes[place.name]
-            process.send_signal(signal.SIGTERM)
-            process.wait(8)
-            system.start(place)
-            record.write(f"platform: the process of {place.name} is started again")
         restarted_at = time.monotonic()
         time.sleep(max(0.0, froze_at + FREEZE_S - time.monotonic()))
         if TROUBLE:
