Log why an agent denies a flow that it has an entry for

The lines of the reset did not tell whether the agent had lost its entry, or compared the caller's number with numbers that it did not know whole.

The new event NotHeld has the acknowledged number, the known numbers of the target and which part of the flow the agent has seen.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -250,7 +250,9 @@
             }
             LookupAnswer::NotHeld => {
                 let packet = Cow::Borrowed(packet);
-                vec![Action::send(balancer, Message::PacketReturned { packet })]
+                let mut actions = self.not_held_events(&flow, header.ack_number);
+                actions.push(Action::send(balancer, Message::PacketReturned { packet }));
+                actions
             }
         }
     }
@@ -283,10 +285,13 @@
     ) -> Vec<Action<'static>> {
         self.on_balancer_message(balancer, now);
         let answer = self.lookup(&flow, ack_number, now);
-        vec![Action::send(
-            balancer,
-            Message::LookupReply { flow, answer },
-        )]
+        let mut actions = Vec::with_capacity(1);
+        if answer == LookupAnswer::NotHeld {
+            actions.extend(self.not_held_events(&flow, ack_number));
+        }
+        let reply = Message::LookupReply { flow, answer };
+        actions.push(Action::send(balancer, reply));
+        actions
     }
 
     /// Answers a balancer's lookup of several flows in one message.
@@ -297,14 +302,25 @@
         now: Instant,
     ) -> Vec<Action<'static>> {
         self.on_balancer_message(balancer, now);
-        let answers = queries
-            .iter()
-            .map(|query| {
-                let answer = self.lookup(&query.flow, query.ack_number, now);
-                (query.flow, answer)
-            })
-            .collect();
-        vec![Action::send(balancer, Message::LookupBatchReply(answers))]
+        let mut actions = Vec::with_capacity(1);
+        let mut answers = Vec::with_capacity(queries.len());
+        for LookupQuery { flow, ack_number } in queries {
+            let answer = self.lookup(flow, *ack_number, now);
+            if answer == LookupAnswer::NotHeld {
+                actions.extend(self.not_held_events(flow, *ack_number));
+            }
+            answers.push((*flow, answer));
+        }
+        let reply = Message::LookupBatchReply(answers.into());
+        actions.push(Action::send(balancer, reply));
+        actions
+    }
+
+    /// Returns the event that the target does not hold a flow, if the agent has an entry for it.
+    fn not_held_events<'a>(&self, flow: &FlowKey, ack_number: u32) -> Vec<Action<'a>> {
+        let hosted = self.flows.get(flow);
+        let event = hosted.and_then(|hosted| hosted.not_held_event(*flow, ack_number));
+        event.map(Action::RecordEvent).into_iter().collect()
     }
 
     fn lookup(&self, flow: &FlowKey, ack_number: u32, now: Instant) -> LookupAnswer {
--- a/crates/cranberrypitch-core/src/flow/agent/admission.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/admission.rs
@@ -11,6 +11,7 @@
 use super::target_process::TargetProcess;
 use crate::flow::cause::{DropCause, RefusalCause};
 use crate::flow::event::FlowEvent;
+use crate::flow::flow_view::FlowView;
 use crate::flow::message::{Action, OpenParams, dropped};
 use crate::flow::packet::{FlowKey, PacketHeader};
 use crate::ids::{ServiceName, ServiceTag};
@@ -80,7 +81,12 @@
         terms: FlowTerms,
         now: Instant,
     ) -> Vec<Action<'a>> {
-        if !self.flows.open(flow, balancer, terms, now) {
+        let view = if self.may_hold_unknown_flows(now) {
+            FlowView::Partial
+        } else {
+            FlowView::Whole
+        };
+        if !self.flows.open(flow, view, balancer, terms, now) {
             return Vec::new();
         }
         self.queue.on_passed(*flow.caller.ip(), now);
--- a/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
@@ -6,6 +6,8 @@
 
 use super::FlowAgentOptions;
 use crate::collections::FastMap;
+use crate::flow::event::FlowEvent;
+use crate::flow::flow_view::FlowView;
 use crate::flow::load::LoadMeter;
 use crate::flow::message::OpenParams;
 use crate::flow::packet::{FlowKey, PacketFlags, PacketHeader};
@@ -58,6 +60,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct HostedFlow {
     state: HostedFlowState,
+    view: FlowView,
     balancer: Option<SocketAddrV4>,
     /// The balancer that sent an earlier copy of the SYN, until the target has accepted the flow.
     earlier_balancer: Option<SocketAddrV4>,
@@ -80,9 +83,25 @@
 }
 
 impl HostedFlow {
-    const fn new(state: HostedFlowState, balancer: Option<SocketAddrV4>, now: Instant) -> Self {
+    /// Returns a flow whose SYN is passed to the target.
+    const fn opening(view: FlowView, balancer: SocketAddrV4, now: Instant) -> Self {
+        Self::new(HostedFlowState::Opening, view, Some(balancer), now)
+    }
+
+    /// Returns a flow that the target may hold from before the agent started.
+    const fn probing(balancer: Option<SocketAddrV4>, now: Instant) -> Self {
+        Self::new(HostedFlowState::Probing, FlowView::Partial, balancer, now)
+    }
+
+    const fn new(
+        state: HostedFlowState,
+        view: FlowView,
+        balancer: Option<SocketAddrV4>,
+        now: Instant,
+    ) -> Self {
         Self {
             state,
+            view,
             balancer,
             earlier_balancer: None,
             target_seq_range: None,
@@ -151,6 +170,18 @@
         }
     }
 
+    /// Returns the event that the target does not hold the flow of a caller with the given acknowledgement number.
+    pub(super) fn not_held_event(&self, flow: FlowKey, ack_number: u32) -> Option<FlowEvent> {
+        let (first_seq, next_seq) = self.target_seq_range?;
+        Some(FlowEvent::NotHeld {
+            flow,
+            ack_number,
+            first_seq,
+            next_seq,
+            view: self.view,
+        })
+    }
+
     /// Processes a packet of the caller. Returns whether it is the first packet of a request.
     pub(super) fn on_caller_packet(
         &mut self,
@@ -342,10 +373,12 @@
         self.flows.get_mut(flow)
     }
 
-    /// Adds a flow whose SYN is passed to the target. Returns whether it is new.
+    /// Adds a flow whose SYN is passed to the target. `view` tells whether the target can have held it before.
+    /// Returns whether it is new.
     pub(super) fn open(
         &mut self,
         flow: FlowKey,
+        view: FlowView,
         balancer: SocketAddrV4,
         terms: FlowTerms,
         now: Instant,
@@ -360,7 +393,7 @@
             self.open_len += 1;
             self.recently_opened.push_back((now, flow));
         }
-        let opening = || HostedFlow::new(HostedFlowState::Opening, Some(balancer), now);
+        let opening = || HostedFlow::opening(view, balancer, now);
         let hosted = self.flows.entry(flow).or_insert_with(opening);
         // The target may hold the flow again after a copy of its SYN.
         if hosted.is_closed() {
@@ -411,7 +444,7 @@
 
     /// Adds a flow that the target may hold from before the agent started.
     pub(super) fn probe(&mut self, flow: FlowKey, balancer: SocketAddrV4, now: Instant) {
-        let hosted = HostedFlow::new(HostedFlowState::Probing, Some(balancer), now);
+        let hosted = HostedFlow::probing(Some(balancer), now);
         if self.flows.insert(flow, hosted).is_none() {
             self.probing.push_back((now, flow));
         }
@@ -445,7 +478,7 @@
     pub(super) fn get_or_insert(&mut self, flow: FlowKey, now: Instant) -> &mut HostedFlow {
         self.flows
             .entry(flow)
-            .or_insert_with(|| HostedFlow::new(HostedFlowState::Probing, None, now))
+            .or_insert_with(|| HostedFlow::probing(None, now))
     }
 
     pub(super) fn remove(&mut self, flow: &FlowKey, meter: &mut LoadMeter, now: Instant) {
--- a/crates/cranberrypitch-core/src/flow/event.rs
+++ b/crates/cranberrypitch-core/src/flow/event.rs
@@ -5,6 +5,7 @@
 
 use super::cause::{DropCause, IgnoredReportCause, RefusalCause, ResetCause, ResetEvidenceKind};
 use super::evacuation::state::EvacuationVersion;
+use super::flow_view::FlowView;
 use super::packet::FlowKey;
 use super::selection::{EjectionCause, OutlierChange};
 use crate::ids::{FailureDomain, Incarnation, Revision, ServiceName};
@@ -55,6 +56,20 @@
         /// The time since the lookup began.
         elapsed: Duration,
     },
+    /// An agent answered that its target does not hold a flow that it has an entry for: the caller acknowledges
+    /// a number that the target did not send.
+    NotHeld {
+        /// The flow.
+        flow: FlowKey,
+        /// The number that the caller acknowledges.
+        ack_number: u32,
+        /// The number of the target's SYN-ACK.
+        first_seq: u32,
+        /// The number after the last byte that the agent has seen of the target.
+        next_seq: u32,
+        /// Which part of the flow the agent has seen.
+        view: FlowView,
+    },
     /// An agent refused to open a flow.
     Refused {
         /// The flow.
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -16,6 +16,7 @@
 mod dispatcher;
 mod evacuation;
 mod event;
+mod flow_view;
 mod held_flows;
 mod load;
 mod message;
@@ -41,6 +42,7 @@
     EvacuationVersion,
 };
 pub use self::event::FlowEvent;
+pub use self::flow_view::FlowView;
 pub use self::held_flows::HeldFlows;
 pub use self::load::{AgentLoad, LoadMeter};
 pub use self::message::{Action, LookupAnswer, LookupQuery, Message, OpenParams};
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -15,6 +15,7 @@
 mod lookup;
 mod odd_reports;
 mod outliers;
+mod partial_view;
 mod refusals;
 mod reports;
 mod reused_address;
--- a/crates/cranberrypitch-relay/src/log.rs
+++ b/crates/cranberrypitch-relay/src/log.rs
@@ -147,6 +147,7 @@
         event,
         FlowEvent::Placed { .. }
             | FlowEvent::Located { .. }
+            | FlowEvent::NotHeld { .. }
             | FlowEvent::Dropped { .. }
             | FlowEvent::SynPassed { .. }
             | FlowEvent::WarmupLimited { .. }
@@ -191,6 +192,15 @@
             let elapsed_ms = milliseconds(*elapsed);
             tracing::warn!(target: TARGET, event = "NotLocated", %flow, asked = queried_agents, silent = unresponsive_agents, excluding = excluding_agents, agent, silent_ms, elapsed_ms);
         }
+        FlowEvent::NotHeld {
+            flow,
+            ack_number,
+            first_seq,
+            next_seq,
+            view,
+        } => {
+            tracing::info!(target: TARGET, event = "NotHeld", %flow, ack_number, first_seq, next_seq, %view);
+        }
         FlowEvent::Refused { flow, agent, cause } => {
             tracing::info!(target: TARGET, event = "Refused", %flow, %agent, %cause);
         }
