Deny a flow only by numbers of its target that were seen whole

Cause: an agent that was restarted after a flow was opened got a late copy of its SYN from a balancer that had stood still. The target repeated its SYN-ACK, and the agent took that for all numbers of the target, so the caller's number, beyond what the target had sent before, counted as another target's.

The numbers of a target are now a type that knows whether the flow was seen from its SYN on. Otherwise the answer is that the flow may be held, and a packet is passed to the target, which returns it if it does not hold the flow. The same knowledge decides whether a returned packet ends a flow and whether a flow ended with an earlier process: a second target that accepted the late SYN reset the flow that the caller has with the first one.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -13,6 +13,7 @@
 mod schedule;
 mod slow_start;
 mod status;
+mod target_numbers;
 mod target_presence;
 mod target_process;
 
@@ -32,6 +33,7 @@
     FairTurns, MAX_REQUESTS_PER_SLOT, RequestKind, TargetCapacity, WaitingRequest,
 };
 use self::slow_start::SlowStart;
+use self::target_numbers::FollowedTarget;
 use self::target_presence::TargetPresence;
 pub use self::target_process::{StatusReport, TargetProcess};
 use super::cause::DropCause;
@@ -260,18 +262,12 @@
     /// Returns whether the target holds a flow whose caller sent the given acknowledgement number.
     /// Retransmissions of a SYN may reach several targets, and the caller uses one of them.
     fn holds_flow(&self, flow: &FlowKey, ack_number: u32, now: Instant) -> LookupAnswer {
-        match self.flows.get(flow) {
-            Some(hosted) if hosted.is_held() => {
-                if hosted.may_be_acknowledged(ack_number) {
-                    LookupAnswer::Held
-                } else {
-                    LookupAnswer::NotHeld
-                }
-            }
+        match self.flows.holds(flow, ack_number) {
+            Some(answer) => answer,
             // The agent sees the SYN-ACK of a flow before the caller does, unless the agent started
             // later.
-            _ if self.may_hold_unknown_flows(now) => LookupAnswer::MayBeHeld,
-            _ => LookupAnswer::NotHeld,
+            None if self.may_hold_unknown_flows(now) => LookupAnswer::MayBeHeld,
+            None => LookupAnswer::NotHeld,
         }
     }
 
@@ -432,13 +428,9 @@
         if header.is_syn() && is_accepted {
             return Vec::new();
         }
-        // The caller uses another target, which accepted a retransmission of the SYN.
-        if let Some(balancer) = balancer
-            && is_accepted
-            && !hosted.may_be_acknowledged(header.ack_number)
-        {
-            let packet = Cow::Borrowed(packet);
-            return vec![Action::send(balancer, Message::PacketReturned { packet })];
+        // The caller may use another target, which accepted a retransmission of the SYN.
+        if is_accepted && hosted.followed_target(header.ack_number) != FollowedTarget::This {
+            return return_to_balancer(balancer, flow, packet);
         }
         self.flows.remove(&flow, &mut self.load_meter, now);
         self.queue.remove_request(&flow);
@@ -449,11 +441,7 @@
             Some(balancer) if header.is_syn() => self.refuse_bounced_syn(balancer, flow),
             // Only a flow that the target had accepted is certain to have ended.
             _ if is_accepted => reset(header, ResetEvidence::returned_by_holder()),
-            Some(balancer) => {
-                let packet = Cow::Borrowed(packet);
-                vec![Action::send(balancer, Message::PacketReturned { packet })]
-            }
-            None => dropped(flow, DropCause::FlowNotFound),
+            balancer => return_to_balancer(balancer, flow, packet),
         }
     }
 
@@ -465,6 +453,19 @@
     }
 }
 
+/// Returns a packet that the target does not take to the balancer that sent it, if that is known.
+fn return_to_balancer(
+    balancer: Option<SocketAddrV4>,
+    flow: FlowKey,
+    packet: &[u8],
+) -> Vec<Action<'_>> {
+    let Some(balancer) = balancer else {
+        return dropped(flow, DropCause::FlowNotFound);
+    };
+    let packet = Cow::Borrowed(packet);
+    vec![Action::send(balancer, Message::PacketReturned { packet })]
+}
+
 /// Resets a flow that ended with a process of the target, unless the caller's packet is a reset.
 fn reset_orphan<'a>(header: &PacketHeader) -> Vec<Action<'a>> {
     if header.flags.contains(PacketFlags::RST) {
--- a/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
@@ -1,23 +1,21 @@
 //! The flow table of an agent.
 
 use std::collections::VecDeque;
+use std::collections::hash_map::Entry;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
 use super::FlowAgentOptions;
+use super::target_numbers::{FollowedTarget, TargetNumbers};
 use crate::collections::FastMap;
 use crate::flow::event::FlowEvent;
 use crate::flow::flow_view::FlowView;
 use crate::flow::load::LoadMeter;
-use crate::flow::message::OpenParams;
+use crate::flow::message::{LookupAnswer, OpenParams};
 use crate::flow::packet::{FlowKey, PacketFlags, PacketHeader};
 use crate::flow::routes::RequestLimits;
 use crate::flow::routes::SYN_ATTEMPT_TIMEOUT;
 
-/// The number of sequence numbers beyond the last payload byte that a caller may acknowledge, for flags
-/// that each occupy a sequence number.
-const FLAG_SEQUENCE_NUMBERS: u32 = 4;
-
 /// The time for which a new flow counts as an expected request; a caller sends its request within a
 /// round trip after the SYN-ACK.
 const FIRST_REQUEST_DELAY: Duration = Duration::from_millis(50);
@@ -60,13 +58,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct HostedFlow {
     state: HostedFlowState,
-    view: FlowView,
     balancer: Option<SocketAddrV4>,
     /// The balancer that sent an earlier copy of the SYN, until the target has accepted the flow.
     earlier_balancer: Option<SocketAddrV4>,
-    /// The first sequence number of the target and the one after its last payload byte. None if the
-    /// agent has not seen the SYN-ACK.
-    target_seq_range: Option<(u32, u32)>,
+    target_numbers: TargetNumbers,
     /// The priority and limits of its requests. None if another incarnation of the agent admitted the SYN.
     terms: Option<FlowTerms>,
     /// Whether a request was given up before it was passed, so that its data is missing at the target.
@@ -101,10 +96,9 @@
     ) -> Self {
         Self {
             state,
-            view,
             balancer,
             earlier_balancer: None,
-            target_seq_range: None,
+            target_numbers: TargetNumbers::new(view),
             terms: None,
             is_data_missing: false,
             caller_next_seq: None,
@@ -158,28 +152,34 @@
         self.is_closed() && idle >= SYN_ATTEMPT_TIMEOUT
     }
 
-    /// Returns whether a caller of this target can send the given acknowledgement number. Several targets
-    /// may have accepted retransmissions of a SYN, each with its own sequence numbers.
-    pub(super) const fn may_be_acknowledged(&self, ack_number: u32) -> bool {
-        match self.target_seq_range {
-            None => true,
-            Some((first, next)) => {
-                let len = next.wrapping_sub(first).wrapping_add(FLAG_SEQUENCE_NUMBERS);
-                ack_number.wrapping_sub(first) <= len
+    /// Returns which target a caller with the given acknowledgement number follows.
+    pub(super) fn followed_target(&self, ack_number: u32) -> FollowedTarget {
+        self.target_numbers.followed_target(ack_number)
+    }
+
+    /// Returns whether the target holds the flow of a caller with the given acknowledgement number.
+    fn lookup_answer(&self, ack_number: u32) -> LookupAnswer {
+        match self.followed_target(ack_number) {
+            FollowedTarget::This => LookupAnswer::Held,
+            FollowedTarget::Other => LookupAnswer::NotHeld,
+            FollowedTarget::Unknown if self.state == HostedFlowState::PresumedHeld => {
+                LookupAnswer::Held
             }
+            FollowedTarget::Unknown => LookupAnswer::MayBeHeld,
         }
     }
 
     /// Returns the event that the target does not hold the flow of a caller with the given acknowledgement number.
     pub(super) fn not_held_event(&self, flow: FlowKey, ack_number: u32) -> Option<FlowEvent> {
-        let (first_seq, next_seq) = self.target_seq_range?;
-        Some(FlowEvent::NotHeld {
-            flow,
-            ack_number,
-            first_seq,
-            next_seq,
-            view: self.view,
-        })
+        self.target_numbers.not_held_event(flow, ack_number)
+    }
+
+    /// Records that a packet is passed to the target, which may not hold the flow. Returns whether the target has no
+    /// earlier one to return.
+    fn begin_probe(&mut self, balancer: SocketAddrV4, now: Instant) -> bool {
+        self.balancer = Some(balancer);
+        self.last_packet_at = now;
+        std::mem::replace(&mut self.state, HostedFlowState::Probing) != HostedFlowState::Probing
     }
 
     /// Processes a packet of the caller. Returns whether it is the first packet of a request.
@@ -231,7 +231,7 @@
     /// Returns whether a caller's packet contains data that was not passed yet: a retransmission of a
     /// request that crosses its response is not a new request.
     pub(super) fn has_new_data(&self, header: &PacketHeader) -> bool {
-        let next = next_seq(header);
+        let next = header.next_seq();
         header.payload_len_bytes > 0
             && self
                 .caller_next_seq
@@ -242,7 +242,7 @@
     fn track_caller_data(&mut self, header: &PacketHeader) -> bool {
         let has_new_data = self.has_new_data(header);
         if has_new_data {
-            self.caller_next_seq = Some(next_seq(header));
+            self.caller_next_seq = Some(header.next_seq());
         }
         has_new_data
     }
@@ -262,7 +262,7 @@
                 self.state = HostedFlowState::Accepted;
                 self.opened_at = now;
             }
-            self.track_target_data(header);
+            self.target_numbers.on_packet(header);
         }
         let is_closing =
             header.flags.contains(PacketFlags::FIN) || header.flags.contains(PacketFlags::RST);
@@ -277,29 +277,6 @@
         is_first_packet || header.is_syn_ack()
     }
 
-    /// Tracks the sequence numbers of the target.
-    fn track_target_data(&mut self, header: &PacketHeader) {
-        let next = header
-            .seq_number
-            .wrapping_add(u32::from(header.payload_len_bytes));
-        match &mut self.target_seq_range {
-            // A later process of the target accepted the flow with new sequence numbers.
-            Some((first, _)) if header.is_syn_ack() && *first != header.seq_number => {
-                self.target_seq_range = Some((header.seq_number, next));
-            }
-            Some((first, last)) => {
-                let is_further = next.wrapping_sub(*first) > last.wrapping_sub(*first);
-                let is_near = next.wrapping_sub(*first) < u32::MAX / 2;
-                if is_further && is_near {
-                    *last = next;
-                }
-            }
-            // The range is known only from the SYN-ACK on.
-            None if header.is_syn_ack() => self.target_seq_range = Some((header.seq_number, next)),
-            None => {}
-        }
-    }
-
     /// Removes the request of the flow from the running ones after its response.
     fn complete_request(&mut self, meter: &mut LoadMeter, now: Instant) {
         if self.request_started_at.take().is_some() {
@@ -331,13 +308,6 @@
     }
 }
 
-/// Returns the sequence number after the payload of a packet.
-fn next_seq(header: &PacketHeader) -> u32 {
-    header
-        .seq_number
-        .wrapping_add(u32::from(header.payload_len_bytes))
-}
-
 /// The flows of a target.
 #[derive(Debug, Default)]
 pub(super) struct HostedFlows {
@@ -442,10 +412,23 @@
         }
     }
 
-    /// Adds a flow that the target may hold from before the agent started.
+    /// Returns whether the target holds a flow whose caller sent the given acknowledgement number; nothing if it
+    /// neither accepted the flow nor is presumed to hold it.
+    pub(super) fn holds(&self, flow: &FlowKey, ack_number: u32) -> Option<LookupAnswer> {
+        let held = self.flows.get(flow).filter(|hosted| hosted.is_held());
+        held.map(|hosted| hosted.lookup_answer(ack_number))
+    }
+
+    /// Records that a packet of a flow that the target may hold is passed to it.
     pub(super) fn probe(&mut self, flow: FlowKey, balancer: SocketAddrV4, now: Instant) {
-        let hosted = HostedFlow::probing(Some(balancer), now);
-        if self.flows.insert(flow, hosted).is_none() {
+        let is_first = match self.flows.entry(flow) {
+            Entry::Occupied(mut hosted) => hosted.get_mut().begin_probe(balancer, now),
+            Entry::Vacant(vacant) => {
+                vacant.insert(HostedFlow::probing(Some(balancer), now));
+                true
+            }
+        };
+        if is_first {
             self.probing.push_back((now, flow));
         }
     }
@@ -509,7 +492,7 @@
     /// acknowledgement number.
     pub(super) fn is_orphan(&self, flow: &FlowKey, ack_number: u32) -> bool {
         let orphan = self.orphans.get(flow);
-        orphan.is_some_and(|hosted| hosted.may_be_acknowledged(ack_number))
+        orphan.is_some_and(|hosted| hosted.followed_target(ack_number) == FollowedTarget::This)
     }
 
     pub(super) fn sweep(
--- a/crates/cranberrypitch-core/src/flow/packet.rs
+++ b/crates/cranberrypitch-core/src/flow/packet.rs
@@ -109,6 +109,11 @@
     pub const fn is_syn_ack(&self) -> bool {
         self.flags.contains(PacketFlags::SYN.with(PacketFlags::ACK))
     }
+
+    /// Returns the sequence number after the payload.
+    pub(super) const fn next_seq(&self) -> u32 {
+        self.seq_number.wrapping_add(self.payload_len_bytes as u32)
+    }
 }
 
 /// A reset that a balancer or an agent sends to a caller.
