Let the known range of a target's numbers slide along on long flows

A caller with more than 2 GiB of responses on one flow would be reset while its target holds the flow.

Cause: the range of the target's numbers stopped 2^31 after the first one, so each later number of the caller was taken for one of another target. It is now compared from its end, and keeps its length up to half of all numbers.

flow::long_flows: two of its three tests fail before (2,160,060,000 bytes: not held), all pass now.

--- a/crates/cranberrypitch-core/src/flow/agent/target_numbers.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/target_numbers.rs
@@ -13,6 +13,10 @@
 /// that each occupy a sequence number.
 const FLAG_SEQUENCE_NUMBERS: u32 = 4;
 
+/// The maximum length of a range of sequence numbers: half of all numbers, so that later ones can be told from earlier
+/// ones.
+const MAX_RANGE_BYTES: u32 = u32::MAX / 2;
+
 /// Which target a caller follows, as shown by the number that it acknowledges.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum FollowedTarget {
@@ -24,24 +28,38 @@
     Unknown,
 }
 
-/// The sequence numbers from the SYN-ACK to the last payload byte.
+/// The sequence numbers from the SYN-ACK to the last payload byte. They wrap, so the range slides along with the
+/// target on a long flow.
 #[derive(Clone, Copy, Debug)]
 struct SeqRange {
+    /// The number of the SYN-ACK.
     first: u32,
+    /// The number after the last payload byte.
     next: u32,
+    /// The length of the range up to `next`, in bytes.
+    len_bytes: u32,
 }
 
 impl SeqRange {
+    const fn starting_at(first: u32) -> Self {
+        Self {
+            first,
+            next: first,
+            len_bytes: 0,
+        }
+    }
+
     const fn contains(self, ack_number: u32) -> bool {
-        let len = self.next.wrapping_sub(self.first);
-        ack_number.wrapping_sub(self.first) <= len.wrapping_add(FLAG_SEQUENCE_NUMBERS)
+        let end = self.next.wrapping_add(FLAG_SEQUENCE_NUMBERS);
+        end.wrapping_sub(ack_number) <= self.len_bytes.saturating_add(FLAG_SEQUENCE_NUMBERS)
     }
 
-    const fn extend(&mut self, next: u32) {
-        let is_further = next.wrapping_sub(self.first) > self.next.wrapping_sub(self.first);
-        let is_near = next.wrapping_sub(self.first) < u32::MAX / 2;
-        if is_further && is_near {
+    fn extend(&mut self, next: u32) {
+        let ahead = next.wrapping_sub(self.next);
+        // A retransmission is behind, which is a large distance ahead as numbers wrap.
+        if ahead <= MAX_RANGE_BYTES {
             self.next = next;
+            self.len_bytes = self.len_bytes.saturating_add(ahead).min(MAX_RANGE_BYTES);
         }
     }
 }
@@ -66,7 +84,7 @@
     }
 
     /// Processes a packet of the target other than a reset.
-    pub(super) const fn on_packet(&mut self, header: &PacketHeader) {
+    pub(super) fn on_packet(&mut self, header: &PacketHeader) {
         if header.is_syn_ack() {
             self.on_syn_ack(header.seq_number);
             return;
@@ -85,10 +103,7 @@
             // A later process of the target accepted the flow with new sequence numbers.
             self.is_open = false;
         }
-        self.range = Some(SeqRange {
-            first: seq_number,
-            next: seq_number,
-        });
+        self.range = Some(SeqRange::starting_at(seq_number));
     }
 
     /// Returns which target a caller with the given acknowledgement number follows.
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -12,6 +12,7 @@
 mod held_flows;
 mod liveness;
 mod load;
+mod long_flows;
 mod lookup;
 mod odd_reports;
 mod outliers;
