--- a/crates/cranberrypitch-core/src/flow/cause.rs
+++ b/crates/cranberrypitch-core/src/flow/cause.rs
@@ -70,7 +70,7 @@
 /// What shows that a flow which is reset is not open, or no longer.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 pub enum ResetEvidenceKind {
-    /// The packet is the first transmission of a SYN.
+    /// All transmissions of the SYN came to this balancer, which has not opened the flow.
     #[display("first SYN")]
     FirstSyn,
     /// A configuration without the route, read from the store after the packet arrived.
@@ -108,6 +108,10 @@
     /// show whether the route was dropped or is new.
     #[display("route unknown")]
     RouteUnknown,
+    /// The balancer stood still for as long as callers try to open a flow, so the caller of the SYN may have opened it
+    /// elsewhere or given up.
+    #[display("SYN outdated")]
+    SynOutdated,
     /// An earlier request of the flow was given up while it waited at the agent.
     #[display("request given up")]
     RequestTimedOut,
--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -19,9 +19,11 @@
 use self::budget::QueryBudget;
 use self::established::EstablishedFlow;
 use self::liveness::Liveness;
+pub use self::packet_buffer::BufferedPacket;
 use self::packet_buffer::EarlyPacketBuffer;
 pub use self::pending_open::MAX_DECLINES;
 use self::table::{FlowState, FlowTable};
+use super::arrival::Arrival;
 use super::cause::DropCause;
 use super::directory::{AgentDirectory, AgentDirectoryOptions};
 use super::event::FlowEvent;
@@ -140,38 +142,44 @@
         &mut self,
         header: &PacketHeader,
         packet: &'a [u8],
-        now: Instant,
+        arrival: Arrival,
     ) -> Vec<Action<'a>> {
         let flow = header.flow_from_caller();
         if header.is_syn_ack() || header.flags.contains(PacketFlags::BOUNCED) {
             return dropped(flow, DropCause::UnexpectedFlags);
         }
         if !self.is_ready() {
-            return if self.early_packets.push(packet) {
+            return if self.early_packets.push(packet, arrival) {
                 Vec::new()
             } else {
                 dropped(flow, DropCause::NoConfiguration)
             };
         }
+        if header.is_syn() && arrival.may_be_given_up() {
+            return dropped(flow, DropCause::SynOutdated);
+        }
         if self.routes.route(flow.service_address).is_none() {
-            return self.on_unrouted(header, packet, now);
+            return self.on_unrouted(header, packet, arrival);
         }
         if header.is_syn() {
-            self.on_syn(header, packet, now)
+            self.on_syn(header, packet, arrival)
         } else {
-            self.on_later_packet(header, packet, now)
+            self.on_later_packet(header, packet, arrival.read_at())
         }
     }
 
     /// Takes out the packets that arrived before the first configuration and agent list, once both are
     /// applied, and those that have waited for a route which is known now. The caller passes them to
     /// [`Self::on_packet`].
-    pub fn take_buffered_packets(&mut self) -> Vec<Box<[u8]>> {
+    pub fn take_buffered_packets(&mut self, now: Instant) -> Vec<BufferedPacket> {
         if !self.is_ready() {
             return Vec::new();
         }
         let mut packets = self.early_packets.take();
         packets.extend(self.take_routed_packets());
+        for buffered in &mut packets {
+            buffered.arrival = buffered.arrival.kept_until(now);
+        }
         packets
     }
 
@@ -226,7 +234,8 @@
                 vec![Action::send(holder.agent, message)]
             }
             Some(FlowState::LookingUp(_)) => self.on_holder_ruled_out(agent, flow, packet, now),
-            Some(FlowState::AwaitingRoute(_)) => self.on_unrouted(header, packet, now),
+            // An agent returns no SYN, so the packet shows nothing about its transmissions.
+            Some(FlowState::AwaitingRoute(_)) => self.on_unrouted(header, packet, Arrival::at(now)),
             state => {
                 let service = match state {
                     Some(FlowState::Established(holder)) => holder.service,
--- a/crates/cranberrypitch-core/src/flow/dispatcher/evacuations.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/evacuations.rs
@@ -77,7 +77,7 @@
         let addresses = receivers.map(|record| record.address);
         actions.extend(evacuation_messages(self.evacuations(), addresses));
         actions.extend(self.place_pending_flows(now));
-        actions.extend(self.reset_flows_without_targets());
+        actions.extend(self.reset_flows_without_targets(now));
         actions
     }
 
@@ -89,7 +89,7 @@
     }
 
     /// Resets the flows that wait for a target of a service whose targets are all evacuated now.
-    fn reset_flows_without_targets(&mut self) -> Vec<Action<'static>> {
+    fn reset_flows_without_targets(&mut self, now: Instant) -> Vec<Action<'static>> {
         let mut actions = Vec::new();
         for flow in self.flows.pending_flows() {
             let is_waiting = matches!(
@@ -97,7 +97,7 @@
                 Some(FlowState::Opening(opening)) if opening.agent.is_none()
             );
             if is_waiting && self.has_only_evacuated_targets(flow) {
-                actions.extend(self.abandon_open(flow, ResetCause::Evacuated));
+                actions.extend(self.abandon_open(flow, ResetCause::Evacuated, now));
             }
         }
         actions
--- a/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
@@ -10,6 +10,7 @@
 use self::state::PendingOpen;
 use super::Dispatcher;
 use super::table::FlowState;
+use crate::flow::arrival::Arrival;
 use crate::flow::cause::RefusalCause;
 use crate::flow::cause::{DropCause, ResetCause};
 use crate::flow::event::FlowEvent;
@@ -18,6 +19,7 @@
 use crate::flow::reset_evidence::ResetEvidence;
 use crate::flow::routes::{RequestLimits, SYN_ATTEMPT_TIMEOUT};
 use crate::flow::selection::{SelectedAgent, SelectionRequest};
+use crate::flow::syn_transmissions::SynTransmissions;
 use crate::ids::ServiceTag;
 
 /// The number of pending flows up to which a SYN waits for the first target instead of being reset.
@@ -32,9 +34,10 @@
         &mut self,
         header: &PacketHeader,
         packet: &'a [u8],
-        now: Instant,
+        arrival: Arrival,
     ) -> Vec<Action<'a>> {
         let flow = header.flow_from_caller();
+        self.add_transmission(&flow, header);
         match self.flows.get(&flow).map(|entry| &entry.state) {
             Some(FlowState::Established(holder)) => {
                 let service = holder.service.or_else(|| self.routed_service(&flow));
@@ -45,7 +48,17 @@
                 None => Vec::new(),
             },
             Some(FlowState::LookingUp(_)) => dropped(flow, DropCause::FlowNotFound),
-            Some(FlowState::AwaitingRoute(_)) | None => self.open_flow(header, packet, now),
+            Some(FlowState::AwaitingRoute(_)) | None => self.open_flow(header, packet, arrival),
+        }
+    }
+
+    /// Records that this balancer got a further transmission of the SYN of a flow that is being opened.
+    fn add_transmission(&mut self, flow: &FlowKey, header: &PacketHeader) {
+        if let Some(entry) = self.flows.get_mut(flow)
+            && let FlowState::Opening(opening) = &mut entry.state
+            && let Some(transmissions) = &mut opening.transmissions
+        {
+            transmissions.add(header);
         }
     }
 
@@ -91,7 +104,7 @@
                     opening.cold_agents.push(agent);
                 }
             } else if cause == RefusalCause::Overloaded && is_current {
-                actions.extend(self.abandon_open(flow, ResetCause::Overloaded));
+                actions.extend(self.abandon_open(flow, ResetCause::Overloaded, now));
                 return actions;
             } else if !opening.failed_agents.contains(&agent) {
                 opening.failed_agents.push(agent);
@@ -151,12 +164,14 @@
         &mut self,
         header: &PacketHeader,
         packet: &'a [u8],
-        now: Instant,
+        arrival: Arrival,
     ) -> Vec<Action<'a>> {
         let flow = header.flow_from_caller();
+        let now = arrival.read_at();
+        let transmissions = SynTransmissions::first(header, arrival);
         let route = self.routes.route(flow.service_address);
         let Some((route, service)) = route.and_then(|r| Some((r, r.service_for(&flow)?))) else {
-            let evidence = ResetEvidence::not_opened(header, ResetCause::NoRoute);
+            let evidence = ResetEvidence::not_opened(transmissions, ResetCause::NoRoute, now);
             return evidence.map_or_else(
                 || dropped(flow, DropCause::RouteUnknown),
                 |evidence| reset(header, evidence),
@@ -165,6 +180,7 @@
         let opening = PendingOpen {
             header: *header,
             packet: packet.into(),
+            transmissions,
             service: service.clone(),
             is_bulk: route.is_bulk,
             priority: route.priority,
@@ -189,7 +205,7 @@
             return self.send_open(selected, flow, now);
         }
         if self.has_only_evacuated_targets(flow) {
-            return self.abandon_open(flow, ResetCause::Evacuated);
+            return self.abandon_open(flow, ResetCause::Evacuated, now);
         }
         // Until the store's list has been read, there may be targets that the snapshots of other
         // balancers don't contain.
@@ -204,22 +220,23 @@
             opening.agent = None;
             return Vec::new();
         }
-        let mut actions = self.abandon_open(flow, ResetCause::NoTarget);
+        let mut actions = self.abandon_open(flow, ResetCause::NoTarget, now);
         // A target may have registered since the agent list was last read.
         actions.push(Action::RefreshAgents);
         actions
     }
 
     /// Removes a pending flow and resets it at its caller, unless another balancer may have opened it
-    /// with an earlier transmission of the SYN, or its caller uses it.
+    /// with another transmission of the SYN, or its caller uses it.
     pub(super) fn abandon_open(
         &mut self,
         flow: FlowKey,
         cause: ResetCause,
+        now: Instant,
     ) -> Vec<Action<'static>> {
         if let Some(FlowState::Opening(opening)) = self.flows.remove(&flow)
             && !opening.is_accepted
-            && let Some(evidence) = ResetEvidence::not_opened(&opening.header, cause)
+            && let Some(evidence) = ResetEvidence::not_opened(opening.transmissions, cause, now)
         {
             return reset(&opening.header, evidence);
         }
--- a/crates/cranberrypitch-core/src/flow/dispatcher/pending_open/state.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open/state.rs
@@ -6,6 +6,7 @@
 use crate::flow::dispatcher::established::EstablishedFlow;
 use crate::flow::packet::PacketHeader;
 use crate::flow::routes::RequestLimits;
+use crate::flow::syn_transmissions::SynTransmissions;
 use crate::ids::{ServiceName, ServiceTag};
 
 /// The number of times that agents may decline a flow for load. The balancer selects again from a fresh
@@ -20,6 +21,8 @@
 pub(in crate::flow::dispatcher) struct PendingOpen {
     pub(super) header: PacketHeader,
     pub(super) packet: Box<[u8]>,
+    /// The transmissions of the SYN that this balancer has got; none if the first one is not among them.
+    pub(super) transmissions: Option<SynTransmissions>,
     pub(super) service: ServiceName,
     pub(super) is_bulk: bool,
     pub(super) priority: u8,
--- a/crates/cranberrypitch-core/src/flow/dispatcher/unrouted.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/unrouted.rs
@@ -10,12 +10,14 @@
 
 use self::state::RouteWait;
 use super::Dispatcher;
-use super::packet_buffer::FlowPacketBuffer;
+use super::packet_buffer::{BufferedPacket, FlowPacketBuffer};
 use super::table::FlowState;
+use crate::flow::arrival::Arrival;
 use crate::flow::cause::{DropCause, ResetCause};
 use crate::flow::message::{Action, dropped, reset};
 use crate::flow::packet::{FlowKey, PacketFlags, PacketHeader};
 use crate::flow::reset_evidence::ResetEvidence;
+use crate::flow::syn_transmissions::SynTransmissions;
 
 /// The maximum number of flows that wait, which bounds the memory of their packets.
 const MAX_WAITING_FLOWS: usize = 512;
@@ -27,14 +29,16 @@
         &mut self,
         header: &PacketHeader,
         packet: &[u8],
-        now: Instant,
+        arrival: Arrival,
     ) -> Vec<Action<'a>> {
         let flow = header.flow_from_caller();
+        let now = arrival.read_at();
         if header.flags.contains(PacketFlags::RST) {
             self.flows.remove(&flow);
             return Vec::new();
         }
-        if let Some(evidence) = ResetEvidence::not_opened(header, ResetCause::NoRoute) {
+        let transmissions = SynTransmissions::first(header, arrival);
+        if let Some(evidence) = ResetEvidence::not_opened(transmissions, ResetCause::NoRoute, now) {
             self.flows.remove(&flow);
             return reset(header, evidence);
         }
@@ -57,7 +61,7 @@
         let wait = RouteWait {
             header: *header,
             packets,
-            started_at: now,
+            arrival,
         };
         let state = FlowState::AwaitingRoute(Box::new(wait));
         self.flows.insert(flow, state, now);
@@ -71,7 +75,7 @@
         for flow in self.flows.pending_flows() {
             if self.routes.route(flow.service_address).is_none()
                 && let Some(wait) = self.route_wait(flow)
-                && let Some(evidence) = ResetEvidence::route_dropped(wait.started_at, as_of)
+                && let Some(evidence) = ResetEvidence::route_dropped(wait.arrival.read_at(), as_of)
             {
                 actions.extend(reset(&wait.header, evidence));
                 self.flows.remove(&flow);
@@ -81,14 +85,16 @@
     }
 
     /// Takes out the packets of flows that have waited for a route which is known now.
-    pub(super) fn take_routed_packets(&mut self) -> Vec<Box<[u8]>> {
+    pub(super) fn take_routed_packets(&mut self) -> Vec<BufferedPacket> {
         let mut packets = Vec::new();
         for flow in self.flows.pending_flows() {
             if self.route_wait(flow).is_some()
                 && self.routes.route(flow.service_address).is_some()
                 && let Some(FlowState::AwaitingRoute(mut wait)) = self.flows.remove(&flow)
             {
-                packets.extend(wait.packets.take());
+                let arrival = wait.arrival;
+                let buffered = |packet| BufferedPacket { packet, arrival };
+                packets.extend(wait.packets.take().into_iter().map(buffered));
             }
         }
         packets
--- a/crates/cranberrypitch-core/src/flow/dispatcher/unrouted/state.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/unrouted/state.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::flow::arrival::Arrival;
 use crate::flow::dispatcher::packet_buffer::FlowPacketBuffer;
 use crate::flow::packet::PacketHeader;
 
@@ -12,11 +13,11 @@
     pub(super) header: PacketHeader,
     pub(super) packets: FlowPacketBuffer,
     /// The arrival of the first packet.
-    pub(super) started_at: Instant,
+    pub(super) arrival: Arrival,
 }
 
 impl RouteWait {
     pub(in crate::flow::dispatcher) fn is_expired(&self, lifetime: Duration, now: Instant) -> bool {
-        now.saturating_duration_since(self.started_at) >= lifetime
+        now.saturating_duration_since(self.arrival.read_at()) >= lifetime
     }
 }
--- a/crates/cranberrypitch-core/src/flow/mod.rs
+++ b/crates/cranberrypitch-core/src/flow/mod.rs
@@ -10,6 +10,7 @@
 
 mod agent;
 mod agent_list;
+mod arrival;
 mod cause;
 mod config_reads;
 mod directory;
@@ -27,16 +28,18 @@
 mod selection;
 mod service_time;
 mod store_retry;
+mod syn_transmissions;
 
 pub use self::agent::{
     AgentIdentity, FairTurns, FlowAgent, FlowAgentOptions, MAX_REQUESTS_PER_SLOT, NumberedRecord,
     RecordNumber, RequestKind, StatusReport, TargetCapacity, TargetProcess, WaitingRequest,
 };
 pub use self::agent_list::AgentListProgress;
+pub use self::arrival::{Arrival, ArrivalTracker};
 pub use self::cause::{DropCause, IgnoredReportCause, RefusalCause, ResetCause, ResetEvidenceKind};
 pub use self::config_reads::{ConfigCheck, ConfigRead, ConfigReadOptions, ConfigReadSchedule};
 pub use self::directory::{AgentDirectory, AgentDirectoryOptions, AgentRecord};
-pub use self::dispatcher::{Dispatcher, DispatcherOptions, MAX_DECLINES};
+pub use self::dispatcher::{BufferedPacket, Dispatcher, DispatcherOptions, MAX_DECLINES};
 pub use self::evacuation::{
     EvacuationChange, EvacuationContents, EvacuationRead, EvacuationSet, EvacuationTracker,
     EvacuationVersion,
--- a/crates/cranberrypitch-core/src/flow/reset_evidence.rs
+++ b/crates/cranberrypitch-core/src/flow/reset_evidence.rs
@@ -13,7 +13,8 @@
 
 use super::cause::{ResetCause, ResetEvidenceKind};
 use super::event::FlowEvent;
-use super::packet::{FlowKey, PacketHeader};
+use super::packet::FlowKey;
+use super::syn_transmissions::SynTransmissions;
 
 /// Evidence that a flow may be reset.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,11 +26,16 @@
 }
 
 impl ResetEvidence {
-    /// The first transmission of a SYN, which no other balancer got: the flow is not open. Returns
-    /// nothing for any other packet.
-    pub(super) fn not_opened(header: &PacketHeader, cause: ResetCause) -> Option<Self> {
+    /// All transmissions of a SYN came to this balancer, which has not opened the flow. Returns nothing if another
+    /// balancer may have got one.
+    pub(super) fn not_opened(
+        transmissions: Option<SynTransmissions>,
+        cause: ResetCause,
+        now: Instant,
+    ) -> Option<Self> {
         let evidence = Self::new(cause, ResetEvidenceKind::FirstSyn);
-        (header.is_syn() && header.ack_number == 0).then_some(evidence)
+        let is_known = transmissions.is_some_and(|sent| sent.are_all_known(now));
+        is_known.then_some(evidence)
     }
 
     /// The configuration in force has no route for a packet that arrived at `arrived_at`, and the store
--- a/crates/cranberrypitch-core/tests/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/tests/flow/dispatcher.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::flow::{
-    Action, AgentRecord, Dispatcher, DispatcherOptions, DropCause, FlowEvent, FlowKey,
-    LookupAnswer, Message, PacketFlags, RefusalCause, ResetCause, ResetEvidenceKind,
+    Action, AgentRecord, Arrival, BufferedPacket, Dispatcher, DispatcherOptions, DropCause,
+    FlowEvent, FlowKey, LookupAnswer, Message, PacketFlags, RefusalCause, ResetCause,
+    ResetEvidenceKind,
 };
 use cranberrypitch_core::{Incarnation, TargetState};
 
@@ -30,7 +31,7 @@
 pub(crate) fn open(dispatcher: &mut Dispatcher, flow: FlowKey, now: Instant) -> SocketAddrV4 {
     let header = syn(flow, 0);
     let packet = encode(&header);
-    let actions = dispatcher.on_packet(&header, &packet, now);
+    let actions = dispatcher.on_packet(&header, &packet, Arrival::at(now));
     match sent_messages(&actions)[..] {
         [(agent, Message::Open { .. })] => agent,
         ref other => panic!("expected one SYN to an agent, got {other:?}"),
@@ -45,7 +46,7 @@
 ) -> Vec<(SocketAddrV4, &'static str)> {
     let header = request(flow, 77);
     let packet = encode(&header);
-    let actions = dispatcher.on_packet(&header, &packet, now);
+    let actions = dispatcher.on_packet(&header, &packet, Arrival::at(now));
     sent_messages(&actions)
         .into_iter()
         .map(|(peer, m)| (peer, message_name(m)))
@@ -82,7 +83,11 @@
     let agent = open(&mut dispatcher, flow(1), now);
     let header = syn(flow(1), 1);
     let packet = encode(&header);
-    let actions = dispatcher.on_packet(&header, &packet, now + Duration::from_millis(5));
+    let actions = dispatcher.on_packet(
+        &header,
+        &packet,
+        Arrival::at(now + Duration::from_millis(5)),
+    );
     assert!(matches!(sent_messages(&actions)[..], [(a, Message::Open { .. })] if a == agent));
 }
 
@@ -162,7 +167,7 @@
     let mut dispatcher = dispatcher(local_records(1), now);
     let header = syn(flow(1), 1);
     let packet = encode(&header);
-    dispatcher.on_packet(&header, &packet, now);
+    dispatcher.on_packet(&header, &packet, Arrival::at(now));
     let agent = agent_address(1);
     let actions = dispatcher.on_open_refused(agent, flow(1), RefusalCause::TargetFull, now);
     assert_eq!(reset_count(&actions), 0);
@@ -203,7 +208,11 @@
     assert!(send_request(&mut dispatcher, flow(1), now).is_empty());
     let second = from_caller(flow(1), PacketFlags::ACK, 77, 300);
     let packet = encode(&second);
-    assert!(dispatcher.on_packet(&second, &packet, now).is_empty());
+    assert!(
+        dispatcher
+            .on_packet(&second, &packet, Arrival::at(now))
+            .is_empty()
+    );
     let holder = agent_address(2);
     let actions = dispatcher.on_lookup_reply(holder, flow(1), LookupAnswer::Held, now);
     let messages = sent_messages(&actions);
@@ -448,13 +457,20 @@
     let mut dispatcher = Dispatcher::new(DispatcherOptions::default(), domain("a"));
     let header = syn(flow(1), 0);
     let packet = encode(&header);
-    assert!(dispatcher.on_packet(&header, &packet, now).is_empty());
+    assert!(
+        dispatcher
+            .on_packet(&header, &packet, Arrival::at(now))
+            .is_empty()
+    );
     dispatcher.on_config(&config(1, &["matcher"]));
-    assert!(dispatcher.take_buffered_packets().is_empty());
+    assert!(dispatcher.take_buffered_packets(now).is_empty());
     dispatcher.on_agent_list(local_records(1), now);
     assert_eq!(
-        dispatcher.take_buffered_packets(),
-        [packet.into_boxed_slice()]
+        dispatcher.take_buffered_packets(now),
+        [BufferedPacket {
+            packet: packet.into_boxed_slice(),
+            arrival: Arrival::at(now),
+        }]
     );
 }
 
@@ -466,7 +482,7 @@
     let flags = PacketFlags::SYN.with(PacketFlags::ACK);
     let header = from_caller(flow(1), flags, 0, 0);
     let packet = encode(&header);
-    let actions = dispatcher.on_packet(&header, &packet, now);
+    let actions = dispatcher.on_packet(&header, &packet, Arrival::at(now));
     let dropped = FlowEvent::Dropped {
         flow: flow(1),
         cause: DropCause::UnexpectedFlags,
@@ -527,7 +543,7 @@
     dispatcher.on_snapshot(vec![record(7, "tracer", "a")], now);
     let header = syn(flow(1), 0);
     let packet = encode(&header);
-    let actions = dispatcher.on_packet(&header, &packet, now);
+    let actions = dispatcher.on_packet(&header, &packet, Arrival::at(now));
     assert_eq!(reset_count(&actions), 0);
     let actions = dispatcher.on_snapshot(local_records(1), now);
     assert!(
--- a/crates/cranberrypitch-core/tests/flow/evacuation.rs
+++ b/crates/cranberrypitch-core/tests/flow/evacuation.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::flow::{
-    Action, Dispatcher, DispatcherOptions, EvacuationChange, EvacuationContents, EvacuationRead,
-    EvacuationSet, EvacuationTracker, EvacuationVersion, FlowEvent, Message, RefusalCause,
-    ResetCause,
+    Action, Arrival, Dispatcher, DispatcherOptions, EvacuationChange, EvacuationContents,
+    EvacuationRead, EvacuationSet, EvacuationTracker, EvacuationVersion, FlowEvent, Message,
+    RefusalCause, ResetCause,
 };
 use cranberrypitch_core::{FailureDomain, TargetState};
 
@@ -75,7 +75,7 @@
 fn open_flow(dispatcher: &mut Dispatcher, port: u16, now: Instant) -> Vec<Action<'static>> {
     let header = syn(flow(port), 0);
     let packet = encode(&header);
-    let actions = dispatcher.on_packet(&header, &packet, now);
+    let actions = dispatcher.on_packet(&header, &packet, Arrival::at(now));
     let is_owned = |action: &Action<'_>| !matches!(action, Action::SendToTarget(_));
     assert!(actions.iter().all(is_owned));
     // The SYN is copied, so that the actions outlive the packet.
--- a/crates/cranberrypitch-core/tests/flow/held_flows.rs
+++ b/crates/cranberrypitch-core/tests/flow/held_flows.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::flow::{
-    Action, AgentRecord, Dispatcher, FlowAgent, FlowKey, HeldFlows, LookupAnswer, Message,
+    Action, AgentRecord, Arrival, Dispatcher, FlowAgent, FlowKey, HeldFlows, LookupAnswer, Message,
     NumberedRecord, RefusalCause, StatusReport,
 };
 use cranberrypitch_core::{Incarnation, TargetState};
@@ -49,7 +49,7 @@
 /// flow is reset within [`WAIT`], while the agent list is up to date.
 fn is_flow_reset(dispatcher: &mut Dispatcher, key: FlowKey, start: Instant) -> bool {
     let header = request(key, 77);
-    dispatcher.on_packet(&header, &encode(&header), start);
+    dispatcher.on_packet(&header, &encode(&header), Arrival::at(start));
     let mut now = start;
     let mut resets = 0;
     while now < start + WAIT {
@@ -157,7 +157,7 @@
     let now = Instant::now();
     let mut dispatcher = dispatcher(local_records(2), now);
     let header = request(flow(2), 77);
-    dispatcher.on_packet(&header, &encode(&header), now);
+    dispatcher.on_packet(&header, &encode(&header), Arrival::at(now));
     dispatcher.on_agents_refreshed(now + TICK, now + TICK);
     let restored = vec![record(1, "matcher", "a"), draining_record(2, &[1])];
     dispatcher.on_agent_list(restored, now + TICK);
@@ -179,12 +179,12 @@
     let mut now = start;
     for _ in 0..50 {
         now += TICK;
-        let actions = dispatcher.on_packet(&header, &packet, now);
+        let actions = dispatcher.on_packet(&header, &packet, Arrival::at(now));
         assert!(sent_messages(&actions).iter().all(|(to, _)| *to == second));
         dispatcher.on_lookup_reply(second, flow(2), LookupAnswer::Held, now);
     }
     let now = now + Duration::from_secs(1);
-    dispatcher.on_packet(&header, &packet, now);
+    dispatcher.on_packet(&header, &packet, Arrival::at(now));
     assert!(is_reset(
         &mut dispatcher,
         2,
--- a/crates/cranberrypitch-core/tests/flow/liveness.rs
+++ b/crates/cranberrypitch-core/tests/flow/liveness.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use cranberrypitch_core::flow::{Dispatcher, LookupAnswer, Message};
+use cranberrypitch_core::flow::{Arrival, Dispatcher, LookupAnswer, Message};
 
 use crate::dispatcher::{dispatcher, open};
 use crate::support::{
@@ -25,7 +25,7 @@
 fn send(dispatcher: &mut Dispatcher, now: Instant) -> (Vec<SocketAddrV4>, Vec<SocketAddrV4>) {
     let header = request(flow(1), 77);
     let packet = encode(&header);
-    let actions = dispatcher.on_packet(&header, &packet, now);
+    let actions = dispatcher.on_packet(&header, &packet, Arrival::at(now));
     let (mut queried, mut forwarded) = (Vec::new(), Vec::new());
     for (peer, message) in sent_messages(&actions) {
         match message {
@@ -98,7 +98,7 @@
     for port in 1..100 {
         let header = request(flow(port), 77);
         let packet = encode(&header);
-        dispatcher.on_packet(&header, &packet, now);
+        dispatcher.on_packet(&header, &packet, Arrival::at(now));
     }
     let actions =
         dispatcher.on_lookup_reply(agent_address(1), flow(1), LookupAnswer::Held, now + STEP);
--- a/crates/cranberrypitch-core/tests/flow/lookup.rs
+++ b/crates/cranberrypitch-core/tests/flow/lookup.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::flow::{
-    Action, AgentRecord, Dispatcher, FlowAgent, FlowEvent, LookupAnswer, Message,
+    Action, AgentRecord, Arrival, Dispatcher, FlowAgent, FlowEvent, LookupAnswer, Message,
 };
 use cranberrypitch_core::{Incarnation, TargetState};
 
@@ -37,7 +37,9 @@
         };
         let header = request(flow(1), 77);
         let packet = encode(&header);
-        let actions = lookup.dispatcher.on_packet(&header, &packet, now);
+        let actions = lookup
+            .dispatcher
+            .on_packet(&header, &packet, Arrival::at(now));
         let queried = queried(&actions);
         (lookup, queried)
     }
--- a/crates/cranberrypitch-core/tests/flow/main.rs
+++ b/crates/cranberrypitch-core/tests/flow/main.rs
@@ -28,6 +28,7 @@
 mod slow_start;
 mod store_retry;
 mod support;
+mod syn_age;
 mod syn_copies;
 mod unrouted;
 mod world;
--- a/crates/cranberrypitch-core/tests/flow/refusals.rs
+++ b/crates/cranberrypitch-core/tests/flow/refusals.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use cranberrypitch_core::flow::{FlowEvent, RefusalCause, ResetCause, ResetEvidenceKind};
+use cranberrypitch_core::flow::{Arrival, FlowEvent, RefusalCause, ResetCause, ResetEvidenceKind};
 
 use crate::dispatcher::{dispatcher, local_records, open};
-use crate::support::{events, flow, reset_count, sent_messages};
+use crate::support::{encode, events, flow, reset_count, sent_messages, syn};
 
 /// A SYN in the queue of an agent is not sent to other agents, where it would be queued as well. When
 /// the agent refuses it, the flow is reset so that its caller can retry.
@@ -15,6 +15,11 @@
     let mut dispatcher = dispatcher(local_records(5), now);
     let agent = open(&mut dispatcher, flow(1), now);
     dispatcher.on_open_queued(agent, flow(1), now);
+    let copied = now + Duration::from_millis(200);
+    let copy = syn(flow(1), 1);
+    let packet = encode(&copy);
+    let actions = dispatcher.on_packet(&copy, &packet, Arrival::at(copied));
+    assert_eq!(sent_messages(&actions)[0].0, agent);
     let later = now + Duration::from_millis(300);
     assert!(sent_messages(&dispatcher.on_tick(later)).is_empty());
     let actions = dispatcher.on_open_refused(agent, flow(1), RefusalCause::Overloaded, later);
--- a/crates/cranberrypitch-core/tests/flow/syn_copies.rs
+++ b/crates/cranberrypitch-core/tests/flow/syn_copies.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::ServiceTag;
-use cranberrypitch_core::flow::{Dispatcher, FlowKey, Message, RefusalCause};
+use cranberrypitch_core::flow::{Arrival, Dispatcher, FlowKey, Message, RefusalCause};
 
 use crate::dispatcher::{dispatcher, local_records, open, send_request};
 use crate::support::{
@@ -20,7 +20,7 @@
 ) -> Vec<(SocketAddrV4, ServiceTag)> {
     let header = syn(flow, 1);
     let packet = encode(&header);
-    let actions = dispatcher.on_packet(&header, &packet, now);
+    let actions = dispatcher.on_packet(&header, &packet, Arrival::at(now));
     let opened = sent_messages(&actions)
         .into_iter()
         .filter_map(|(agent, message)| match message {
--- a/crates/cranberrypitch-core/tests/flow/unrouted.rs
+++ b/crates/cranberrypitch-core/tests/flow/unrouted.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use cranberrypitch_core::flow::{Action, DropCause, FlowEvent, RouteConfig};
+use cranberrypitch_core::flow::{
+    Action, Arrival, BufferedPacket, DropCause, FlowEvent, RouteConfig,
+};
 
 use crate::dispatcher::{dispatcher, local_records, open, send_request};
 use crate::support::{agent_address, config, encode, events, flow, request, reset_count, syn};
@@ -25,7 +27,7 @@
     dispatcher.on_config(&config_without_routes(2));
     let header = request(flow(1), 77);
     let packet = encode(&header);
-    let actions = dispatcher.on_packet(&header, &packet, now);
+    let actions = dispatcher.on_packet(&header, &packet, Arrival::at(now));
     assert_eq!(actions, [Action::CheckConfig]);
     assert_eq!(reset_count(&dispatcher.on_config_read(now)), 1);
     assert_eq!(dispatcher.flow_count(), 0);
@@ -39,7 +41,7 @@
     dispatcher.on_config(&config_without_routes(2));
     let header = syn(flow(1), 0);
     let packet = encode(&header);
-    let actions = dispatcher.on_packet(&header, &packet, now);
+    let actions = dispatcher.on_packet(&header, &packet, Arrival::at(now));
     assert_eq!(reset_count(&actions), 1);
 }
 
@@ -52,14 +54,16 @@
     dispatcher.on_config(&config_without_routes(2));
     let header = request(flow(1), 77);
     let packet = encode(&header);
-    dispatcher.on_packet(&header, &packet, now);
-    dispatcher.on_packet(&header, &packet, now);
+    dispatcher.on_packet(&header, &packet, Arrival::at(now));
+    dispatcher.on_packet(&header, &packet, Arrival::at(now));
     let earlier = now.checked_sub(Duration::from_millis(1)).unwrap();
     assert_eq!(reset_count(&dispatcher.on_config_read(earlier)), 0);
     dispatcher.on_config(&config(3, &["matcher"]));
     assert_eq!(reset_count(&dispatcher.on_config_read(now)), 0);
-    let packets = dispatcher.take_buffered_packets();
-    assert_eq!(packets, [packet.into_boxed_slice()]);
+    let packets = dispatcher.take_buffered_packets(now);
+    let arrival = Arrival::at(now);
+    let packet = packet.into_boxed_slice();
+    assert_eq!(packets, [BufferedPacket { packet, arrival }]);
     assert_eq!(
         send_request(&mut dispatcher, flow(1), now),
         [(agent_address(1), "lookup")]
@@ -73,7 +77,7 @@
     let mut dispatcher = dispatcher(local_records(1), now);
     dispatcher.on_config(&config_without_routes(2));
     let header = request(flow(1), 77);
-    dispatcher.on_packet(&header, &encode(&header), now);
+    dispatcher.on_packet(&header, &encode(&header), Arrival::at(now));
     let actions = dispatcher.on_tick(now + Duration::from_millis(1400));
     assert_eq!(reset_count(&actions), 0);
     assert_eq!(
--- a/crates/cranberrypitch-core/tests/flow/world.rs
+++ b/crates/cranberrypitch-core/tests/flow/world.rs
@@ -1,5 +1,6 @@
 //! A simulation of random joins, stops, restarts, reused addresses, changes of routes, lost histories of
-//! the store, drains, losses of power and rotations of balancers while flows are open.
+//! the store, drains, losses of power, daemons that stand still, late copies of SYNs and rotations of balancers
+//! while flows are open.
 //!
 //! The properties under test: while the process of the target of an open flow runs, that target responds
 //! to the caller's next request, and the flow is not reset unless its route was dropped. A SYN reaches only
@@ -8,7 +9,9 @@
 mod callers;
 mod delivery;
 mod outages;
+mod pauses;
 mod simulation;
+mod targets;
 
 use std::time::Duration;
 
@@ -41,8 +44,22 @@
     RestartAgent(usize),
     /// An agent stops as planned while its target keeps running, and starts again later.
     StopAgent { agent: usize, away_ms: u64 },
-    /// An agent neither receives nor sends anything for a time.
-    PauseAgent { agent: usize, ms: u64 },
+    /// An agent neither receives nor sends anything for a time. What it is sent is lost, or read when it goes on.
+    PauseAgent {
+        agent: usize,
+        ms: u64,
+        keeps_messages: bool,
+    },
+    /// A balancer stands still for a time. It reads what it was sent when it goes on.
+    PauseBalancer { balancer: u8, ms: u64 },
+    /// A copy of the SYN of an earlier flow reaches a balancer late.
+    LateSyn {
+        flow: usize,
+        balancer: u8,
+        earlier: u32,
+    },
+    /// A single status report of the process before the present one of a target reaches its agent late.
+    LateReport(usize),
     /// A target restarts and loses its flows.
     RestartTarget(usize),
     /// A VM is lost, and its address goes to a target of the other service.
@@ -85,7 +102,13 @@
         1 => any::<usize>().prop_map(Change::RestartAgent),
         1 => (any::<usize>(), 200_u64..15_000)
             .prop_map(|(agent, away_ms)| Change::StopAgent { agent, away_ms }),
-        1 => (any::<usize>(), 50_u64..8000).prop_map(|(agent, ms)| Change::PauseAgent { agent, ms }),
+        1 => (any::<usize>(), 50_u64..8000, any::<bool>())
+            .prop_map(|(agent, ms, keeps_messages)| Change::PauseAgent { agent, ms, keeps_messages }),
+        2 => (balancer.clone(), 50_u64..5000)
+            .prop_map(|(balancer, ms)| Change::PauseBalancer { balancer, ms }),
+        2 => (any::<usize>(), balancer.clone(), 0_u32..3)
+            .prop_map(|(flow, balancer, earlier)| Change::LateSyn { flow, balancer, earlier }),
+        1 => any::<usize>().prop_map(Change::LateReport),
         1 => any::<usize>().prop_map(Change::RestartTarget),
         1 => (any::<usize>(), balancer, 1_u64..1200, 0_u8..3).prop_map(
             |(agent, balancer, syn_lead_ms, late_reports)| {
@@ -132,9 +155,29 @@
             let away = Duration::from_millis(*away_ms);
             simulation.stop_agent(agent_index(simulation, *agent), away);
         }
-        Change::PauseAgent { agent, ms } => {
+        Change::PauseAgent {
+            agent,
+            ms,
+            keeps_messages,
+        } => {
             let time = Duration::from_millis(*ms);
-            simulation.pause_agent(agent_index(simulation, *agent), time);
+            simulation.pause_agent(agent_index(simulation, *agent), time, *keeps_messages);
+        }
+        Change::PauseBalancer { balancer, ms } => {
+            simulation.pause_balancer(*balancer, Duration::from_millis(*ms));
+        }
+        Change::LateSyn {
+            flow,
+            balancer,
+            earlier,
+        } => {
+            if let Some(port) = flow.checked_rem(simulation.caller_count()) {
+                let port = u16::try_from(port).unwrap() + 1;
+                simulation.deliver_late_syn(port, *balancer, *earlier);
+            }
+        }
+        Change::LateReport(agent) => {
+            simulation.deliver_late_report(agent_index(simulation, *agent));
         }
         Change::RestartTarget(agent) => {
             simulation.restart_target(agent_index(simulation, *agent));
--- a/crates/cranberrypitch-core/tests/flow/world/callers.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/callers.rs
@@ -1,7 +1,9 @@
 //! The callers of a simulated deployment, with the checks of what they see.
 
+use std::time::Instant;
+
 use cranberrypitch_core::TargetState;
-use cranberrypitch_core::flow::{AgentRecord, FlowKey};
+use cranberrypitch_core::flow::{AgentDirectoryOptions, AgentRecord, FlowKey};
 
 use super::simulation::{Agent, Balancer, Service, Simulation};
 use crate::support::{request, syn};
@@ -14,8 +16,10 @@
 #[derive(Debug)]
 pub(super) struct Caller {
     pub(super) service: Service,
-    /// The sequence number of the first SYN-ACK that the caller received.
-    pub(super) target_seq: Option<u32>,
+    /// The time of the first transmission of the SYN.
+    pub(super) opened_at: Instant,
+    /// The number after the last byte of the target that the caller received; none before the first SYN-ACK.
+    pub(super) ack_number: Option<u32>,
     /// The target that holds the flow, with its process.
     pub(super) holder: Option<(u8, u64)>,
     /// Whether the handshake is complete at the target.
@@ -34,7 +38,8 @@
         let port = u16::try_from(self.callers.len()).unwrap() + 1;
         let caller = Caller {
             service,
-            target_seq: None,
+            opened_at: self.now,
+            ack_number: None,
             holder: None,
             is_open: false,
             syn_count: 1,
@@ -50,7 +55,8 @@
     pub(super) fn open(&mut self, service: Service, balancers: &[u8]) {
         let port = self.new_caller(service);
         let key = service.flow(port);
-        let must_open = self.is_known_everywhere(service);
+        let is_any_paused = balancers.iter().any(|b| self.is_balancer_paused(*b));
+        let must_open = self.is_known_everywhere(service) && !is_any_paused;
         let caller = self.callers.get_mut(&port).unwrap();
         caller.syn_count = balancers.len();
         for (earlier, balancer) in (0..).zip(balancers) {
@@ -58,7 +64,7 @@
         }
         self.settle();
         let caller = self.callers.get_mut(&port).unwrap();
-        if caller.target_seq.is_none() || caller.is_reset {
+        if caller.ack_number.is_none() || caller.is_reset {
             assert!(!must_open, "flow {port} was not opened");
             // The caller gives up and opens another flow from another port.
             caller.is_reset = true;
@@ -96,21 +102,23 @@
     /// Sends a request on the flow of a caller, and checks its outcome after all timeouts.
     pub(super) fn request(&mut self, port: u16, balancer: u8) {
         let caller = self.callers.get_mut(&port).unwrap();
-        let (Some(target_seq), false) = (caller.target_seq, caller.is_reset) else {
+        if caller.ack_number.is_none() || caller.is_reset {
             return;
-        };
+        }
         caller.response_count = 0;
         let holder = caller.holder.unwrap();
         let key = caller.service.flow(port);
         let may_be_elsewhere = caller.syn_count > 1;
         loop {
             // Callers retransmit while the agent of their flow is away, or another one that accepted a copy
-            // of the SYN: a balancer that passed on that copy awaits it.
+            // of the SYN: a balancer that passed on that copy awaits it. They also retransmit while the balancer
+            // stands still.
             let now = self.now;
             let is_awaited = |agent: &Agent| agent.is_awaited(now);
             let was_awaited = is_awaited(&self.agents[&holder.0])
-                || may_be_elsewhere && self.agents.values().any(is_awaited);
-            self.send(balancer, &request(key, target_seq));
+                || may_be_elsewhere && self.agents.values().any(is_awaited)
+                || self.is_balancer_paused(balancer);
+            self.send_request(port, balancer);
             self.settle();
             if !was_awaited || self.callers[&port].is_reset {
                 break;
@@ -119,7 +127,7 @@
         // A balancer learns that the agent of an established flow is silent from the first packet, and acts on it
         // at the next one.
         if !self.is_held(port) && !self.callers[&port].is_reset {
-            self.send(balancer, &request(key, target_seq));
+            self.send_request(port, balancer);
             self.settle();
         }
         let now = self.now;
@@ -149,21 +157,30 @@
         }
     }
 
+    fn send_request(&mut self, port: u16, balancer: u8) {
+        let caller = &self.callers[&port];
+        let key = caller.service.flow(port);
+        let ack_number = caller.ack_number.unwrap();
+        self.send(balancer, &request(key, ack_number));
+    }
+
     /// Returns whether a balancer has to await an agent that is away before it can reset a flow: one that it
-    /// knows, and whose record in the store does not exclude the flow.
+    /// knows, and whose record in the store does not exclude the flow. A recent report that the agent is ready again
+    /// takes precedence over the record.
     fn is_awaited(&self, key: &FlowKey, balancer: u8) -> bool {
-        let records = self.balancers[&balancer].dispatcher.directory().records();
-        let may_hold = |record: &AgentRecord| {
+        let entry = &self.balancers[&balancer];
+        let report_lifetime = AgentDirectoryOptions::default().report_lifetime;
+        let may_hold = |record: &AgentRecord, index: u8| {
+            let reported_at = entry.reported_at.get(&index);
+            let has_reported = reported_at.is_some_and(|at| self.now - *at < report_lifetime);
+            let is_ready_again = record.state == TargetState::Ready && has_reported;
             let held = record.held_flows.as_ref();
-            held.is_none_or(|held| held.may_contain(key))
+            is_ready_again || held.is_none_or(|held| held.may_contain(key))
         };
-        let is_away = |record: &AgentRecord| {
+        entry.dispatcher.directory().records().iter().any(|record| {
             let index = record.address.ip().octets()[3];
-            self.agents[&index].is_away(self.now)
-        };
-        records
-            .iter()
-            .any(|record| is_away(record) && may_hold(record))
+            self.agents[&index].is_away(self.now) && may_hold(record, index)
+        })
     }
 
     pub(super) fn caller_count(&self) -> usize {
--- a/crates/cranberrypitch-core/tests/flow/world/delivery.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/delivery.rs
@@ -3,14 +3,15 @@
 
 use std::net::SocketAddrV4;
 
-use cranberrypitch_core::flow::{Action, FlowKey, Message, PacketFlags, PacketHeader};
+use cranberrypitch_core::flow::{Action, FlowEvent, FlowKey, Message, PacketFlags, PacketHeader};
 
 use super::simulation::{Balancer, Simulation};
-use crate::support::{
-    agent_address, balancer_address, decode, encode, from_target, owned_message, syn_ack,
-};
+use super::targets::TargetReply;
+use crate::support::{agent_address, balancer_address, decode, encode, owned_message};
 
-const RESPONSE_BYTES: u16 = 500;
+/// The distance of the sequence number of a reset from the caller's last acknowledgement, up to which an open flow
+/// ends by it.
+const MAX_RESET_DISTANCE: u32 = 76_800;
 
 fn index(address: SocketAddrV4) -> u8 {
     address.ip().octets()[3]
@@ -34,6 +35,9 @@
                 Action::Reset(reset) => self.deliver_reset(&reset.flow, reset.seq_number),
                 Action::RefreshAgents => self.balancer(from).is_agents_read_due = true,
                 Action::CheckConfig => self.balancer(from).is_config_read_due = true,
+                Action::RecordEvent(event @ FlowEvent::Reset { .. }) => {
+                    self.last_reset = Some(event);
+                }
                 Action::RecordEvent(_) => {}
             }
         }
@@ -47,13 +51,17 @@
         let port = key.caller.port();
         let is_held = self.is_held(port);
         let caller = self.callers.get_mut(&port).unwrap();
-        // Callers ignore resets with sequence number 0 once a target has accepted.
-        if caller.target_seq.is_some() && seq_number == 0 {
-            return;
+        // Once a target has accepted, callers ignore resets that are far from what they acknowledge.
+        if let Some(ack_number) = caller.ack_number {
+            let distance = seq_number.wrapping_sub(ack_number);
+            if distance.min(distance.wrapping_neg()) > MAX_RESET_DISTANCE {
+                return;
+            }
         }
         assert!(
             !(caller.is_open && is_held) || caller.is_route_dropped,
-            "flow {port} was reset while its target holds it"
+            "flow {port} was reset while its target holds it: {:?}",
+            self.last_reset
         );
         caller.is_reset = true;
     }
@@ -65,36 +73,27 @@
     }
 
     fn deliver_to_target(&mut self, index: u8, received: &PacketHeader) {
-        let flow = received.flow_from_caller();
+        let port = received.flow_from_caller().caller.port();
         let agent = self.agents.get_mut(&index).unwrap();
-        let (response, packet);
         if received.is_syn() {
-            let routed = self.callers[&flow.caller.port()].service;
+            let routed = self.callers[&port].service;
             assert_eq!(
                 agent.target.service, routed,
                 "SYN at a service that its route never named"
             );
-            let process = u32::try_from(agent.target.process).unwrap();
-            let sequence = *agent
-                .target
-                .flows
-                .entry(flow)
-                .or_insert(process * 1_000_000);
-            response = syn_ack(flow, sequence);
-            packet = encode(&response);
-        } else if let Some(sequence) = agent.target.flows.get(&flow)
-            // Retransmissions of a SYN may open flows at several targets; the flow is at the one whose
-            // sequence number the caller acknowledges.
-            && *sequence == received.ack_number
-        {
-            self.callers.get_mut(&flow.caller.port()).unwrap().is_open = true;
-            response = from_target(flow, PacketFlags::ACK, *sequence, RESPONSE_BYTES);
-            packet = encode(&response);
-        } else {
-            let flags = received.flags.with(PacketFlags::BOUNCED);
-            response = PacketHeader { flags, ..*received };
-            packet = encode(received);
         }
+        let (response, packet) = match agent.target.receive(received) {
+            TargetReply::SynAck(response) => (response, encode(&response)),
+            TargetReply::Response(response) => {
+                self.callers.get_mut(&port).unwrap().is_open = true;
+                (response, encode(&response))
+            }
+            TargetReply::Returned => {
+                let flags = received.flags.with(PacketFlags::BOUNCED);
+                let returned = PacketHeader { flags, ..*received };
+                (returned, encode(received))
+            }
+        };
         let now = self.now;
         let Some(process) = agent.running(now) else {
             return;
@@ -108,8 +107,8 @@
         let port = received.flow_from_target().caller.port();
         let caller = self.callers.get_mut(&port).unwrap();
         if received.is_syn_ack() {
-            if caller.target_seq.is_none() {
-                caller.target_seq = Some(received.seq_number);
+            if caller.ack_number.is_none() {
+                caller.ack_number = Some(received.seq_number);
                 caller.holder = Some((index, process));
             }
         } else {
@@ -119,6 +118,8 @@
                 "response of another target"
             );
             caller.response_count += 1;
+            let next = received.seq_number;
+            caller.ack_number = Some(next.wrapping_add(u32::from(received.payload_len_bytes)));
         }
     }
 
@@ -132,9 +133,20 @@
         }
     }
 
-    fn deliver_to_balancer(&mut self, from: SocketAddrV4, balancer: u8, message: Message<'static>) {
+    pub(super) fn deliver_to_balancer(
+        &mut self,
+        from: SocketAddrV4,
+        balancer: u8,
+        message: Message<'static>,
+    ) {
         let now = self.now;
-        let dispatcher = &mut self.balancers.get_mut(&balancer).unwrap().dispatcher;
+        let is_paused = self.is_balancer_paused(balancer);
+        let entry = self.balancers.get_mut(&balancer).unwrap();
+        if is_paused {
+            entry.kept_messages.push_back((from, message));
+            return;
+        }
+        let dispatcher = &mut entry.dispatcher;
         let actions = match message {
             Message::OpenAccepted { flow } => {
                 dispatcher.on_open_accepted(from, flow, now);
@@ -157,15 +169,28 @@
             Message::PacketReturned { packet } => {
                 dispatcher.on_packet_returned(from, &decode(&packet), &packet, now)
             }
-            Message::Report { record, load, .. } => dispatcher.on_report(&record, load, now),
+            Message::Report { record, load, .. } => {
+                entry.reported_at.insert(index(from), now);
+                dispatcher.on_report(&record, load, now)
+            }
             other => panic!("unexpected message: {other:?}"),
         };
         self.perform(balancer_address(balancer), actions);
     }
 
-    fn deliver_to_agent(&mut self, from: SocketAddrV4, index: u8, message: &Message<'static>) {
+    pub(super) fn deliver_to_agent(
+        &mut self,
+        from: SocketAddrV4,
+        index: u8,
+        message: &Message<'static>,
+    ) {
         let now = self.now;
         let agent = self.agents.get_mut(&index).unwrap();
+        if agent.is_away(now) && agent.process.is_some() && agent.keeps_messages {
+            let kept = owned_message(message.clone());
+            agent.kept_messages.push_back((from, kept));
+            return;
+        }
         let Some(process) = agent.running(now) else {
             return;
         };
--- a/crates/cranberrypitch-core/tests/flow/world/simulation.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/simulation.rs
@@ -3,17 +3,19 @@
 //! Each balancer knows what it has read from the store and what agents have reported to it, so balancers
 //! know of joins, drains and changes of routes at different times.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::flow::{
-    AgentIdentity, AgentListProgress, AgentRecord, Dispatcher, DispatcherOptions, FlowAgent,
-    FlowAgentOptions, FlowKey, Message, NumberedRecord, PacketHeader, RouteConfig,
+    AgentIdentity, AgentListProgress, AgentRecord, Arrival, BufferedPacket, Dispatcher,
+    DispatcherOptions, FlowAgent, FlowAgentOptions, FlowEvent, FlowKey, Message, NumberedRecord,
+    PacketHeader, RouteConfig,
 };
 use cranberrypitch_core::{FastMap, Incarnation, TargetState};
 
 use super::callers::Caller;
+use super::targets::Target;
 use crate::support::{
     agent_address, balancer_address, config, decode, domain, encode, flow, service, status_report,
     syn,
@@ -44,7 +46,7 @@
 pub(super) const REPORT_TIME: Duration = Duration::from_millis(100);
 
 /// The sequence number of the last report of a lost target that arrived in time.
-const LATE_SEQUENCE: u64 = 40;
+pub(super) const LATE_SEQUENCE: u64 = 40;
 
 /// The maximum number of lost VMs that balancers may still select. With a third one, the timeouts of a SYN at them
 /// exceed the time that a flow has to open here.
@@ -88,15 +90,6 @@
     }
 }
 
-#[derive(Debug)]
-pub(super) struct Target {
-    pub(super) service: Service,
-    pub(super) process: u64,
-    pub(super) sequence: u64,
-    pub(super) is_draining: bool,
-    pub(super) flows: HashMap<FlowKey, u32>,
-}
-
 #[derive(Debug)]
 pub(super) struct Agent {
     /// The agent's process; none while it is stopped or its VM is lost.
@@ -105,6 +98,9 @@
     pub(super) restart_at: Option<Instant>,
     /// The time until which the agent neither receives nor sends anything.
     pub(super) paused_until: Option<Instant>,
+    /// Whether the agent reads after its pause what it was sent during it.
+    pub(super) keeps_messages: bool,
+    pub(super) kept_messages: VecDeque<(SocketAddrV4, Message<'static>)>,
     /// The last record that the agent passed to its registration.
     passed_record: Option<NumberedRecord>,
     /// Whether the last record is not written yet.
@@ -155,6 +151,14 @@
     pub(super) has_history: bool,
     pub(super) is_agents_read_due: bool,
     pub(super) is_config_read_due: bool,
+    /// The times of the last reports of agents.
+    pub(super) reported_at: BTreeMap<u8, Instant>,
+    /// The time until which the balancer stands still.
+    pub(super) paused_until: Option<Instant>,
+    pub(super) paused_since: Option<Instant>,
+    /// The packets and messages that arrived during the pause.
+    pub(super) kept_packets: VecDeque<PacketHeader>,
+    pub(super) kept_messages: VecDeque<(SocketAddrV4, Message<'static>)>,
 }
 
 /// What the store holds.
@@ -193,6 +197,8 @@
     pub(super) processes_started: u64,
     /// The time until which the store carries out no write.
     writes_blocked_until: Option<Instant>,
+    /// The last event of a reset, for the message of a failed check.
+    pub(super) last_reset: Option<FlowEvent>,
 }
 
 impl Simulation {
@@ -210,6 +216,7 @@
             messages: VecDeque::new(),
             processes_started: 0,
             writes_blocked_until: None,
+            last_reset: None,
         };
         for service in INITIAL_SERVICES {
             simulation.add_agent(service);
@@ -230,6 +237,11 @@
             has_history: false,
             is_agents_read_due: false,
             is_config_read_due: false,
+            reported_at: BTreeMap::new(),
+            paused_until: None,
+            paused_since: None,
+            kept_packets: VecDeque::new(),
+            kept_messages: VecDeque::new(),
         };
         self.balancers.insert(balancer, started);
         self.read_config(balancer);
@@ -239,6 +251,9 @@
     /// Reads the changes of the agent list since the last read, or the whole list if the store has no
     /// history of them.
     pub(super) fn read_agents(&mut self, balancer: u8) {
+        if self.is_balancer_paused(balancer) {
+            return;
+        }
         let now = self.now;
         let records: Vec<_> = self.store.records.values().cloned().collect();
         let entry = self.balancers.get_mut(&balancer).unwrap();
@@ -266,16 +281,19 @@
 
     /// Reads the configuration, and processes the packets that have waited for a route.
     pub(super) fn read_config(&mut self, balancer: u8) {
+        if self.is_balancer_paused(balancer) {
+            return;
+        }
         let config = self.store.config();
         let now = self.now;
         let entry = self.balancers.get_mut(&balancer).unwrap();
         entry.is_config_read_due = false;
         entry.dispatcher.on_config(&config);
-        let released = entry.dispatcher.take_buffered_packets();
+        let released = entry.dispatcher.take_buffered_packets(now);
         let actions = entry.dispatcher.on_config_read(now);
         self.perform(balancer_address(balancer), actions);
-        for packet in released {
-            self.send(balancer, &decode(&packet));
+        for BufferedPacket { packet, arrival } in released {
+            self.send_arriving(balancer, &decode(&packet), arrival);
         }
     }
 
@@ -307,18 +325,14 @@
     /// Starts an agent and a target at an address.
     fn start_processes(&mut self, index: u8, service: Service) {
         self.processes_started += 1;
-        let target = Target {
-            service,
-            process: self.processes_started,
-            sequence: 0,
-            is_draining: false,
-            flows: HashMap::new(),
-        };
+        let target = Target::new(service, self.processes_started);
         let process = Some(self.flow_agent(index, service, self.processes_started));
         let agent = Agent {
             process,
             restart_at: None,
             paused_until: None,
+            keeps_messages: false,
+            kept_messages: VecDeque::new(),
             passed_record: None,
             is_write_pending: false,
             lost_until: None,
@@ -405,6 +419,7 @@
         agent.process = Some(process);
         agent.restart_at = None;
         agent.paused_until = None;
+        agent.kept_messages.clear();
         agent.passed_record = None;
         agent.is_write_pending = false;
         self.report_status(index);
@@ -431,15 +446,6 @@
         agent.restart_at = Some(now + away);
     }
 
-    /// Lets an agent neither receive nor send anything for a time, while its target keeps running.
-    pub(super) fn pause_agent(&mut self, index: u8, time: Duration) {
-        let until = self.now + time;
-        let agent = self.agents.get_mut(&index).unwrap();
-        if agent.process.is_some() {
-            agent.paused_until = agent.paused_until.max(Some(until));
-        }
-    }
-
     /// Restarts a target, which loses its flows.
     pub(super) fn restart_target(&mut self, index: u8) {
         let agent = self.agents.get_mut(&index).unwrap();
@@ -447,13 +453,7 @@
             return;
         }
         self.processes_started += 1;
-        agent.target = Target {
-            service: agent.target.service,
-            process: self.processes_started,
-            sequence: 0,
-            is_draining: false,
-            flows: HashMap::new(),
-        };
+        agent.target = Target::new(agent.target.service, self.processes_started);
     }
 
     /// Loses the VM of a target for good, and gives its address to a target of the other service. Two callers
@@ -514,7 +514,13 @@
     }
 
     /// Delivers a status report of a target's process to an agent.
-    fn deliver_report(&mut self, index: u8, served: Service, process: u64, sequence: u64) {
+    pub(super) fn deliver_report(
+        &mut self,
+        index: u8,
+        served: Service,
+        process: u64,
+        sequence: u64,
+    ) {
         let now = self.now;
         let started_unix_ms = process.saturating_mul(START_INTERVAL_MS);
         let mut report = status_report("i-1", started_unix_ms, sequence);
@@ -538,6 +544,7 @@
     pub(super) fn advance(&mut self, step: Duration) {
         self.now += step;
         self.write_records();
+        self.end_pauses();
         let agents: Vec<_> = self.agents.keys().copied().collect();
         for index in agents {
             let is_restart_due = |at| at <= self.now;
@@ -553,6 +560,9 @@
         }
         self.deliver_messages();
         for balancer in 1..=BALANCERS {
+            if self.is_balancer_paused(balancer) {
+                continue;
+            }
             let dispatcher = &mut self.balancers.get_mut(&balancer).unwrap().dispatcher;
             let actions = dispatcher.on_tick(self.now);
             self.perform(balancer_address(balancer), actions);
@@ -586,9 +596,20 @@
     }
 
     pub(super) fn send(&mut self, balancer: u8, header: &PacketHeader) {
+        self.send_arriving(balancer, header, Arrival::at(self.now));
+    }
+
+    /// Sends a packet to a balancer, which reads it now or when its pause is over.
+    pub(super) fn send_arriving(&mut self, balancer: u8, header: &PacketHeader, arrival: Arrival) {
         let packet = encode(header);
-        let dispatcher = &mut self.balancers.get_mut(&balancer).unwrap().dispatcher;
-        let actions = dispatcher.on_packet(header, &packet, self.now);
+        let is_paused = self.is_balancer_paused(balancer);
+        let entry = self.balancers.get_mut(&balancer).unwrap();
+        if is_paused {
+            entry.kept_packets.push_back(*header);
+            return;
+        }
+        let dispatcher = &mut entry.dispatcher;
+        let actions = dispatcher.on_packet(header, &packet, arrival);
         self.perform(balancer_address(balancer), actions);
     }
 
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -1,6 +1,7 @@
 //! The balancer, which receives the packets of callers and forwards them to agents.
 
 mod agent_watch;
+mod caller_packets;
 mod config_watch;
 mod evacuation_keys;
 mod snapshot;
@@ -13,7 +14,8 @@
 
 use cranberrypitch_core::Clock;
 use cranberrypitch_core::flow::{
-    Action, AgentDirectoryOptions, Dispatcher, DispatcherOptions, Message, RouteConfig,
+    Action, AgentDirectoryOptions, ArrivalTracker, BufferedPacket, Dispatcher, DispatcherOptions,
+    Message, RouteConfig,
 };
 use cranberrypitch_net::daemon::Signal;
 use cranberrypitch_net::store::ObservedStore;
@@ -41,6 +43,10 @@
 /// The tick interval otherwise.
 const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The maximum time between two turns of the event loop, so that a pause of the process shows in that time. A SYN counts
+/// as fresh only if the process did not stand still for longer than the time in which its caller sends a copy.
+const MAX_TURN_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The minimum time for which a stopping balancer goes on forwarding. The platform probes readiness
 /// twice a second and removes a balancer after two failed probes.
 const MIN_STOP_TIME: Duration = Duration::from_millis(1700);
@@ -108,6 +114,7 @@
         readiness,
         config_notices: notice_sender,
         buffer: vec![0; MAX_DATAGRAM_BYTES],
+        arrivals: ArrivalTracker::new(now),
         platform: std::marker::PhantomData,
     };
     balancer
@@ -201,6 +208,8 @@
     /// Passes notices to the watch on the configuration.
     config_notices: mpsc::Sender<ConfigNotice>,
     buffer: Vec<u8>,
+    /// Since when the packets in the socket of callers can have arrived.
+    arrivals: ArrivalTracker,
     platform: std::marker::PhantomData<P>,
 }
 
@@ -237,6 +246,7 @@
                 IDLE_TICK_INTERVAL
             };
             next_tick = next_tick.min(tokio::time::Instant::now() + tick_interval);
+            let next_turn = next_tick.min(tokio::time::Instant::now() + MAX_TURN_INTERVAL);
             tokio::select! {
                 result = caller_socket.readable() => {
                     log_unreadable(result);
@@ -249,9 +259,11 @@
                     self.read_peers(peer_socket);
                 }
                 Some(update) = updates.recv() => self.on_update(update),
-                () = tokio::time::sleep_until(next_tick) => {
-                    next_tick = tokio::time::Instant::now() + tick_interval;
-                    self.on_tick(peer_socket);
+                () = tokio::time::sleep_until(next_turn) => {
+                    if next_tick <= next_turn {
+                        next_tick = tokio::time::Instant::now() + tick_interval;
+                        self.on_tick(peer_socket);
+                    }
                 }
                 signal = context.signals.next() => match signal {
                     Signal::ReloadKeys => check_settings_file(&context.settings_file),
@@ -267,6 +279,12 @@
                     }
                 },
             }
+            if self.is_caller_check_due()
+                && self.check_callers(caller_socket)
+                && let Some(stop) = &mut stop
+            {
+                stop.last_packet_at = self.clock.now();
+            }
             self.readiness
                 .set(stop.is_none() && self.dispatcher.is_ready());
             if stop.is_some_and(|stop| stop.is_finished(self.clock.now())) {
@@ -275,22 +293,6 @@
         }
     }
 
-    /// Reads packets of callers. Returns whether there were any.
-    fn read_callers(&mut self, socket: &UdpSocket) -> bool {
-        let now = self.clock.now();
-        let mut has_packets = false;
-        let mut buffer = std::mem::take(&mut self.buffer);
-        for _ in 0..MAX_BATCH_DATAGRAMS {
-            let Some((packet, _)) = receive(socket, &mut buffer) else {
-                break;
-            };
-            has_packets = true;
-            self.on_packet(packet, now);
-        }
-        self.buffer = buffer;
-        has_packets
-    }
-
     /// Reads a batch of messages of agents. Returns whether there may be more.
     fn read_peers(&mut self, socket: &UdpSocket) -> bool {
         let now = self.clock.now();
@@ -356,8 +358,8 @@
             }
         };
         self.executor.execute::<P>(actions, now);
-        for packet in self.dispatcher.take_buffered_packets() {
-            self.on_packet(&packet, now);
+        for BufferedPacket { packet, arrival } in self.dispatcher.take_buffered_packets(now) {
+            self.on_packet(&packet, arrival);
         }
     }
 
@@ -375,18 +377,6 @@
         actions
     }
 
-    fn on_packet(&mut self, packet: &[u8], now: Instant) {
-        match P::parse_header(packet) {
-            Ok(header) => {
-                let actions = self.dispatcher.on_packet(&header, packet, now);
-                self.executor.execute::<P>(actions, now);
-            }
-            Err(error) => {
-                tracing::debug!(target: log::TARGET, %error, "malformed packet of a caller dropped");
-            }
-        }
-    }
-
     /// Advances the timers of the dispatcher. Queued messages are read first, so that a balancer that
     /// was delayed does not count answers in its receive buffer as missing.
     fn on_tick(&mut self, peer_socket: &UdpSocket) {
--- a/crates/cranberrypitch-relay/src/io/sockets.rs
+++ b/crates/cranberrypitch-relay/src/io/sockets.rs
@@ -1,9 +1,10 @@
 //! UDP sockets of the daemons.
 
-use std::io;
+use std::io::{self, Read};
 use std::net::{SocketAddr, SocketAddrV4};
 
 use cranberrypitch_net::udp::bind_nonblocking;
+use socket2::SockRef;
 use tokio::net::UdpSocket;
 
 use crate::errors::{Error, Result};
@@ -31,15 +32,31 @@
             Ok((len, SocketAddr::V4(peer))) => return Some((&buffer[..len], peer)),
             Ok((_, SocketAddr::V6(_))) => {}
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
-            // The kernel reports here that an earlier datagram could not be delivered. The sender of
-            // that datagram detects the loss by a timeout.
-            Err(error) => {
-                tracing::debug!(target: crate::log::TARGET, %error, "receive from UDP socket failed");
-            }
+            Err(error) => log_receive_error(&error),
         }
     }
 }
 
+/// Returns the next datagram, or `None` if the socket has none. Unlike [`receive`], it asks the operating system each
+/// time: the runtime only knows of datagrams up to its last poll, and not of those that arrived while the process
+/// stood still.
+pub(crate) fn receive_unpolled<'a>(socket: &UdpSocket, buffer: &'a mut [u8]) -> Option<&'a [u8]> {
+    let socket = SockRef::from(socket);
+    loop {
+        match (&*socket).read(buffer) {
+            Ok(len) => return Some(&buffer[..len]),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
+            Err(error) => log_receive_error(&error),
+        }
+    }
+}
+
+// The kernel reports here that an earlier datagram could not be delivered. The sender of that datagram detects the
+// loss by a timeout.
+fn log_receive_error(error: &io::Error) {
+    tracing::debug!(target: crate::log::TARGET, %error, "receive from UDP socket failed");
+}
+
 /// Logs a failed wait for a readable socket. The event loop reads the socket nevertheless and goes
 /// on.
 pub(crate) fn log_unreadable(result: std::io::Result<()>) {
