Do not lengthen the wait for a silent agent by earlier refusals

Cause: the timeout of a SYN doubled with each agent that had been tried, also with those that had refused.

--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -41,7 +41,7 @@
     /// The settings for selecting agents.
     pub selector: AgentSelectorOptions,
     /// The time after which a SYN that an agent has not replied to is sent to another agent; it doubles
-    /// with each agent.
+    /// with each silent agent.
     pub open_timeout: Duration,
     /// The time that agents have to reply to a lookup query.
     pub lookup_timeout: Duration,
--- a/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open.rs
@@ -137,6 +137,7 @@
             return Vec::new();
         }
         opening.failed_agents.push(agent);
+        opening.unanswered_count += 1;
         self.selector.on_open_timeout(agent, now);
         let mut actions = vec![Action::RecordEvent(FlowEvent::Unanswered { flow, agent })];
         if let Some(selected) = self.select_agent(flow, now) {
@@ -187,6 +188,7 @@
             limits: route.limits,
             agent: None,
             failed_agents: Vec::new(),
+            unanswered_count: 0,
             cold_agents: Vec::new(),
             is_accepted: false,
             decline_count: 0,
--- a/crates/cranberrypitch-core/src/flow/dispatcher/pending_open/state.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/pending_open/state.rs
@@ -31,6 +31,8 @@
     pub(in crate::flow::dispatcher) agent: Option<SocketAddrV4>,
     /// The agents that refused the flow or did not reply.
     pub(super) failed_agents: Vec<SocketAddrV4>,
+    /// The number of agents that did not reply in time.
+    pub(super) unanswered_count: u32,
     /// The agents that declined the flow because their targets are or may be slow after their start. Their
     /// reports show little load, so a selection by load alone would choose them again.
     pub(super) cold_agents: Vec<SocketAddrV4>,
@@ -44,14 +46,14 @@
 }
 
 impl PendingOpen {
-    /// Returns whether the agent has not replied within the timeout, which doubles with each agent.
+    /// Returns whether the agent has not replied within the timeout, which doubles with each silent agent.
     pub(in crate::flow::dispatcher) fn is_timed_out(
         &self,
         timeout: Duration,
         now: Instant,
     ) -> bool {
-        let doublings = u32::try_from(self.failed_agents.len()).unwrap_or(u32::MAX);
-        let timeout = timeout * 2_u32.saturating_pow(doublings.min(MAX_TIMEOUT_DOUBLINGS));
+        let doublings = self.unanswered_count.min(MAX_TIMEOUT_DOUBLINGS);
+        let timeout = timeout * 2_u32.saturating_pow(doublings);
         now.saturating_duration_since(self.sent_at) >= timeout
     }
 
--- a/crates/cranberrypitch-core/tests/flow/refusals.rs
+++ b/crates/cranberrypitch-core/tests/flow/refusals.rs
@@ -45,3 +45,21 @@
     let actions = dispatcher.on_open_refused(first, flow(1), RefusalCause::Overloaded, later);
     assert_eq!(reset_count(&actions), 0);
 }
+
+/// Guards against a caller that gives up: agents that refused at once lengthened the timeout of a silent one, as if they
+/// had been silent too.
+#[test]
+fn refusals_do_not_lengthen_the_wait_for_a_silent_agent() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(local_records(4), now);
+    let mut agent = open(&mut dispatcher, flow(1), now);
+    for _ in 0..2 {
+        let refusal = RefusalCause::Draining;
+        let actions = dispatcher.on_open_refused(agent, flow(1), refusal, now);
+        agent = sent_messages(&actions)[0].0;
+    }
+    let actions = dispatcher.on_tick(now + Duration::from_millis(60));
+    let next = sent_messages(&actions);
+    assert_eq!(next.len(), 1, "the silent agent is still awaited");
+    assert_ne!(next[0].0, agent);
+}
