Keep the packets that wait for a lookup when a second target accepts a late SYN

A request was lost until its caller sent it again: a balancer that looked up a flow took any agent whose target accepted a copy of its SYN for the holder, and dropped the packets that waited.

Now only an agent that may hold the flow ends the lookup by an acceptance, and gets the packets.

--- a/crates/cranberrypitch-core/src/flow/dispatcher/lookup.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/lookup.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddrV4;
 use std::time::Instant;
 
-use self::state::{FlowLookup, Progress, Stage};
+use self::state::{FlowLookup, Progress, Stage, forward_buffered};
 use super::Dispatcher;
 use super::established::EstablishedFlow;
 use super::table::FlowState;
@@ -245,7 +245,7 @@
         let Some(lookup) = self.lookup_mut(flow) else {
             return Vec::new();
         };
-        let packets = lookup.buffered_packets.take();
+        let forwarded = lookup.forward_buffered_to(agent);
         let event = FlowEvent::Located {
             flow,
             agent,
@@ -257,11 +257,7 @@
         self.flows
             .insert(flow, FlowState::Established(established), now);
         let mut actions = vec![Action::RecordEvent(event)];
-        actions.extend(
-            packets
-                .into_iter()
-                .map(|packet| forward_buffered(agent, packet)),
-        );
+        actions.extend(forwarded);
         actions
     }
 
@@ -401,8 +397,3 @@
         }
     }
 }
-
-fn forward_buffered<'a>(agent: SocketAddrV4, packet: Box<[u8]>) -> Action<'a> {
-    let packet = Cow::Owned(packet.into_vec());
-    Action::send(agent, Message::Forward { packet })
-}
--- a/crates/cranberrypitch-core/src/flow/dispatcher/lookup/state.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/lookup/state.rs
@@ -1,10 +1,12 @@
 //! The state of the lookup of a flow.
 
+use std::borrow::Cow;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
 use crate::collections::FastSet;
 use crate::flow::dispatcher::packet_buffer::FlowPacketBuffer;
+use crate::flow::message::{Action, Message};
 use crate::flow::packet::PacketHeader;
 use crate::ids::ServiceTag;
 
@@ -174,9 +176,30 @@
             .collect()
     }
 
+    /// Returns whether an agent answered that its target may hold the flow, and the target has returned no packet.
+    pub(in crate::flow::dispatcher) fn may_be_held_by(&self, agent: SocketAddrV4) -> bool {
+        self.possible_holders.contains(&agent)
+    }
+
+    /// Returns the actions that forward the buffered packets to an agent.
+    pub(in crate::flow::dispatcher) fn forward_buffered_to(
+        &mut self,
+        agent: SocketAddrV4,
+    ) -> Vec<Action<'static>> {
+        let packets = self.buffered_packets.take().into_iter();
+        packets
+            .map(|packet| forward_buffered(agent, packet))
+            .collect()
+    }
+
     /// Records that the target of an agent does not hold the flow.
     pub(super) fn rule_out(&mut self, agent: SocketAddrV4) {
         self.unanswered.remove(&agent);
         self.possible_holders.retain(|holder| *holder != agent);
     }
 }
+
+pub(super) fn forward_buffered<'a>(agent: SocketAddrV4, packet: Box<[u8]>) -> Action<'a> {
+    let packet = Cow::Owned(packet.into_vec());
+    Action::send(agent, Message::Forward { packet })
+}
--- a/crates/cranberrypitch-core/src/flow/dispatcher/table.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/table.rs
@@ -54,6 +54,16 @@
     }
 
     pub(super) fn insert(&mut self, flow: FlowKey, state: FlowState, now: Instant) {
+        self.replace(flow, state, now);
+    }
+
+    /// Sets the state of a flow. Returns the earlier one.
+    pub(super) fn replace(
+        &mut self,
+        flow: FlowKey,
+        state: FlowState,
+        now: Instant,
+    ) -> Option<FlowState> {
         if matches!(state, FlowState::Established(_)) {
             self.pending.remove(&flow);
         } else {
@@ -63,7 +73,8 @@
             state,
             last_packet_at: now,
         };
-        self.flows.insert(flow, entry);
+        let earlier = self.flows.insert(flow, entry);
+        earlier.map(|entry| entry.state)
     }
 
     pub(super) fn remove(&mut self, flow: &FlowKey) -> Option<FlowState> {
--- a/crates/cranberrypitch-core/tests/flow/world/callers.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/callers.rs
@@ -75,10 +75,13 @@
     }
 
     /// Returns whether all balancers have the route of a service, and know a target of it that runs and
-    /// accepts flows.
+    /// accepts flows. The agent of a draining target may not have taken its reports yet, and refuses once it has.
     fn is_known_everywhere(&self, service: Service) -> bool {
-        let serves =
-            |agent: &Agent| agent.is_reported_to(self.now) && agent.target.service == service;
+        let serves = |agent: &Agent| {
+            agent.is_reported_to(self.now)
+                && agent.target.service == service
+                && !agent.target.is_draining
+        };
         let is_ready = |(index, agent): (&u8, &Agent)| {
             serves(agent)
                 && self.store.records.get(index).is_some_and(|record| {
--- a/crates/cranberrypitch-core/tests/flow/world/delivery.rs
+++ b/crates/cranberrypitch-core/tests/flow/world/delivery.rs
@@ -148,10 +148,7 @@
         }
         let dispatcher = &mut entry.dispatcher;
         let actions = match message {
-            Message::OpenAccepted { flow } => {
-                dispatcher.on_open_accepted(from, flow, now);
-                Vec::new()
-            }
+            Message::OpenAccepted { flow } => dispatcher.on_open_accepted(from, flow, now),
             Message::OpenQueued { flow } => {
                 dispatcher.on_open_queued(from, flow, now);
                 Vec::new()
