Pass the first data of a flow that the agent met in its middle

All later data of an open flow was dropped: a retransmission that the target had was held back as a new request and dropped when it could not be answered in time, so that data counted as missing at the target. This needs a restarted agent, a late copy of the SYN, which gives the limits of the requests, and a busy target.

The first data of such a flow now passes at once. The new test of flow::schedule fails before and passes now.

--- a/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/hosted_flows.rs
@@ -223,6 +223,12 @@
         self.caller_next_seq.is_none()
     }
 
+    /// Returns whether the agent knows which data of the caller the target has. On a flow that it met in its middle, the
+    /// first data may be a retransmission.
+    pub(super) fn is_caller_data_known(&self) -> bool {
+        self.target_numbers.view() == FlowView::Whole || self.caller_next_seq.is_some()
+    }
+
     /// Returns whether new data of the caller begins a request.
     pub(super) const fn may_begin_request(&self) -> bool {
         self.request_started_at.is_none() && !self.is_closed()
--- a/crates/cranberrypitch-core/src/flow/agent/schedule/requests.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/schedule/requests.rs
@@ -108,6 +108,7 @@
         // The admission of its SYN has already counted the first request of a flow.
         let may_wait = !self.is_stopping
             && hosted.may_begin_request()
+            && hosted.is_caller_data_known()
             && !self.flows.is_request_expected(flow, now)
             && !self.queue.is_request_queue_full()
             && self.is_target_busy(now);
--- a/crates/cranberrypitch-core/src/flow/agent/target_numbers.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/target_numbers.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Returns which part of the flow the agent has seen.
+    pub(super) const fn view(&self) -> FlowView {
+        self.view
+    }
+
     /// Processes a packet of the target other than a reset.
     pub(super) fn on_packet(&mut self, header: &PacketHeader) {
         if header.is_syn_ack() {
--- a/crates/cranberrypitch-core/tests/flow/schedule.rs
+++ b/crates/cranberrypitch-core/tests/flow/schedule.rs
@@ -7,7 +7,7 @@
     RefusalCause, RequestLimits,
 };
 
-use crate::agent::{accept, with_target};
+use crate::agent::{accept, restarted_agent, with_target};
 use crate::support::{
     balancer_address, decode, encode, events, flow, from_caller, from_target, params, reset_count,
     sent_messages, status_report, syn,
@@ -104,6 +104,29 @@
     assert_eq!(agent.running_requests(now), 8);
 }
 
+/// Guards against the loss of an open flow: its agent was restarted and met it in its middle, a late copy of its SYN
+/// gave the limits of its requests, and a retransmission of data that the target has was held back as a new request. Once
+/// that was dropped, all later data counted as unreadable.
+#[test]
+fn retransmission_on_a_flow_met_in_its_middle_does_not_wait() {
+    let now = Instant::now();
+    let opened_at = now.checked_sub(ms(100)).unwrap();
+    let mut agent = restarted_agent(opened_at);
+    agent.on_status_report(status_report("i-1", 1, 5), opened_at);
+    open_with_limits(&mut agent, 20, LIMITS, opened_at);
+    let acknowledgement = from_target(flow(20), PacketFlags::ACK, 5300, 0);
+    agent.on_target_packet(&acknowledgement, &encode(&acknowledgement), opened_at);
+    for port in 1..=8 {
+        open_with_limits(&mut agent, port, LIMITS, now);
+        send(&mut agent, &data(port, 0), now);
+    }
+    let retransmission = to_target(&send(&mut agent, &data(20, 3), now));
+    assert_eq!(retransmission, [(20, 1300)]);
+    respond(&mut agent, 20, now);
+    // The agent knows from here on which data is new.
+    assert_eq!(send(&mut agent, &data(20, 4), now), []);
+}
+
 /// A deployment at usual load must see no change.
 #[test]
 fn request_passes_at_once_below_two_requests_a_slot() {
