Query a silent agent that has sent no message with the first packet

A caller of a lost VM was reset at its third packet in place of the second: the VM's address was used again by an agent whose record excludes the flow, and which was lost too.

Cause: an agent in doubt is queried if it has sent nothing for 500 ms, and an agent that never sent a message counted as one that had just sent one.

--- a/crates/cranberrypitch-core/src/flow/dispatcher/liveness.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/liveness.rs
@@ -48,13 +48,16 @@
 
     /// Returns whether an agent that is about to get a packet should be probed with a query.
     pub(super) fn is_probe_due(
-        &mut self,
+        &self,
         agent: SocketAddrV4,
         timeout: Duration,
         now: Instant,
     ) -> bool {
         let elapsed = |at: Instant| now.saturating_duration_since(at);
-        let activity = self.0.entry(agent).or_insert(Activity::new(now));
+        // An agent that has sent no message need not be waited for.
+        let Some(activity) = self.0.get(&agent) else {
+            return true;
+        };
         let is_query_due = |(_, last)| elapsed(last) >= timeout;
         elapsed(activity.last_message_at) >= PROBE_DELAY
             && activity.queried_at.is_none_or(is_query_due)
--- a/crates/cranberrypitch-core/tests/flow/liveness.rs
+++ b/crates/cranberrypitch-core/tests/flow/liveness.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use cranberrypitch_core::flow::{Arrival, Dispatcher, LookupAnswer, Message};
+use cranberrypitch_core::flow::{
+    AgentRecord, Arrival, Dispatcher, HeldFlows, LookupAnswer, Message,
+};
+use cranberrypitch_core::{Incarnation, TargetState};
 
 use crate::dispatcher::{dispatcher, open};
 use crate::support::{
@@ -109,3 +112,24 @@
         assert_eq!(sent_messages(&actions).len(), 1, "flow {port}");
     }
 }
+
+/// Guards against a caller that waits for a third packet: the agent of its flow was lost and its address is used again
+/// by an agent whose record excludes the flow, and which is silent from the first packet on.
+#[test]
+fn silent_agent_at_a_reused_address_is_queried_with_the_first_packet() {
+    let now = Instant::now();
+    let (mut dispatcher, agent) = established(now);
+    let lost = now + Duration::from_secs(4);
+    dispatcher.on_unregistered(agent, lost);
+    let removed = lost + Duration::from_secs(4);
+    dispatcher.on_tick(removed);
+    let index = agent.ip().octets()[3];
+    let draining = AgentRecord {
+        state: TargetState::Draining,
+        incarnation: Incarnation::new(2),
+        held_flows: HeldFlows::new([flow(2)].into_iter()),
+        ..record(index, "tracer", "a")
+    };
+    dispatcher.on_registered(&draining, removed);
+    assert_eq!(send(&mut dispatcher, removed), (vec![agent], vec![agent]));
+}
