Count the answers of all agents in the last stage of a lookup

A caller got neither an answer nor a reset: a lookup stopped for good.

Cause: an agent that was queried ahead answered that its target may hold the flow, and was then left out of the last stage, as the list had the record of the process before it, which excludes the flow. Its answer neither counted nor let the lookup end.

All answers count with the last stage now.

--- a/crates/cranberrypitch-core/src/flow/dispatcher/lookup/state.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/lookup/state.rs
@@ -147,6 +147,11 @@
     /// Adds the agents of a stage to the queried ones. Returns whether one of them is new.
     pub(super) fn begin_stage(&mut self, agents: &[SocketAddrV4], now: Instant) -> bool {
         let mut has_new = false;
+        // An agent that was queried ahead may be excluded since by its record, which is that of an earlier process if
+        // the agent has answered that its target may hold the flow.
+        if self.stage.next().is_none() {
+            self.queried_ahead.clear();
+        }
         for agent in agents {
             self.queried_ahead.remove(agent);
             if self.queried.insert(*agent) {
--- a/crates/cranberrypitch-core/tests/flow/liveness.rs
+++ b/crates/cranberrypitch-core/tests/flow/liveness.rs
@@ -127,7 +127,7 @@
     let draining = AgentRecord {
         state: TargetState::Draining,
         incarnation: Incarnation::new(2),
-        held_flows: HeldFlows::new([flow(2)].into_iter()),
+        held_flows: HeldFlows::new([flow(2)]),
         ..record(index, "tracer", "a")
     };
     dispatcher.on_registered(&draining, removed);
--- a/crates/cranberrypitch-core/tests/flow/lookup.rs
+++ b/crates/cranberrypitch-core/tests/flow/lookup.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use cranberrypitch_core::flow::{
-    Action, AgentRecord, Arrival, Dispatcher, FlowAgent, FlowEvent, LookupAnswer, Message,
+    Action, AgentRecord, Arrival, Dispatcher, FlowAgent, FlowEvent, HeldFlows, LookupAnswer,
+    Message,
 };
 use cranberrypitch_core::{Incarnation, TargetState};
 
@@ -416,3 +417,33 @@
     let actions = dispatcher.on_open_accepted(possible, flow(1), now);
     assert_eq!(forwarded_to(&actions), [possible]);
 }
+
+/// Guards against a lookup that neither ends nor passes the packets on: a restarted agent of another service may hold the
+/// flow, and the record of the process before it, which excludes the flow, is read only after its answer.
+#[test]
+fn possible_holder_gets_the_packets_although_an_earlier_record_excludes_the_flow() {
+    let now = Instant::now();
+    let (matcher, tracer) = (agent_address(1), record(2, "tracer", "a"));
+    let records = vec![record(1, "matcher", "a"), tracer.clone()];
+    let (mut lookup, _) = Lookup::start(dispatcher(records, now), now);
+    let mut forwarded = Vec::new();
+    for _ in 0..60 {
+        lookup.now += TICK;
+        let at = lookup.now;
+        let actions = lookup.dispatcher.on_tick(at);
+        if queried(&actions).contains(&tracer.address) {
+            let maybe = LookupAnswer::MayBeHeld;
+            let dispatcher = &mut lookup.dispatcher;
+            dispatcher.on_lookup_reply(tracer.address, flow(1), maybe, at);
+            let excluding = AgentRecord {
+                state: TargetState::Draining,
+                held_flows: HeldFlows::new([flow(2)]),
+                ..tracer.clone()
+            };
+            dispatcher.on_registered(&excluding, at);
+        }
+        forwarded.extend(forwarded_to(&actions));
+    }
+    assert!(forwarded.contains(&tracer.address), "{forwarded:?}");
+    assert!(!forwarded.contains(&matcher));
+}
