Take a flow for seen whole only by what its target reports

Whether the target can have held a flow before is now taken from the start time that it reports.

late_syn_does_not_deny_a_flow_of_a_target_without_a_listener fails before and passes now.

--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -41,6 +41,7 @@
 use super::directory::AgentRecord;
 use super::evacuation::EvacuationSet;
 use super::event::FlowEvent;
+use super::flow_view::FlowView;
 use super::load::{AgentLoad, LoadMeter};
 use super::message::{Action, LookupAnswer, LookupQuery, Message, dropped, reset};
 use super::packet::{FlowKey, PacketFlags, PacketHeader};
@@ -403,13 +404,25 @@
 
     /// Returns whether the target may hold flows that were opened before the agent started.
     fn may_hold_unknown_flows(&self, now: Instant) -> bool {
+        !self.target_presence.was_absent && self.may_target_hold_earlier_flows(now)
+    }
+
+    /// Returns whether the target may hold flows that were opened before the agent started, by what it reports of itself
+    /// alone. A target whose port refuses connections may hold flows all the same.
+    fn may_target_hold_earlier_flows(&self, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.started_at);
-        !self.target_presence.was_absent
-            && age < self.options.flow_lifetime
-            && self
-                .target
-                .as_ref()
-                .is_none_or(TargetProcess::may_be_older_than_agent)
+        let target = self.target.as_ref();
+        age < self.options.flow_lifetime
+            && target.is_none_or(TargetProcess::may_be_older_than_agent)
+    }
+
+    /// Returns which part of a flow the agent sees if it passes its SYN to the target now.
+    fn view_of_new_flow(&self, now: Instant) -> FlowView {
+        if self.may_target_hold_earlier_flows(now) {
+            FlowView::Partial
+        } else {
+            FlowView::Whole
+        }
     }
 
     /// Processes a packet that the target returned because it does not hold the flow.
--- a/crates/cranberrypitch-core/src/flow/agent/admission.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/admission.rs
@@ -11,7 +11,6 @@
 use super::target_process::TargetProcess;
 use crate::flow::cause::{DropCause, RefusalCause};
 use crate::flow::event::FlowEvent;
-use crate::flow::flow_view::FlowView;
 use crate::flow::message::{Action, OpenParams, dropped};
 use crate::flow::packet::{FlowKey, PacketHeader};
 use crate::ids::{ServiceName, ServiceTag};
@@ -81,11 +80,7 @@
         terms: FlowTerms,
         now: Instant,
     ) -> Vec<Action<'a>> {
-        let view = if self.may_hold_unknown_flows(now) {
-            FlowView::Partial
-        } else {
-            FlowView::Whole
-        };
+        let view = self.view_of_new_flow(now);
         if !self.flows.open(flow, view, balancer, terms, now) {
             return Vec::new();
         }
--- a/crates/cranberrypitch-core/tests/flow/partial_view.rs
+++ b/crates/cranberrypitch-core/tests/flow/partial_view.rs
@@ -107,6 +107,20 @@
     assert_eq!(forward(&mut agent, 1, next, now), "target");
 }
 
+/// Guards against the same fault beside a target that does not listen for health checks: that its port refused a
+/// connection does not show that it holds no flow.
+#[test]
+fn late_syn_does_not_deny_a_flow_of_a_target_without_a_listener() {
+    let now = Instant::now();
+    let mut agent = restarted_agent(now);
+    agent.on_target_absent();
+    agent.on_status_report(status_report("i-1", 1, 5), now);
+    pass_late_syn(&mut agent, now);
+    let answer = lookup(&mut agent, 1, LATER_ACK, now);
+    assert_eq!(answer, LookupAnswer::MayBeHeld);
+    assert_eq!(forward(&mut agent, 1, LATER_ACK, now), "target");
+}
+
 /// Guards against the reset of a flow that another target holds: this one accepted a late copy of its SYN, and
 /// returns the packets of the caller. A returned packet shows the end of a flow only if its caller follows the target.
 #[test]
