--- a/crates/cranberrypitch-core/tests/flow/world.rs
+++ b/crates/cranberrypitch-core/tests/flow/world.rs
@@ -6,6 +6,7 @@
 //! to the caller's next request, and the flow is not reset unless its route was dropped. A SYN reaches only
 //! targets of the service that its route names, whichever service their address had before. A flow whose target is gone is reset in time.
 
+mod agents;
 mod callers;
 mod delivery;
 mod outages;
