--- a/crates/cranberrypitch-core/src/flow/agent.rs
+++ b/crates/cranberrypitch-core/src/flow/agent.rs
@@ -404,7 +404,7 @@
 
     /// Returns whether the target may hold flows that were opened before the agent started.
     fn may_hold_unknown_flows(&self, now: Instant) -> bool {
-        !self.is_target_known_absent(now) && self.may_target_hold_earlier_flows(now)
+        !self.target_presence.was_absent && self.may_target_hold_earlier_flows(now)
     }
 
     /// Returns whether the target may hold flows that were opened before the agent started, by what it reports of itself
--- a/crates/cranberrypitch-core/src/flow/agent/target_presence.rs
+++ b/crates/cranberrypitch-core/src/flow/agent/target_presence.rs
@@ -1,10 +1,8 @@
 //! Whether a target is there that has sent no status report.
 //!
 //! An agent that starts beside a running target does not know which flows the target holds. After a loss of power,
-//! and while a VM is taken out of service, there is no target: its port refuses connections, and it sends no status
-//! report. Both together are evidence that no earlier flow is open, without a wait for the end of the lease.
-
-use std::time::Instant;
+//! and while a VM is taken out of service, there is no target: its port refuses connections. That is evidence
+//! that no earlier flow is open, without a wait for the end of the lease.
 
 use super::FlowAgent;
 use crate::flow::event::FlowEvent;
@@ -31,15 +29,6 @@
         vec![Action::RecordEvent(FlowEvent::TargetAbsent { agent })]
     }
 
-    /// Returns whether there was no target after the start of the agent: its port refused a connection, and it has sent no
-    /// status report for as long as a running one may be silent. A target need not listen, so that the port refuses
-    /// connections alone shows nothing.
-    pub(super) fn is_target_known_absent(&self, now: Instant) -> bool {
-        let age = now.saturating_duration_since(self.started_at);
-        let is_silent = self.target.is_none() && age >= self.options.first_status_timeout;
-        self.target_presence.was_absent && is_silent
-    }
-
     /// Records that a process may have the address of the target by now.
     pub const fn on_target_maybe_present(&mut self) {
         self.target_presence.is_absent = false;
