--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -201,7 +201,8 @@
     }
 
     /// Records that the target of an agent accepted a flow, or is presumed to hold it. Forwards the packets that wait for
-    /// it.
+    /// it. If the target accepted a late copy of the SYN of a flow that its caller has with another target, it returns
+    /// them.
     pub fn on_open_accepted(
         &mut self,
         agent: SocketAddrV4,
@@ -214,11 +215,6 @@
             // If several targets accept, the caller most likely uses the first one.
             Some(FlowState::Established(_) | FlowState::AwaitingRoute(_)) => return Vec::new(),
             Some(FlowState::Opening(opening)) => Some(opening.service_tag()),
-            // The target accepted a copy of the SYN of a flow that its caller has with another target, or the agent
-            // answers the query too.
-            Some(FlowState::LookingUp(lookup)) if !lookup.may_be_held_by(agent) => {
-                return Vec::new();
-            }
             Some(FlowState::LookingUp(lookup)) => lookup.service,
             None => None,
         };
--- a/crates/cranberrypitch-core/src/flow/dispatcher/lookup/state.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/lookup/state.rs
@@ -181,11 +181,6 @@
             .collect()
     }
 
-    /// Returns whether an agent answered that its target may hold the flow, and the target has returned no packet.
-    pub(in crate::flow::dispatcher) fn may_be_held_by(&self, agent: SocketAddrV4) -> bool {
-        self.possible_holders.contains(&agent)
-    }
-
     /// Returns the actions that forward the buffered packets to an agent.
     pub(in crate::flow::dispatcher) fn forward_buffered_to(
         &mut self,
