--- a/crates/cranberrypitch-core/src/flow/dispatcher.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher.rs
@@ -200,29 +200,20 @@
         vec![Action::RecordEvent(event)]
     }
 
-    /// Records that the target of an agent accepted a flow, or is presumed to hold it. Forwards the packets that wait for
-    /// it. If the target accepted a late copy of the SYN of a flow that its caller has with another target, it returns
-    /// them.
-    pub fn on_open_accepted(
-        &mut self,
-        agent: SocketAddrV4,
-        flow: FlowKey,
-        now: Instant,
-    ) -> Vec<Action<'static>> {
+    /// Records that the target of an agent accepted a flow, or is presumed to hold it.
+    pub fn on_open_accepted(&mut self, agent: SocketAddrV4, flow: FlowKey, now: Instant) {
         self.on_agent_message(agent, now);
         self.selector.on_open_accepted(agent, now);
         let service = match self.flows.get(&flow).map(|entry| &entry.state) {
             // If several targets accept, the caller most likely uses the first one.
-            Some(FlowState::Established(_) | FlowState::AwaitingRoute(_)) => return Vec::new(),
+            Some(FlowState::Established(_) | FlowState::AwaitingRoute(_)) => return,
             Some(FlowState::Opening(opening)) => Some(opening.service_tag()),
             Some(FlowState::LookingUp(lookup)) => lookup.service,
             None => None,
         };
-        let established = FlowState::Established(EstablishedFlow { agent, service });
-        match self.flows.replace(flow, established, now) {
-            Some(FlowState::LookingUp(mut lookup)) => lookup.forward_buffered_to(agent),
-            _ => Vec::new(),
-        }
+        let established = EstablishedFlow { agent, service };
+        self.flows
+            .insert(flow, FlowState::Established(established), now);
     }
 
     /// Processes a packet that an agent returned because its target does not hold the flow.
--- a/crates/cranberrypitch-core/src/flow/dispatcher/table.rs
+++ b/crates/cranberrypitch-core/src/flow/dispatcher/table.rs
@@ -54,16 +54,6 @@
     }
 
     pub(super) fn insert(&mut self, flow: FlowKey, state: FlowState, now: Instant) {
-        self.replace(flow, state, now);
-    }
-
-    /// Sets the state of a flow. Returns the earlier one.
-    pub(super) fn replace(
-        &mut self,
-        flow: FlowKey,
-        state: FlowState,
-        now: Instant,
-    ) -> Option<FlowState> {
         if matches!(state, FlowState::Established(_)) {
             self.pending.remove(&flow);
         } else {
@@ -73,8 +63,7 @@
             state,
             last_packet_at: now,
         };
-        let earlier = self.flows.insert(flow, entry);
-        earlier.map(|entry| entry.state)
+        self.flows.insert(flow, entry);
     }
 
     pub(super) fn remove(&mut self, flow: &FlowKey) -> Option<FlowState> {
--- a/crates/cranberrypitch-relay/src/balancer.rs
+++ b/crates/cranberrypitch-relay/src/balancer.rs
@@ -414,7 +414,10 @@
     now: Instant,
 ) -> Vec<Action<'static>> {
     match message {
-        Message::OpenAccepted { flow } => dispatcher.on_open_accepted(agent, flow, now),
+        Message::OpenAccepted { flow } => {
+            dispatcher.on_open_accepted(agent, flow, now);
+            Vec::new()
+        }
         Message::OpenQueued { flow } => {
             dispatcher.on_open_queued(agent, flow, now);
             Vec::new()
