--- a/review/11/case.py
+++ b/review/11/case.py
@@ -35,6 +35,7 @@
     # A target is added, with its machine.
     side = s.Machine(world, "agent", "side-a-2", f"{world.net}.1.42", "a", "matcher")
     world.sides.append(side)
+    world.store.servers.append(await asyncio.start_server(world.store.connection, *side.store_address))
     await side.start()
     new = await s.Target(world, side, "i-new", clock_s=CLOCK_AHEAD_S if trouble else 0.0).start()
     if trouble:
--- a/review/standins3.py
+++ b/review/standins3.py
@@ -12,9 +12,9 @@
 import signal
 import socket
 import struct
-import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 import zlib
 
@@ -145,7 +145,8 @@
 
 
 class Store:
-    """The platform's metadata store. `refuse(ip)` returns how calls of a machine fail now, or None."""
+    """The platform's metadata store. `refuse` returns how a call fails now, or None, by the address at which the
+    machine reaches the store, and the path."""
 
     def __init__(self, record):
         self.record, self.items, self.history, self.leases = record, {}, [], {}
@@ -153,9 +154,11 @@
         self.changed = asyncio.Condition()
         self.refuse = lambda ip, path: None
         self.calls = 0
+        self.on_empty_watch = None  # called with the machine's address, the prefix and the wait of an empty answer
 
-    async def serve(self, address):
-        self.server = await asyncio.start_server(self.connection, *address)
+    async def serve(self, addresses):
+        """Serves at one address for each machine, which tells the machines apart: a loopback client has no other."""
+        self.servers = [await asyncio.start_server(self.connection, *address) for address in addresses]
         self.expiry = asyncio.create_task(self.expire())
 
     async def expire(self):
@@ -192,7 +195,7 @@
         self.record(f"operator: {key} written, confirmed at revision {rev}")
 
     async def connection(self, reader, writer):
-        ip = writer.get_extra_info("peername")[0]
+        ip = writer.get_extra_info("sockname")[0]
         try:
             while (message := await read_message(reader)) is not None:
                 method, target, _ = message[0].split()
@@ -208,7 +211,7 @@
                 if how in ("busy", "many"):
                     status, body = (503 if how == "busy" else 429), {}
                 else:
-                    status, body = await self.answer(method, url.path, query, message[2])
+                    status, body = await self.answer(ip, url.path, query, message[2])
                 data = json.dumps(body).encode()
                 writer.write((f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {self.era}\r\n"
                               f"Content-Length: {len(data)}\r\n\r\n").encode() + data)
@@ -218,7 +221,7 @@
         finally:
             writer.close()
 
-    async def answer(self, method, path, query, body):
+    async def answer(self, ip, path, query, body):
         if path == "/kv-key":
             item = self.items.get(query["key"])
             return (200, dict(item, **{"current-rev": self.rev})) if item else (404, {})
@@ -233,6 +236,8 @@
             while True:
                 events = [e for r, e in self.history if r > after and e["key"].startswith(query["prefix"])]
                 left = until - time.monotonic()
+                if not events and left <= 0 and self.on_empty_watch:
+                    self.on_empty_watch(ip, query["prefix"], int(query["wait-ms"]))
                 if events or left <= 0:
                     return 200, {"events": events, "current-rev": self.rev}
                 async with self.changed:
@@ -399,8 +404,8 @@
                 self.send(Packet(packet.dst, packet.dport, packet.src, packet.sport, ACK, flow.next_out, flow.next_in))
 
     async def run(self, key, flow, request_id):
-        self.record(f"target {self.id} runs {request_id}")
-        self.world.ran.setdefault(request_id, []).append(self.id)
+        self.record(f"target {self.id} of {self.service} runs {request_id}")
+        self.world.ran.setdefault(request_id, []).append(self)
         await asyncio.sleep(self.work_s)
         body = f"{request_id} by {self.id}".encode()
         data = (f"HTTP/1.1 200 OK\r\nX-Response-Signature: s-{request_id}\r\n"
@@ -434,7 +439,7 @@
         self.isn = random.getrandbits(30)
         self.out, self.peer_next, self.state = self.isn + 1, None, "opening"
         self.event, self.response, self.input = asyncio.Event(), None, b""
-        self.opened_at = self.reset_at = None
+        self.sent_at = self.opened_at = self.reset_at = None
         consumer.flows[self.sport] = self
 
     def packet(self, flags, seq, ack, data=b""):
@@ -445,7 +450,7 @@
 
     async def open(self):
         """Opens the flow. Returns whether it is open; a consumer gives an attempt up after 1.4 s."""
-        start = time.monotonic()
+        start = self.sent_at = time.monotonic()
         for copy, until in enumerate((0.2, 0.6, 1.4)):
             self.send(self.packet(SYN, self.isn, copy))
             while self.state == "opening" and (left := start + until - time.monotonic()) > 0:
@@ -556,6 +561,9 @@
         port = world.port
         self.datagram, self.ready = (ip, port["datagram"]), (ip, port["ready"])
         self.control, self.outbound, self.app = (ip, port["control"]), (ip, port["outbound"]), (ip, port["app"])
+        zone_and_number = ip.split(".", 2)[2]
+        self.store_address = (f"{world.net}.{200 + int(zone_and_number.split('.')[0])}.{zone_and_number.split('.')[1]}",
+                              port["store"])
         self.process, self.is_ready, self.misses, self.starts = None, False, 0, 0
         self.file = os.path.join(world.folder, f"{name}.json")
         self.log = os.path.join(world.folder, f"{name}.log")
@@ -567,7 +575,7 @@
         return {
             "vm": self.name, "failure_domain": self.zone, "datagram_address": addr(self.datagram),
             "readiness_address": addr(self.ready), "peer_ports": list(self.world.peer_ports),
-            "store_address": addr(self.world.store_address), "metrics_address": f"{self.ip}:{self.world.port['metrics']}",
+            "store_address": addr(self.store_address), "metrics_address": f"{self.ip}:{self.world.port['metrics']}",
             "snapshot_address": addr(self.control) if self.role == "balancer" else None,
             "seed_addresses": [addr(m.control) for m in self.world.fronts[:3]],
             "lease_min_ms": 1000, "stop_grace_s": 6, "flow_lifetime_s": bounds["flow-lifetime-s"],
@@ -615,7 +623,6 @@
         names = ("datagram", "ready", "control", "outbound", "app", "store", "metrics")
         self.port = {name: first + n for n, name in enumerate(names)}
         self.peer_ports = (first + 20, first + 35)
-        self.store_address = (f"{self.net}.200.1", self.port["store"])
         self.fronts, self.sides, self.consumers, self.targets = [], [], [], []
         self.broken, self.resets, self.ran, self.sightings = [], [], {}, []
         for z, zone in enumerate(zones):
@@ -674,7 +681,7 @@
     async def start(self, targets=True):
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("target/release/cranberrypitch-node is missing: run the build of deploy/system.toml")
-        await self.store.serve(self.store_address)
+        await self.store.serve([m.store_address for m in self.fronts + self.sides])
         self.probes = []
         for machine in self.fronts + self.sides:
             await machine.start()
@@ -708,34 +715,39 @@
 
 
 def main(folder, case):
-    """Runs `case(record, trouble)`, which returns a list of breaks. Exits with 1, 0 or 2."""
+    """Runs `case(record, trouble, worlds)`, which returns a list of breaks. Exits with 1, 0 or 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     record(f"trouble: {'on' if trouble else 'off'}")
     worlds = []
 
-    async def run():
-        try:
-            return await asyncio.wait_for(case(record, trouble, worlds), 110)
-        finally:
-            for world in worlds:
-                world.end()
-            for machine in [m for world in worlds for m in world.fronts + world.sides if m.process]:
-                await machine.process.wait()
-
-    try:
-        breaks = asyncio.run(run())
-        code = 1 if breaks else 0
-        for line in breaks:
-            record(f"BROKEN {line}")
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
-        record(f"the case could not run: {error!r}")
-        code = 2
-    finally:
+    def finish(code):
         for world in worlds:
+            world.end()
             if os.environ.get("KEEP_LOGS"):
                 os.makedirs(os.environ["KEEP_LOGS"], exist_ok=True)
                 world.keep_logs(os.environ["KEEP_LOGS"])
             shutil.rmtree(world.folder, ignore_errors=True)
-    record(f"exit {code}")
-    sys.exit(code)
+        record(f"exit {code}")
+        # Tasks of the stand-ins that still wait are of no use any more.
+        os._exit(code)
+
+    def on_alarm(*_):
+        record("the case could not run: it took too long")
+        finish(2)
+
+    async def run():
+        try:
+            breaks = await asyncio.wait_for(case(record, trouble, worlds), 105)
+            for line in breaks:
+                record(f"BROKEN {line}")
+            finish(1 if breaks else 0)
+        except (CannotRun, OSError, asyncio.TimeoutError) as error:
+            record(f"the case could not run: {error!r}")
+        except Exception:  # a fault of the case itself
+            record("the case could not run: " + traceback.format_exc())
+        finish(2)
+
+    signal.signal(signal.SIGALRM, on_alarm)
+    signal.alarm(112)
+    asyncio.run(run())
