--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,66 +1,97 @@
-"""An agent is killed soon after its target started, at a moment when the time of day of their machine was ahead.
+"""An agent is stopped and started as planned, and later its target is taken away while a balancer is stopped: open flows
+of another target are reset.
 
-A small deployment: two zones, each with a balancer and a target with its agent, and a target that is added. Clients keep flows open, each with one request before the restart of the agent and one after a pause."""
+A small deployment: two zones, each with two balancers. Zone b has a target; one is added in zone a, and taken away again.
+Consumers of zone a use flows that they opened before, at the target of zone b, which lives all the while."""
 
 import asyncio
 import os
+import random
 import sys
 import time
+import zlib
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, ".."))
 import standins3 as s
 
-CLOCK_AHEAD_S = 2.4  # the largest step of the site file, there for 6 s
-RESTART_DELAY_S = 0.2
 SERVICE = ("198.18.0.1", 8080)
+FLOWS = 32
+RESTART_DELAY_S = 0.3
+PLATFORM_DELAY_S = 2.0  # from the exit of a target to the SIGTERM of its daemon
 
 
-async def use(world, count):
-    """Opens flows in both zones, each with a request. Returns those that are answered."""
-    flows = []
-    for n in range(count):
-        flow = await world.consumers[n % len(world.consumers)].ready_flow(*SERVICE)
-        if await flow.request(f"first-{flow.sport}") == "ok":
-            flows.append(flow)
-    return flows
+def busiest(world, flows):
+    """Returns the balancer of zone a to which the router sends most of the flows."""
+    fronts = world.rotation("a")
+    keys = [flow.packet(s.ACK, 0, 0).flow() for flow in flows]
+    number = lambda n: sum(zlib.crc32(repr(key).encode()) % len(fronts) == n for key in keys)
+    return fronts[max(range(len(fronts)), key=number)]
+
+
+async def use(flow, results):
+    """Sends a request on an open flow every 0.3 to 0.5 s."""
+    number = 0
+    while flow.state == "open":
+        number += 1
+        result = await flow.request(f"feed-{flow.sport}-{number}")
+        results[result] = results.get(result, 0) + 1
+        await asyncio.sleep(random.uniform(0.3, 0.5))
 
 
 async def case(record, trouble, worlds):
-    world = s.World(record, zones=("a", "b"), fronts=1, sides=(("matcher", 1),))
+    world = s.World(record, zones=("a", "b"), fronts=2, sides=(("matcher", 1),))
     worlds.append(world)
-    world.routes["orders"] = (*SERVICE, "matcher")
+    late = world.sides.pop(0)  # the machine in zone a, which is added below
+    world.routes["feed"] = (*SERVICE, "matcher")
     await world.start()
-    await use(world, 4)
-    # A target is added, with its machine.
-    side = s.Machine(world, "agent", "side-a-2", f"{world.net}.1.42", "a", "matcher")
-    world.sides.append(side)
-    world.store.servers.append(await asyncio.start_server(world.store.connection, *side.store_address))
-    await side.start()
-    new = await s.Target(world, side, "i-new", clock_s=CLOCK_AHEAD_S if trouble else 0.0).start()
-    if trouble:
-        record(f"the time of day of {side.name} is {CLOCK_AHEAD_S} s ahead")
+    old = world.targets[0]
+    consumer = world.consumers[0]
+    flows = []
+    while len(flows) < FLOWS:
+        flow = await consumer.ready_flow(*SERVICE)
+        if await flow.request(f"first-{flow.sport}") == "ok":
+            flows.append(flow)
+    held = lambda flow: any(key[1] == flow.sport and hosted.is_open for key, hosted in old.flows.items())
+    if not all(held(flow) for flow in flows):
+        raise s.CannotRun("not all flows are at the target of zone b")
+    results = {}
+    tasks = [asyncio.create_task(use(flow, results)) for flow in flows]
+    # A target is added in zone a, with its machine.
+    world.sides.append(late)
+    world.store.servers.append(await asyncio.start_server(world.store.connection, *late.store_address))
+    await late.start()
+    new = await s.Target(world, late, "i-new").start()
     await asyncio.wait_for(new.reported.wait(), 3)
-    await asyncio.sleep(0.05)
-    flows = await use(world, 16)
-    mine = [flow for flow in flows if any(key[1] == flow.sport and hosted.is_open for key, hosted in new.flows.items())]
-    record(f"{len(flows)} flows are open, {len(mine)} of them at {new.id}")
-    if not mine:
-        raise s.CannotRun("the new target holds no flow")
+    await asyncio.sleep(2)
     if trouble:
-        record(f"the time of day of {side.name} is right again")
-        await side.kill()
+        await late.stop()
         await asyncio.sleep(RESTART_DELAY_S)
-        await side.start()
-    # All machines are in touch contact-ms after the start of the process.
-    in_touch_from = time.monotonic() + s.CONTACT_S
-    await asyncio.sleep(s.CONTACT_S + 1.0)
-    results = [await flow.request(f"second-{flow.sport}") for flow in mine]
-    record(f"second requests on the flows of {new.id}: "
-           f"{ {result: results.count(result) for result in sorted(set(results))} }")
-    held = {key[1] for key in new.flows}
-    breaks = [f"FLOW (a): flow {flow.sport} was reset by the system; its target {new.id} lives and holds it"
-              for flow, at in world.resets if flow in mine and flow.sport in held and at >= in_touch_from]
+        await late.start()
+    await asyncio.sleep(s.CONTACT_S + 1)
+    # The target of zone a is taken away. Meanwhile a balancer of the zone is stopped and started.
+    new.state = "draining"
+    await new.beat_once()
+    await asyncio.sleep(s.DRAIN_S + 0.5)
+    front = busiest(world, flows)
+    rolled = asyncio.create_task(front.stop())
+    while front.misses == 0:
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.3)
+    answer = await s.http(late.control, "DELETE", f"/targets/{new.id}")
+    record(f"target {new.id}: DELETE answered {answer[0] if answer else None}")
+    new.end()
+    ended_at = time.monotonic()
+    await rolled
+    await asyncio.sleep(ended_at + PLATFORM_DELAY_S - time.monotonic())
+    await late.stop()
+    await front.start()
+    await asyncio.sleep(3)
+    for task in tasks:
+        task.cancel()
+    record(f"requests on the flows of {old.id}: {results}")
+    breaks = [f"FLOW (a): flow {flow.sport} was reset by the system; its target {old.id} lives and holds it"
+              for flow, _ in world.resets if flow in flows and held(flow)]
     return breaks + world.broken
 
 
