--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,97 +1,100 @@
-"""An agent is stopped and started as planned, and later its target is taken away while a balancer is stopped: open flows
-of another target are reset.
+"""A copy of a SYN goes to the service of an earlier configuration, after the same balancer has put a later one in force.
 
-A small deployment: two zones, each with two balancers. Zone b has a target; one is added in zone a, and taken away again.
-Consumers of zone a use flows that they opened before, at the target of zone b, which lives all the while."""
+A small deployment: one zone with a balancer and two services with a target each. The process beside the target of one
+service is killed and starts again, while two changes of the configuration give its route to the other service."""
 
 import asyncio
 import os
-import random
 import sys
 import time
-import zlib
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, ".."))
 import standins3 as s
 
 SERVICE = ("198.18.0.1", 8080)
-FLOWS = 32
-RESTART_DELAY_S = 0.3
-PLATFORM_DELAY_S = 2.0  # from the exit of a target to the SIGTERM of its daemon
+RESTART_DELAY_S = 0.45  # from the kill of a process to its start
+SLACK_S = 0.25          # rollback-slack-ms
 
 
-def busiest(world, flows):
-    """Returns the balancer of zone a to which the router sends most of the flows."""
-    fronts = world.rotation("a")
-    keys = [flow.packet(s.ACK, 0, 0).flow() for flow in flows]
-    number = lambda n: sum(zlib.crc32(repr(key).encode()) % len(fronts) == n for key in keys)
-    return fronts[max(range(len(fronts)), key=number)]
+class Flow(s.Flow):
+    def send(self, packet):
+        if packet.flags == s.SYN:
+            self.syn_times.append(time.monotonic())
+        super().send(packet)
 
 
-async def use(flow, results):
-    """Sends a request on an open flow every 0.3 to 0.5 s."""
-    number = 0
-    while flow.state == "open":
-        number += 1
-        result = await flow.request(f"feed-{flow.sport}-{number}")
-        results[result] = results.get(result, 0) + 1
-        await asyncio.sleep(random.uniform(0.3, 0.5))
+class Target(s.Target):
+    """A target that notes which transmission of a SYN it took: the acknowledgement number counts the earlier ones."""
+
+    def on_datagram(self, raw, addr):
+        packet = s.Packet.decode(raw)
+        if packet.flags == s.SYN and packet.flow() not in self.flows:
+            self.world.taken[packet.sport] = (self, packet.ack, time.monotonic())
+        super().on_datagram(raw, addr)
 
 
 async def case(record, trouble, worlds):
-    world = s.World(record, zones=("a", "b"), fronts=2, sides=(("matcher", 1),))
+    world = s.World(record, zones=("a",), fronts=1, sides=(("old", 1), ("new", 1)))
     worlds.append(world)
-    late = world.sides.pop(0)  # the machine in zone a, which is added below
-    world.routes["feed"] = (*SERVICE, "matcher")
-    await world.start()
-    old = world.targets[0]
+    world.taken = {}
+    world.routes["orders"] = (*SERVICE, "old")
+    await world.start(targets=False)
+    for side in world.sides:
+        world.targets.append(await Target(world, side, f"i-{side.name}").start())
+    for target in world.targets:
+        await asyncio.wait_for(target.reported.wait(), 3)
     consumer = world.consumers[0]
-    flows = []
-    while len(flows) < FLOWS:
-        flow = await consumer.ready_flow(*SERVICE)
-        if await flow.request(f"first-{flow.sport}") == "ok":
-            flows.append(flow)
-    held = lambda flow: any(key[1] == flow.sport and hosted.is_open for key, hosted in old.flows.items())
-    if not all(held(flow) for flow in flows):
-        raise s.CannotRun("not all flows are at the target of zone b")
-    results = {}
-    tasks = [asyncio.create_task(use(flow, results)) for flow in flows]
-    # A target is added in zone a, with its machine.
-    world.sides.append(late)
-    world.store.servers.append(await asyncio.start_server(world.store.connection, *late.store_address))
-    await late.start()
-    new = await s.Target(world, late, "i-new").start()
-    await asyncio.wait_for(new.reported.wait(), 3)
-    await asyncio.sleep(2)
+    flows, tasks = [], []
+
+    async def one():
+        flow = Flow(consumer, *SERVICE)
+        flow.syn_times = []
+        flows.append(flow)
+        if await flow.open():
+            await flow.request(f"order-{flow.sport}")
+
+    async def traffic():
+        while True:
+            tasks.append(asyncio.create_task(one()))
+            await asyncio.sleep(0.02)
+
+    stream = asyncio.create_task(traffic())
+    await asyncio.sleep(5)  # all machines are in touch, the balancer watches the store
+    side = next(m for m in world.sides if m.service == "old")
+    killed_at = time.monotonic()
+    if trouble:
+        await side.kill()
+    await asyncio.sleep(killed_at + 0.15 - time.monotonic())
+    # Two versions in quick succession: the route is removed, and added again for the other service.
+    del world.routes["orders"]
+    await world.put_config()
+    world.routes["orders"] = (*SERVICE, "new")
+    await world.put_config()
+    confirmed_at = time.monotonic()
+    await asyncio.sleep(killed_at + RESTART_DELAY_S - time.monotonic())
     if trouble:
-        await late.stop()
-        await asyncio.sleep(RESTART_DELAY_S)
-        await late.start()
-    await asyncio.sleep(s.CONTACT_S + 1)
-    # The target of zone a is taken away. Meanwhile a balancer of the zone is stopped and started.
-    new.state = "draining"
-    await new.beat_once()
-    await asyncio.sleep(s.DRAIN_S + 0.5)
-    front = busiest(world, flows)
-    rolled = asyncio.create_task(front.stop())
-    while front.misses == 0:
-        await asyncio.sleep(0.005)
-    await asyncio.sleep(0.3)
-    answer = await s.http(late.control, "DELETE", f"/targets/{new.id}")
-    record(f"target {new.id}: DELETE answered {answer[0] if answer else None}")
-    new.end()
-    ended_at = time.monotonic()
-    await rolled
-    await asyncio.sleep(ended_at + PLATFORM_DELAY_S - time.monotonic())
-    await late.stop()
-    await front.start()
-    await asyncio.sleep(3)
-    for task in tasks:
-        task.cancel()
-    record(f"requests on the flows of {old.id}: {results}")
-    breaks = [f"FLOW (a): flow {flow.sport} was reset by the system; its target {old.id} lives and holds it"
-              for flow, _ in world.resets if flow in flows and held(flow)]
+        await side.start()
+    await asyncio.sleep(2)
+    stream.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    # A target saw the effect of the last version when one of the new service took the first flow.
+    effect_at = min((at for target, _, at in world.taken.values() if target.service == "new"), default=None)
+    if effect_at is None:
+        raise s.CannotRun("no target of the new service took a flow")
+    record(f"the last version was seen in effect {effect_at - confirmed_at:.3f} s after its confirmation")
+    breaks, services = [], {}
+    for flow in flows:
+        ran = world.ran.get(f"order-{flow.sport}", [])
+        if not ran or flow.sport not in world.taken:
+            continue
+        target, number, _ = world.taken[flow.sport]
+        late_s = flow.syn_times[number] - effect_at
+        services[target.service, number] = services.get((target.service, number), 0) + 1
+        if target.service == "old" and late_s > SLACK_S:
+            breaks.append(f"CONFIG: request order-{flow.sport}, whose opening packet (transmission {number + 1}) was sent "
+                          f"{late_s:.3f} s after the effect of the last version was seen, was run by the old service")
+    record(f"requests by service and transmission that the target took: {services}")
     return breaks + world.broken
 
 
