--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 11 to 13: Python 3 with its standard library alone, so this only compiles them to
+# Builds the stand-ins of the cases 11 to 14: Python 3 with its standard library alone, so this only compiles them to
 # find errors. The programs of the project are built by the command of deploy/system.toml.
 set -e
 cd "$(dirname "$0")"
