--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,8 +1,8 @@
 """An agent is stopped and started as planned, and later its target is taken away while a balancer is stopped: open flows
 of another target are reset.
 
-A small deployment: two zones, each with two balancers. Zone b has a target; one is added in zone a, and taken away again.
-Consumers of zone a use flows that they opened before, at the target of zone b, which lives all the while."""
+A small deployment: two zones, each with two balancers. Zone b has seven targets; one is added in zone a, and taken away
+again. Consumers of zone a use flows that they opened before, at the targets of zone b, which live all the while."""
 
 import asyncio
 import os
@@ -40,21 +40,23 @@
 
 
 async def case(record, trouble, worlds):
-    world = s.World(record, zones=("a", "b"), fronts=2, sides=(("matcher", 1),))
+    world = s.World(record, zones=("a", "b"), fronts=2, sides=(("matcher", 7),))
     worlds.append(world)
-    late = world.sides.pop(0)  # the machine in zone a, which is added below
+    late = world.sides[0]  # the machine in zone a, which is added below
+    world.sides = [side for side in world.sides if side.zone == "b"]
     world.routes["feed"] = (*SERVICE, "matcher")
     await world.start()
-    old = world.targets[0]
+    old = list(world.targets)
     consumer = world.consumers[0]
     flows = []
     while len(flows) < FLOWS:
         flow = await consumer.ready_flow(*SERVICE)
         if await flow.request(f"first-{flow.sport}") == "ok":
             flows.append(flow)
-    held = lambda flow: any(key[1] == flow.sport and hosted.is_open for key, hosted in old.flows.items())
-    if not all(held(flow) for flow in flows):
-        raise s.CannotRun("not all flows are at the target of zone b")
+    holder = lambda flow: next((target for target in old if any(
+        key[1] == flow.sport and hosted.is_open for key, hosted in target.flows.items())), None)
+    if not all(holder(flow) for flow in flows):
+        raise s.CannotRun("not all flows are at the targets of zone b")
     results = {}
     tasks = [asyncio.create_task(use(flow, results)) for flow in flows]
     # A target is added in zone a, with its machine.
@@ -89,9 +91,9 @@
     await asyncio.sleep(3)
     for task in tasks:
         task.cancel()
-    record(f"requests on the flows of {old.id}: {results}")
-    breaks = [f"FLOW (a): flow {flow.sport} was reset by the system; its target {old.id} lives and holds it"
-              for flow, _ in world.resets if flow in flows and held(flow)]
+    record(f"requests on the flows of zone b: {results}")
+    breaks = [f"FLOW (a): flow {flow.sport} was reset by the system; its target {holder(flow).id} lives and holds it"
+              for flow, _ in world.resets if flow in flows and holder(flow)]
     return breaks + world.broken
 
 
