--- a/review/11/case.py
+++ b/review/11/case.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, os.path.join(FOLDER, ".."))
 import standins3 as s
 
-SERVICE = ("198.18.0.1", 8080)
+SERVICE = ("127.18.0.1", 8080)
 FLOWS = 32
 RESTART_DELAY_S = 0.3
 PLATFORM_DELAY_S = 2.0  # from the exit of a target to the SIGTERM of its daemon
