--- a/review/13/case.py
+++ b/review/13/case.py
@@ -11,7 +11,7 @@
 sys.path.insert(0, os.path.join(FOLDER, ".."))
 import standins3 as s
 
-SERVICE = ("198.18.0.1", 8080)
+SERVICE = ("127.18.0.1", 8080)
 FLOWS = 20
 REUSE_S = 10.0  # from the close of a flow to the next one from the same port
 
@@ -106,9 +106,9 @@
             late_s = flow.sent_at - confirmed_at - s.CONFIG_S
             for target in world.ran.get(f"{name}-{flow.sport}", []):
                 services[name, target.service] = services.get((name, target.service), 0) + 1
-                if trouble and target.service == "old" and late_s > 0:
+                if target.service != world.routes["orders"][2] and late_s > 0:
                     breaks.append(f"CONFIG: request {name}-{flow.sport}, sent {late_s:.3f} s after config-apply-ms, was "
-                                  f"run by the old service at {target.id}")
+                                  f"run by the {target.service} service at {target.id}")
     record(f"requests by their ports and the service that ran them: {services}")
     return breaks + world.broken
 
